Add the design page, error table, settings, message codec and peer links

Cause: an empty repository; parts that are written side by side need fixed interfaces first. Change: docs/design.md with requirements, alternatives, state owners, messages and interfaces; the closed error table; strict settings; a typed CBOR codec; authenticated websocket links; the build, lint and test commands.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: install format lint test demo clean
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements/runtime.txt requirements/dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements/dev.txt
+	$(BIN)/python -m pip install --quiet --no-deps -e .
+	touch $@
+
+format: install
+	$(BIN)/black laburnumrock benchmarks examples
+	$(BIN)/ruff check --fix laburnumrock benchmarks examples
+
+lint: install
+	$(BIN)/black --check --quiet laburnumrock benchmarks examples
+	$(BIN)/ruff check --quiet laburnumrock benchmarks examples
+
+test: lint
+	$(BIN)/python -m pytest -n 4
+
+demo: install
+	$(BIN)/python examples/demo.py
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/laburnumrock/__init__.py
@@ -0,0 +1,1 @@
+"""Serving layer for model prompts whose lengths differ widely."""
--- /dev/null
+++ b/laburnumrock/charts/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder of the charts package."""
--- /dev/null
+++ b/laburnumrock/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder of the daemon package."""
--- /dev/null
+++ b/laburnumrock/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder of the gateway package."""
--- /dev/null
+++ b/laburnumrock/placement/_messages.py
@@ -0,0 +1,187 @@
+"""Messages between entry instances and pool owners."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from laburnumrock.errors import ErrorKind
+from laburnumrock.messages import register_message
+
+
+class PermitOutcome(StrEnum):
+    """How the work under a permit ended."""
+
+    FINISHED = "finished"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    OVERLOADED = "overloaded"
+    COLD = "cold"
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Part of a request on one upstream.
+
+    Parameters
+    ----------
+    upstream_id, base_url : str
+        Name and HTTP address of the upstream.
+    kv_tokens : int
+        KV memory set aside on the upstream, in tokens.
+    first_token_index : int
+        Index of the first prompt token of this part; 0 unless the prompt spans upstreams.
+    """
+
+    upstream_id: str
+    base_url: str
+    kv_tokens: int = 0
+    first_token_index: int = 0
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """Request for a permit.
+
+    Parameters
+    ----------
+    request_id : str
+        Caller's request.
+    attempt : int
+        Number of the attempt, from 1.
+    client_account, caller : str
+        Client account and the caller inside it.
+    model : str
+        Model, or name of a plain service.
+    prompt_tokens, max_output_tokens : int
+        Sizes in tokens; 0 for a plain service.
+    remaining_s : float
+        Time to the deadline in seconds.
+    priority : int
+        Higher is more urgent.
+    adapter, version : str, optional
+        Required adapter and model version.
+    prefix_hashes : list of str
+        Hashes of the prompt's prefixes, shortest first.
+    excluded_upstreams : list of str
+        Upstreams on which earlier attempts failed.
+    """
+
+    request_id: str
+    attempt: int
+    client_account: str
+    caller: str
+    model: str
+    prompt_tokens: int
+    max_output_tokens: int
+    remaining_s: float
+    priority: int = 0
+    adapter: str | None = None
+    version: str | None = None
+    prefix_hashes: list[str] = field(default_factory=list)
+    excluded_upstreams: list[str] = field(default_factory=list)
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PermitGrant:
+    """Permit to send one attempt of a request to the named upstreams.
+
+    Parameters
+    ----------
+    permit_id : str
+        Unique name of the permit.
+    request_id : str
+        Caller's request.
+    attempt : int
+        Attempt for which the permit holds.
+    owner_epoch : int
+        Epoch of the pool owner that granted it.
+    placements : list of Placement
+        Parts of the request; more than one for a prompt that spans upstreams.
+    ttl_s : float
+        Time after which the permit ends unless it is renewed, in seconds.
+    """
+
+    permit_id: str
+    request_id: str
+    attempt: int
+    owner_epoch: int
+    placements: list[Placement]
+    ttl_s: float
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PermitRefusal:
+    """Final refusal of a permit; nothing was sent to an upstream.
+
+    Parameters
+    ----------
+    request_id : str
+        Caller's request.
+    kind : ErrorKind
+        Reason.
+    retry_after_s : float, optional
+        When a retry may succeed, in seconds.
+    detail : str
+        Reason in words.
+    """
+
+    request_id: str
+    kind: ErrorKind
+    retry_after_s: float | None = None
+    detail: str = ""
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PermitRenewal:
+    """Renewal of permits that an entry instance holds, with what a new owner needs to know.
+
+    Parameters
+    ----------
+    pool_id : str
+        Pool of the permits.
+    grants : list of PermitGrant
+        Permits in use.
+    """
+
+    pool_id: str
+    grants: list[PermitGrant]
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PermitRenewalAnswer:
+    """Answer to a renewal.
+
+    Parameters
+    ----------
+    revoked_permits : list of str
+        Permits that the owner does not accept; their work must be cancelled.
+    """
+
+    revoked_permits: list[str] = field(default_factory=list)
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PermitRelease:
+    """End of the work under a permit.
+
+    Parameters
+    ----------
+    permit_id : str
+        The permit.
+    outcome : PermitOutcome
+        How the work ended.
+    first_token_s : float, optional
+        Time from dispatch to the first token in seconds.
+    output_tokens : int
+        Tokens received.
+    """
+
+    permit_id: str
+    outcome: PermitOutcome
+    first_token_s: float | None = None
+    output_tokens: int = 0
--- /dev/null
+++ b/laburnumrock/settings/__init__.py
@@ -0,0 +1,21 @@
+"""Validated JSON settings of one instance."""
+
+from laburnumrock.settings._instance import (
+    InstanceSettings,
+    ListenSettings,
+    PeerSettings,
+    StatsdSettings,
+    TimingSettings,
+)
+from laburnumrock.settings._load import describe_validation_error, load_settings, read_key
+
+__all__ = [
+    "InstanceSettings",
+    "ListenSettings",
+    "PeerSettings",
+    "StatsdSettings",
+    "TimingSettings",
+    "describe_validation_error",
+    "load_settings",
+    "read_key",
+]
--- /dev/null
+++ b/laburnumrock/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder of the standins package."""
