Add the pool scheduler, its policies and the cold-start gate

Cause: a permit needs one owner that knows the memory, permits and prefill of every upstream of its pool. Change: PoolScheduler with an exact ledger, queue lines per length class, all-or-none reservations for spanning prompts, take-over mode and cancels repeated until confirmed; policies round_robin, shortest_wait and length_aware; ColdStartGate.

--- a/laburnumrock/placement/__init__.py
+++ b/laburnumrock/placement/__init__.py
@@ -1,6 +1,9 @@
 """Placement of requests on upstreams."""
 
+from laburnumrock.placement import _length_aware  # noqa: F401  registers its policy
+from laburnumrock.placement._effects import CancelOnUpstream
 from laburnumrock.placement._messages import (
+    PermitCancel,
     PermitGrant,
     PermitOutcome,
     PermitRefusal,
@@ -9,9 +12,17 @@
     PermitRenewalAnswer,
     PermitRequest,
     Placement,
+    PoolSummary,
 )
+from laburnumrock.placement._policies import POLICIES, PlacementPolicy, register_policy
+from laburnumrock.placement._scheduler import PoolScheduler
+from laburnumrock.placement._settings import LengthClass, PoolSettings, classify_length
 
 __all__ = [
+    "POLICIES",
+    "CancelOnUpstream",
+    "LengthClass",
+    "PermitCancel",
     "PermitGrant",
     "PermitOutcome",
     "PermitRefusal",
@@ -20,4 +31,10 @@
     "PermitRenewalAnswer",
     "PermitRequest",
     "Placement",
+    "PlacementPolicy",
+    "PoolScheduler",
+    "PoolSettings",
+    "PoolSummary",
+    "classify_length",
+    "register_policy",
 ]
--- /dev/null
+++ b/laburnumrock/placement/_ledger.py
@@ -0,0 +1,248 @@
+"""Ledger of one upstream, and permits."""
+
+from dataclasses import dataclass, field
+
+from laburnumrock.placement._messages import PermitGrant, PermitRequest, Placement
+from laburnumrock.placement._prefixes import PrefixHints
+from laburnumrock.placement._settings import LengthClass, PoolSettings
+from laburnumrock.upstreams import ColdStartGate, UpstreamAnnouncement, UpstreamState
+
+
+@dataclass(slots=True)
+class WaitingRequest:
+    """Request together with what the scheduler derived from it.
+
+    Parameters
+    ----------
+    sender : str
+        Entry instance that asked.
+    request : PermitRequest
+        The request.
+    length_class : LengthClass
+        Its class.
+    arrived_s, deadline_s : float
+        Clock readings in seconds.
+    order : float
+        Position in the queue; lower is served first.
+    cost_s : float
+        Expected engine time in seconds.
+    """
+
+    sender: str
+    request: PermitRequest
+    length_class: LengthClass
+    arrived_s: float
+    deadline_s: float
+    order: float = 0.0
+    cost_s: float = 0.0
+
+    @property
+    def kv_tokens(self) -> int:
+        """KV memory that the request needs, in tokens."""
+        return self.request.prompt_tokens + self.request.max_output_tokens
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Request id and attempt."""
+        return (self.request.request_id, self.request.attempt)
+
+
+@dataclass(slots=True)
+class Permit:
+    """Granted permit.
+
+    Parameters
+    ----------
+    holder : str
+        Entry instance that holds it.
+    grant : PermitGrant
+        The grant as sent.
+    length_class : LengthClass
+        Class of the request.
+    expires_s : float
+        When it ends unless it is renewed.
+    predicted_first_s : float
+        Predicted time to the first token in seconds.
+    prefill_done_s : float
+        When its prefill is expected to end.
+    unconfirmed : set of str
+        Upstreams that have not confirmed the cancel of an ended permit.
+    ended : bool
+        Whether the permit has expired or was revoked.
+    ended_s : float
+        When it ended.
+    """
+
+    holder: str
+    grant: PermitGrant
+    length_class: LengthClass
+    expires_s: float
+    predicted_first_s: float = 0.0
+    prefill_done_s: float = 0.0
+    unconfirmed: set[str] = field(default_factory=set)
+    ended: bool = False
+    ended_s: float = 0.0
+
+
+def make_signature(announcement: UpstreamAnnouncement) -> tuple:
+    """Return the part of an announcement that decides which requests an upstream serves."""
+    return (
+        frozenset(announcement.models + announcement.services),
+        frozenset(announcement.adapters),
+        frozenset(announcement.versions),
+    )
+
+
+def matches_signature(signature: tuple, request: PermitRequest) -> bool:
+    """Return whether upstreams with a signature serve the model, adapter and version."""
+    models, adapters, versions = signature
+    if request.model not in models:
+        return False
+    if request.adapter and adapters and request.adapter not in adapters:
+        return False
+    return not (request.version and versions and request.version not in versions)
+
+
+class UpstreamLedger:
+    """Exact account of the capacity that permits hold on one upstream.
+
+    Parameters
+    ----------
+    upstream_id : str
+        The upstream.
+    settings : PoolSettings
+        Settings of the pool.
+    """
+
+    def __init__(self, upstream_id: str, settings: PoolSettings) -> None:
+        self.upstream_id = upstream_id
+        self.settings = settings
+        self.announcement: UpstreamAnnouncement | None = None
+        self.present = False
+        self.in_service = True
+        self.assumed_full = False
+        self.gate = ColdStartGate(settings.permits_per_upstream)
+        self.prefixes = PrefixHints()
+        self.permits: dict[str, Placement] = {}
+        self.kv_used = 0
+        self.unattributed: dict[str, int] = {}
+        self.kv_unattributed = 0
+        self.cancelling: set[str] = set()
+        self.earmarked_kv = 0
+        self.earmarked_for: tuple[str, int] | None = None
+        self.prefill_free_s = 0.0
+        self.long_free_s = 0.0
+        self.lane = 0
+        self.signature: tuple = (frozenset(), frozenset(), frozenset())
+        self.index_keys: tuple | None = None
+
+    @property
+    def base_url(self) -> str:
+        """HTTP address; empty until the upstream is announced."""
+        return self.announcement.base_url if self.announcement else ""
+
+    @property
+    def kv_capacity(self) -> int:
+        """KV memory in tokens."""
+        return self.announcement.kv_capacity_tokens if self.announcement else 0
+
+    @property
+    def free_kv(self) -> int:
+        """KV memory that is neither granted, assumed in use nor earmarked."""
+        return self.kv_capacity - self.kv_used - self.kv_unattributed - self.earmarked_kv
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the upstream is announced, in service and not leaving."""
+        return (
+            self.present
+            and self.in_service
+            and self.announcement is not None
+            and self.announcement.state is not UpstreamState.LEAVING
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the upstream may receive new work at all."""
+        if self.assumed_full or not self.is_usable:
+            return False
+        return self.gate.admits(len(self.permits))
+
+    def apply(self, announcement: UpstreamAnnouncement) -> None:
+        """Take over the contents of an announcement."""
+        self.announcement = announcement
+        self.present = True
+        self.signature = make_signature(announcement)
+        self.gate.observe(announcement.incarnation, announcement.state)
+
+    def fits(self, waiting: WaitingRequest, kv_tokens: int) -> bool:
+        """Return whether KV memory is free for a request, counting its own earmark."""
+        free = self.free_kv
+        if self.earmarked_for == waiting.key:
+            free += self.earmarked_kv
+        return kv_tokens <= free
+
+    def serves(self, request: PermitRequest) -> bool:
+        """Return whether adapter and version match and earlier attempts did not fail here."""
+        if self.upstream_id in request.excluded_upstreams:
+            return False
+        if request.request_id in self.cancelling:
+            return False
+        return matches_signature(self.signature, request)
+
+    def add(self, permit_id: str, placement: Placement) -> None:
+        """Enter a permit."""
+        self.permits[permit_id] = placement
+        self.kv_used += placement.kv_tokens
+
+    def remove(self, permit_id: str) -> bool:
+        """Take a permit out; returns False if it was not entered."""
+        placement = self.permits.pop(permit_id, None)
+        if placement is None:
+            return False
+        self.kv_used -= placement.kv_tokens
+        return True
+
+    def set_unattributed(self, request_id: str, kv_tokens: int | None) -> None:
+        """Enter or, with None, remove memory that the engine holds without a known permit."""
+        self.kv_unattributed -= self.unattributed.pop(request_id, 0)
+        if kv_tokens is not None:
+            self.unattributed[request_id] = kv_tokens
+            self.kv_unattributed += kv_tokens
+
+    def wait_s(self, now_s: float) -> float:
+        """Return the expected time until prefill of a new request starts, in seconds."""
+        return max(0.0, self.prefill_free_s - now_s)
+
+    def step_s(self, sequences: int) -> float:
+        """Return the expected time of a decode step with `sequences` in the batch."""
+        base_s = self.announcement.decode_step_s if self.announcement else 0.0
+        return base_s * (1.0 + self.settings.decode_growth * sequences)
+
+    def chunk_s(self) -> float:
+        """Return the time that one prefill chunk adds to a step, in seconds."""
+        rate = self.announcement.prefill_tokens_per_s if self.announcement else 0.0
+        return self.settings.prefill_chunk_tokens / rate if rate > 0 else 0.0
+
+    def prefill_s(self, tokens: int, sequences: int) -> float:
+        """Return the time of a prefill beside a decode batch, in seconds."""
+        chunk_s = self.chunk_s()
+        chunks = tokens / self.settings.prefill_chunk_tokens
+        return chunks * (chunk_s + (self.step_s(sequences) if sequences else 0.0))
+
+    def latest_finish_s(self, request: PermitRequest, now_s: float) -> float:
+        """Return an upper bound on the finish of a request that is granted now.
+
+        Notes
+        -----
+        Engines process prefills first in, first out, so that later permits delay a request only
+        through the batch and through chunks beside its decode steps. The bound assumes a full
+        batch and a chunk in every step; hence no later grant can invalidate it.
+        """
+        full = self.settings.permits_per_upstream
+        step_s = self.step_s(full) + self.chunk_s()
+        expected_s = self.chunk_s() + self.step_s(len(self.permits))
+        stretch = step_s / expected_s if expected_s > 0 else 1.0
+        start_s = now_s + self.wait_s(now_s) * max(1.0, stretch)
+        prefill_s = self.prefill_s(request.prompt_tokens, full)
+        return start_s + prefill_s + request.max_output_tokens * step_s
--- a/laburnumrock/placement/_messages.py
+++ b/laburnumrock/placement/_messages.py
@@ -64,6 +64,8 @@
         Hashes of the prompt's prefixes, shortest first.
     excluded_upstreams : list of str
         Upstreams on which earlier attempts failed.
+    pool_id : str
+        Pool that is asked; empty when the receiver owns a single pool.
     """
 
     request_id: str
@@ -79,6 +81,7 @@
     version: str | None = None
     prefix_hashes: list[str] = field(default_factory=list)
     excluded_upstreams: list[str] = field(default_factory=list)
+    pool_id: str = ""
 
 
 @register_message
@@ -125,12 +128,15 @@
         When a retry may succeed, in seconds.
     detail : str
         Reason in words.
+    attempt : int
+        Attempt that is refused.
     """
 
     request_id: str
     kind: ErrorKind
     retry_after_s: float | None = None
     detail: str = ""
+    attempt: int = 1
 
 
 @register_message
@@ -185,3 +191,57 @@
     outcome: PermitOutcome
     first_token_s: float | None = None
     output_tokens: int = 0
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PermitCancel:
+    """Withdrawal of a permit request whose answer the entry instance has not received.
+
+    A grant that crosses this message on the way must not be used.
+
+    Parameters
+    ----------
+    request_id : str
+        Caller's request.
+    attempt : int
+        Attempt that is withdrawn.
+    pool_id : str
+        Pool that was asked.
+    """
+
+    request_id: str
+    attempt: int
+    pool_id: str = ""
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PoolSummary:
+    """Load of one pool.
+
+    Parameters
+    ----------
+    pool_id : str
+        The pool.
+    owner_epoch : int
+        Epoch of its owner.
+    in_service : bool
+        False while the failure domain is drained.
+    upstreams : int
+        Upstreams that may receive new work.
+    free_kv_tokens : int
+        Free KV memory over these upstreams, in tokens.
+    queued : int
+        Requests that wait for a permit.
+    expected_wait_s : dict from str to float
+        Expected wait by length class in seconds; a class that cannot be served is absent.
+    """
+
+    pool_id: str
+    owner_epoch: int
+    in_service: bool
+    upstreams: int
+    free_kv_tokens: int
+    queued: int
+    expected_wait_s: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/laburnumrock/placement/_permits.py
@@ -0,0 +1,232 @@
+"""Permits of a pool: grant, renewal, expiry, cancels until confirmed, and take-over."""
+
+import heapq
+from collections.abc import Iterable
+
+from laburnumrock.messages import Effect
+from laburnumrock.placement._effects import CancelOnUpstream
+from laburnumrock.placement._ledger import Permit, UpstreamLedger, WaitingRequest
+from laburnumrock.placement._messages import PermitGrant, PermitRelease, PermitRenewal, Placement
+from laburnumrock.placement._settings import LengthClass, PoolSettings, classify_length
+from laburnumrock.placement._table import UpstreamTable
+
+
+class PermitBook:
+    """All permits of a pool.
+
+    Parameters
+    ----------
+    settings : PoolSettings
+        Settings of the pool.
+    table : UpstreamTable
+        Upstreams whose ledgers the permits occupy.
+    """
+
+    def __init__(self, settings: PoolSettings, table: UpstreamTable) -> None:
+        self.settings = settings
+        self.table = table
+        self.permits: dict[str, Permit] = {}
+        self.by_key: dict[tuple[str, int], str] = {}
+        self.cancels: list[tuple[float, str, str]] = []
+        self._expiries: list[tuple[float, str]] = []
+        self._sequence = 0
+
+    def grant(
+        self,
+        waiting: WaitingRequest,
+        parts: list[tuple[UpstreamLedger, Placement]],
+        predicted_first_s: float,
+        now_s: float,
+    ) -> PermitGrant:
+        """Enter a permit in the ledgers of all its upstreams in one step."""
+        self._sequence += 1
+        settings = self.settings
+        grant = PermitGrant(
+            permit_id=f"{settings.pool_id}/{settings.owner_epoch}/{self._sequence}",
+            request_id=waiting.request.request_id,
+            attempt=waiting.request.attempt,
+            owner_epoch=settings.owner_epoch,
+            placements=[placement for _, placement in parts],
+            ttl_s=settings.permit_ttl_s,
+        )
+        permit = self._enter(waiting.sender, grant, waiting.length_class, now_s)
+        permit.predicted_first_s = predicted_first_s
+        return grant
+
+    def find_live(self, key: tuple[str, int]) -> Permit | None:
+        """Return the live permit of an attempt, if there is one."""
+        permit = self.permits.get(self.by_key.get(key, ""))
+        return permit if permit and not permit.ended else None
+
+    def release(self, message: PermitRelease, now_s: float) -> Permit | None:
+        """Free everything that a permit holds; returns None for an unknown permit."""
+        permit = self.permits.get(message.permit_id)
+        if permit is None:
+            return None
+        for placement in permit.grant.placements:
+            self._free(permit, placement.upstream_id, now_s)
+        self._forget(permit)
+        return permit
+
+    def renew(
+        self, sender: str, message: PermitRenewal, accepts_unknown: bool, now_s: float
+    ) -> list[str]:
+        """Extend permits; returns the ones that are not accepted.
+
+        Parameters
+        ----------
+        sender : str
+            Entry instance that holds the permits.
+        message : PermitRenewal
+            Permits in use.
+        accepts_unknown : bool
+            Whether permits of an earlier owner are entered, as during a take-over.
+        now_s : float
+            Clock reading in seconds.
+        """
+        revoked = []
+        for grant in message.grants:
+            permit = self.permits.get(grant.permit_id)
+            if permit is not None and not permit.ended:
+                permit.expires_s = now_s + self.settings.permit_ttl_s
+                permit.holder = sender
+            elif permit is None and accepts_unknown and self._is_earlier(grant):
+                self._adopt(sender, grant, now_s)
+            else:
+                revoked.append(grant.permit_id)
+        return revoked
+
+    def end(self, permit: Permit, now_s: float) -> None:
+        """End a permit whose work may still run; its memory stays in use until confirmed."""
+        if permit.ended:
+            return
+        permit.ended = True
+        self.by_key.pop((permit.grant.request_id, permit.grant.attempt), None)
+        for placement in permit.grant.placements:
+            ledger = self.table.ledgers.get(placement.upstream_id)
+            if ledger is None or permit.grant.permit_id not in ledger.permits:
+                continue
+            permit.unconfirmed.add(placement.upstream_id)
+            ledger.cancelling.add(permit.grant.request_id)
+            self.schedule_cancel(placement.upstream_id, permit.grant.request_id, now_s)
+        permit.ended_s = now_s
+        if not permit.unconfirmed:
+            self._forget(permit)
+
+    def expire(self, now_s: float) -> None:
+        """End the permits that were not renewed in time."""
+        while self._expiries and self._expiries[0][0] <= now_s:
+            _, permit_id = heapq.heappop(self._expiries)
+            permit = self.permits.get(permit_id)
+            if permit is None or permit.ended:
+                continue
+            if permit.expires_s > now_s:
+                heapq.heappush(self._expiries, (permit.expires_s, permit_id))
+            else:
+                self.end(permit, now_s)
+
+    def schedule_cancel(self, upstream_id: str, request_id: str, now_s: float) -> None:
+        """Start to cancel a request on an upstream until that is confirmed."""
+        self.table.get_or_add(upstream_id).cancelling.add(request_id)
+        heapq.heappush(self.cancels, (now_s, upstream_id, request_id))
+
+    def due_cancels(self, now_s: float) -> list[Effect]:
+        """Return the cancels that must be sent now, and schedule their repetition."""
+        effects: list[Effect] = []
+        while self.cancels and self.cancels[0][0] <= now_s:
+            _, upstream_id, request_id = heapq.heappop(self.cancels)
+            ledger = self.table.ledgers.get(upstream_id)
+            if ledger is None or request_id not in ledger.cancelling:
+                continue
+            repeat_s = now_s + self.settings.cancel_repeat_s
+            heapq.heappush(self.cancels, (repeat_s, upstream_id, request_id))
+            if ledger.base_url:
+                effects.append(CancelOnUpstream(upstream_id, ledger.base_url, request_id))
+        return effects
+
+    def confirm_cancel(self, upstream_id: str, request_id: str, now_s: float) -> None:
+        """Free the memory of ended permits of a request that an upstream no longer runs."""
+        ledger = self.table.ledgers.get(upstream_id)
+        if ledger is None:
+            return
+        ledger.cancelling.discard(request_id)
+        ledger.set_unattributed(request_id, None)
+        for permit_id in self._permits_of(ledger, request_id):
+            permit = self.permits[permit_id]
+            if permit.ended:
+                self._free(permit, upstream_id, now_s)
+                permit.unconfirmed.discard(upstream_id)
+                if not permit.unconfirmed:
+                    self._forget(permit)
+        self.table.reindex(ledger, now_s)
+
+    def drop_upstream(self, ledger: UpstreamLedger, now_s: float) -> None:
+        """Free everything on an upstream that was restarted or is gone for good."""
+        for permit_id in list(ledger.permits):
+            permit = self.permits[permit_id]
+            ledger.remove(permit_id)
+            permit.unconfirmed.discard(ledger.upstream_id)
+            self.end(permit, now_s)
+            if not permit.unconfirmed:
+                self._forget(permit)
+        ledger.cancelling.clear()
+        for request_id in list(ledger.unattributed):
+            ledger.set_unattributed(request_id, None)
+        ledger.prefill_free_s = ledger.long_free_s = now_s
+        self.table.reindex(ledger, now_s)
+
+    def _permits_of(self, ledger: UpstreamLedger, request_id: str) -> Iterable[str]:
+        return [
+            permit_id
+            for permit_id in ledger.permits
+            if self.permits[permit_id].grant.request_id == request_id
+        ]
+
+    def _is_earlier(self, grant: PermitGrant) -> bool:
+        return grant.owner_epoch < self.settings.owner_epoch
+
+    def _adopt(self, sender: str, grant: PermitGrant, now_s: float) -> None:
+        tokens = sum(placement.kv_tokens for placement in grant.placements)
+        length_class = classify_length(tokens, 0, self.table.largest_engine_tokens)
+        if len(grant.placements) > 1:
+            length_class = LengthClass.SPANNING
+        for placement in grant.placements:
+            ledger = self.table.get_or_add(placement.upstream_id)
+            ledger.set_unattributed(grant.request_id, None)
+        self._enter(sender, grant, length_class, now_s)
+        for placement in grant.placements:
+            ledger = self.table.ledgers[placement.upstream_id]
+            ledger.gate.record_running(len(ledger.permits))
+
+    def _enter(
+        self, sender: str, grant: PermitGrant, length_class: LengthClass, now_s: float
+    ) -> Permit:
+        expires_s = now_s + self.settings.permit_ttl_s
+        permit = Permit(sender, grant, length_class, expires_s)
+        self.permits[grant.permit_id] = permit
+        self.by_key[(grant.request_id, grant.attempt)] = grant.permit_id
+        heapq.heappush(self._expiries, (expires_s, grant.permit_id))
+        for placement in grant.placements:
+            ledger = self.table.get_or_add(placement.upstream_id)
+            ledger.add(grant.permit_id, placement)
+            self.table.reindex(ledger, now_s)
+        return permit
+
+    def _free(self, permit: Permit, upstream_id: str, now_s: float) -> None:
+        ledger = self.table.ledgers.get(upstream_id)
+        if ledger is None or not ledger.remove(permit.grant.permit_id):
+            return
+        if upstream_id in permit.unconfirmed:
+            ledger.cancelling.discard(permit.grant.request_id)
+        if permit.prefill_done_s and not ledger.permits:
+            # An upstream without permits has no prefill left, whatever was predicted.
+            ledger.prefill_free_s = min(ledger.prefill_free_s, now_s)
+        if permit.length_class in (LengthClass.LONG, LengthClass.SPANNING):
+            ledger.long_free_s = min(ledger.long_free_s, now_s)
+        self.table.reindex(ledger, now_s)
+
+    def _forget(self, permit: Permit) -> None:
+        self.permits.pop(permit.grant.permit_id, None)
+        key = (permit.grant.request_id, permit.grant.attempt)
+        if self.by_key.get(key) == permit.grant.permit_id:
+            del self.by_key[key]
--- /dev/null
+++ b/laburnumrock/placement/_scheduler.py
@@ -0,0 +1,227 @@
+"""Scheduler of one pool, run by the owner of the pool."""
+
+import random
+
+from laburnumrock.errors import ErrorKind
+from laburnumrock.messages import Effect, Send
+from laburnumrock.placement._intake import Intake
+from laburnumrock.placement._ledger import UpstreamLedger, WaitingRequest
+from laburnumrock.placement._messages import (
+    PermitCancel,
+    PermitOutcome,
+    PermitRelease,
+    PermitRenewal,
+    PermitRenewalAnswer,
+    PermitRequest,
+    PoolSummary,
+)
+from laburnumrock.placement._permits import PermitBook
+from laburnumrock.placement._policies import POLICIES
+from laburnumrock.placement._queue import RequestQueue
+from laburnumrock.placement._reports import ReportReader
+from laburnumrock.placement._settings import PoolSettings
+from laburnumrock.placement._spanning import EarmarkHolder
+from laburnumrock.placement._table import UpstreamTable
+from laburnumrock.upstreams import UpstreamAnnouncement
+
+OVERLOAD_OUTCOMES = (PermitOutcome.OVERLOADED, PermitOutcome.COLD)
+
+
+class PoolScheduler:
+    """Queue, ledger and choice of upstreams of one pool.
+
+    Parameters
+    ----------
+    settings : PoolSettings
+        Settings of the pool.
+    rng : random.Random
+        Source of randomness for the policy.
+    now_s : float
+        Clock reading at the start of the ownership, in seconds.
+    take_over : bool
+        Whether an earlier owner may have granted permits that are still in use.
+    """
+
+    def __init__(
+        self, settings: PoolSettings, rng: random.Random, now_s: float, take_over: bool = False
+    ) -> None:
+        self.settings = settings
+        self.started_s = now_s
+        self.take_over_until_s = now_s + settings.permit_ttl_s if take_over else now_s
+        self.in_service = True
+        self.table = UpstreamTable(settings)
+        self.policy = POLICIES[settings.policy](settings, rng)
+        self.queue = RequestQueue()
+        self.book = PermitBook(settings, self.table)
+        self.earmarks = EarmarkHolder(self.table)
+        self.reports = ReportReader(settings, self.table, self.book)
+        self.intake = Intake(self)
+
+    def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
+        """Handle a message of an entry instance.
+
+        Parameters
+        ----------
+        sender : str
+            Entry instance; answers go to it.
+        message : object
+            `PermitRequest`, `PermitCancel`, `PermitRelease` or `PermitRenewal`; others are
+            ignored.
+        now_s : float
+            Clock reading in seconds.
+        """
+        match message:
+            case PermitRequest():
+                return self.intake.request(sender, message, now_s)
+            case PermitCancel():
+                return self._cancel(message, now_s)
+            case PermitRelease():
+                return self._release(message, now_s)
+            case PermitRenewal():
+                accepts_unknown = now_s < self.take_over_until_s
+                revoked = self.book.renew(sender, message, accepts_unknown, now_s)
+                return [Send(sender, PermitRenewalAnswer(revoked))]
+        return []
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Expire permits, repeat cancels, refuse given-up requests and grant what fits."""
+        if self.take_over_until_s <= now_s:
+            self.reports.finish_take_over(now_s)
+        self.policy.observe(self.table, now_s)
+        self.book.expire(now_s)
+        effects = self.book.due_cancels(now_s)
+        effects += self.intake.dispatch(now_s)
+        effects += self.intake.refuse_given_up(now_s)
+        return effects
+
+    def observe_upstream(self, announcement: UpstreamAnnouncement, now_s: float) -> list[Effect]:
+        """Take an announcement into account and grant what fits now."""
+        ledger = self.table.get_or_add(announcement.upstream_id)
+        known = ledger.announcement
+        if known is not None and announcement.incarnation < known.incarnation:
+            return []
+        if known is None and now_s < self.take_over_until_s:
+            ledger.assumed_full = not self.reports.was_read(ledger)
+        ledger.apply(announcement)
+        if known is not None and known.incarnation != announcement.incarnation:
+            ledger.assumed_full = False
+            ledger.prefixes.clear()
+            self.book.drop_upstream(ledger, now_s)
+        ledger.prefixes.observe(announcement.cache_events)
+        if known is None:
+            ledger.gate.record_running(len(ledger.permits))
+        self.table.reindex(ledger, now_s)
+        return self.intake.dispatch(now_s)
+
+    def forget_upstream(self, upstream_id: str, now_s: float) -> list[Effect]:
+        """Stop using an upstream that no longer announces itself.
+
+        Its permits stay in the ledger until they are released or expire, because their streams
+        may still run.
+        """
+        ledger = self.table.ledgers.get(upstream_id)
+        if ledger is None:
+            return []
+        ledger.present = False
+        if self.earmarks.key is not None and upstream_id in self.earmarks.upstream_ids:
+            self.earmarks.clear(now_s)
+        if ledger.permits or ledger.cancelling:
+            self.table.reindex(ledger, now_s)
+        else:
+            self.table.discard(ledger)
+        return self.intake.dispatch(now_s)
+
+    def set_in_service(self, upstream_id: str, in_service: bool, now_s: float) -> list[Effect]:
+        """Take an upstream in or out of service; running permits are kept."""
+        ledger = self.table.get_or_add(upstream_id)
+        ledger.in_service = in_service
+        if self.earmarks.key is not None and upstream_id in self.earmarks.upstream_ids:
+            self.earmarks.clear(now_s)
+        self.table.reindex(ledger, now_s)
+        return self.intake.dispatch(now_s)
+
+    def set_pool_in_service(self, in_service: bool, now_s: float) -> list[Effect]:
+        """Take the pool in or out of service; queued requests of a drained pool are refused."""
+        self.in_service = in_service
+        if in_service:
+            return self.intake.dispatch(now_s)
+        self.earmarks.clear(now_s)
+        return [
+            self.intake.refuse(waiting, ErrorKind.NO_UPSTREAM, now_s, "the pool is drained")
+            for waiting in self.queue.pop_all()
+        ]
+
+    def confirm_cancel(self, upstream_id: str, request_id: str, now_s: float) -> list[Effect]:
+        """Record that an upstream confirmed a `CancelOnUpstream`."""
+        self.book.confirm_cancel(upstream_id, request_id, now_s)
+        return self.intake.dispatch(now_s)
+
+    def observe_held_requests(
+        self, upstream_id: str, held_tokens: dict[str, int], read_at_s: float, now_s: float
+    ) -> list[Effect]:
+        """Reconcile the ledger with the list of requests that hold memory on an engine.
+
+        Parameters
+        ----------
+        upstream_id : str
+            The engine.
+        held_tokens : dict from str to int
+            KV tokens by request id, from ``GET /v1/load``.
+        read_at_s : float
+            Clock reading just before the list was requested.
+        now_s : float
+            Clock reading in seconds.
+        """
+        self.reports.observe(upstream_id, held_tokens, read_at_s, now_s)
+        return self.book.due_cancels(now_s) + self.intake.dispatch(now_s)
+
+    def summarize(self, now_s: float) -> PoolSummary:
+        """Return the load of the pool."""
+        open_ledgers = [ledger for ledger in self.table.ledgers.values() if ledger.is_open]
+        return PoolSummary(
+            pool_id=self.settings.pool_id,
+            owner_epoch=self.settings.owner_epoch,
+            in_service=self.in_service,
+            upstreams=len(self.table.capacities),
+            free_kv_tokens=sum(max(0, ledger.free_kv) for ledger in open_ledgers),
+            queued=len(self.queue),
+            expected_wait_s=self.intake.expected_waits(now_s),
+        )
+
+    def _cancel(self, message: PermitCancel, now_s: float) -> list[Effect]:
+        key = (message.request_id, message.attempt)
+        if self.queue.remove(key) is not None:
+            self.earmarks.clear(now_s, key)
+            return self.intake.dispatch(now_s)
+        permit = self.book.find_live(key)
+        if permit is None:
+            return []
+        # The grant may have been used already, so the memory counts until the engine confirms.
+        self.book.end(permit, now_s)
+        return self.book.due_cancels(now_s)
+
+    def _release(self, message: PermitRelease, now_s: float) -> list[Effect]:
+        permit = self.book.release(message, now_s)
+        if permit is None:
+            return []
+        for placement in permit.grant.placements:
+            ledger = self.table.ledgers.get(placement.upstream_id)
+            if ledger is not None:
+                self._record_outcome(ledger, message, permit.predicted_first_s, now_s)
+        return self.intake.dispatch(now_s)
+
+    def _record_outcome(
+        self, ledger: UpstreamLedger, message: PermitRelease, predicted_s: float, now_s: float
+    ) -> None:
+        if message.outcome is PermitOutcome.FINISHED:
+            ledger.gate.record_finish(message.first_token_s, predicted_s)
+        elif message.outcome in OVERLOAD_OUTCOMES:
+            ledger.gate.record_refusal()
+        if not ledger.present and not ledger.permits and not ledger.cancelling:
+            self.table.discard(ledger)
+        else:
+            self.table.reindex(ledger, now_s)
+
+    def find_waiting(self, request_id: str, attempt: int) -> WaitingRequest | None:
+        """Return a queued request, if it is queued."""
+        return self.queue.by_key.get((request_id, attempt))
--- /dev/null
+++ b/laburnumrock/placement/_settings.py
@@ -0,0 +1,79 @@
+"""Settings of a pool, and length classes."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+SHORT_PROMPT_TOKENS = 8_000
+MEDIUM_PROMPT_TOKENS = 100_000
+
+
+class LengthClass(StrEnum):
+    """Class of a request by the length of its prompt."""
+
+    SHORT = "short"
+    MEDIUM = "medium"
+    LONG = "long"
+    SPANNING = "spanning"
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """Settings of one pool and its scheduler.
+
+    Parameters
+    ----------
+    pool_id : str
+        Name of the pool.
+    owner_epoch : int
+        Epoch of the owner; a later owner has a higher one.
+    policy : str
+        Registered name of the policy.
+    permit_ttl_s : float, > 0
+        A permit that is not renewed ends after this time, in seconds.
+    permits_per_upstream : int, >= 1
+        Concurrent permits on a warm upstream.
+    prefill_chunk_tokens : int, >= 1
+        Prompt tokens that an engine processes in one step beside its decodes.
+    decode_growth : float, >= 0
+        Relative growth of a decode step with each sequence in the batch.
+    long_prefills_per_upstream : int, >= 1
+        Long prompts that may be in prefill on one engine at once.
+    cancel_repeat_s : float, > 0
+        Time between two cancels of the same request on an upstream, in seconds.
+    max_queued : int, >= 1
+        Longest queue; further requests are refused.
+    assumed_output_fraction : float, in (0, 1]
+        Part of `max_output_tokens` that a request is expected to generate; used for expected
+        waits only, never for memory or deadlines.
+    """
+
+    pool_id: str
+    owner_epoch: int = 1
+    policy: str = "length_aware"
+    permit_ttl_s: float = 2.0
+    permits_per_upstream: int = 64
+    prefill_chunk_tokens: int = 1024
+    decode_growth: float = 0.005
+    long_prefills_per_upstream: int = 1
+    cancel_repeat_s: float = 0.5
+    max_queued: int = 10_000
+    assumed_output_fraction: float = 1.0
+
+
+def classify_length(prompt_tokens: int, output_tokens: int, engine_tokens: int) -> LengthClass:
+    """Return the length class of a request.
+
+    Parameters
+    ----------
+    prompt_tokens, output_tokens : int
+        Sizes of the request in tokens.
+    engine_tokens : int
+        KV memory of the largest engine in tokens; 0 if no engine has announced any.
+    """
+    if engine_tokens and prompt_tokens + output_tokens > engine_tokens:
+        return LengthClass.SPANNING
+    if prompt_tokens <= SHORT_PROMPT_TOKENS:
+        return LengthClass.SHORT
+    if prompt_tokens <= MEDIUM_PROMPT_TOKENS:
+        return LengthClass.MEDIUM
+    return LengthClass.LONG
--- /dev/null
+++ b/laburnumrock/placement/_table.py
@@ -0,0 +1,144 @@
+"""Indexed table of the upstreams of a pool."""
+
+from collections.abc import Iterator
+
+from sortedcontainers import SortedList
+
+from laburnumrock.placement._ledger import UpstreamLedger, WaitingRequest, matches_signature
+from laburnumrock.placement._messages import PermitRequest
+from laburnumrock.placement._settings import PoolSettings
+
+# Bounds the cost of one decision; upstreams beyond it are tried by the next decision.
+MAX_CANDIDATES = 16
+
+
+class UpstreamGroup:
+    """Open upstreams with the same adapters and versions in one lane, by several orders."""
+
+    __slots__ = ("busy", "by_free", "by_id", "idle")
+
+    def __init__(self) -> None:
+        self.idle: SortedList = SortedList()
+        self.busy: SortedList = SortedList()
+        self.by_free: SortedList = SortedList()
+        self.by_id: SortedList = SortedList()
+
+
+class UpstreamTable:
+    """Upstreams of a pool with indices by wait, free KV memory and name.
+
+    Parameters
+    ----------
+    settings : PoolSettings
+        Settings of the pool.
+    """
+
+    def __init__(self, settings: PoolSettings) -> None:
+        self.settings = settings
+        self.ledgers: dict[str, UpstreamLedger] = {}
+        self.groups: dict[tuple, UpstreamGroup] = {}
+        self.capacities: SortedList = SortedList()
+        self.usable: dict[tuple, int] = {}
+
+    @property
+    def largest_engine_tokens(self) -> int:
+        """KV memory of the largest engine that may receive work, in tokens."""
+        return self.capacities[-1][0] if self.capacities else 0
+
+    def get_or_add(self, upstream_id: str) -> UpstreamLedger:
+        """Return the ledger of an upstream, creating it if needed."""
+        ledger = self.ledgers.get(upstream_id)
+        if ledger is None:
+            ledger = UpstreamLedger(upstream_id, self.settings)
+            self.ledgers[upstream_id] = ledger
+        return ledger
+
+    def discard(self, ledger: UpstreamLedger) -> None:
+        """Remove an upstream."""
+        self._unindex(ledger)
+        self.ledgers.pop(ledger.upstream_id, None)
+
+    def reindex(self, ledger: UpstreamLedger, now_s: float) -> None:
+        """Bring the indices in line with a changed ledger."""
+        self._unindex(ledger)
+        capacity_key = None
+        if ledger.is_usable:
+            capacity_key = (ledger.kv_capacity, ledger.upstream_id)
+            self.capacities.add(capacity_key)
+            self.usable[ledger.signature] = self.usable.get(ledger.signature, 0) + 1
+        group_key = None
+        wait_key = None
+        free_key = None
+        if ledger.is_open:
+            group_key = (ledger.signature, ledger.lane)
+            group = self.groups.setdefault(group_key, UpstreamGroup())
+            busy = ledger.prefill_free_s > now_s
+            order = ledger.prefill_free_s if busy else len(ledger.permits)
+            wait_key = (busy, (order, ledger.upstream_id))
+            free_key = (ledger.free_kv + ledger.earmarked_kv, ledger.upstream_id)
+            (group.busy if busy else group.idle).add(wait_key[1])
+            group.by_free.add(free_key)
+            group.by_id.add(ledger.upstream_id)
+        ledger.index_keys = (capacity_key, ledger.signature, group_key, wait_key, free_key)
+
+    def count_usable(self, request: PermitRequest) -> int:
+        """Return how many usable upstreams serve a request and are not excluded by it."""
+        count = sum(n for key, n in self.usable.items() if n and matches_signature(key, request))
+        for upstream_id in set(request.excluded_upstreams):
+            ledger = self.ledgers.get(upstream_id)
+            if ledger and ledger.is_usable and matches_signature(ledger.signature, request):
+                count -= 1
+        return count
+
+    def groups_for(self, request: PermitRequest, lane: int | None = None) -> list[UpstreamGroup]:
+        """Return the groups whose adapters and versions match a request."""
+        matching = []
+        for (signature, group_lane), group in self.groups.items():
+            if lane is not None and group_lane != lane:
+                continue
+            if group.by_id and matches_signature(signature, request):
+                matching.append(group)
+        return matching
+
+    def iterate_by_wait(self, group: UpstreamGroup, now_s: float) -> Iterator[UpstreamLedger]:
+        """Yield idle upstreams by fewest permits, then busy ones by earliest end of prefill."""
+        self._promote_idle(group, now_s)
+        for index in (group.idle, group.busy):
+            for _, upstream_id in index:
+                yield self.ledgers[upstream_id]
+
+    def iterate_by_free(self, group: UpstreamGroup, kv_tokens: int) -> Iterator[UpstreamLedger]:
+        """Yield upstreams with at least `kv_tokens` free or earmarked, most free first."""
+        for free, upstream_id in reversed(group.by_free):
+            if free < kv_tokens:
+                return
+            yield self.ledgers[upstream_id]
+
+    def can_take(self, ledger: UpstreamLedger, waiting: WaitingRequest) -> bool:
+        """Check what no policy may override: service state, limits, memory and exclusions."""
+        return (
+            ledger.is_open
+            and ledger.serves(waiting.request)
+            and ledger.fits(waiting, waiting.kv_tokens)
+        )
+
+    def _promote_idle(self, group: UpstreamGroup, now_s: float) -> None:
+        while group.busy and group.busy[0][0] <= now_s:
+            self.reindex(self.ledgers[group.busy[0][1]], now_s)
+
+    def _unindex(self, ledger: UpstreamLedger) -> None:
+        if ledger.index_keys is None:
+            return
+        capacity_key, signature, group_key, wait_key, free_key = ledger.index_keys
+        ledger.index_keys = None
+        if capacity_key:
+            self.capacities.remove(capacity_key)
+            self.usable[signature] -= 1
+        if group_key is None:
+            return
+        group = self.groups[group_key]
+        (group.busy if wait_key[0] else group.idle).remove(wait_key[1])
+        group.by_free.remove(free_key)
+        group.by_id.remove(ledger.upstream_id)
+        if not group.by_id:
+            del self.groups[group_key]
--- a/laburnumrock/upstreams/__init__.py
+++ b/laburnumrock/upstreams/__init__.py
@@ -6,5 +6,6 @@
     UpstreamKind,
     UpstreamState,
 )
+from laburnumrock.upstreams._cold_start import ColdStartGate
 
-__all__ = ["CacheEvent", "UpstreamAnnouncement", "UpstreamKind", "UpstreamState"]
+__all__ = ["CacheEvent", "ColdStartGate", "UpstreamAnnouncement", "UpstreamKind", "UpstreamState"]
