--- /dev/null
+++ b/benchmarks/engine_model.py
@@ -0,0 +1,242 @@
+"""Discrete-event model of a model engine with continuous batching.
+
+Between two events the rates of an engine are constant: a step takes the time of the decode batch
+plus that of one prefill chunk, and each step gives one token to every sequence in the batch.
+Prefills run first in, first out. Memory is reserved for prompt and output when a request enters.
+"""
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+
+PREFILL_TOKENS_PER_S = 60_000.0
+DECODE_STEP_S = 0.015
+DECODE_GROWTH = 0.005
+CHUNK_TOKENS = 1024
+KV_TOKENS = 450_000
+MAX_SEQUENCES = 64
+COLD_S = 10.0
+WARM_UP_S = 30.0
+COLD_COMFORT = 4
+# Requests beyond the limit within this window bring a cold engine down.
+OVERLOAD_WINDOW_S = 2.0
+OVERLOAD_REQUESTS = 3
+
+
+@dataclass(slots=True)
+class Job:
+    """One attempt of a request on its engines."""
+
+    request_id: str
+    attempt: int
+    prompt_tokens: int
+    output_tokens: int
+    engines: list["Engine"]
+    parts: list[int]
+    part: int = 0
+    remaining: float = 0.0
+    sent_s: float = 0.0
+    first_s: float | None = None
+    finished_s: float | None = None
+    failed: bool = False
+    permit: object = None
+    pending: object = None
+
+
+@dataclass(slots=True)
+class Engine:
+    """Model engine; `advance` moves it to a time, `next_event_s` tells when it changes."""
+
+    name: str
+    domain: str
+    now_s: float = 0.0
+    incarnation: int = 1
+    up: bool = True
+    cold_since_s: float = -1e9
+    announced_cold: bool = True
+    kv_used: int = 0
+    progress: float = 0.0
+    batch: list = field(default_factory=list)
+    prefills: deque = field(default_factory=deque)
+    waiting: deque = field(default_factory=deque)
+    jobs: dict = field(default_factory=dict)
+    overloads: int = 0
+    refusals: int = 0
+    version: int = 0
+    sequence: int = 0
+    excess: deque = field(default_factory=deque)
+    prefill_tokens_done: float = 0.0
+
+    def comfort(self) -> int:
+        """Return how many requests the engine handles now."""
+        elapsed_s = self.now_s - self.cold_since_s
+        if elapsed_s >= WARM_UP_S:
+            return 1_000_000
+        return int(COLD_COMFORT + MAX_SEQUENCES * max(0.0, elapsed_s - COLD_S) / WARM_UP_S)
+
+    def state(self) -> str:
+        """Return the announced state."""
+        elapsed_s = self.now_s - self.cold_since_s
+        if elapsed_s >= WARM_UP_S or not self.announced_cold:
+            return "ready"
+        return "cold" if elapsed_s < COLD_S else "warming"
+
+    def rates(self) -> tuple[float, float]:
+        """Return prefill tokens per second and decode steps per second."""
+        size = len(self.batch)
+        step_s = DECODE_STEP_S * (1 + DECODE_GROWTH * size) if size else 0.0
+        if self.prefills:
+            step_s += CHUNK_TOKENS / PREFILL_TOKENS_PER_S
+            return CHUNK_TOKENS / step_s, 1 / step_s
+        return 0.0, 1 / step_s if size else 0.0
+
+    def advance(self, to_s: float) -> list[Job]:
+        """Move to a time; returns the jobs whose part or answer ended."""
+        ended: list[Job] = []
+        while True:
+            prefill_rate, decode_rate = self.rates()
+            event_s = self._event_s(prefill_rate, decode_rate)
+            end_s = min(event_s, to_s)
+            elapsed_s = max(0.0, end_s - self.now_s)
+            if self.prefills:
+                self.prefills[0].remaining -= prefill_rate * elapsed_s
+                self.prefill_tokens_done += prefill_rate * elapsed_s
+            self.progress += decode_rate * elapsed_s
+            self.now_s = max(self.now_s, end_s)
+            if event_s > to_s:
+                return ended
+            ended += self._settle()
+
+    def next_event_s(self) -> float:
+        """Return when a prefill or an answer ends next."""
+        return self._event_s(*self.rates())
+
+    def submit(self, job: Job, queue: bool) -> str | None:
+        """Enter the first part of a job; returns the reason of a refusal.
+
+        Parameters
+        ----------
+        job : Job
+            The job; memory for its part on this engine is reserved here.
+        queue : bool
+            Whether the job may wait for memory in the engine's own queue.
+        """
+        if not self.up:
+            return "down"
+        need = job.parts[job.engines.index(self)]
+        if need > KV_TOKENS:
+            return "no_memory"
+        if len(self.jobs) >= self.comfort():
+            return self._refuse_cold()
+        fits = self.kv_used + need <= KV_TOKENS and len(self.jobs) < MAX_SEQUENCES
+        if not fits and not queue:
+            return "no_memory"
+        self.jobs[(job.request_id, job.attempt)] = job
+        if fits and not self.waiting:
+            self._admit(job, need)
+        else:
+            self.waiting.append(job)
+        return None
+
+    def reserve(self, job: Job) -> str | None:
+        """Reserve memory for a later part of a spanning job."""
+        need = job.parts[job.engines.index(self)]
+        if not self.up or self.kv_used + need > KV_TOKENS:
+            return "no_memory"
+        self.kv_used += need
+        self.jobs[(job.request_id, job.attempt)] = job
+        return None
+
+    def start_part(self, job: Job) -> None:
+        """Start the prefill of a reserved part."""
+        job.remaining = float(job.parts[job.part])
+        self.prefills.append(job)
+
+    def leave(self, job: Job) -> None:
+        """Free what a job holds."""
+        if self.jobs.pop((job.request_id, job.attempt), None) is None:
+            return
+        if job in self.waiting:
+            self.waiting.remove(job)
+            return
+        self.kv_used -= job.parts[job.engines.index(self)]
+        if job in self.prefills:
+            self.prefills.remove(job)
+        if any(entry[2] is job for entry in self.batch):
+            self.batch = [entry for entry in self.batch if entry[2] is not job]
+            heapq.heapify(self.batch)
+        self._admit_waiting()
+
+    def restart(self, cold: bool = True) -> list[Job]:
+        """Lose all jobs and start again; returns the lost jobs."""
+        lost = list(self.jobs.values())
+        self.jobs.clear()
+        self.batch.clear()
+        self.prefills.clear()
+        self.waiting.clear()
+        self.kv_used = 0
+        self.incarnation += 1
+        self.excess.clear()
+        if cold:
+            self.cold_since_s = self.now_s
+            self.announced_cold = True
+        return lost
+
+    def estimate_finish_s(self, prompt_tokens: int, output_tokens: int) -> float:
+        """Return when a request that enters now would finish without later arrivals."""
+        size = len(self.batch) + len(self.prefills) + 1
+        step_s = DECODE_STEP_S * (1 + DECODE_GROWTH * size)
+        chunk_s = CHUNK_TOKENS / PREFILL_TOKENS_PER_S
+        backlog = sum(job.remaining for job in self.prefills) + prompt_tokens
+        prefill_s = backlog / CHUNK_TOKENS * (chunk_s + (step_s if size > 1 else 0))
+        return self.now_s + prefill_s + output_tokens * step_s
+
+    def _event_s(self, prefill_rate: float, decode_rate: float) -> float:
+        event_s = float("inf")
+        if self.prefills:
+            event_s = self.now_s + max(0.0, self.prefills[0].remaining) / prefill_rate
+        if self.batch:
+            event_s = min(event_s, self.now_s + (self.batch[0][0] - self.progress) / decode_rate)
+        return max(event_s, self.now_s)
+
+    def _settle(self) -> list[Job]:
+        ended = []
+        if self.prefills and self.prefills[0].remaining <= 1e-6:
+            job = self.prefills.popleft()
+            if job.part == len(job.engines) - 1:
+                job.first_s = self.now_s
+                self.sequence += 1
+                target = self.progress + job.output_tokens
+                heapq.heappush(self.batch, (target, self.sequence, job))
+            else:
+                ended.append(job)
+        while self.batch and self.batch[0][0] <= self.progress + 1e-6:
+            job = heapq.heappop(self.batch)[2]
+            job.finished_s = self.now_s
+            ended.append(job)
+        return ended
+
+    def _admit(self, job: Job, need: int) -> None:
+        self.kv_used += need
+        job.remaining = float(min(need, job.prompt_tokens))
+        self.prefills.append(job)
+
+    def _admit_waiting(self) -> None:
+        while self.waiting:
+            job = self.waiting[0]
+            need = job.parts[0]
+            active = len(self.jobs) - len(self.waiting)
+            if self.kv_used + need > KV_TOKENS or active >= MAX_SEQUENCES:
+                return
+            self.waiting.popleft()
+            self._admit(job, need)
+
+    def _refuse_cold(self) -> str:
+        self.refusals += 1
+        self.excess.append(self.now_s)
+        while self.excess[0] < self.now_s - OVERLOAD_WINDOW_S:
+            self.excess.popleft()
+        if len(self.excess) >= OVERLOAD_REQUESTS:
+            self.overloads += 1
+            return "crash"
+        return "cold"
--- /dev/null
+++ b/benchmarks/simulate_placement.py
@@ -0,0 +1,209 @@
+"""Compare placement policies in a simulated fleet under the same seeded load.
+
+Run with ``python benchmarks/simulate_placement.py [--out FOLDER] [--duration S] [--jobs N]``. Prints tables and
+writes ``simulation.json`` and plots. ``naive`` sends requests straight to the engines in turn,
+whose own queues are first in, first out; the other policies run in one scheduler per failure
+domain. Permit renewals are left out: permits last for the whole run.
+"""
+
+import argparse
+import json
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from cluster_model import Cluster, Pending
+from workload import CLASSES, make_calls
+
+DOMAINS = 3
+ENGINES_PER_DOMAIN = 7
+LOADS = (0.5, 0.8, 0.95, 1.2)
+OUTAGE_LOAD = 0.5
+POLICIES = ("naive", "round_robin", "shortest_wait", "length_aware")
+WARM_UP_S = 60.0
+# Longest deadline of the mix, so that every request ends within the run.
+DRAIN_S = 620.0
+
+
+def quantile(values: list[float], share: float) -> float | None:
+    """Return a quantile of unsorted values, or None if there are none."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 4)
+
+
+def summarize_class(entries: list[Pending]) -> dict[str, object]:
+    """Return the figures of one length class."""
+    done = [entry for entry in entries if entry.finished_s is not None]
+    in_time = [entry for entry in done if entry.finished_s <= entry.call.deadline_s]
+    first = [entry.first_s - entry.call.arrival_s for entry in done]
+    slowdown = [(e.finished_s - e.call.arrival_s) / e.call.unloaded_s for e in done]
+    refused = [entry for entry in entries if entry.refused_s is not None]
+    return {
+        "offered": len(entries),
+        "completed": len(done),
+        "in_time": len(in_time),
+        "late": len(done) - len(in_time),
+        "refused": len(refused),
+        "wrong_refusals": sum(entry.wrong for entry in refused),
+        "failed": sum(entry.failed for entry in entries),
+        "lost": sum(
+            entry.finished_s is None and entry.refused_s is None and not entry.failed
+            for entry in entries
+        ),
+        "goodput_tokens": sum(e.call.prompt_tokens + e.call.output_tokens for e in in_time),
+        "ttft_s": {f"p{int(q * 100)}": quantile(first, q) for q in (0.5, 0.95, 0.99)},
+        "slowdown": {f"p{int(q * 100)}": quantile(slowdown, q) for q in (0.5, 0.95, 0.99)},
+        "refusal_delay_p99_s": quantile([e.refused_s - e.call.arrival_s for e in refused], 0.99),
+    }
+
+
+def run_case(case: tuple[str, float, int, float, str]) -> dict[str, object]:
+    """Run one policy at one load; the last part of the case names the scenario."""
+    policy, load, seed, duration_s, scenario = case
+    cluster = Cluster(policy, DOMAINS, ENGINES_PER_DOMAIN, seed)
+    engines = DOMAINS * ENGINES_PER_DOMAIN
+    calls = make_calls(load, engines, duration_s, seed)
+    actions = []
+    if scenario == "outage":
+        actions = [
+            (duration_s * 0.3, "drain", "c"),
+            (duration_s * 0.3 + 60.0, "power_off", "c"),
+            (duration_s * 0.6, "power_on", "c"),
+            (duration_s * 0.8, "turn_cold", "a0"),
+        ]
+    cluster.run(calls, actions, duration_s + DRAIN_S)
+    measured = [entry for entry in cluster.pending if entry.call.arrival_s >= WARM_UP_S]
+    classes = {
+        name: summarize_class([entry for entry in measured if entry.call.length_class == name])
+        for name in CLASSES
+    }
+    ledgers = [
+        ledger
+        for scheduler in cluster.schedulers.values()
+        for ledger in scheduler.table.ledgers.values()
+    ]
+    engines = cluster.engines.values()
+    return {
+        "policy": policy,
+        "load": load,
+        "seed": seed,
+        "scenario": scenario,
+        "classes": classes,
+        "kv_left_in_ledger": sum(ledger.kv_used for ledger in ledgers),
+        "kv_left_in_engines": sum(engine.kv_used for engine in engines),
+        "cold_overloads": sum(engine.overloads for engine in engines),
+        "cold_refusals": sum(engine.refusals for engine in engines),
+        "timeline": make_timeline(cluster.pending, duration_s),
+    }
+
+
+def make_timeline(entries: list[Pending], duration_s: float) -> list[tuple[float, float]]:
+    """Return the share of short requests that finished in time, per 10 s of arrival."""
+    width_s = 10.0
+    offered = [0] * (int(duration_s / width_s) + 1)
+    good = [0] * len(offered)
+    for entry in entries:
+        if entry.call.length_class != "short":
+            continue
+        index = int(entry.call.arrival_s / width_s)
+        offered[index] += 1
+        good[index] += entry.finished_s is not None and entry.finished_s <= entry.call.deadline_s
+    return [(i * width_s, good[i] / offered[i]) for i in range(len(offered)) if offered[i]]
+
+
+def print_results(results: list[dict]) -> None:
+    """Print one line per policy, load and class."""
+    print(
+        f"{'scenario':8} {'load':>4} {'policy':14} {'class':8} {'offer':>6} {'intime':>6} {'late':>5}"
+        f" {'refus':>6} {'wrong':>5} {'fail':>5} {'ttft50':>7} {'ttft95':>7} {'ttft99':>7}"
+        f" {'slow50':>6} {'slow95':>6} {'slow99':>6}"
+    )
+    for result in results:
+        for name, figures in result["classes"].items():
+            ttft = [_format(value) for value in figures["ttft_s"].values()]
+            slow = [_format(value) for value in figures["slowdown"].values()]
+            print(
+                f"{result['scenario']:8} {result['load']:4} {result['policy']:14} {name:8}"
+                f" {figures['offered']:6} {figures['in_time']:6} {figures['late']:5}"
+                f" {figures['refused']:6} {figures['wrong_refusals']:5} {figures['failed']:5}"
+                f" {ttft[0]:>7} {ttft[1]:>7} {ttft[2]:>7} {slow[0]:>6} {slow[1]:>6} {slow[2]:>6}"
+            )
+        lost = sum(figures["lost"] for figures in result["classes"].values())
+        print(
+            f"{'':14}{result['policy']:14} KV left: ledger {result['kv_left_in_ledger']}, engines"
+            f" {result['kv_left_in_engines']}; cold overloads {result['cold_overloads']}, cold"
+            f" refusals {result['cold_refusals']}; lost {lost}"
+        )
+
+
+def plot_results(results: list[dict], folder: Path) -> None:
+    """Write a plot of the short requests' slowdown and one of the outage."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 2, figsize=(9, 3.5))
+    for policy in POLICIES:
+        steady = [r for r in results if r["policy"] == policy and r["scenario"] == "steady"]
+        loads = [result["load"] for result in steady]
+        slow = [result["classes"]["short"]["slowdown"]["p95"] for result in steady]
+        first = [result["classes"]["short"]["ttft_s"]["p95"] for result in steady]
+        axes[0].plot(loads, slow, marker="o", label=policy)
+        axes[1].plot(loads, first, marker="o", label=policy)
+    axes[0].set_ylabel("short requests: p95 slowdown")
+    axes[1].set_ylabel("short requests: p95 TTFT (s)")
+    for axis in axes:
+        axis.set_xlabel("load / capacity")
+        axis.set_yscale("log")
+        axis.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(folder / "slowdown.svg")
+    figure, axis = pyplot.subplots(figsize=(9, 3.5))
+    for result in results:
+        if result["scenario"] == "outage":
+            axis.plot(*zip(*result["timeline"], strict=True), label=result["policy"])
+    axis.set_xlabel("time of arrival (s)")
+    axis.set_ylabel("short requests finished in time")
+    axis.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(folder / "outage.svg")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", type=Path)
+    parser.add_argument("--duration", type=float, default=300.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--policies", nargs="*", default=list(POLICIES))
+    parser.add_argument("--loads", nargs="*", type=float, default=list(LOADS))
+    parser.add_argument("--no-outage", action="store_true")
+    arguments = parser.parse_args()
+    duration_s = arguments.duration
+    cases = [
+        (policy, load, arguments.seed, duration_s, "steady")
+        for load in arguments.loads
+        for policy in arguments.policies
+    ]
+    if not arguments.no_outage:
+        cases += [
+            (policy, OUTAGE_LOAD, arguments.seed, duration_s, "outage")
+            for policy in arguments.policies
+        ]
+    with ProcessPoolExecutor(arguments.jobs) as executor:
+        results = list(executor.map(run_case, cases))
+    print_results(results)
+    if arguments.out:
+        arguments.out.mkdir(parents=True, exist_ok=True)
+        (arguments.out / "simulation.json").write_text(json.dumps(results, indent=1) + "\n")
+        plot_results(results, arguments.out)
+
+
+def _format(value: float | None) -> str:
+    return "-" if value is None else f"{value:.2f}"
+
+
+if __name__ == "__main__":
+    main()
