Normalise simulated load to measured saturation; fix earmarks of long prompts

Cause: the ideal schedule is out of reach because KV memory binds first; naive dispatch saturates at 0.743 of it. A long prompt set no earmark while memory was free only inside the reserve. Change: load 1.0 is 0.74 of the ideal schedule; earmarks respect the reserve.

--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -21,6 +21,9 @@
     ("long", 0.018, 100_001, 400_000, 256, 240.0),
     ("spanning", 0.002, 460_000, 999_000, 256, 600.0),
 )
+# Throughput of the naive dispatch at saturation as a part of the ideal schedule: 0.743 measured at
+# 1.3 times the ideal load (0.729 at 1.0), 21 engines, 240 s, seed 1. Memory is what binds then.
+SUSTAINED_SHARE = 0.74
 CLASSES = tuple(entry[0] for entry in MIX)
 
 
@@ -65,12 +68,12 @@
 
     Notes
     -----
-    Capacity is that of the ideal schedule of `engine_seconds`, which no real schedule reaches.
+    Capacity is the throughput at which the naive dispatch saturates; see `SUSTAINED_SHARE`.
     """
     rng = random.Random(seed)
     sample = [_draw(rng) for _ in range(20_000)]
     mean_s = sum(engine_seconds(prompt, output) for _, prompt, output, _ in sample) / len(sample)
-    rate = load * engines / mean_s
+    rate = load * SUSTAINED_SHARE * engines / mean_s
     calls = []
     now_s = 0.0
     while True:
--- a/laburnumrock/placement/_intake.py
+++ b/laburnumrock/placement/_intake.py
@@ -278,7 +278,8 @@
                 plan = plan_earmarks(waiting, self.table, self.policy.memory_reserve)
                 self.spans.place(waiting, plan, now_s)
         elif self.longs.key is None and (self.spans.key is not None or not self._span_waits()):
-            self.longs.place(waiting, plan_long_earmark(waiting, self.table), now_s)
+            plan = plan_long_earmark(waiting, self.table, self.policy.memory_reserve)
+            self.longs.place(waiting, plan, now_s)
 
     def _span_waits(self) -> bool:
         return bool(self.queue.lines.get(LengthClass.SPANNING.value))
--- a/laburnumrock/placement/_length_aware.py
+++ b/laburnumrock/placement/_length_aware.py
@@ -107,7 +107,8 @@
             # A prompt that does not fit beside the reserve may use all memory of an upstream.
             room = ledger.kv_capacity - waiting.kv_tokens
             left = ledger.room_for(waiting) - waiting.kv_tokens
-            if left < min(self.memory_reserve, room):
+            earmarked = ledger.earmarked_for == waiting.key
+            if left < min(self.memory_reserve, room) and not earmarked:
                 return False
             wait_s = ledger.wait_s(now_s)
             if is_long and ledger.count_long_prefills(now_s) >= (
--- a/laburnumrock/placement/_spanning.py
+++ b/laburnumrock/placement/_spanning.py
@@ -169,9 +169,20 @@
     return {entry[2]: tokens for entry, tokens in zip(candidates, parts, strict=False)}
 
 
-def plan_long_earmark(waiting: WaitingRequest, table: UpstreamTable) -> dict[str, int]:
+def plan_long_earmark(
+    waiting: WaitingRequest, table: UpstreamTable, reserve: int = 0
+) -> dict[str, int]:
     """Choose the upstream on which a blocked long request earmarks memory.
 
+    Parameters
+    ----------
+    waiting : WaitingRequest
+        Request that fits one engine.
+    table : UpstreamTable
+        Upstreams of the pool.
+    reserve : int
+        KV tokens that the request leaves free on an upstream without its earmark.
+
     Returns
     -------
     dict from str to int
@@ -182,7 +193,8 @@
         for ledger in itertools.islice(table.iterate_by_free(group, 0), MAX_SPAN_CANDIDATES):
             if ledger.earmarked_for is not None or ledger.kv_capacity < waiting.kv_tokens:
                 continue
-            if ledger.free_kv >= waiting.kv_tokens:
+            left = min(reserve, ledger.kv_capacity - waiting.kv_tokens)
+            if ledger.free_kv >= waiting.kv_tokens + left:
                 return {}
             if ledger.serves(waiting.request):
                 best = max(best, (ledger.free_kv, ledger.upstream_id))
