Add admission: account limits, shares between failure domains, retry budget

Cause: a client account's limits hold over all instances, and a lost failure domain must neither exceed them nor start a retry storm. Change: QuotaKeeper per failure domain, ShareAllocator with expiring loans, fairness between callers, RetryBudget, deadline prediction from summaries.

--- /dev/null
+++ b/laburnumrock/admission/tests/test_admission.py
@@ -0,0 +1,181 @@
+"""Tests of limits, shares and deadline prediction."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from laburnumrock.admission import (
+    AccountDemand,
+    AccountLimits,
+    QuotaGrant,
+    QuotaKeeper,
+    QuotaRefusal,
+    QuotaRelease,
+    QuotaRenewal,
+    QuotaRequest,
+    RetryBudget,
+    ShareAllocator,
+    order_pools,
+)
+from laburnumrock.errors import ErrorKind
+from laburnumrock.placement import PoolSummary
+
+DOMAINS = ["a", "b", "c"]
+LIMITS = AccountLimits(requests_per_s=30.0, tokens_per_s=300_000.0, concurrency=30)
+
+
+def make_keeper(domain="a", domains=("a",), limits=LIMITS):
+    keeper = QuotaKeeper(ShareAllocator(domain, list(domains)))
+    keeper.set_limits({"acme": limits}, 0.0)
+    keeper.set_coordinators({name: name for name in domains})
+    return keeper
+
+
+def ask(keeper, number, now_s=0.0, caller="clerk", tokens=100, account="acme"):
+    request = QuotaRequest(f"q{number}", account, caller, tokens)
+    return keeper.receive("entry", request, now_s)[0].message
+
+
+class TestQuotaKeeper:
+    def test_rate_limit_and_retry_after(self):
+        """Guards against more requests than the account's rate and burst allow."""
+        keeper = make_keeper(limits=AccountLimits(10.0, 1e6, 1000, burst_s=1.0))
+        answers = [ask(keeper, number) for number in range(15)]
+        assert sum(isinstance(answer, QuotaGrant) for answer in answers) == 10
+        assert answers[-1].kind is ErrorKind.RATE_LIMITED
+        assert isinstance(ask(keeper, 99, answers[-1].retry_after_s), QuotaGrant)
+
+    def test_concurrency_is_released_and_expires(self):
+        """Guards against slots lost with a dead entry instance."""
+        keeper = make_keeper(limits=AccountLimits(100.0, 1e6, 2))
+        assert isinstance(ask(keeper, 1), QuotaGrant)
+        assert isinstance(ask(keeper, 2), QuotaGrant)
+        assert ask(keeper, 3).kind is ErrorKind.CONCURRENCY_LIMITED
+        keeper.receive("entry", QuotaRelease("q1"), 0.1)
+        assert isinstance(ask(keeper, 3, 0.1), QuotaGrant)
+        keeper.tick(6.0)
+        assert keeper.accounts["acme"].running == 0
+
+    def test_resend_is_charged_once(self):
+        """Guards against a double charge after a lost answer."""
+        keeper = make_keeper()
+        assert ask(keeper, 1) == ask(keeper, 1)
+        assert keeper.accounts["acme"].running == 1
+
+    def test_new_coordinator_counts_renewed_quotas(self):
+        """Guards against twice the concurrency after the coordinator's death."""
+        keeper = make_keeper(limits=AccountLimits(100.0, 1e6, 1))
+        keeper.receive("entry", QuotaRenewal([QuotaRequest("old", "acme", "clerk", 5)]), 0.0)
+        assert ask(keeper, 1).kind is ErrorKind.CONCURRENCY_LIMITED
+
+    def test_unknown_account(self):
+        """Guards against admission without a template."""
+        assert ask(make_keeper(), 1, account="no").kind is ErrorKind.UNKNOWN_CLIENT_ACCOUNT
+
+    def test_caller_that_floods_does_not_shut_out_others(self):
+        """Guards against one caller who uses up the account of all others."""
+        keeper = make_keeper(limits=AccountLimits(20.0, 1e9, 100_000))
+        granted = {"flood": 0, "calm": 0}
+        for step in range(2_000):
+            now_s = step * 0.01
+            callers = ["flood"] * 3 + (["calm"] if step % 20 == 0 else [])
+            for index, caller in enumerate(callers):
+                answer = ask(keeper, f"{step}.{index}", now_s, caller)
+                granted[caller] += isinstance(answer, QuotaGrant)
+        assert granted["calm"] >= 80
+        assert granted["flood"] >= 200
+
+
+class TestShares:
+    def exchange(self, keepers, now_s):
+        for keeper in keepers.values():
+            for effect in keeper.tick(now_s):
+                sender = keeper.allocator.failure_domain
+                for answer in keepers[effect.destination].receive(sender, effect.message, now_s):
+                    keeper.receive(effect.destination, answer.message, now_s)
+
+    def test_unused_share_is_lent_and_comes_back(self):
+        """Guards against refusals while other domains leave their share unused."""
+        keepers = {name: make_keeper(name, DOMAINS) for name in DOMAINS}
+        granted = 0
+        for step in range(1_000):
+            now_s = step * 0.01
+            if step % 100 == 0:
+                self.exchange(keepers, now_s)
+            answer = ask(keepers["a"], step, now_s, caller=f"c{step % 50}")
+            if isinstance(answer, QuotaGrant):
+                granted += now_s >= 5.0
+                keepers["a"].receive("entry", QuotaRelease(f"q{step}"), now_s)
+        # The base share allows 10 requests/s; 20 requests/s need loans.
+        assert granted > 100
+        assert abs(keepers["a"].allocator.share("acme", 20.0) - 1 / 3) < 1e-9
+
+    @settings(max_examples=150, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_shares_never_exceed_the_limit(self, seed):
+        """Guards against more than the limit over all domains when messages are lost or late."""
+        rng = random.Random(seed)
+        allocators = {name: ShareAllocator(name, DOMAINS) for name in DOMAINS}
+        in_flight = []
+        now_s = 0.0
+        for _ in range(80):
+            now_s += rng.random()
+            for name, allocator in allocators.items():
+                demand = [AccountDemand("acme", rng.random() * 1.5, rng.random())]
+                if rng.random() < 0.7:
+                    for effect in allocator.make_reports(dict.fromkeys(DOMAINS), demand, now_s):
+                        others = [other for other in DOMAINS if other != name]
+                        in_flight.append((rng.choice(others), name, effect.message))
+            rng.shuffle(in_flight)
+            for _ in range(rng.randrange(len(in_flight) + 1)):
+                target, source, message = in_flight.pop()
+                if rng.random() < 0.2:
+                    continue
+                if hasattr(message, "demands"):
+                    own = {"acme": rng.random()}
+                    for effect in allocators[target].lend(source, message, own, now_s):
+                        in_flight.append((source, target, effect.message))
+                else:
+                    allocators[target].accept(message, now_s)
+            total = sum(allocator.share("acme", now_s) for allocator in allocators.values())
+            assert total <= 1 + 1e-9
+
+    def test_new_coordinator_does_not_use_what_was_lent(self):
+        """Guards against a share that is used by lender and borrower after a restart."""
+        allocator = ShareAllocator("a", DOMAINS, started_s=10.0)
+        assert allocator.share("acme", 10.1) < 0.1
+        assert abs(allocator.share("acme", 14.0) - 1 / 3) < 1e-9
+
+
+class TestRetryBudget:
+    def test_retries_stay_a_part_of_first_attempts(self):
+        """Guards against a retry storm after the loss of a failure domain."""
+        budget = RetryBudget(ratio=0.2, min_per_s=0.0, max_saved=10.0)
+        retries = 0
+        for number in range(1_000):
+            budget.record_first_attempt(number * 0.001)
+            retries += budget.try_retry(number * 0.001)
+        assert retries <= 0.2 * 1_000 + 10
+
+
+class TestDeadlines:
+    def test_pools_that_cannot_finish_are_left_out(self):
+        """Guards against a permit request to a pool that is drained or too slow."""
+        pools = [
+            PoolSummary("a/m", 1, True, 7, 500, 0, {"short": 9.0}, 450_000, 60_000.0, 0.015),
+            PoolSummary("b/m", 1, True, 7, 500, 0, {"short": 0.0}, 450_000, 60_000.0, 0.015),
+            PoolSummary("c/m", 1, False, 0, 0, 0),
+        ]
+        names = [pool.pool_id for pool in order_pools(pools, 2_000, 100, 30.0)]
+        assert names == ["b/m", "a/m"]
+        assert [pool.pool_id for pool in order_pools(pools, 2_000, 100, 3.0)] == ["b/m"]
+
+
+def test_refusals_name_a_retry_time():
+    """Guards against a limit refusal without a Retry-After."""
+    keeper = make_keeper(limits=AccountLimits(1.0, 1e6, 1))
+    ask(keeper, 1)
+    refusal = ask(keeper, 2)
+    assert isinstance(refusal, QuotaRefusal)
+    assert refusal.retry_after_s > 0
--- a/laburnumrock/placement/_intake.py
+++ b/laburnumrock/placement/_intake.py
@@ -143,7 +143,7 @@
 
     def _estimate_cost(self, waiting: WaitingRequest) -> None:
         """Set the cost to the larger of the engine's time and its share of memory over time."""
-        ledger = self._sample_ledger()
+        ledger = self.sample_ledger()
         if ledger is None:
             return
         request = waiting.request
@@ -155,7 +155,8 @@
         memory_share = waiting.kv_tokens / ledger.kv_capacity if ledger.kv_capacity else 0.0
         waiting.cost_s = max(busy_s, waiting.held_s * memory_share)
 
-    def _sample_ledger(self) -> UpstreamLedger | None:
+    def sample_ledger(self) -> UpstreamLedger | None:
+        """Return the upstream with the most memory, whose rates stand for the pool."""
         if not self.table.capacities:
             return None
         return self.table.ledgers[self.table.capacities[-1][1]]
@@ -185,7 +186,7 @@
         return []
 
     def _service_s(self, waiting: WaitingRequest, now_s: float) -> float:
-        ledger = self._sample_ledger()
+        ledger = self.sample_ledger()
         if ledger is None:
             return 0.0
         idle_s = ledger.wait_s(now_s)
--- a/laburnumrock/placement/_messages.py
+++ b/laburnumrock/placement/_messages.py
@@ -236,6 +236,10 @@
         Requests that wait for a permit.
     expected_wait_s : dict from str to float
         Expected wait by length class in seconds; a class that cannot be served is absent.
+    largest_engine_tokens : int
+        KV memory of the largest upstream in tokens.
+    prefill_tokens_per_s, decode_step_s : float
+        Announced rates of that upstream.
     """
 
     pool_id: str
@@ -245,3 +249,6 @@
     free_kv_tokens: int
     queued: int
     expected_wait_s: dict[str, float] = field(default_factory=dict)
+    largest_engine_tokens: int = 0
+    prefill_tokens_per_s: float = 0.0
+    decode_step_s: float = 0.0
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -5,7 +5,7 @@
 from laburnumrock.errors import ErrorKind
 from laburnumrock.messages import Effect, Send
 from laburnumrock.placement._intake import Intake
-from laburnumrock.placement._ledger import UpstreamLedger, WaitingRequest
+from laburnumrock.placement._ledger import UpstreamLedger
 from laburnumrock.placement._messages import (
     PermitCancel,
     PermitOutcome,
@@ -178,6 +178,8 @@
     def summarize(self, now_s: float) -> PoolSummary:
         """Return the load of the pool."""
         open_ledgers = [ledger for ledger in self.table.ledgers.values() if ledger.is_open]
+        sample = self.intake.sample_ledger()
+        announced = sample.announcement if sample else None
         return PoolSummary(
             pool_id=self.settings.pool_id,
             owner_epoch=self.settings.owner_epoch,
@@ -186,6 +188,9 @@
             free_kv_tokens=sum(max(0, ledger.free_kv) for ledger in open_ledgers),
             queued=len(self.queue),
             expected_wait_s=self.intake.expected_waits(now_s),
+            largest_engine_tokens=self.table.largest_engine_tokens,
+            prefill_tokens_per_s=announced.prefill_tokens_per_s if announced else 0.0,
+            decode_step_s=announced.decode_step_s if announced else 0.0,
         )
 
     def clear_earmarks(self, now_s: float, key: tuple[str, int] | None = None) -> None:
@@ -233,7 +238,3 @@
             self.table.discard(ledger)
         else:
             self.table.reindex(ledger, now_s)
-
-    def find_waiting(self, request_id: str, attempt: int) -> WaitingRequest | None:
-        """Return a queued request, if it is queued."""
-        return self.queue.by_key.get((request_id, attempt))
