--- a/laburnumrock/admission/_messages.py
+++ b/laburnumrock/admission/_messages.py
@@ -127,11 +127,14 @@
         Number of the report, which grows also over restarts of the coordinator.
     demands : list of AccountDemand
         Accounts with any demand.
+    returned : dict from str to int
+        Per lender, the highest report number up to which its loans are no longer used.
     """
 
     failure_domain: str
     sequence: int
     demands: list[AccountDemand]
+    returned: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumrock/admission/_shares.py
+++ b/laburnumrock/admission/_shares.py
@@ -29,6 +29,7 @@
 class LentPart:
     """Loan as counted by the lender."""
 
+    sequence: int
     fraction: float
     ends_s: float
     concurrency_ends_s: float
@@ -102,7 +103,8 @@
         self.sent_s[self.sequence] = now_s
         for sequence in [key for key, sent in self.sent_s.items() if sent <= now_s - self.ttl_s]:
             del self.sent_s[sequence]
-        report = ShareReport(self.failure_domain, self.sequence, demands)
+        returned = {domain: self._returned_to(domain, now_s) for domain in coordinators}
+        report = ShareReport(self.failure_domain, self.sequence, demands, returned)
         return [
             Send(instance, report)
             for domain, instance in sorted(coordinators.items())
@@ -119,12 +121,14 @@
         loans = []
         for demand in report.demands:
             account = demand.client_account
-            self._return_concurrency(report.failure_domain, demand, now_s)
+            returned = report.returned.get(self.failure_domain, -1)
+            self._return_concurrency(report.failure_domain, demand, returned)
             wanted = max(0.0, demand.fraction * OWN_DEMAND_FACTOR - self.base)
             fraction = min(wanted, self._spare(account, report.failure_domain, own_demand, now_s))
             if fraction > 1e-6:
                 loans.append(ShareLoan(account, fraction))
                 part = LentPart(
+                    report.sequence,
                     fraction,
                     now_s + self.ttl_s * LENDER_MARGIN,
                     now_s + self.ttl_s * LENDER_MARGIN + self.concurrency_hold_s,
@@ -183,13 +187,21 @@
         )
         return max(0.0, self.base - own - others)
 
-    def _return_concurrency(self, borrower: str, demand: AccountDemand, now_s: float) -> None:
-        """Shorten loans whose rate has ended and whose requests are reported as ended."""
+    def _returned_to(self, lender: str, now_s: float) -> int:
+        """Return the report number up to which no loan of a lender is or will be in use."""
+        known = self.borrowed.get(lender)
+        if known is not None and known.ends_s > now_s:
+            return known.sequence - 1
+        # A grant is accepted only while its report is remembered.
+        oldest = min(self.sent_s, default=self.sequence)
+        return max(oldest - 1, known.sequence if known is not None else -1)
+
+    def _return_concurrency(self, borrower: str, demand: AccountDemand, returned: int) -> None:
+        """Drop loans that the borrower no longer uses, once its requests fit its base share."""
         if demand.concurrency_fraction > self.base:
             return
-        for part in self.lent.get((demand.client_account, borrower), []):
-            if part.ends_s <= now_s:
-                part.concurrency_ends_s = now_s
+        parts = self.lent.get((demand.client_account, borrower), [])
+        parts[:] = [part for part in parts if part.sequence > returned]
 
     def _expire(self, now_s: float) -> None:
         for key, parts in list(self.lent.items()):
