Add declarations: models, store, plans, holds and distribution

Cause: operators need templates, services and service states that change on all instances within seconds and never revert.

Change: pydantic models, folder reading with diff and plan, the replicated store with answers by request id, the copy at each instance, local holds, and the distribution state machine (a tree of fan-out six per failure domain; only answers to own questions confirm).

Measured before: no such package.

--- /dev/null
+++ b/laburnumrock/declarations/_plan.py
@@ -0,0 +1,150 @@
+"""Reading of declaration folders, and the changes between a folder and a set."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from laburnumrock.declarations._models import (
+    DECLARATION,
+    Change,
+    Declaration,
+    PutChange,
+    RemoveChange,
+    ServiceState,
+)
+from laburnumrock.declarations._set import DeclarationSet, describe_declaration_error
+from laburnumrock.errors import ErrorKind, Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """Difference of one declaration.
+
+    Parameters
+    ----------
+    key : str
+        Key of the declaration.
+    action : str
+        ``add``, ``change`` or ``remove``.
+    before, after : dict, optional
+        Differing fields; the whole declaration when it is added or removed.
+    """
+
+    key: str
+    action: str
+    before: dict | None
+    after: dict | None
+
+
+def read_folder(folder: Path) -> Result[DeclarationSet, Failure]:
+    """Read a folder with one JSON file per declaration or list of declarations.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder; files named ``*.json`` below it are read.
+
+    Returns
+    -------
+    Result
+        The set, or a failure of kind ``invalid_declaration`` that names the file and the field.
+    """
+    if not folder.is_dir():
+        return _refuse(f"{folder} is not a folder")
+    found: dict[str, str] = {}
+    changes: list[Change] = []
+    for path in sorted(folder.rglob("*.json")):
+        name = path.relative_to(folder).as_posix()
+        items = _read_file(path, name)
+        if items.is_err():
+            return items
+        for item in items.unwrap():
+            if item.key in found:
+                return _refuse(f"{item.key} is declared in {found[item.key]} and {name}", name)
+            found[item.key] = name
+            changes.append(PutChange(declaration=item))
+    if not changes:
+        return _refuse(f"{folder} contains no declarations")
+    return DeclarationSet().with_changes(changes)
+
+
+def _read_file(path: Path, name: str) -> Result[list[Declaration], Failure]:
+    try:
+        document = json.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return _refuse(f"cannot read the file: {error.strerror}", name)
+    except ValueError as error:
+        return _refuse(f"not JSON: {error}", name)
+    entries = document if isinstance(document, list) else [document]
+    items = []
+    for index, entry in enumerate(entries):
+        prefix = f"{name}[{index}]" if isinstance(document, list) else name
+        try:
+            items.append(DECLARATION.validate_python(entry))
+        except ValidationError as error:
+            return Err(describe_declaration_error(error, prefix))
+    return Ok(items)
+
+
+def plan_changes(current: DeclarationSet, wanted: DeclarationSet) -> list[Change]:
+    """Compute the changes that turn one set into another.
+
+    Parameters
+    ----------
+    current, wanted : DeclarationSet
+        Set in force and set of the folder.
+
+    Returns
+    -------
+    list of Change
+        Ordered by key; empty when nothing differs.
+
+    Notes
+    -----
+    A service state that the folder does not name is kept. Otherwise applying a folder would undo a
+    drain that an operator ordered with a command.
+    """
+    before, after = current.items(), wanted.items()
+    changes: list[Change] = []
+    for key in sorted(before.keys() | after.keys()):
+        if key not in after:
+            if not isinstance(before[key], ServiceState):
+                changes.append(RemoveChange(key=key))
+        elif before.get(key) != after[key]:
+            changes.append(PutChange(declaration=after[key]))
+    return changes
+
+
+def diff_sets(current: DeclarationSet, wanted: DeclarationSet) -> list[Difference]:
+    """Describe field by field what `plan_changes` would do.
+
+    Returns
+    -------
+    list of Difference
+        Ordered by key.
+    """
+    before = current.items()
+    differences = []
+    for change in plan_changes(current, wanted):
+        old = _dump(before.get(change.key))
+        new = _dump(change.declaration) if isinstance(change, PutChange) else None
+        if old is None or new is None:
+            action = "add" if old is None else "remove"
+            differences.append(Difference(change.key, action, old, new))
+            continue
+        names = [name for name in (old | new) if old.get(name) != new.get(name)]
+        old_fields = {name: old.get(name) for name in names}
+        new_fields = {name: new.get(name) for name in names}
+        differences.append(Difference(change.key, "change", old_fields, new_fields))
+    return differences
+
+
+def _dump(item: Declaration | None) -> dict | None:
+    return None if item is None else item.model_dump(mode="json", exclude_none=True)
+
+
+def _refuse(detail: str, path: str | None = None) -> Err[Failure]:
+    return Err(Failure(ErrorKind.INVALID_DECLARATION, detail, path))
--- /dev/null
+++ b/laburnumrock/declarations/_store.py
@@ -0,0 +1,182 @@
+"""Part of the replicated state that holds the declarations."""
+
+import hashlib
+import json
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+
+from laburnumrock.declarations._messages import (
+    ApplyChange,
+    ChangeAnswer,
+    DeclarationStep,
+    EnterHold,
+    HistoryEntry,
+)
+from laburnumrock.declarations._set import DeclarationSet, parse_changes
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.messages import from_plain, to_plain
+
+# Keeps the answers of more than one day at 2,400 changes a day. A resend that arrives after its
+# answer was dropped is refused as stale, because its base revision is no longer current.
+MAX_ANSWERS = 4_096
+MAX_HISTORY = 512
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredAnswer:
+    fingerprint: str
+    answer: ChangeAnswer
+
+
+class DeclarationStore:
+    """Declarations, their revision, answers by request id, and history.
+
+    Parameters
+    ----------
+    max_answers : int, > 0
+        Answers that are kept for resends.
+    max_history : int, > 0
+        Changes that are kept.
+
+    Notes
+    -----
+    Every voter applies the same commands in the same order and must reach the same state, so that
+    nothing here depends on a clock or on random numbers.
+    """
+
+    command_types = (ApplyChange, EnterHold)
+
+    def __init__(self, max_answers: int = MAX_ANSWERS, max_history: int = MAX_HISTORY) -> None:
+        self.max_answers = max_answers
+        self.max_history = max_history
+        self.revision = 0
+        self.current = DeclarationSet()
+        self.answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
+        self.history: deque[HistoryEntry] = deque(maxlen=max_history)
+
+    def apply(self, command: ApplyChange | EnterHold, index: int) -> ChangeAnswer:
+        """Apply one command of the log.
+
+        Parameters
+        ----------
+        command : ApplyChange or EnterHold
+            The command.
+        index : int
+            Its log index.
+
+        Returns
+        -------
+        ChangeAnswer
+            The first answer when the request id is known.
+        """
+        if isinstance(command, EnterHold):
+            return self._enter_hold(command, index)
+        fingerprint = _fingerprint(command)
+        stored = self.answers.get(command.request_id)
+        if stored is not None:
+            if stored.fingerprint == fingerprint:
+                return stored.answer
+            detail = "the request id was used with another change"
+            return self._refuse(command, Failure(ErrorKind.IDEMPOTENCY_MISMATCH, detail))
+        return self._store_answer(fingerprint, self._apply_new(command, index))
+
+    def find_steps(self, revision: int) -> list[DeclarationStep] | None:
+        """Return the steps that lead from a revision to the current one.
+
+        Returns
+        -------
+        list of DeclarationStep or None
+            None when the history no longer reaches back to `revision`.
+        """
+        missing = self.revision - revision
+        if missing < 0 or missing > len(self.history):
+            return None
+        entries = list(self.history)[len(self.history) - missing :]
+        return [DeclarationStep(entry.revision, entry.command.changes) for entry in entries]
+
+    def to_plain(self) -> dict:
+        """Convert the whole part to plain data for a snapshot."""
+        return {
+            "revision": self.revision,
+            "declarations": self.current.to_plain(),
+            "answers": [
+                [stored.fingerprint, to_plain(stored.answer)] for stored in self.answers.values()
+            ],
+            "history": [
+                [entry.index, entry.revision, to_plain(entry.command)] for entry in self.history
+            ],
+        }
+
+    def restore(self, plain: dict) -> None:
+        """Replace the whole part by the content of a snapshot.
+
+        Raises
+        ------
+        ValueError, KeyError
+            If the data is malformed; the part is unchanged then.
+        """
+        current = DeclarationSet.from_plain(plain["declarations"])
+        answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
+        for fingerprint, entry in plain["answers"]:
+            answer = from_plain(ChangeAnswer, entry)
+            answers[answer.request_id] = _StoredAnswer(fingerprint, answer)
+        history = deque(maxlen=self.max_history)
+        for index, revision, entry in plain["history"]:
+            history.append(HistoryEntry(index, revision, from_plain(ApplyChange, entry)))
+        self.revision = plain["revision"]
+        self.current = current
+        self.answers = answers
+        self.history = history
+
+    def _enter_hold(self, command: EnterHold, index: int) -> ChangeAnswer:
+        # Every instance of the domain may propose the same hold. The stored answer keeps a late
+        # proposal from draining the domain again after an operator has restored it.
+        hold = command.hold
+        request_id = f"hold/{hold.failure_domain}/{hold.version}"
+        stored = self.answers.get(request_id)
+        if stored is not None:
+            return stored.answer
+        state = {
+            "type": "service_state",
+            "kind": "failure_domain",
+            "name": hold.failure_domain,
+            "state": "drained",
+        }
+        changes = [{"action": "put", "declaration": state}]
+        change = ApplyChange(
+            request_id, self.revision, changes, hold.operator, command.stamped_at_s
+        )
+        if self.current.is_in_service("failure_domain", hold.failure_domain):
+            answer = self._apply_new(change, index)
+        else:
+            answer = ChangeAnswer(request_id, self.revision)
+        return self._store_answer("hold", answer)
+
+    def _store_answer(self, fingerprint: str, answer: ChangeAnswer) -> ChangeAnswer:
+        self.answers[answer.request_id] = _StoredAnswer(fingerprint, answer)
+        while len(self.answers) > self.max_answers:
+            self.answers.popitem(last=False)
+        return answer
+
+    def _apply_new(self, command: ApplyChange, index: int) -> ChangeAnswer:
+        if command.base_revision != self.revision:
+            detail = f"planned against revision {command.base_revision}, now {self.revision}"
+            return self._refuse(command, Failure(ErrorKind.STALE_REVISION, detail))
+        changed = parse_changes(command.changes).and_then(self.current.with_changes)
+        if changed.is_err():
+            return self._refuse(command, changed.unwrap_err())
+        self.current = changed.unwrap()
+        self.revision += 1
+        self.history.append(HistoryEntry(index, self.revision, command))
+        return ChangeAnswer(command.request_id, self.revision)
+
+    def _refuse(self, command: ApplyChange, failure: Failure) -> ChangeAnswer:
+        return ChangeAnswer(
+            command.request_id, self.revision, failure.kind, failure.detail, failure.field_path
+        )
+
+
+def _fingerprint(command: ApplyChange) -> str:
+    # The operator and the time stamp differ between resends through different instances.
+    content = json.dumps([command.base_revision, command.changes], sort_keys=True)
+    return hashlib.sha256(content.encode()).hexdigest()
