--- a/laburnumrock/standins/__init__.py
+++ b/laburnumrock/standins/__init__.py
@@ -1,1 +1,29 @@
-"""Placeholder of the standins package."""
+"""Emulators of model engines, application engines, balancer and links, and the load tool."""
+
+from laburnumrock.standins._batching import BatchingModel
+from laburnumrock.standins._engine import hash_prompt, token_text
+from laburnumrock.standins._parameters import (
+    EngineEvent,
+    EngineParameters,
+    EngineRequest,
+    PrefillFinished,
+    RefusalReason,
+    RequestAborted,
+    TokenEvent,
+)
+from laburnumrock.standins._prefix_cache import PREFIX_LENGTHS, hash_prefixes
+
+__all__ = [
+    "PREFIX_LENGTHS",
+    "BatchingModel",
+    "EngineEvent",
+    "EngineParameters",
+    "EngineRequest",
+    "PrefillFinished",
+    "RefusalReason",
+    "RequestAborted",
+    "TokenEvent",
+    "hash_prefixes",
+    "hash_prompt",
+    "token_text",
+]
--- /dev/null
+++ b/laburnumrock/standins/_application.py
@@ -0,0 +1,230 @@
+"""Application engine emulator: counts executions and never deduplicates."""
+
+import asyncio
+import json
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+from tornado.web import Application, RequestHandler
+
+from laburnumrock.standins._announcer import Announcer
+from laburnumrock.upstreams import UpstreamKind, UpstreamState
+
+
+@dataclass(frozen=True, slots=True)
+class ApplicationOptions:
+    """Identity and behaviour of one emulated application engine.
+
+    Parameters
+    ----------
+    upstream_id, failure_domain, host : str
+        Name, place and IP number.
+    port : int
+        HTTP port.
+    services : tuple of str
+        Plain services that it serves.
+    announce_to : tuple of str
+        Entry addresses ``host:port``.
+    delay_s : float
+        Time that each call takes, in seconds.
+    """
+
+    upstream_id: str
+    failure_domain: str
+    host: str
+    port: int
+    services: tuple[str, ...] = ("orders",)
+    announce_to: tuple[str, ...] = ()
+    delay_s: float = 0.0
+
+    @property
+    def base_url(self) -> str:
+        """HTTP address of the application engine."""
+        return f"http://{self.host}:{self.port}"
+
+
+@dataclass(slots=True)
+class ApplicationFaults:
+    """Faults that the control endpoint or the command line sets.
+
+    Parameters
+    ----------
+    delay_s : float
+        Time that each call takes before it executes, in seconds.
+    drop_answers : int
+        Number of next calls that execute and whose connection then closes without an answer; -1
+        for all.
+    fail_after : int
+        Number of next calls that execute and then answer 500; -1 for all.
+    refuses_connections : bool
+        Whether the port is closed.
+    """
+
+    delay_s: float = 0.0
+    drop_answers: int = 0
+    fail_after: int = 0
+    refuses_connections: bool = False
+
+
+class ApplicationEngine:
+    """Emulated application engine without its HTTP surface.
+
+    Parameters
+    ----------
+    options : ApplicationOptions
+        Identity and behaviour.
+    """
+
+    def __init__(self, options: ApplicationOptions) -> None:
+        self.options = options
+        self.faults = ApplicationFaults(delay_s=options.delay_s)
+        self.executions: Counter[str] = Counter()
+        self.calls = 0
+        self.running = 0
+        self.is_leaving = False
+        self.incarnation = time.time_ns() // 1_000_000
+        self.announcer = Announcer(
+            list(options.announce_to), self.build_announcement, self.incarnation
+        )
+
+    async def start(self) -> None:
+        """Start the announcements."""
+        self.announcer.start()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.announcer.stop()
+
+    async def leave(self) -> None:
+        """Announce ``leaving`` and wait until every running call has ended."""
+        self.is_leaving = True
+        await self.announcer.announce()
+        while self.running:
+            await asyncio.sleep(0.01)
+
+    async def execute(self, operation_id: str | None) -> int:
+        """Execute one call; returns how often this operation has run."""
+        self.running += 1
+        try:
+            await asyncio.sleep(self.faults.delay_s)
+            self.calls += 1
+            if operation_id is None:
+                return 1
+            self.executions[operation_id] += 1
+            return self.executions[operation_id]
+        finally:
+            self.running -= 1
+
+    def take_fault(self, name: str) -> bool:
+        """Use up one occurrence of a counted fault; returns whether it was set."""
+        remaining = getattr(self.faults, name)
+        if remaining > 0:
+            setattr(self.faults, name, remaining - 1)
+        return remaining != 0
+
+    def build_announcement(self) -> dict[str, object]:
+        """Return the announcement of this application engine."""
+        state = UpstreamState.LEAVING if self.is_leaving else UpstreamState.READY
+        return {
+            "upstream_id": self.options.upstream_id,
+            "kind": UpstreamKind.APPLICATION_ENGINE,
+            "failure_domain": self.options.failure_domain,
+            "incarnation": self.incarnation,
+            "base_url": self.options.base_url,
+            "models": [],
+            "adapters": [],
+            "versions": [],
+            "services": list(self.options.services),
+            "role": "general",
+            "kv_capacity_tokens": 0,
+            "prefill_tokens_per_s": 0.0,
+            "decode_step_s": 0.0,
+            "state": state,
+            "running": self.running,
+            "waiting": 0,
+            "kv_used_tokens": 0,
+            "measured_age_s": 0.0,
+            "cache_events": [],
+        }
+
+
+class CallHandler(RequestHandler):
+    """Any path and method: executes the call once per arrival."""
+
+    def initialize(self, engine: ApplicationEngine) -> None:
+        """Store the application engine."""
+        self.engine = engine
+
+    async def _run(self, path: str) -> None:
+        if self.engine.is_leaving:
+            self.set_status(503)
+            self.finish({"reason": "leaving"})
+            return
+        operation_id = self.request.headers.get("Idempotency-Key")
+        count = await self.engine.execute(operation_id)
+        if self.engine.take_fault("drop_answers"):
+            self.request.connection.stream.close()
+            return
+        if self.engine.take_fault("fail_after"):
+            self.set_status(500)
+            self.finish({"reason": "failed", "operation_id": operation_id})
+            return
+        self.finish(
+            {
+                "service": self.engine.options.services[0] if self.engine.options.services else "",
+                "path": f"/{path}",
+                "operation_id": operation_id,
+                "executions": count,
+                "body": self.request.body.decode(errors="replace"),
+            }
+        )
+
+    get = post = put = delete = patch = _run
+
+
+class ExecutionsHandler(RequestHandler):
+    """``GET /executions``: executions per operation id."""
+
+    def initialize(self, engine: ApplicationEngine) -> None:
+        """Store the application engine."""
+        self.engine = engine
+
+    def get(self) -> None:
+        """Report the counts."""
+        self.finish({"calls": self.engine.calls, "executions": dict(self.engine.executions)})
+
+
+class ApplicationControlHandler(RequestHandler):
+    """``POST /control/faults``: sets members of `ApplicationFaults`.
+
+    The port for calls can be closed, so the control endpoint also listens on a port of its own.
+    """
+
+    def initialize(self, engine: ApplicationEngine) -> None:
+        """Store the application engine."""
+        self.engine = engine
+
+    def post(self) -> None:
+        """Set faults."""
+        body = json.loads(self.request.body or b"{}")
+        for name, value in body.items():
+            if not hasattr(self.engine.faults, name):
+                self.set_status(400)
+                self.finish({"reason": f"unknown fault {name}"})
+                return
+            setattr(self.engine.faults, name, value)
+        self.finish(body)
+
+
+def make_application_engine_application(engine: ApplicationEngine) -> Application:
+    """Build the tornado application of one emulated application engine."""
+    arguments = {"engine": engine}
+    return Application(
+        [
+            (r"/executions", ExecutionsHandler, arguments),
+            (r"/control/faults", ApplicationControlHandler, arguments),
+            (r"/(.*)", CallHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/laburnumrock/standins/_engine.py
@@ -0,0 +1,265 @@
+"""Model engine emulator: drives the batching model by the real clock."""
+
+import asyncio
+import hashlib
+import random
+import time
+from collections import deque
+from dataclasses import dataclass, field
+
+from laburnumrock.standins._announcer import Announcer
+from laburnumrock.standins._batching import BatchingModel
+from laburnumrock.standins._orders import OrderBook
+from laburnumrock.standins._parameters import (
+    EngineEvent,
+    EngineParameters,
+    EngineRequest,
+    PrefillFinished,
+    RefusalReason,
+)
+from laburnumrock.standins._segments import SegmentTable
+from laburnumrock.upstreams import UpstreamKind, UpstreamState
+
+# Shorter sleeps cost more processor time than the emulated steps are worth.
+MIN_SLEEP_S = 0.004
+SAMPLE_INTERVAL_S = 0.1
+HASH_DIGITS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Identity and behaviour of one emulated engine.
+
+    Parameters
+    ----------
+    upstream_id, failure_domain, host : str
+        Name, place and IP number.
+    port : int
+        HTTP port.
+    models, adapters, versions : tuple of str
+        What is loaded at the start.
+    announce_to : tuple of str
+        Entry addresses ``host:port``.
+    is_cold : bool
+        Whether the engine starts cold.
+    obeys_fencing : bool
+        Whether orders with an old fencing number are refused.
+    order_key : str, optional
+        Bearer key that orders must carry; ``None`` accepts orders from anybody.
+    cancels_on_disconnect : bool
+        Whether a closed connection cancels its request.
+    report_lag_s : float
+        Age of the load figures in announcements, in seconds.
+    order_load_s : float
+        Time that an order to load takes, in seconds.
+    time_factor : float, > 0
+        Engine seconds per second.
+    seed : int
+        Seed of all randomness.
+    parameters : EngineParameters
+        Speed and size.
+    """
+
+    upstream_id: str
+    failure_domain: str
+    host: str
+    port: int
+    models: tuple[str, ...] = ("quote",)
+    adapters: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
+    announce_to: tuple[str, ...] = ()
+    is_cold: bool = False
+    obeys_fencing: bool = True
+    order_key: str | None = None
+    cancels_on_disconnect: bool = False
+    report_lag_s: float = 0.3
+    order_load_s: float = 0.2
+    time_factor: float = 1.0
+    seed: int = 0
+    parameters: EngineParameters = field(default_factory=EngineParameters)
+
+    @property
+    def base_url(self) -> str:
+        """HTTP address of the engine."""
+        return f"http://{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSample:
+    """Load figures at one moment."""
+
+    taken_s: float
+    running: int
+    waiting: int
+    kv_used_tokens: int
+
+
+def hash_prompt(prompt: str) -> str:
+    """Return the first 8 hexadecimal digits of the SHA-256 of a prompt."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:HASH_DIGITS]
+
+
+def token_text(prompt_hash: str, index: int) -> str:
+    """Return the text of token `index` of the answer to a prompt."""
+    return f"{prompt_hash}-{index} "
+
+
+class ModelEngine:
+    """Emulated model engine without its HTTP surface.
+
+    Parameters
+    ----------
+    options : EngineOptions
+        Identity and behaviour.
+    """
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.random = random.Random(f"{options.seed}/{options.upstream_id}")
+        self.model = BatchingModel(options.parameters, self.random, options.is_cold)
+        self.orders = OrderBook(
+            list(options.models),
+            list(options.adapters),
+            list(options.versions),
+            obeys_fencing=options.obeys_fencing,
+        )
+        self.segments = SegmentTable()
+        self.streams: dict[tuple[str, int], asyncio.Queue[EngineEvent]] = {}
+        self.incarnation = time.time_ns() // 1_000_000
+        self.started_s = time.monotonic()
+        self.samples: deque[LoadSample] = deque(maxlen=64)
+        self.hidden_until_s = 0.0
+        self.break_streams = 0
+        self.wake = asyncio.Event()
+        self.tasks: set[asyncio.Task] = set()
+        self.announcer = Announcer(
+            list(options.announce_to), self.build_announcement, self.random.randrange(1_000)
+        )
+
+    def now_s(self) -> float:
+        """Return the engine's clock, which runs `time_factor` times as fast as the real one."""
+        return (time.monotonic() - self.started_s) * self.options.time_factor
+
+    async def start(self) -> None:
+        """Start the batch loop, the load samples and the announcements."""
+        self.tasks.add(asyncio.create_task(self._run_batches()))
+        self.tasks.add(asyncio.create_task(self._sample_load()))
+        self.announcer.start()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.announcer.stop()
+
+    async def leave(self) -> None:
+        """Announce ``leaving`` and wait until every running request has ended."""
+        self.model.is_leaving = True
+        await self.announcer.announce()
+        while self.model.held_requests or self.streams:
+            await asyncio.sleep(MIN_SLEEP_S)
+
+    def submit(self, request: EngineRequest) -> RefusalReason | asyncio.Queue[EngineEvent]:
+        """Start a request; returns its events, or the reason of the refusal."""
+        refusal = self.model.submit(request, self.now_s())
+        self._deliver()
+        if refusal is not None:
+            return refusal
+        events: asyncio.Queue[EngineEvent] = asyncio.Queue()
+        self.streams[(request.request_id, request.attempt)] = events
+        self.wake.set()
+        return events
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancel a request and free its memory."""
+        was_held = self.model.cancel(request_id, self.now_s())
+        self.segments.forget(request_id)
+        self._deliver()
+        self.wake.set()
+        return was_held
+
+    def apply_order(self, order: dict[str, object]) -> None:
+        """Carry out an accepted order after its load time."""
+        task = asyncio.create_task(self._load(order))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def turn_cold(self, hide_s: float) -> None:
+        """Turn cold and announce it only after `hide_s` seconds."""
+        self.hidden_until_s = time.monotonic() + hide_s
+        self.model.cold_start.turn_cold(self.now_s())
+
+    def state(self) -> UpstreamState:
+        """Return the announced state."""
+        if self.model.is_leaving:
+            return UpstreamState.LEAVING
+        if time.monotonic() < self.hidden_until_s:
+            return UpstreamState.READY
+        return self.model.cold_start.state
+
+    def take_sample(self) -> LoadSample:
+        """Return the present load."""
+        model = self.model
+        used_tokens = model.memory.used_tokens
+        return LoadSample(time.monotonic(), len(model.running), len(model.waiting), used_tokens)
+
+    def build_announcement(self) -> dict[str, object]:
+        """Return the announcement of this engine with load figures that lag."""
+        options = self.options
+        now_s = time.monotonic()
+        old = [one for one in self.samples if one.taken_s <= now_s - options.report_lag_s]
+        sample = old[-1] if old else self.take_sample()
+        return {
+            "upstream_id": options.upstream_id,
+            "kind": UpstreamKind.MODEL_ENGINE,
+            "failure_domain": options.failure_domain,
+            "incarnation": self.incarnation,
+            "base_url": options.base_url,
+            "models": self.orders.models,
+            "adapters": self.orders.adapters,
+            "versions": self.orders.versions,
+            "services": [],
+            "role": self.orders.role,
+            "kv_capacity_tokens": options.parameters.kv_capacity_tokens,
+            "prefill_tokens_per_s": options.parameters.prefill_tokens_per_s * options.time_factor,
+            "decode_step_s": options.parameters.decode_step_s / options.time_factor,
+            "state": self.state(),
+            "running": sample.running,
+            "waiting": sample.waiting,
+            "kv_used_tokens": sample.kv_used_tokens,
+            "measured_age_s": round(now_s - sample.taken_s, 3),
+            "cache_events": self.model.cache.take_events(self.now_s()),
+        }
+
+    async def _load(self, order: dict[str, object]) -> None:
+        await asyncio.sleep(self.options.order_load_s / self.options.time_factor)
+        self.orders.apply(order)
+
+    async def _run_batches(self) -> None:
+        while True:
+            self._deliver()
+            next_s = self.model.next_event_s()
+            if next_s is None:
+                self.wake.clear()
+                await self.wake.wait()
+                continue
+            delay_s = (next_s - self.now_s()) / self.options.time_factor
+            await asyncio.sleep(max(MIN_SLEEP_S, delay_s))
+
+    def _deliver(self) -> None:
+        for event in self.model.advance(self.now_s()):
+            events = self.streams.get((event.request_id, event.attempt))
+            if events is not None:
+                events.put_nowait(event)
+            elif not isinstance(event, PrefillFinished) and getattr(event, "is_last", False):
+                self.segments.forget(event.request_id)
+
+    async def _sample_load(self) -> None:
+        while True:
+            self._deliver()
+            self.samples.append(self.take_sample())
+            held = self.model.memory.holdings
+            for request_id in [name for name in self.segments.local if name not in held]:
+                self.segments.forget(request_id)
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
