--- a/laburnumrock/standins/__main__.py
+++ b/laburnumrock/standins/__main__.py
@@ -10,9 +10,11 @@
     ApplicationOptions,
     make_application_engine_application,
 )
+from laburnumrock.standins._balancer import Balancer, make_balancer_application
 from laburnumrock.standins._engine import EngineOptions, ModelEngine
 from laburnumrock.standins._engine_http import MAX_BODY_BYTES, make_engine_application
 from laburnumrock.standins._parameters import EngineParameters
+from laburnumrock.standins._relay import Relay, make_relay_application, parse_link
 from laburnumrock.standins._service import (
     follow_refusals,
     listen,
@@ -37,6 +39,7 @@
 @click.option("--base-port", type=int, required=True, help="Port of the first engine.")
 @click.option("--count", type=int, default=1, show_default=True, help="Engines in this process.")
 @click.option("--announce-to", multiple=True, help="Entry address host:port; repeatable.")
+@click.option("--advertise", help="Announced host:port, for example of a link of the relay.")
 @click.option("--model", "models", multiple=True, default=("quote",), show_default=True)
 @click.option("--adapter", "adapters", multiple=True)
 @click.option("--version", "versions", multiple=True)
@@ -53,6 +56,8 @@
 @click.option("--seed", type=int, default=0, show_default=True)
 def engine(name: str, count: int, base_port: int, **options: object) -> None:
     """Run one or more model engines."""
+    if count > 1 and options["advertise"]:
+        raise click.UsageError("--advertise names one address and needs --count 1")
     key_file = options["order_key_file"]
     order_key = key_file.read_text(encoding="utf-8").strip() if key_file else None
     parameters = EngineParameters(
@@ -73,6 +78,7 @@
                 adapters=options["adapters"],
                 versions=options["versions"],
                 announce_to=options["announce_to"],
+                advertise=options["advertise"],
                 is_cold=options["cold"],
                 obeys_fencing=options["fencing"] == "obey",
                 order_key=order_key,
@@ -99,6 +105,7 @@
 @click.option("--port", type=int, required=True)
 @click.option("--control-port", type=int, help="Second port, open while the first is closed.")
 @click.option("--announce-to", multiple=True, help="Entry address host:port; repeatable.")
+@click.option("--advertise", help="Announced host:port, for example of a link of the relay.")
 @click.option("--service", "services", multiple=True, default=("orders",), show_default=True)
 @click.option("--delay-s", type=float, default=0.0, show_default=True)
 @click.option("--drop-answers", type=int, default=0, help="Calls to drop; -1 for all.")
@@ -113,6 +120,7 @@
         port=options["port"],
         services=options["services"],
         announce_to=options["announce_to"],
+        advertise=options["advertise"],
         delay_s=options["delay_s"],
     )
 
@@ -131,5 +139,43 @@
     run_until_signal(serve)
 
 
+@main.command()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", type=int, required=True, help="Port for clients.")
+@click.option("--control-port", type=int, help="Port of GET /backends.")
+@click.option("--backend", "backends", multiple=True, required=True, help="Entry host:port.")
+def balancer(host: str, port: int, control_port: int | None, backends: tuple[str, ...]) -> None:
+    """Run the load balancer in front of the entry instances."""
+
+    async def serve(stopping: asyncio.Event) -> None:
+        spreader = Balancer(list(backends))
+        await spreader.start(host, port)
+        if control_port is not None:
+            listen(make_balancer_application(spreader), host, control_port)
+        await stopping.wait()
+        await spreader.stop()
+
+    run_until_signal(serve)
+
+
+@main.command()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--control-port", type=int, required=True, help="Port of GET and POST /links.")
+@click.option("--link", "links", multiple=True, help="NAME=PORT:TARGET_HOST:TARGET_PORT.")
+@click.option("--links-file", type=click.Path(exists=True, path_type=Path), help="One a line.")
+def relay(host: str, control_port: int, links: tuple[str, ...], links_file: Path | None) -> None:
+    """Run links that can be cut, healed and delayed."""
+    lines = links_file.read_text(encoding="utf-8").split() if links_file else []
+
+    async def serve(stopping: asyncio.Event) -> None:
+        link_relay = Relay([parse_link(text, host) for text in [*links, *lines]])
+        await link_relay.start(host)
+        listen(make_relay_application(link_relay), host, control_port)
+        await stopping.wait()
+        await link_relay.stop()
+
+    run_until_signal(serve)
+
+
 if __name__ == "__main__":
     main()
--- a/laburnumrock/standins/_application.py
+++ b/laburnumrock/standins/_application.py
@@ -26,6 +26,8 @@
         Plain services that it serves.
     announce_to : tuple of str
         Entry addresses ``host:port``.
+    advertise : str, optional
+        Announced address ``host:port`` if it differs from the port.
     delay_s : float
         Time that each call takes, in seconds.
     """
@@ -36,12 +38,13 @@
     port: int
     services: tuple[str, ...] = ("orders",)
     announce_to: tuple[str, ...] = ()
+    advertise: str | None = None
     delay_s: float = 0.0
 
     @property
     def base_url(self) -> str:
         """HTTP address of the application engine."""
-        return f"http://{self.host}:{self.port}"
+        return f"http://{self.advertise or f'{self.host}:{self.port}'}"
 
 
 @dataclass(slots=True)
--- a/laburnumrock/standins/_engine.py
+++ b/laburnumrock/standins/_engine.py
@@ -40,6 +40,8 @@
         What is loaded at the start.
     announce_to : tuple of str
         Entry addresses ``host:port``.
+    advertise : str, optional
+        Announced address ``host:port`` if it differs from the port.
     is_cold : bool
         Whether the engine starts cold.
     obeys_fencing : bool
@@ -68,6 +70,7 @@
     adapters: tuple[str, ...] = ()
     versions: tuple[str, ...] = ()
     announce_to: tuple[str, ...] = ()
+    advertise: str | None = None
     is_cold: bool = False
     obeys_fencing: bool = True
     order_key: str | None = None
@@ -81,7 +84,7 @@
     @property
     def base_url(self) -> str:
         """HTTP address of the engine."""
-        return f"http://{self.host}:{self.port}"
+        return f"http://{self.advertise or f'{self.host}:{self.port}'}"
 
 
 @dataclass(frozen=True, slots=True)
