--- /dev/null
+++ b/laburnumrock/gateway/_announcements.py
@@ -0,0 +1,26 @@
+"""Handler of ``POST /upstreams/announcements``."""
+
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.gateway._bodies import AnnouncementBody, parse_body
+from laburnumrock.gateway._handler import BodyHandler
+
+
+class AnnouncementsHandler(BodyHandler):
+    """Takes the announcements of upstreams of this failure domain."""
+
+    def post(self) -> None:
+        """Validate one announcement and pass it on to the owner of its pool."""
+        body = self.read_body().and_then(lambda data: parse_body(AnnouncementBody, data))
+        if body.is_err():
+            self.finish_with_failure(body.unwrap_err())
+            return
+        own_domain = self.services.settings.failure_domain
+        announced = body.unwrap().failure_domain
+        if announced != own_domain:
+            detail = f"this instance is in failure domain {own_domain!r}, got {announced!r}"
+            failure = Failure(ErrorKind.INVALID_REQUEST, detail, field_path="failure_domain")
+            self.finish_with_failure(failure)
+            return
+        self.services.announce(body.unwrap().to_announcement())
+        self.set_status(202)
+        self.finish({})
--- /dev/null
+++ b/laburnumrock/gateway/_app.py
@@ -0,0 +1,70 @@
+"""The HTTP application of an instance."""
+
+from collections.abc import Sequence
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from laburnumrock.gateway._announcements import AnnouncementsHandler
+from laburnumrock.gateway._completions import CompletionsHandler
+from laburnumrock.gateway._handler import UnknownPathHandler
+from laburnumrock.gateway._health import HealthHandler, HistogramsHandler, ReadyHandler
+from laburnumrock.gateway._interfaces import GatewayServices
+from laburnumrock.gateway._services import ServicesHandler
+
+# Bodies up to this multiple of the limit are read to their end and answered with a clear error;
+# beyond it the connection is closed.
+OVERSIZE_FACTOR = 4
+
+
+def make_app(services: GatewayServices, operator_routes: Sequence[tuple] = ()) -> Application:
+    """Build the application.
+
+    Parameters
+    ----------
+    services : GatewayServices
+        What the handlers use.
+    operator_routes : sequence of tuple
+        Routes of the operator's handlers.
+
+    Returns
+    -------
+    tornado.web.Application
+        Application to serve on the caller port.
+    """
+    arguments = {"services": services}
+    return Application(
+        [
+            ("/v1/completions", CompletionsHandler, arguments),
+            (r"/v1/services/([^/]+)/(.+)", ServicesHandler, arguments),
+            ("/upstreams/announcements", AnnouncementsHandler, arguments),
+            ("/health", HealthHandler, arguments),
+            ("/ready", ReadyHandler, arguments),
+            ("/histograms", HistogramsHandler, arguments),
+            *operator_routes,
+        ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=arguments,
+        log_function=lambda handler: None,
+    )
+
+
+def serve_app(app: Application, services: GatewayServices) -> HTTPServer:
+    """Open the caller port.
+
+    Parameters
+    ----------
+    app : tornado.web.Application
+        Application of `make_app`.
+    services : GatewayServices
+        Names the address and the largest body.
+
+    Returns
+    -------
+    tornado.httpserver.HTTPServer
+        Running server; `stop` closes the port and leaves open connections alone.
+    """
+    settings = services.settings
+    server = HTTPServer(app, max_body_size=OVERSIZE_FACTOR * settings.max_body_bytes)
+    server.listen(settings.listen.caller_port, settings.listen.host)
+    return server
--- /dev/null
+++ b/laburnumrock/gateway/_bodies.py
@@ -0,0 +1,109 @@
+"""Validated bodies of requests to the gateway."""
+
+import json
+from typing import TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.settings import describe_validation_error
+from laburnumrock.upstreams import CacheEvent, UpstreamAnnouncement, UpstreamKind, UpstreamState
+
+MAX_OUTPUT_TOKENS = 100_000
+MAX_NAME_LENGTH = 200
+
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class StrictBody(BaseModel):
+    """Body that refuses unknown fields and does not convert types."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class CompletionBody(StrictBody):
+    """Body of ``POST /v1/completions``.
+
+    Parameters
+    ----------
+    prompt : str
+        Prompt; its tokens are its words.
+    max_tokens : int
+        Number of tokens to generate.
+    model : str, optional
+        Must equal the model of the template when given.
+    stream : bool
+        Whether to answer with server-sent events.
+    user : str
+        Caller inside the client account.
+    """
+
+    prompt: str = Field(min_length=1)
+    max_tokens: int = Field(default=16, gt=0, le=MAX_OUTPUT_TOKENS)
+    model: str | None = None
+    stream: bool = False
+    user: str = Field(default="", max_length=MAX_NAME_LENGTH)
+
+
+class CacheEventBody(StrictBody):
+    """Cache event inside an announcement."""
+
+    sequence: int = Field(ge=0)
+    prefix_hash: str
+    event: str = Field(pattern="^(stored|evicted)$")
+
+
+class AnnouncementBody(StrictBody):
+    """Body of ``POST /upstreams/announcements``; fields as in `UpstreamAnnouncement`."""
+
+    upstream_id: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    kind: UpstreamKind = Field(strict=False)
+    failure_domain: str = Field(min_length=1)
+    incarnation: int = Field(ge=0)
+    base_url: str = Field(pattern=r"^http://[^/]+$")
+    models: list[str] = []
+    adapters: list[str] = []
+    versions: list[str] = []
+    services: list[str] = []
+    role: str = "general"
+    kv_capacity_tokens: int = Field(default=0, ge=0)
+    prefill_tokens_per_s: float = Field(default=0.0, ge=0)
+    decode_step_s: float = Field(default=0.0, ge=0)
+    state: UpstreamState = Field(default=UpstreamState.READY, strict=False)
+    running: int = Field(default=0, ge=0)
+    waiting: int = Field(default=0, ge=0)
+    kv_used_tokens: int = Field(default=0, ge=0)
+    measured_age_s: float = Field(default=0.0, ge=0)
+    cache_events: list[CacheEventBody] = []
+
+    def to_announcement(self) -> UpstreamAnnouncement:
+        """Convert to the message that instances exchange."""
+        values = dict(self)
+        events = [CacheEvent(**dict(event)) for event in self.cache_events]
+        return UpstreamAnnouncement(**{**values, "cache_events": events})
+
+
+def parse_body(model: type[Model], data: bytes) -> Result[Model, Failure]:
+    """Parse and validate a JSON body.
+
+    Parameters
+    ----------
+    model : type
+        Model of the body.
+    data : bytes
+        Body as received.
+
+    Returns
+    -------
+    Result
+        The validated body, or a failure of kind ``invalid_request`` that names the field.
+    """
+    try:
+        document = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        return Err(Failure(ErrorKind.INVALID_REQUEST, f"the body is not JSON: {error}"))
+    try:
+        return Ok(model.model_validate(document))
+    except ValidationError as error:
+        return Err(describe_validation_error(error, ErrorKind.INVALID_REQUEST))
--- /dev/null
+++ b/laburnumrock/gateway/_completion_run.py
@@ -0,0 +1,213 @@
+"""One completion from admission to the last token, over several attempts if needed."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from eliot import log_message
+from result import Err, Result
+
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.gateway._assembler import AnswerAssembler
+from laburnumrock.gateway._engine import (
+    EngineWork,
+    TextHandler,
+    cancel_on_engine,
+    stream_completion,
+)
+from laburnumrock.gateway._interfaces import GatewayServices
+from laburnumrock.gateway._spanning import prepare_segments, release_segments
+from laburnumrock.metrics import Measure
+from laburnumrock.placement import PermitGrant, PermitOutcome, PermitRelease, PermitRequest
+
+MAX_ATTEMPTS = 4
+RETRY_AFTER_FAILURE_S = 1.0
+
+_RETRIED_KINDS = (
+    ErrorKind.CONNECTION_FAILED,
+    ErrorKind.UPSTREAM_REJECTED,
+    ErrorKind.UPSTREAM_FAILED,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionOrder:
+    """Admitted completion.
+
+    Parameters
+    ----------
+    work : EngineWork
+        What to generate.
+    client_account, caller : str
+        Whose request it is.
+    prompt_tokens : int
+        Size of the prompt in tokens.
+    length_class : str
+        Length class of the prompt.
+    deadline_s : float
+        Time allowed for the whole answer in seconds.
+    """
+
+    work: EngineWork
+    client_account: str
+    caller: str
+    prompt_tokens: int
+    length_class: str
+    deadline_s: float
+
+
+class CompletionRun:
+    """Runs one completion; idempotent, so a failed attempt may be resumed on another engine.
+
+    Parameters
+    ----------
+    services : GatewayServices
+        Tasks of the daemon.
+    order : CompletionOrder
+        What to run.
+    on_text : coroutine function
+        Receives the text of each token in order, once.
+    """
+
+    def __init__(
+        self, services: GatewayServices, order: CompletionOrder, on_text: TextHandler
+    ) -> None:
+        self.services = services
+        self.order = order
+        self.on_text = on_text
+        self.assembler = AnswerAssembler(order.work.request_id)
+        self.started_s = time.monotonic()
+        self.deadline_s = self.started_s + order.deadline_s
+        self.attempt_started_s = self.started_s
+        self.attempt_first_token_s: float | None = None
+        self.last_token_s: float | None = None
+        self.excluded: list[str] = []
+
+    async def run(self) -> Result[None, Failure]:
+        """Run attempts until the answer is complete, refused or past its deadline."""
+        failure = Failure(ErrorKind.NO_UPSTREAM)
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            granted = await self._acquire(attempt)
+            if granted.is_err():
+                return Err(self._judge_refusal(granted.unwrap_err()))
+            result = await self._run_attempt(granted.unwrap(), attempt)
+            if result.is_ok():
+                self._record(Measure.TOTAL, time.monotonic() - self.started_s)
+                return result
+            failure = result.unwrap_err()
+            if failure.kind not in _RETRIED_KINDS or self._remaining_s() <= 0:
+                return result
+            self.services.counters.count("retries")
+        return Err(Failure(failure.kind, failure.detail, retry_after_s=RETRY_AFTER_FAILURE_S))
+
+    async def _acquire(self, attempt: int) -> Result[PermitGrant, Failure]:
+        work = self.order.work
+        asked_s = time.monotonic()
+        granted = await self.services.permits.acquire(
+            PermitRequest(
+                request_id=work.request_id,
+                attempt=attempt,
+                client_account=self.order.client_account,
+                caller=self.order.caller,
+                model=work.model,
+                prompt_tokens=self.order.prompt_tokens,
+                max_output_tokens=work.max_tokens,
+                remaining_s=max(self._remaining_s(), 0.0),
+                priority=work.priority,
+                adapter=work.adapter,
+                version=work.version,
+                excluded_upstreams=list(self.excluded),
+            )
+        )
+        self._record(Measure.QUEUE_WAIT, time.monotonic() - asked_s)
+        return granted
+
+    def _judge_refusal(self, failure: Failure) -> Failure:
+        # Once an engine has worked on the request, a refusal of a later attempt must not say that
+        # nothing ran.
+        if not self.excluded:
+            return failure
+        detail = f"an attempt failed and no other was possible: {failure.detail or failure.kind}"
+        return Failure(ErrorKind.UPSTREAM_FAILED, detail, retry_after_s=failure.retry_after_s)
+
+    async def _run_attempt(self, grant: PermitGrant, attempt: int) -> Result[None, Failure]:
+        self.assembler.start_attempt(attempt)
+        self.attempt_started_s = time.monotonic()
+        self.attempt_first_token_s = None
+        log_message(
+            "attempt_started",
+            request_id=grant.request_id,
+            attempt=attempt,
+            upstreams=[placement.upstream_id for placement in grant.placements],
+        )
+        try:
+            async with asyncio.timeout(self._remaining_s()):
+                result = await self._call_engines(grant)
+        except TimeoutError:
+            await self._abandon(grant, PermitOutcome.CANCELLED)
+            return Err(Failure(ErrorKind.DEADLINE_EXCEEDED, retry_after_s=RETRY_AFTER_FAILURE_S))
+        except asyncio.CancelledError:
+            await asyncio.shield(self._abandon(grant, PermitOutcome.CANCELLED))
+            raise
+        if result.is_ok():
+            await release_segments(grant)
+            self._release(grant, PermitOutcome.FINISHED)
+            return result
+        self.excluded += [placement.upstream_id for placement in grant.placements]
+        await self._abandon(grant, _permit_outcome(result.unwrap_err()))
+        return result
+
+    async def _call_engines(self, grant: PermitGrant) -> Result[None, Failure]:
+        prepared = await prepare_segments(grant, self.order.work)
+        if prepared.is_err():
+            return prepared
+        return await stream_completion(
+            grant.placements[-1].base_url,
+            prepared.unwrap(),
+            self.assembler,
+            self._take_text,
+            self.services.settings.timing.connect_timeout_s,
+        )
+
+    async def _take_text(self, text: str) -> None:
+        now_s = time.monotonic()
+        if self.attempt_first_token_s is None:
+            self.attempt_first_token_s = now_s - self.attempt_started_s
+        if self.last_token_s is None:
+            self._record(Measure.FIRST_TOKEN, now_s - self.started_s)
+        else:
+            self._record(Measure.BETWEEN_TOKENS, now_s - self.last_token_s)
+        self.last_token_s = now_s
+        await self.on_text(text)
+
+    async def _abandon(self, grant: PermitGrant, outcome: PermitOutcome) -> None:
+        """Free what the engines hold, then the permit."""
+        await asyncio.gather(
+            *(cancel_on_engine(item.base_url, grant.request_id) for item in grant.placements)
+        )
+        self._release(grant, outcome)
+
+    def _release(self, grant: PermitGrant, outcome: PermitOutcome) -> None:
+        self.services.permits.release(
+            PermitRelease(
+                permit_id=grant.permit_id,
+                outcome=outcome,
+                first_token_s=self.attempt_first_token_s,
+                output_tokens=self.assembler.next_index,
+            )
+        )
+
+    def _remaining_s(self) -> float:
+        return self.deadline_s - time.monotonic()
+
+    def _record(self, measure: Measure, value_s: float) -> None:
+        order = self.order
+        self.services.histograms.record(order.client_account, order.length_class, measure, value_s)
+        self.services.counters.time(f"{measure}.{order.length_class}", value_s)
+
+
+def _permit_outcome(failure: Failure) -> PermitOutcome:
+    if failure.kind is ErrorKind.UPSTREAM_REJECTED:
+        cold = failure.detail.endswith("cold")
+        return PermitOutcome.COLD if cold else PermitOutcome.OVERLOADED
+    return PermitOutcome.FAILED
--- /dev/null
+++ b/laburnumrock/gateway/_services.py
@@ -0,0 +1,243 @@
+"""Handler of plain services."""
+
+import asyncio
+import hashlib
+import time
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from laburnumrock.declarations import Service, ServicePath, Template
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.gateway._accounts import identify_account
+from laburnumrock.gateway._handler import BodyHandler
+from laburnumrock.gateway._upstream_http import UpstreamAnswer, UpstreamCall, exchange
+from laburnumrock.journal import RecordedAnswer
+from laburnumrock.placement import PermitGrant, PermitOutcome, PermitRelease, PermitRequest
+
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+REPLAY_HEADER = "Idempotent-Replay"
+MAX_KEY_LENGTH = 200
+MAX_ATTEMPTS = 3
+RETRY_AFTER_FAILURE_S = 1.0
+
+# A process that was frozen for longer than this after its durable dispatch record sends nothing,
+# so that an operator may settle the operation as not run after the same time.
+DISPATCH_WINDOW_S = 2.0
+
+# Headers of an upstream's answer that are passed on and recorded.
+PASSED_HEADERS = ("Content-Type", "Location", "ETag")
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """Validated call of a plain service.
+
+    Parameters
+    ----------
+    template : Template
+        Template of the client account.
+    service : Service
+        The service.
+    path : ServicePath
+        The declared path.
+    idempotency_key : str, optional
+        Key of the caller; always set when the path is not repeatable.
+    body : bytes
+        Body of the call.
+    deadline_s : float
+        Reading of the monotonic clock at the deadline.
+    """
+
+    template: Template
+    service: Service
+    path: ServicePath
+    idempotency_key: str | None
+    body: bytes
+    deadline_s: float
+
+    def remaining_s(self) -> float:
+        """Time to the deadline in seconds."""
+        return self.deadline_s - time.monotonic()
+
+
+class ServicesHandler(BodyHandler):
+    """Routes calls of plain services; calls that may not be repeated run at most once."""
+
+    async def get(self, service: str, path: str) -> None:
+        """Route a reading call."""
+        await self._route(service, path)
+
+    async def post(self, service: str, path: str) -> None:
+        """Route a call that may change state."""
+        await self._route(service, path)
+
+    async def _route(self, service: str, path: str) -> None:
+        call = self._read_call(service, path)
+        if call.is_err():
+            self.finish_with_failure(call.unwrap_err())
+            return
+        self.services.lifecycle.count_request(1)
+        try:
+            result = await self._run(call.unwrap())
+        finally:
+            self.services.lifecycle.count_request(-1)
+        if result.is_err():
+            self.finish_with_failure(result.unwrap_err())
+        else:
+            self._write_answer(result.unwrap())
+
+    def _read_call(self, service_name: str, path_name: str) -> Result[ServiceCall, Failure]:
+        if not self.services.lifecycle.accepts_work():
+            return Err(Failure(ErrorKind.STOPPING, retry_after_s=1.0))
+        template = identify_account(self.request.headers, self.services.declarations)
+        if template.is_err():
+            return template
+        service = self.services.declarations.find_service(service_name)
+        path = service.find_path(path_name) if service is not None else None
+        if path is None:
+            detail = f"no declared service path {service_name}/{path_name}"
+            return Err(Failure(ErrorKind.NOT_FOUND, detail))
+        key = self._read_key(path)
+        if key.is_err():
+            return key
+        body = self.read_body()
+        if body.is_err():
+            return body
+        return Ok(
+            ServiceCall(
+                template=template.unwrap(),
+                service=service,
+                path=path,
+                idempotency_key=key.unwrap(),
+                body=body.unwrap(),
+                deadline_s=time.monotonic() + service.timeout_s,
+            )
+        )
+
+    def _read_key(self, path: ServicePath) -> Result[str | None, Failure]:
+        key = self.request.headers.get(IDEMPOTENCY_HEADER)
+        if key is None and not path.repeatable:
+            failure = Failure(ErrorKind.IDEMPOTENCY_KEY_MISSING, field_path=IDEMPOTENCY_HEADER)
+            return Err(failure)
+        if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+            detail = f"must have 1 to {MAX_KEY_LENGTH} characters"
+            failure = Failure(ErrorKind.INVALID_REQUEST, detail, field_path=IDEMPOTENCY_HEADER)
+            return Err(failure)
+        return Ok(key)
+
+    async def _run(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
+        account = call.template.client_account
+        quota = await self.services.quotas.acquire(account, "", 0)
+        if quota.is_err():
+            return quota
+        try:
+            if call.path.repeatable:
+                return await self._run_repeatable(call)
+            return await self._run_once(call)
+        finally:
+            self.services.quotas.release(quota.unwrap())
+
+    async def _run_repeatable(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
+        excluded: list[str] = []
+        result = Err(Failure(ErrorKind.NO_UPSTREAM))
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            granted = await self._acquire(call, attempt, excluded)
+            if granted.is_err():
+                return granted if not excluded else result
+            result = await self._call_upstream(call, granted.unwrap(), None)
+            if result.is_ok() or call.remaining_s() <= 0:
+                return result
+            excluded.append(granted.unwrap().placements[0].upstream_id)
+            self.services.counters.count("retries")
+        return result
+
+    async def _run_once(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
+        async def dispatch() -> Result[RecordedAnswer, Failure]:
+            send_before_s = time.monotonic() + DISPATCH_WINDOW_S
+            granted = await self._acquire(call, 1, [])
+            if granted.is_err():
+                return granted
+            return await self._call_upstream(call, granted.unwrap(), send_before_s)
+
+        return await self.services.operations.run(
+            call.template.client_account,
+            call.idempotency_key or "",
+            self._fingerprint(call.body),
+            call.remaining_s(),
+            dispatch,
+        )
+
+    def _fingerprint(self, body: bytes) -> str:
+        request = self.request
+        digest = hashlib.sha256()
+        for part in (request.method.encode(), request.uri.encode(), body):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return digest.hexdigest()
+
+    async def _acquire(
+        self, call: ServiceCall, attempt: int, excluded: list[str]
+    ) -> Result[PermitGrant, Failure]:
+        return await self.services.permits.acquire(
+            PermitRequest(
+                request_id=self.request_id,
+                attempt=attempt,
+                client_account=call.template.client_account,
+                caller="",
+                model=call.service.name,
+                prompt_tokens=0,
+                max_output_tokens=0,
+                remaining_s=max(call.remaining_s(), 0.0),
+                priority=call.template.priority,
+                excluded_upstreams=list(excluded),
+            )
+        )
+
+    async def _call_upstream(
+        self, call: ServiceCall, grant: PermitGrant, send_before_s: float | None
+    ) -> Result[RecordedAnswer, Failure]:
+        outcome = PermitOutcome.FAILED
+        try:
+            async with asyncio.timeout(call.remaining_s()):
+                result = await exchange(self._make_call(call, grant, send_before_s))
+            if result.is_ok():
+                outcome = PermitOutcome.FINISHED
+            return result.map(_record_answer)
+        except TimeoutError:
+            return Err(Failure(ErrorKind.DEADLINE_EXCEEDED, retry_after_s=RETRY_AFTER_FAILURE_S))
+        finally:
+            self.services.permits.release(PermitRelease(grant.permit_id, outcome))
+
+    def _make_call(
+        self, call: ServiceCall, grant: PermitGrant, send_before_s: float | None
+    ) -> UpstreamCall:
+        headers = {"X-Request-Id": self.request_id}
+        if "Content-Type" in self.request.headers:
+            headers["Content-Type"] = self.request.headers["Content-Type"]
+        if call.idempotency_key is not None:
+            headers[IDEMPOTENCY_HEADER] = call.idempotency_key
+        query = f"?{self.request.query}" if self.request.query else ""
+        return UpstreamCall(
+            grant.placements[0].base_url,
+            self.request.method or "GET",
+            f"/{call.path.path}{query}",
+            headers,
+            call.body,
+            self.services.settings.timing.connect_timeout_s,
+            send_before_s,
+        )
+
+    def _write_answer(self, answer: RecordedAnswer) -> None:
+        self.set_status(answer.status)
+        self.clear_header("Content-Type")
+        for name, value in answer.headers.items():
+            self.set_header(name, value)
+        if answer.replayed:
+            self.set_header(REPLAY_HEADER, "true")
+        self.finish(answer.body)
+
+
+def _record_answer(answer: UpstreamAnswer) -> RecordedAnswer:
+    headers = {name: answer.headers[name] for name in PASSED_HEADERS if name in answer.headers}
+    return RecordedAnswer(status=answer.status, headers=headers, body=answer.body)
--- /dev/null
+++ b/laburnumrock/gateway/tests/test_upstream_http.py
@@ -0,0 +1,71 @@
+"""Tests of the HTTP exchange with an upstream."""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from laburnumrock.errors import ErrorKind
+from laburnumrock.gateway._upstream_http import UpstreamCall, exchange
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+
+@contextlib.asynccontextmanager
+async def _serve(answer, received):
+    async def talk(reader, writer):
+        received.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(talk, "127.0.0.1", 0)
+    async with server:
+        yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+async def _exchange(answer, received, **options):
+    async with _serve(answer, received) as base_url:
+        return await exchange(UpstreamCall(base_url, "POST", "/x", body=b"{}", **options))
+
+
+class TestExchange:
+    def test_whole_answer(self):
+        """Guards against a whole answer that is reported as a failure."""
+        result = asyncio.run(_exchange(WHOLE, []))
+        assert result.unwrap().body == b"hello"
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nhello",
+            b"HTTP/1.1 100 Continue\r\n\r\n",
+            b"garbage\r\n\r\n",
+        ],
+        ids=["nothing", "short body", "open chunks", "no framing", "only 100", "garbage"],
+    )
+    def test_incomplete_answer_proves_nothing(self, answer):
+        """Guards against a partial answer taken as whole, or reported as not run."""
+        failure = asyncio.run(_exchange(answer, [])).unwrap_err()
+        assert failure.kind is ErrorKind.UPSTREAM_FAILED
+
+    def test_refused_connection_proves_not_run(self):
+        """Guards against an unknown outcome where nothing can have been sent."""
+
+        async def run():
+            async with _serve(WHOLE, []) as base_url:
+                pass
+            return await exchange(UpstreamCall(base_url, "GET", "/"))
+
+        assert asyncio.run(run()).unwrap_err().kind is ErrorKind.CONNECTION_FAILED
+
+    def test_nothing_is_sent_after_the_dispatch_window(self):
+        """Guards against a process that was frozen and sends after others settled the call."""
+        received = []
+        result = asyncio.run(_exchange(WHOLE, received, send_before_s=time.monotonic() - 1))
+        assert result.unwrap_err().kind is ErrorKind.CONNECTION_FAILED
+        assert received == []
