--- /dev/null
+++ b/laburnumrock/journal/_part.py
@@ -0,0 +1,254 @@
+"""The journal as a part of the replicated state."""
+
+import json
+from collections import deque
+from dataclasses import dataclass, field
+from importlib.resources import files
+
+from laburnumrock.journal._messages import (
+    MAX_RECORDED_BODY_BYTES,
+    AbandonOperation,
+    AbandonOwner,
+    ClaimOperation,
+    FindOperation,
+    OperationAnswer,
+    OperationState,
+    ReconcileOperation,
+    RecordedAnswer,
+    SettleOperation,
+    StartDispatch,
+    VoidClaim,
+)
+from laburnumrock.messages import from_plain, to_plain
+from laburnumrock.state import register_part
+
+OPERATION_RETENTION_S = 7 * 24 * 3600.0
+# Remembered so that a repeated claim command does not claim again after its claim ended.
+PAST_CLAIMS = 16
+
+_CHART = json.loads(files(__package__).joinpath("_operation.json").read_text("utf-8"))["states"]
+_OPEN_STATES = (OperationState.CLAIMED, OperationState.DISPATCHED)
+_KEPT_STATES = (*_OPEN_STATES, OperationState.UNKNOWN)
+
+
+@dataclass(slots=True)
+class Operation:
+    """Record of one operation."""
+
+    account: str
+    key: str
+    fingerprint: str
+    claim_id: str
+    owner: str
+    process_id: str
+    limit_s: float
+    state: OperationState
+    claimed_s: float
+    changed_s: float
+    answer: RecordedAnswer | None = None
+    source: str = ""
+    past_claims: list[str] = field(default_factory=list)
+
+
+@register_part("journal")
+class JournalPart:
+    """Operations that may not be repeated.
+
+    Parameters
+    ----------
+    retention_s : float, > 0
+        Time for which finished operations are kept, in seconds.
+    """
+
+    command_types = (
+        ClaimOperation,
+        StartDispatch,
+        SettleOperation,
+        VoidClaim,
+        AbandonOperation,
+        AbandonOwner,
+        ReconcileOperation,
+    )
+
+    def __init__(self, retention_s: float = OPERATION_RETENTION_S) -> None:
+        self.retention_s = retention_s
+        self.clock_s = 0.0
+        self.operations: dict[tuple[str, str], Operation] = {}
+        self.open_keys: dict[tuple[str, str], None] = {}
+        self.finished: deque[tuple[float, tuple[str, str]]] = deque()
+        self.handlers = {
+            ClaimOperation: self._claim,
+            StartDispatch: self._start,
+            SettleOperation: self._settle,
+            VoidClaim: self._void,
+            AbandonOperation: self._abandon,
+            ReconcileOperation: self._reconcile,
+        }
+
+    def apply(self, command: object, index: int) -> OperationAnswer:
+        """Apply a command of the journal."""
+        self.clock_s = command.stamp_s
+        self._forget_old(command.stamp_s)
+        if isinstance(command, AbandonOwner):
+            return self._abandon_owner(command)
+        return self.handlers[type(command)](command)
+
+    def query(self, question: FindOperation) -> OperationAnswer:
+        """Return the state of one operation."""
+        operation = self.operations.get((question.account, question.key))
+        return _answer(True, operation, self.clock_s)
+
+    def to_plain(self) -> object:
+        """Return all operations."""
+        operations = [to_plain(operation) for operation in self.operations.values()]
+        return {"clock_s": self.clock_s, "operations": operations}
+
+    def restore(self, plain: object | None) -> None:
+        """Replace all operations."""
+        plain = plain or {"clock_s": 0.0, "operations": []}
+        self.clock_s = plain["clock_s"]
+        operations = [from_plain(Operation, item) for item in plain["operations"]]
+        self.operations = {(item.account, item.key): item for item in operations}
+        self.open_keys = {key: None for key, item in self.operations.items() if _is_open(item)}
+        ended = [item for item in operations if item.state not in _KEPT_STATES]
+        ended.sort(key=lambda item: item.changed_s)
+        self.finished = deque((item.changed_s, (item.account, item.key)) for item in ended)
+
+    def _claim(self, command: ClaimOperation) -> OperationAnswer:
+        key = (command.account, command.key)
+        operation = self.operations.get(key)
+        if operation is None:
+            self.operations[key] = _new_operation(command, [])
+            self.open_keys[key] = None
+            return _answer(True, self.operations[key], command.stamp_s)
+        if operation.fingerprint != command.fingerprint:
+            return _answer(False, operation, command.stamp_s, mismatch=True)
+        if operation.claim_id == command.claim_id:
+            accepted = operation.state is OperationState.CLAIMED
+            return _answer(accepted, operation, command.stamp_s)
+        allowed = "claim" in _CHART[operation.state]
+        if not allowed or command.claim_id in operation.past_claims:
+            return _answer(False, operation, command.stamp_s)
+        past = [*operation.past_claims, operation.claim_id][-PAST_CLAIMS:]
+        self.operations[key] = _new_operation(command, past)
+        self.open_keys[key] = None
+        return _answer(True, self.operations[key], command.stamp_s)
+
+    def _start(self, command: StartDispatch) -> OperationAnswer:
+        return self._fire(command, "start", OperationState.DISPATCHED)
+
+    def _settle(self, command: SettleOperation) -> OperationAnswer:
+        target = OperationState(command.outcome)
+        return self._fire(command, f"settle_{command.outcome}", target, command.answer)
+
+    def _void(self, command: VoidClaim) -> OperationAnswer:
+        return self._fire(command, "void", OperationState.VOIDED)
+
+    def _abandon(self, command: AbandonOperation) -> OperationAnswer:
+        operation = self.operations.get((command.account, command.key))
+        if operation is not None and operation.state is OperationState.CLAIMED:
+            return self._fire(command, "abandon", OperationState.VOIDED)
+        return self._fire(command, "abandon", OperationState.UNKNOWN)
+
+    def _abandon_owner(self, command: AbandonOwner) -> OperationAnswer:
+        for key in list(self.open_keys):
+            operation = self.operations[key]
+            if operation.owner == command.owner and operation.process_id != command.process_id:
+                self._move(operation, "abandon", command.stamp_s)
+        return OperationAnswer(True)
+
+    def _reconcile(self, command: ReconcileOperation) -> OperationAnswer:
+        operation = self.operations.get((command.account, command.key))
+        event = f"reconcile_{command.outcome}"
+        if operation is None or event not in _CHART[operation.state]:
+            repeated = (
+                operation is not None
+                and operation.state == OperationState(command.outcome)
+                and operation.source == command.source != ""
+            )
+            return _answer(repeated, operation, command.stamp_s)
+        operation.source = command.source
+        operation.answer = command.answer
+        self._move(operation, event, command.stamp_s)
+        return _answer(True, operation, command.stamp_s)
+
+    def _fire(
+        self,
+        command: object,
+        event: str,
+        target: OperationState,
+        answer: RecordedAnswer | None = None,
+    ) -> OperationAnswer:
+        """Move an operation if the claim is the current one and the chart allows the event."""
+        operation = self.operations.get((command.account, command.key))
+        if operation is None or operation.claim_id != command.claim_id:
+            return _answer(False, operation, command.stamp_s)
+        if event not in _CHART[operation.state]:
+            return _answer(operation.state is target, operation, command.stamp_s)
+        if answer is not None:
+            operation.answer = _limit_body(answer)
+        self._move(operation, event, command.stamp_s)
+        return _answer(True, operation, command.stamp_s)
+
+    def _move(self, operation: Operation, event: str, now_s: float) -> None:
+        operation.state = OperationState(_CHART[operation.state][event])
+        operation.changed_s = now_s
+        key = (operation.account, operation.key)
+        if not _is_open(operation):
+            self.open_keys.pop(key, None)
+        if operation.state not in _KEPT_STATES:
+            self.finished.append((now_s, key))
+
+    def _forget_old(self, now_s: float) -> None:
+        while self.finished and self.finished[0][0] + self.retention_s < now_s:
+            changed_s, key = self.finished.popleft()
+            operation = self.operations.get(key)
+            if (
+                operation is not None
+                and operation.state not in _KEPT_STATES
+                and operation.changed_s == changed_s
+            ):
+                del self.operations[key]
+
+
+def _new_operation(command: ClaimOperation, past_claims: list[str]) -> Operation:
+    return Operation(
+        command.account,
+        command.key,
+        command.fingerprint,
+        command.claim_id,
+        command.owner,
+        command.process_id,
+        command.limit_s,
+        OperationState.CLAIMED,
+        command.stamp_s,
+        command.stamp_s,
+        past_claims=past_claims,
+    )
+
+
+def _is_open(operation: Operation) -> bool:
+    return operation.state in _OPEN_STATES
+
+
+def _limit_body(answer: RecordedAnswer) -> RecordedAnswer:
+    if len(answer.body) <= MAX_RECORDED_BODY_BYTES:
+        return answer
+    return RecordedAnswer(answer.status, answer.headers, b"", body_omitted=True)
+
+
+def _answer(
+    accepted: bool, operation: Operation | None, now_s: float, mismatch: bool = False
+) -> OperationAnswer:
+    if operation is None:
+        return OperationAnswer(accepted and not mismatch)
+    return OperationAnswer(
+        accepted,
+        operation.state,
+        operation.claim_id,
+        mismatch,
+        operation.answer,
+        max(0.0, now_s - operation.claimed_s),
+        operation.limit_s,
+        operation.source,
+    )
--- /dev/null
+++ b/laburnumrock/replication/_disk.py
@@ -0,0 +1,143 @@
+"""Files below the log store: a folder, or a fake that can lose unsynced writes."""
+
+import os
+import random
+from pathlib import Path
+from typing import Protocol
+
+
+class Disk(Protocol):
+    """Files of one data folder."""
+
+    def read(self, name: str) -> bytes | None:
+        """Content of a file, or None."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to a file; they are durable after `sync`."""
+
+    def sync(self, name: str) -> None:
+        """Make the appended bytes durable."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file by durable content in one step."""
+
+
+class FolderDisk:
+    """Files in a folder.
+
+    Parameters
+    ----------
+    folder : Path
+        Created if absent.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.handles: dict[str, int] = {}
+        if not folder.exists():
+            folder.mkdir(parents=True)
+            _sync_folder(folder.parent)
+
+    def read(self, name: str) -> bytes | None:
+        """Content of a file, or None."""
+        try:
+            return (self.folder / name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to a file; they are durable after `sync`."""
+        handle = self.handles.get(name)
+        if handle is None:
+            path = self.folder / name
+            created = not path.exists()
+            handle = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
+            self.handles[name] = handle
+            if created:
+                _sync_folder(self.folder)
+        _write_all(handle, data)
+
+    def sync(self, name: str) -> None:
+        """Make the appended bytes durable."""
+        handle = self.handles.get(name)
+        if handle is not None:
+            os.fdatasync(handle)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file by durable content in one step."""
+        self._close(name)
+        temporary = self.folder / f"{name}.new"
+        handle = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_all(handle, data)
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+        os.replace(temporary, self.folder / name)
+        _sync_folder(self.folder)
+
+    def close(self) -> None:
+        """Close all files."""
+        for name in list(self.handles):
+            self._close(name)
+
+    def _close(self, name: str) -> None:
+        handle = self.handles.pop(name, None)
+        if handle is not None:
+            os.close(handle)
+
+
+class FakeDisk:
+    """Files in memory that lose unsynced writes when the process is killed.
+
+    Parameters
+    ----------
+    honours_sync : bool
+        Whether `sync` makes writes durable; False models a disk that lies.
+    """
+
+    def __init__(self, honours_sync: bool = True) -> None:
+        self.honours_sync = honours_sync
+        self.durable: dict[str, bytes] = {}
+        self.pending: dict[str, bytes] = {}
+
+    def read(self, name: str) -> bytes | None:
+        """Content of a file, or None."""
+        if name not in self.durable and name not in self.pending:
+            return None
+        return self.durable.get(name, b"") + self.pending.get(name, b"")
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to a file; they are durable after `sync`."""
+        self.pending[name] = self.pending.get(name, b"") + data
+
+    def sync(self, name: str) -> None:
+        """Make the appended bytes durable."""
+        if self.honours_sync and name in self.pending:
+            self.durable[name] = self.durable.get(name, b"") + self.pending.pop(name)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file by durable content in one step."""
+        self.pending.pop(name, None)
+        self.durable[name] = data
+
+    def crash(self, source: random.Random) -> None:
+        """Lose a random part of the unsynced writes."""
+        for name, data in self.pending.items():
+            kept = data[: source.randrange(len(data) + 1)]
+            self.durable[name] = self.durable.get(name, b"") + kept
+        self.pending.clear()
+
+
+def _write_all(handle: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(handle, view) :]
+
+
+def _sync_folder(folder: Path) -> None:
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- /dev/null
+++ b/laburnumrock/replication/_leader.py
@@ -0,0 +1,181 @@
+"""What a leader knows about its followers."""
+
+from dataclasses import dataclass, field
+
+from laburnumrock.replication._log import RaftLog
+from laburnumrock.replication._messages import Append, InstallSnapshot, Members
+
+APPEND_BYTES = 512 * 1024
+SNAPSHOT_PART_BYTES = 256 * 1024
+
+
+@dataclass(slots=True)
+class Progress:
+    """State of one follower.
+
+    Parameters
+    ----------
+    next_index : int
+        Next entry to send.
+    match_index : int
+        Last entry known to be stored by the follower.
+    waiting : bool
+        Whether the answer to the last entries or snapshot part is outstanding.
+    sent_round : int
+        Round in which they were sent. Answers of older rounds send nothing further, since each
+        would otherwise start one more chain of equal messages.
+    snapshot_index, snapshot_offset : int
+        Snapshot that is being sent and how many bytes the follower holds.
+    acked_round : int
+        Last confirmation round that the follower answered.
+    acked_s : float
+        Time at which that round was sent.
+    """
+
+    next_index: int
+    match_index: int = 0
+    waiting: bool = False
+    sent_round: int = 0
+    snapshot_index: int = 0
+    snapshot_offset: int = 0
+    acked_round: int = 0
+    acked_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Leadership:
+    """State that exists only while an instance leads.
+
+    Parameters
+    ----------
+    voter_id : str
+        Identity of the leader.
+    term : int
+        Its term.
+    started_s : float
+        Start of the leadership.
+    first_index : int
+        No-op entry of the term; reads and member changes wait until it is committed.
+    """
+
+    voter_id: str
+    term: int
+    started_s: float
+    first_index: int
+    progress: dict[str, Progress] = field(default_factory=dict)
+    round_number: int = 0
+    round_sent_s: dict[int, float] = field(default_factory=dict)
+    heartbeat_due_s: float = 0.0
+    reads: list[tuple[int, int, int]] = field(default_factory=list)
+    transfer_target: str | None = None
+    transfer_ends_s: float = 0.0
+
+    def follow(self, members: Members, next_index: int, now_s: float) -> None:
+        """Match the set of followers to the members."""
+        wanted = members.everyone.keys() - {self.voter_id}
+        for voter_id in wanted - self.progress.keys():
+            self.progress[voter_id] = Progress(next_index, acked_s=now_s)
+        for voter_id in self.progress.keys() - wanted:
+            del self.progress[voter_id]
+
+    def start_round(self, now_s: float) -> None:
+        """Start a confirmation round."""
+        self.round_number += 1
+        self.round_sent_s[self.round_number] = now_s
+
+    def acknowledge(self, voter_id: str, round_number: int) -> None:
+        """Record that a follower answered a round."""
+        progress = self.progress[voter_id]
+        progress.acked_round = max(progress.acked_round, round_number)
+        sent_s = self.round_sent_s.get(round_number)
+        if sent_s is not None:
+            progress.acked_s = max(progress.acked_s, sent_s)
+
+    def drop_old_rounds(self, oldest_s: float) -> None:
+        """Forget the times of rounds that were sent before `oldest_s`."""
+        old = [number for number, sent_s in self.round_sent_s.items() if sent_s < oldest_s]
+        for number in old:
+            del self.round_sent_s[number]
+
+    def quorum_match(self, members: Members, own_index: int) -> int:
+        """Highest index that a majority of the voters stores."""
+        return self._majority(members, own_index, lambda progress: progress.match_index)
+
+    def quorum_round(self, members: Members) -> int:
+        """Highest round that a majority of the voters answered."""
+        own = self.round_number
+        return self._majority(members, own, lambda progress: progress.acked_round)
+
+    def quorum_contact_s(self, members: Members, now_s: float) -> float:
+        """Latest time at which a majority of the voters certainly followed this leader."""
+        return self._majority(members, now_s, lambda progress: progress.acked_s)
+
+    def make_message(
+        self, target_id: str, log: RaftLog, commit_index: int
+    ) -> Append | InstallSnapshot:
+        """Build the next message to a follower."""
+        progress = self.progress[target_id]
+        progress.waiting = True
+        progress.sent_round = self.round_number
+        previous_index = progress.next_index - 1
+        previous_term = log.term_at(previous_index)
+        if previous_term is None:
+            return self._make_snapshot_part(target_id, log)
+        return Append(
+            self.term,
+            self.voter_id,
+            target_id,
+            previous_index,
+            previous_term,
+            log.slice_bytes(progress.next_index, APPEND_BYTES),
+            commit_index,
+            self.round_number,
+        )
+
+    def make_confirmation(self, target_id: str, log: RaftLog, commit_index: int) -> Append | None:
+        """Build a message without entries that asks only for confirmation of the round."""
+        match_index = self.progress[target_id].match_index
+        term = log.term_at(match_index)
+        if term is None:
+            return None
+        commit_index = min(commit_index, match_index)
+        return Append(
+            self.term,
+            self.voter_id,
+            target_id,
+            match_index,
+            term,
+            [],
+            commit_index,
+            self.round_number,
+        )
+
+    def _make_snapshot_part(self, target_id: str, log: RaftLog) -> InstallSnapshot:
+        progress = self.progress[target_id]
+        snapshot = log.snapshot
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index = snapshot.index
+            progress.snapshot_offset = 0
+        offset = progress.snapshot_offset
+        return InstallSnapshot(
+            self.term,
+            self.voter_id,
+            target_id,
+            snapshot.index,
+            snapshot.term,
+            snapshot.members,
+            offset,
+            len(snapshot.data),
+            snapshot.data[offset : offset + SNAPSHOT_PART_BYTES],
+            self.round_number,
+        )
+
+    def _majority(self, members: Members, own, read) -> float | int:
+        values = []
+        for voter_id in members.voters:
+            if voter_id == self.voter_id:
+                values.append(own)
+            elif voter_id in self.progress:
+                values.append(read(self.progress[voter_id]))
+        values.sort(reverse=True)
+        return values[len(members.voters) // 2]
--- /dev/null
+++ b/laburnumrock/replication/_leading.py
@@ -0,0 +1,298 @@
+"""Leading of `RaftNode`: replication, confirmed reads, member changes, hand-over."""
+
+from laburnumrock.messages import Effect
+from laburnumrock.replication._leader import Leadership
+from laburnumrock.replication._messages import (
+    AppendAnswer,
+    Entry,
+    EntryKind,
+    InstallSnapshotAnswer,
+    Members,
+    TransferLeadership,
+)
+from laburnumrock.replication._types import (
+    Proposal,
+    ReadReady,
+    Role,
+    SaveEntries,
+    encode_members,
+)
+
+CAUGHT_UP_ENTRIES = 100
+
+
+class LeadingMixin:
+    """What an instance does while it leads."""
+
+    def propose(self, data: bytes, now_s: float) -> Proposal | None:
+        """Append a command.
+
+        Parameters
+        ----------
+        data : bytes
+            Encoded command.
+        now_s : float
+            Monotonic clock in seconds.
+
+        Returns
+        -------
+        Proposal, optional
+            Its position; None if this instance does not accept commands, in which case nothing
+            was appended.
+        """
+        leadership = self.leadership
+        if leadership is None or leadership.transfer_target is not None:
+            return None
+        entry = self._append_entry(EntryKind.COMMAND, data, now_s)
+        return Proposal(entry.index, entry.term, self._take_effects())
+
+    def read(self, read_id: int, now_s: float) -> list[Effect] | None:
+        """Ask for confirmation that this instance still leads.
+
+        Parameters
+        ----------
+        read_id : int
+            Returned in `ReadReady` or `ReadFailed`.
+
+        Returns
+        -------
+        list of Effect, optional
+            None if this instance does not lead or has not committed an entry of its term.
+        """
+        leadership = self.leadership
+        if leadership is None or self.commit_index < leadership.first_index:
+            return None
+        leadership.start_round(now_s)
+        leadership.reads.append((read_id, leadership.round_number, self.commit_index))
+        for target_id, progress in leadership.progress.items():
+            confirmation = None
+            if progress.waiting:
+                confirmation = leadership.make_confirmation(target_id, self.log, self.commit_index)
+            if confirmation is None:
+                self._replicate(target_id)
+            else:
+                self._send(self.members.everyone.get(target_id), confirmation)
+        self._finish_reads()
+        return self._take_effects()
+
+    def add_learner(self, instance_id: str, now_s: float) -> list[Effect] | None:
+        """Start to add the instance as a voter.
+
+        Returns
+        -------
+        list of Effect, optional
+            None if a member change cannot start now or the identity of the instance is unknown.
+
+        Notes
+        -----
+        The learner counts once it is caught up. A voter under an older identity of the same
+        instance is removed before that.
+        """
+        voter_id = self.bootstrap.identities.get(instance_id)
+        if voter_id is None or not self._can_change_members():
+            return None
+        if voter_id not in self.members.everyone:
+            learners = {**self.members.learners, voter_id: instance_id}
+            self._change_members(Members(self.members.voters, learners), now_s)
+        return self._take_effects()
+
+    def remove_member(self, instance_id: str, now_s: float) -> list[Effect] | None:
+        """Remove every identity of an instance; None if a change cannot start now."""
+        if not self._can_change_members():
+            return None
+        voters = _without(self.members.voters, instance_id)
+        learners = _without(self.members.learners, instance_id)
+        if not voters or len(self.members.voters) - len(voters) > 1:
+            return None
+        if Members(voters, learners) != self.members:
+            self._change_members(Members(voters, learners), now_s)
+        return self._take_effects()
+
+    def transfer(self, now_s: float) -> list[Effect]:
+        """Hand leadership to the voter with the longest log; commands are refused meanwhile."""
+        leadership = self.leadership
+        others = [
+            voter_id
+            for voter_id in self.members.voters
+            if leadership is not None and voter_id in leadership.progress
+        ]
+        if others:
+            best = max(others, key=lambda voter_id: leadership.progress[voter_id].match_index)
+            leadership.transfer_target = best
+            leadership.transfer_ends_s = now_s + self.timing.election_max_s
+            self._finish_transfer()
+        return self._take_effects()
+
+    def lease_ends_s(self, now_s: float) -> float:
+        """Time until which no other instance can have been elected without a hand-over.
+
+        Returns
+        -------
+        float
+            Reading of the monotonic clock; minus infinity if this instance does not lead.
+        """
+        if self.leadership is None:
+            return float("-inf")
+        contact_s = self.leadership.quorum_contact_s(self.members, now_s)
+        return contact_s + self.timing.election_min_s
+
+    def _start_leading(self, now_s: float) -> None:
+        self.role = Role.LEADER
+        self.leader_id = self.voter_id
+        first_index = self.log.last_index + 1
+        self.leadership = Leadership(self.voter_id, self.term, now_s, first_index)
+        self.leadership.follow(self.members, first_index, now_s)
+        self._report_role()
+        self._append_entry(EntryKind.NOOP, b"", now_s)
+        self._beat(now_s)
+
+    def _append_entry(self, kind: EntryKind, data: bytes, now_s: float) -> Entry:
+        entry = Entry(self.log.last_index + 1, self.term, kind, data)
+        self.log.store([entry])
+        self.effects.append(SaveEntries([entry]))
+        self.leadership.follow(self.members, entry.index, now_s)
+        for target_id, progress in self.leadership.progress.items():
+            if not progress.waiting:
+                self._replicate(target_id)
+        self._advance_commit(now_s)
+        return entry
+
+    def _tick_leader(self, now_s: float) -> None:
+        leadership = self.leadership
+        if self.lease_ends_s(now_s) < now_s:
+            self._become_follower(self.term, None, now_s)
+            return
+        if leadership.transfer_target is not None and now_s >= leadership.transfer_ends_s:
+            leadership.transfer_target = None
+        if now_s >= leadership.heartbeat_due_s:
+            self._beat(now_s)
+        self._promote_learners(now_s)
+
+    def _beat(self, now_s: float) -> None:
+        leadership = self.leadership
+        leadership.heartbeat_due_s = now_s + self.timing.heartbeat_s
+        leadership.start_round(now_s)
+        leadership.drop_old_rounds(now_s - 4 * self.timing.election_max_s)
+        for target_id in leadership.progress:
+            self._replicate(target_id)
+
+    def _replicate(self, target_id: str) -> None:
+        message = self.leadership.make_message(target_id, self.log, self.commit_index)
+        self._send(self.members.everyone.get(target_id), message)
+
+    def _receive_append_answer(self, sender: str, message: AppendAnswer, now_s: float) -> None:
+        progress = self._accept_answer(message, now_s)
+        if progress is None:
+            return
+        if message.matched:
+            progress.match_index = max(progress.match_index, message.index)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            self._advance_commit(now_s)
+            self._finish_transfer()
+        else:
+            retry = min(message.index, progress.next_index - 1)
+            progress.next_index = max(retry, progress.match_index + 1)
+        self._continue(message.voter_id, progress, not message.matched)
+
+    def _receive_snapshot_answer(
+        self, sender: str, message: InstallSnapshotAnswer, now_s: float
+    ) -> None:
+        progress = self._accept_answer(message, now_s)
+        if progress is None or message.index != progress.snapshot_index:
+            return
+        progress.snapshot_offset = message.received_bytes
+        done = message.index <= self.log.snapshot.index and (
+            message.received_bytes >= len(self.log.snapshot.data)
+        )
+        if done and message.index == self.log.snapshot.index:
+            progress.match_index = max(progress.match_index, message.index)
+            progress.next_index = max(progress.next_index, message.index + 1)
+            progress.snapshot_index = 0
+        self._continue(message.voter_id, progress, not done)
+
+    def _accept_answer(self, message: AppendAnswer | InstallSnapshotAnswer, now_s: float):
+        if message.term > self.term:
+            self._become_follower(message.term, None, now_s)
+        leadership = self.leadership
+        if leadership is None or message.term != self.term:
+            return None
+        progress = leadership.progress.get(message.voter_id)
+        if progress is not None:
+            leadership.acknowledge(message.voter_id, message.round_number)
+            if message.round_number >= progress.sent_round:
+                progress.waiting = False
+            self._finish_reads()
+        return progress
+
+    def _continue(self, target_id: str, progress, again: bool) -> None:
+        # A commit may have removed the follower or ended the leadership.
+        if self.leadership is None or target_id not in self.leadership.progress:
+            return
+        if progress.waiting:
+            return
+        if again or progress.next_index <= self.log.last_index:
+            self._replicate(target_id)
+
+    def _advance_commit(self, now_s: float) -> None:
+        index = self.leadership.quorum_match(self.members, self.log.last_index)
+        # Only entries of the own term commit by counting (Ongaro, section 3.6.2).
+        if index <= self.commit_index or self.log.term_at(index) != self.term:
+            return
+        self._commit(index)
+        removed = self.voter_id not in self.members.voters
+        if removed and self.log.members_index <= self.commit_index:
+            self._become_follower(self.term, None, now_s)
+
+    def _finish_reads(self) -> None:
+        leadership = self.leadership
+        confirmed = leadership.quorum_round(self.members)
+        waiting = []
+        for read_id, round_number, index in leadership.reads:
+            if round_number <= confirmed:
+                self.effects.append(ReadReady(read_id, index))
+            else:
+                waiting.append((read_id, round_number, index))
+        leadership.reads = waiting
+
+    def _finish_transfer(self) -> None:
+        leadership = self.leadership
+        if leadership is None or leadership.transfer_target is None:
+            return
+        target_id = leadership.transfer_target
+        progress = leadership.progress.get(target_id)
+        if progress is not None and progress.match_index == self.log.last_index:
+            message = TransferLeadership(self.term, self.voter_id, target_id)
+            self._send(self.members.voters.get(target_id), message)
+
+    def _can_change_members(self) -> bool:
+        leadership = self.leadership
+        return (
+            leadership is not None
+            and leadership.transfer_target is None
+            and self.commit_index >= leadership.first_index
+            and self.commit_index >= self.log.members_index
+        )
+
+    def _change_members(self, members: Members, now_s: float) -> None:
+        self._append_entry(EntryKind.MEMBERS, encode_members(members), now_s)
+
+    def _promote_learners(self, now_s: float) -> None:
+        if not self._can_change_members():
+            return
+        for voter_id, instance_id in self.members.learners.items():
+            progress = self.leadership.progress[voter_id]
+            if progress.match_index + CAUGHT_UP_ENTRIES < self.log.last_index:
+                continue
+            if progress.match_index < self.leadership.first_index:
+                continue
+            voters = _without(self.members.voters, instance_id)
+            learners = self.members.learners
+            if voters == self.members.voters:
+                voters = {**voters, voter_id: instance_id}
+                learners = {key: name for key, name in learners.items() if key != voter_id}
+            self._change_members(Members(voters, learners), now_s)
+            return
+
+
+def _without(identities: dict[str, str], instance_id: str) -> dict[str, str]:
+    return {key: name for key, name in identities.items() if name != instance_id}
--- /dev/null
+++ b/laburnumrock/replication/_voting.py
@@ -0,0 +1,107 @@
+"""Elections of `RaftNode`."""
+
+from laburnumrock.replication._messages import (
+    Candidacy,
+    CandidacyAnswer,
+    PreVote,
+    PreVoteAnswer,
+    TransferLeadership,
+    Vote,
+    VoteAnswer,
+)
+from laburnumrock.replication._types import Role, SaveHardState
+
+
+class VotingMixin:
+    """Pre-vote, vote and hand-over of leadership."""
+
+    def _start_pre_vote(self, now_s: float) -> None:
+        self.role = Role.PRE_CANDIDATE
+        self.leader_id = None
+        self.votes = {self.voter_id}
+        self._report_role()
+        self._ask_for_votes(PreVote, self.term + 1, False)
+        self._count_votes(now_s)
+
+    def _start_election(self, transfer: bool, now_s: float) -> None:
+        self.role = Role.CANDIDATE
+        self.leader_id = None
+        self.term += 1
+        self.vote = self.voter_id
+        self.votes = {self.voter_id}
+        self.effects.append(SaveHardState(self.term, self.vote))
+        self._reset_election(now_s)
+        self._ask_for_votes(Vote, self.term, transfer)
+        self._count_votes(now_s)
+
+    def _ask_for_votes(self, cls: type[Candidacy], term: int, transfer: bool) -> None:
+        log = self.log
+        for target_id, peer in self.members.voters.items():
+            if target_id != self.voter_id:
+                request = cls(
+                    term, self.voter_id, target_id, log.last_index, log.last_term, transfer
+                )
+                self._send(peer, request)
+
+    def _count_votes(self, now_s: float) -> None:
+        granted = len(self.votes & self.members.voters.keys())
+        if granted <= len(self.members.voters) // 2:
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._start_election(False, now_s)
+        elif self.role is Role.CANDIDATE:
+            self._start_leading(now_s)
+
+    def _receive_pre_vote(self, sender: str, message: PreVote, now_s: float) -> None:
+        granted = (
+            message.term > self.term
+            and self.has_log
+            and not self._follows_leader(now_s)
+            and self._is_up_to_date(message)
+        )
+        term = message.term if granted else self.term
+        self._send(sender, PreVoteAnswer(term, self.voter_id, message.voter_id, granted))
+
+    def _receive_vote(self, sender: str, message: Vote, now_s: float) -> None:
+        # A vote request without silence of the leader must not disturb a working term.
+        if not self.has_log or (not message.transfer and self._follows_leader(now_s)):
+            return
+        if message.term > self.term:
+            self._become_follower(message.term, None, now_s)
+        granted = (
+            message.term == self.term
+            and self.vote in (None, message.voter_id)
+            and self._is_up_to_date(message)
+        )
+        if granted:
+            if self.vote is None:
+                self.vote = message.voter_id
+                self.effects.append(SaveHardState(self.term, self.vote))
+            self._reset_election(now_s)
+        self._send(sender, VoteAnswer(self.term, self.voter_id, message.voter_id, granted))
+
+    def _receive_vote_answer(self, sender: str, message: CandidacyAnswer, now_s: float) -> None:
+        if not message.granted:
+            if message.term > self.term:
+                self._become_follower(message.term, None, now_s)
+            return
+        pre_vote = isinstance(message, PreVoteAnswer)
+        role = Role.PRE_CANDIDATE if pre_vote else Role.CANDIDATE
+        term = self.term + 1 if pre_vote else self.term
+        if self.role is role and message.term == term:
+            self.votes.add(message.voter_id)
+            self._count_votes(now_s)
+
+    def _receive_transfer(self, sender: str, message: TransferLeadership, now_s: float) -> None:
+        if message.term == self.term and self.voter_id in self.members.voters:
+            self._start_election(True, now_s)
+
+    def _follows_leader(self, now_s: float) -> bool:
+        if self.role is Role.LEADER:
+            return True
+        heard_s = now_s - self.leader_heard_s
+        return self.leader_id is not None and heard_s < self.timing.election_min_s
+
+    def _is_up_to_date(self, message: Candidacy) -> bool:
+        theirs = (message.last_term, message.last_index)
+        return theirs >= (self.log.last_term, self.log.last_index)
--- /dev/null
+++ b/laburnumrock/state/__init__.py
@@ -0,0 +1,17 @@
+"""Replicated state machine that joins registered parts."""
+
+from laburnumrock.state._codec import MAX_COMMAND_BYTES, decode_message, encode_message
+from laburnumrock.state._registry import PARTS, Part, discover_parts, register_part
+from laburnumrock.state._state import ReplicatedState, stamp
+
+__all__ = [
+    "MAX_COMMAND_BYTES",
+    "PARTS",
+    "Part",
+    "ReplicatedState",
+    "decode_message",
+    "discover_parts",
+    "encode_message",
+    "register_part",
+    "stamp",
+]
--- /dev/null
+++ b/laburnumrock/state/_codec.py
@@ -0,0 +1,36 @@
+"""Encoding of commands and answers as bytes."""
+
+import cbor2
+
+from laburnumrock.messages import MESSAGE_TYPES, from_plain, to_plain
+
+MAX_COMMAND_BYTES = 2 * 1024 * 1024
+
+
+def encode_message(message: object) -> bytes:
+    """Encode an instance of a registered message class.
+
+    Raises
+    ------
+    ValueError
+        If the encoding exceeds `MAX_COMMAND_BYTES`.
+    """
+    data = cbor2.dumps({"t": type(message).__name__, "b": to_plain(message)})
+    if len(data) > MAX_COMMAND_BYTES:
+        raise ValueError(f"message of {len(data)} bytes exceeds {MAX_COMMAND_BYTES}")
+    return data
+
+
+def decode_message(data: bytes) -> object:
+    """Decode what `encode_message` returned.
+
+    Raises
+    ------
+    ValueError
+        If the data are malformed or the class is unknown.
+    """
+    document = cbor2.loads(data)
+    cls = MESSAGE_TYPES.get(document["t"])
+    if cls is None:
+        raise ValueError(f"unknown message type {document['t']!r}")
+    return from_plain(cls, document["b"])
