Add the coordinator lease, pool assignments, pool task and permit client

Cause: the request path needs an owner for every pool and a client for its permits. Change: LeaseElector, PoolAssigner and PoolHoldings without I/O; OwnershipTask, PoolTask, PoolDirectory and PermitClient over the peer network, with a fake scheduler in the tests.

--- a/laburnumrock/daemon/__init__.py
+++ b/laburnumrock/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder of the daemon package."""
+"""Composition and life cycle of the daemon."""
--- /dev/null
+++ b/laburnumrock/daemon/_pool_directory.py
@@ -0,0 +1,143 @@
+"""What an instance knows of the pools of all failure domains."""
+
+from dataclasses import dataclass
+
+from laburnumrock.daemon._ownership_task import OwnershipTask
+from laburnumrock.daemon._pool_messages import PoolSummary
+from laburnumrock.ownership import PoolName, PoolOwner, parse_pool_id
+
+SUMMARY_EXPIRY_S = 5.0
+
+
+@dataclass(slots=True)
+class KnownPool:
+    """A pool, its probable owner and its last known load.
+
+    Parameters
+    ----------
+    name : PoolName
+        Domain and served names of the pool.
+    owner : PoolOwner, optional
+        None while the pool has no known owner.
+    summary : PoolSummary, optional
+        None while no load is known.
+    received_s : float
+        Clock reading at the receipt of the summary, in seconds.
+    """
+
+    name: PoolName
+    owner: PoolOwner | None = None
+    summary: PoolSummary | None = None
+    received_s: float = float("-inf")
+
+
+class PoolDirectory:
+    """Pools of the own failure domain from its coordinator, of others from their digests.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of this instance.
+    ownership : OwnershipTask
+        Source of the owners in the own failure domain.
+    """
+
+    def __init__(self, failure_domain: str, ownership: OwnershipTask) -> None:
+        self.failure_domain = failure_domain
+        self.ownership = ownership
+        self.pools: dict[str, KnownPool] = {}
+        self.by_served: dict[tuple[str, str], set[str]] = {}
+        self.announced_s: dict[str, float] = {}
+        self.synced_version = 0
+
+    def note_announced(self, pool_id: str, now_s: float) -> None:
+        """Record that an upstream of a pool of the own domain announced itself here."""
+        self.announced_s[pool_id] = now_s
+        self._get_or_add(pool_id)
+
+    def note_summary(self, owner: str, summary: PoolSummary, now_s: float) -> None:
+        """Record the load of a pool as its owner reports it.
+
+        Parameters
+        ----------
+        owner : str
+            Instance that owns the pool.
+        summary : PoolSummary
+            Its load; an older epoch than the known one is dropped.
+        now_s : float
+            Clock reading in seconds.
+        """
+        pool = self._get_or_add(summary.pool_id)
+        if pool.owner is not None and pool.owner.epoch > summary.owner_epoch:
+            return
+        pool.owner = PoolOwner(owner, summary.owner_epoch)
+        pool.summary = summary
+        pool.received_s = now_s
+
+    def find_owner(self, pool_id: str) -> PoolOwner | None:
+        """Return the probable owner of a pool."""
+        pool = self.pools.get(pool_id)
+        own = self.ownership.find_owner(pool_id)
+        if own is not None:
+            return own
+        if pool is None or pool.name.failure_domain == self.failure_domain:
+            return None
+        return pool.owner
+
+    def find_pools(self, kind: str, served: str) -> list[KnownPool]:
+        """Return all pools that serve a model or a service."""
+        self._add_owned_pools()
+        return [self.pools[pool_id] for pool_id in self.by_served.get((kind, served), ())]
+
+    def recent_summaries(self, failure_domain: str, now_s: float) -> list[KnownPool]:
+        """Return the pools of a failure domain whose load is known and recent."""
+        return [
+            pool
+            for pool in self.pools.values()
+            if pool.name.failure_domain == failure_domain
+            and pool.owner is not None
+            and now_s - pool.received_s < SUMMARY_EXPIRY_S
+        ]
+
+    def tick(self, now_s: float, announcement_expiry_s: float) -> None:
+        """Forget pools without announcements, owner and summary.
+
+        Parameters
+        ----------
+        now_s : float
+            Clock reading in seconds.
+        announcement_expiry_s : float
+            An announcement counts for this long, in seconds.
+        """
+        for pool_id, announced_s in list(self.announced_s.items()):
+            if now_s - announced_s >= announcement_expiry_s:
+                del self.announced_s[pool_id]
+        self._add_owned_pools()
+        for pool_id, pool in list(self.pools.items()):
+            is_known = pool_id in self.announced_s or self.ownership.find_owner(pool_id) is not None
+            if not is_known and now_s - pool.received_s >= SUMMARY_EXPIRY_S:
+                self._remove(pool_id)
+        self.ownership.want(set(self.announced_s))
+
+    def _add_owned_pools(self) -> None:
+        holdings = self.ownership.holdings
+        if self.synced_version != holdings.version:
+            self.synced_version = holdings.version
+            for pool_id in holdings.owners:
+                self._get_or_add(pool_id)
+
+    def _get_or_add(self, pool_id: str) -> KnownPool:
+        pool = self.pools.get(pool_id)
+        if pool is None:
+            pool = self.pools[pool_id] = KnownPool(parse_pool_id(pool_id))
+            for served in pool.name.served:
+                self.by_served.setdefault((pool.name.kind, served), set()).add(pool_id)
+        return pool
+
+    def _remove(self, pool_id: str) -> None:
+        pool = self.pools.pop(pool_id)
+        for served in pool.name.served:
+            key = (pool.name.kind, served)
+            self.by_served[key].discard(pool_id)
+            if not self.by_served[key]:
+                del self.by_served[key]
--- /dev/null
+++ b/laburnumrock/daemon/_pool_task.py
@@ -0,0 +1,251 @@
+"""Task that runs the schedulers of the pools which this instance owns."""
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+
+from eliot import log_message
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from laburnumrock.daemon._ownership_task import OwnershipTask
+from laburnumrock.daemon._pool_directory import PoolDirectory
+from laburnumrock.daemon._pool_messages import CancelOnUpstream, PermitCancel, PoolSummary
+from laburnumrock.daemon._pool_runner import PoolRunner, Scheduler, ServiceStateView
+from laburnumrock.errors import ErrorKind
+from laburnumrock.messages import Effect, Send
+from laburnumrock.ownership import MODEL_POOL, SERVICE_POOL, PoolName, parse_pool_id
+from laburnumrock.placement import PermitRefusal, PermitRelease, PermitRenewal, PermitRequest
+from laburnumrock.settings import InstanceSettings
+from laburnumrock.transport import PeerNetwork
+from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
+
+TICK_S = 0.02
+SUMMARY_S = 0.5
+EMPTY_POOL_S = 10.0
+"""A pool without announcements is given back after this time."""
+
+SchedulerFactory = Callable[[str, int, float], Scheduler]
+
+
+class PoolTask:
+    """Receives announcements and permit messages for the pools that this instance owns.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+    network : PeerNetwork
+        Links to the other instances.
+    ownership : OwnershipTask
+        Tells which pools this instance owns.
+    directory : PoolDirectory
+        Known pools of all failure domains.
+    view : DeclarationView
+        Service states.
+    make_scheduler : callable
+        Called with pool id, epoch and clock reading; returns the scheduler of a new pool.
+    """
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        network: PeerNetwork,
+        ownership: OwnershipTask,
+        directory: PoolDirectory,
+        view: ServiceStateView,
+        make_scheduler: SchedulerFactory,
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.ownership = ownership
+        self.directory = directory
+        self.view = view
+        self.make_scheduler = make_scheduler
+        self.runners: dict[str, PoolRunner] = {}
+        self.cancels: dict[tuple[str, str], asyncio.Task] = {}
+        self.next_summary_s = 0.0
+        self.task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Receive messages and run the schedulers."""
+        self.network.handle(UpstreamAnnouncement, self._receive_announcement)
+        self.network.handle(PoolSummary, self._receive_summary)
+        self.network.handle(PermitRequest, self._receive_request)
+        self.network.handle(PermitRenewal, self._receive_addressed)
+        self.network.handle(PermitCancel, self._receive_addressed)
+        self.network.handle(PermitRelease, self._receive_release)
+        self.task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop the schedulers."""
+        tasks = [task for task in (self.task, *self.cancels.values()) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def announce(self, announcement: UpstreamAnnouncement) -> None:
+        """Relay the announcement of an upstream to the owner of its pool.
+
+        Parameters
+        ----------
+        announcement : UpstreamAnnouncement
+            As received from an upstream of the own failure domain.
+        """
+        pool_id = find_pool_id(announcement)
+        self.directory.note_announced(pool_id, time.monotonic())
+        owner = self.ownership.find_owner(pool_id)
+        if owner is not None:
+            self.network.send(owner.instance_id, announcement)
+
+    async def _run(self) -> None:
+        while True:
+            self._tick(time.monotonic())
+            await asyncio.sleep(TICK_S)
+
+    def _tick(self, now_s: float) -> None:
+        timing = self.settings.timing
+        self.directory.tick(now_s, timing.announcement_expiry_s)
+        self._update_runners(now_s)
+        for pool_id in list(self.runners):
+            runner = self._find_runner(pool_id, now_s)
+            if runner is None:
+                continue
+            self._carry_out(runner, runner.expire(timing.announcement_expiry_s, now_s))
+            self._carry_out(runner, runner.apply_service_states(self.view, now_s))
+            self._carry_out(runner, runner.scheduler.tick(now_s))
+        if now_s >= self.next_summary_s:
+            self.next_summary_s = now_s + SUMMARY_S
+            self._publish_summaries(now_s)
+
+    def _update_runners(self, now_s: float) -> None:
+        """Start schedulers of new pools and drop those of lost ones."""
+        owned = self.ownership.owned_pools()
+        for pool_id, epoch in owned.items():
+            runner = self.runners.get(pool_id)
+            if runner is None or runner.epoch != epoch:
+                scheduler = self.make_scheduler(pool_id, epoch, now_s)
+                self.runners[pool_id] = PoolRunner(pool_id, epoch, scheduler, now_s, now_s)
+                log_message("pool_taken_over", pool=pool_id, epoch=epoch)
+        for pool_id, runner in list(self.runners.items()):
+            if pool_id in owned:
+                runner.owned_s = now_s
+                self._release_empty(runner, now_s)
+            elif now_s - runner.owned_s > self.settings.timing.permit_ttl_s / 2:
+                # The permits are no longer known well enough to continue under the same epoch.
+                del self.runners[pool_id]
+                self.ownership.holdings.release(pool_id)
+                log_message("pool_lost", pool=pool_id, epoch=runner.epoch)
+
+    def _release_empty(self, runner: PoolRunner, now_s: float) -> None:
+        if now_s - max(runner.started_s, runner.last_seen_s) > EMPTY_POOL_S:
+            del self.runners[runner.pool_id]
+            self.ownership.holdings.release(runner.pool_id)
+
+    def _find_runner(self, pool_id: str, now_s: float) -> PoolRunner | None:
+        """Return the runner of a pool only while this instance owns it."""
+        runner = self.runners.get(pool_id)
+        epoch = self.ownership.epoch(pool_id)
+        if epoch is None:
+            return None
+        if runner is None or runner.epoch != epoch:
+            self._update_runners(now_s)
+            runner = self.runners.get(pool_id)
+        return runner
+
+    def _publish_summaries(self, now_s: float) -> None:
+        for pool_id in list(self.runners):
+            runner = self._find_runner(pool_id, now_s)
+            if runner is None:
+                continue
+            summary = runner.scheduler.summary(now_s)
+            for peer in self.settings.peers_in(self.settings.failure_domain):
+                self.network.send(peer.instance_id, summary)
+
+    def _receive_summary(self, sender: str, message: PoolSummary) -> None:
+        self.directory.note_summary(sender, message, time.monotonic())
+
+    def _receive_announcement(self, sender: str, message: UpstreamAnnouncement) -> None:
+        now_s = time.monotonic()
+        runner = self._find_runner(find_pool_id(message), now_s)
+        if runner is not None:
+            self._carry_out(runner, runner.observe(message, self.view, now_s))
+
+    def _receive_request(self, sender: str, message: PermitRequest) -> None:
+        now_s = time.monotonic()
+        runner = self._find_requested(message, now_s)
+        if runner is None:
+            detail = f"{self.settings.instance_id} does not own a pool for {message.model}"
+            refusal = PermitRefusal(message.request_id, ErrorKind.OWNER_UNAVAILABLE, None, detail)
+            self.network.send(sender, refusal)
+            return
+        self._carry_out(runner, runner.scheduler.receive(sender, message, now_s))
+
+    def _find_requested(self, message: PermitRequest, now_s: float) -> PoolRunner | None:
+        pool_id = getattr(message, "pool_id", "")
+        if pool_id:
+            return self._find_runner(pool_id, now_s)
+        for name in list(self.runners):
+            if message.model in parse_pool_id(name).served:
+                return self._find_runner(name, now_s)
+        return None
+
+    def _receive_addressed(self, sender: str, message: PermitRenewal | PermitCancel) -> None:
+        now_s = time.monotonic()
+        runner = self._find_runner(message.pool_id, now_s)
+        if runner is not None:
+            self._carry_out(runner, runner.scheduler.receive(sender, message, now_s))
+
+    def _receive_release(self, sender: str, message: PermitRelease) -> None:
+        # A release does not name its pool; schedulers ignore permits that they do not know.
+        now_s = time.monotonic()
+        for pool_id in list(self.runners):
+            runner = self._find_runner(pool_id, now_s)
+            if runner is not None:
+                self._carry_out(runner, runner.scheduler.receive(sender, message, now_s))
+
+    def _carry_out(self, runner: PoolRunner, effects: list[Effect] | None) -> None:
+        for effect in effects or []:
+            if isinstance(effect, Send):
+                self.network.send(effect.destination, effect.message)
+            elif isinstance(effect, CancelOnUpstream):
+                self._start_cancel(runner, effect)
+
+    def _start_cancel(self, runner: PoolRunner, effect: CancelOnUpstream) -> None:
+        key = (effect.upstream_id, effect.request_id)
+        if key not in self.cancels:
+            task = asyncio.create_task(self._cancel(runner.pool_id, effect))
+            self.cancels[key] = task
+            task.add_done_callback(lambda done: self.cancels.pop(key, None))
+
+    async def _cancel(self, pool_id: str, effect: CancelOnUpstream) -> None:
+        """Send one cancel; the scheduler repeats the effect until it is confirmed."""
+        timeout_s = self.settings.timing.connect_timeout_s
+        request = HTTPRequest(
+            f"{effect.base_url}/v1/cancel",
+            method="POST",
+            body=json.dumps({"request_id": effect.request_id}),
+            headers={"Content-Type": "application/json"},
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+        )
+        try:
+            await AsyncHTTPClient().fetch(request)
+        except Exception as error:
+            # The client raises several unrelated classes for a broken connection.
+            log_message("cancel_failed", upstream=effect.upstream_id, reason=str(error))
+            return
+        now_s = time.monotonic()
+        runner = self._find_runner(pool_id, now_s)
+        if runner is not None:
+            confirm = runner.scheduler.confirm_cancel
+            self._carry_out(runner, confirm(effect.upstream_id, effect.request_id, now_s))
+
+
+def find_pool_id(announcement: UpstreamAnnouncement) -> str:
+    """Return the id of the pool to which an upstream belongs."""
+    if announcement.kind is UpstreamKind.MODEL_ENGINE:
+        kind, served = MODEL_POOL, announcement.models
+    else:
+        kind, served = SERVICE_POOL, announcement.services
+    return PoolName(announcement.failure_domain, kind, tuple(served)).pool_id
--- /dev/null
+++ b/laburnumrock/daemon/tests/test_permit_path.py
@@ -0,0 +1,204 @@
+"""Tests of the path from announcement to permit over several instances."""
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+
+from laburnumrock.daemon._ownership_task import OwnershipTask
+from laburnumrock.daemon._permits import PermitClient
+from laburnumrock.daemon._pool_directory import PoolDirectory
+from laburnumrock.daemon._pool_task import PoolTask, find_pool_id
+from laburnumrock.daemon.tests.fakes import (
+    FakeHub,
+    FakeNetwork,
+    FakeScheduler,
+    FakeView,
+    make_announcement,
+    make_request,
+    make_settings,
+)
+from laburnumrock.errors import ErrorKind
+from laburnumrock.placement import PermitOutcome, PermitRelease
+
+POOL = find_pool_id(make_announcement())
+
+
+class Node:
+    """Tasks of one instance."""
+
+    def __init__(self, hub, settings):
+        self.name = settings.instance_id
+        self.network = FakeNetwork(hub, self.name)
+        self.view = FakeView()
+        self.ownership = OwnershipTask(settings, self.network)
+        self.directory = PoolDirectory(settings.failure_domain, self.ownership)
+        self.pools = PoolTask(
+            settings, self.network, self.ownership, self.directory, self.view, FakeScheduler
+        )
+        self.permits = PermitClient(settings, self.network, self.directory, self.view)
+        self.tasks = [self.ownership, self.pools, self.permits]
+
+    def scheduler(self):
+        return self.pools.runners[POOL].scheduler
+
+    def kill(self):
+        """End the tasks without any message."""
+        for task in self.tasks:
+            task.task.cancel()
+        del self.network.hub.networks[self.name]
+
+
+class Cluster:
+    """Several instances on one event loop, and engines that announce themselves."""
+
+    def __init__(self, names):
+        self.hub = FakeHub()
+        settings = make_settings(names)
+        self.nodes = {name: Node(self.hub, settings[name]) for name in names}
+        self.announcements = [make_announcement()]
+
+    async def announce(self):
+        while True:
+            for announcement in self.announcements:
+                for node in self.nodes.values():
+                    if (
+                        node.name in self.hub.networks
+                        and node.name[0] == announcement.failure_domain
+                    ):
+                        node.pools.announce(announcement)
+                        break
+            await asyncio.sleep(0.05)
+
+    def owners(self):
+        return [
+            node
+            for node in self.nodes.values()
+            if node.name in self.hub.networks and node.ownership.epoch(POOL) is not None
+        ]
+
+    async def owner(self):
+        await wait_until(self.owners)
+        return self.owners()[0]
+
+
+async def wait_until(condition, limit_s=5.0):
+    end_s = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end_s, "condition not met in time"
+        await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def running(names=("a1", "a2", "a3")):
+    cluster = Cluster(names)
+    for node in cluster.nodes.values():
+        for task in node.tasks:
+            await task.start()
+    announcing = asyncio.create_task(cluster.announce())
+    try:
+        yield cluster
+    finally:
+        announcing.cancel()
+        for node in cluster.nodes.values():
+            for task in node.tasks:
+                task.task.cancel()
+
+
+class TestPermitPath:
+    def test_permit_is_granted_renewed_and_released(self):
+        """Guards against a permit that ends while it is used or stays after its release."""
+
+        async def run():
+            async with running() as cluster:
+                owner = await cluster.owner()
+                entry = next(node for node in cluster.nodes.values() if node is not owner)
+                grant = (await entry.permits.acquire(make_request())).unwrap()
+                await wait_until(lambda: grant.permit_id in owner.scheduler().renewed)
+                entry.permits.release(PermitRelease(grant.permit_id, PermitOutcome.FINISHED))
+                await wait_until(lambda: not owner.scheduler().permits)
+
+        asyncio.run(run())
+
+    def test_queued_request_moves_to_the_new_owner(self):
+        """Guards against a request that waits for a dead owner until its deadline."""
+
+        async def run():
+            async with running() as cluster:
+                owner = await cluster.owner()
+                entry = next(node for node in cluster.nodes.values() if node is not owner)
+                await entry.permits.acquire(make_request("first"))
+                queued = asyncio.create_task(entry.permits.acquire(make_request("second")))
+                await wait_until(lambda: owner.scheduler().queue)
+                owner.kill()
+                grant = (await queued).unwrap()
+                assert grant.owner_epoch > owner.scheduler().epoch
+
+        asyncio.run(run())
+
+    def test_cancelled_request_leaves_the_queue(self):
+        """Guards against capacity that is granted to a caller that went away."""
+
+        async def run():
+            async with running() as cluster:
+                owner = await cluster.owner()
+                await owner.permits.acquire(make_request("first"))
+                queued = asyncio.create_task(owner.permits.acquire(make_request("second")))
+                await wait_until(lambda: owner.scheduler().queue)
+                queued.cancel()
+                await wait_until(lambda: not owner.scheduler().queue)
+
+        asyncio.run(run())
+
+    def test_revoked_permit_is_reported(self):
+        """Guards against work that goes on under a permit which the owner refuses to renew."""
+
+        async def run():
+            async with running() as cluster:
+                owner = await cluster.owner()
+                grant = (await owner.permits.acquire(make_request())).unwrap()
+                revoked = owner.permits.revocation(grant.permit_id)
+                owner.scheduler().revoke.add(grant.permit_id)
+                await asyncio.wait_for(revoked.wait(), 2.0)
+
+        asyncio.run(run())
+
+    def test_isolated_owner_stops_granting(self):
+        """Guards against two owners: an isolated one must stop when its assignment ends."""
+
+        async def run():
+            async with running() as cluster:
+                owner = await cluster.owner()
+                cluster.hub.cut.add(owner.name)
+                await wait_until(lambda: cluster.owners() and owner not in cluster.owners())
+                request = make_request("late", remaining_s=0.3)
+                failure = (await owner.permits.acquire(request)).unwrap_err()
+                assert failure.answer.outcome == "not_run"
+
+        asyncio.run(run())
+
+    def test_unknown_model_is_refused_at_once(self):
+        """Guards against a caller that waits for a model which nobody serves."""
+
+        async def run():
+            async with running(("a1",)) as cluster:
+                await cluster.owner()
+                request = make_request(model="other")
+                failure = (await cluster.nodes["a1"].permits.acquire(request)).unwrap_err()
+                assert failure.kind is ErrorKind.NO_UPSTREAM
+
+        asyncio.run(run())
+
+    def test_drained_upstream_and_expired_upstream(self):
+        """Guards against new work on upstreams that were drained or stopped announcing."""
+
+        async def run():
+            async with running(("a1",)) as cluster:
+                node = await cluster.owner()
+                await wait_until(lambda: POOL in node.pools.runners)
+                await wait_until(lambda: node.scheduler().upstreams)
+                node.view.drained.add(("upstream", "e1"))
+                await wait_until(lambda: "e1" in node.scheduler().out_of_service)
+                cluster.announcements.clear()
+                await wait_until(lambda: not node.scheduler().upstreams)
+
+        asyncio.run(run())
--- /dev/null
+++ b/laburnumrock/ownership/_elector.py
@@ -0,0 +1,258 @@
+"""Election of the coordinator of a failure domain by a lease that a majority grants."""
+
+import random
+from dataclasses import dataclass
+
+from laburnumrock.messages import Effect, Send
+from laburnumrock.ownership._clock import holder_duration_s
+from laburnumrock.ownership._messages import LeaseGrant, LeaseRefusal, LeaseRelease, LeaseRequest
+
+ROUND_NUMBER_BITS = 48
+RENEWALS_PER_LEASE = 4
+BACKOFF_PART = 0.1
+"""Candidates wait a random part of the lease, up to this one, so that few compete."""
+
+
+@dataclass(frozen=True, slots=True)
+class CoordinatorLease:
+    """A lease that this instance holds.
+
+    Parameters
+    ----------
+    term : int
+        Grows with every change of the holder.
+    since_s, until_s : float
+        Start and end of the lease by this instance's clock, in seconds. A lease that is extended in
+        time keeps its start.
+    """
+
+    term: int
+    since_s: float
+    until_s: float
+
+
+@dataclass(slots=True)
+class _Grant:
+    """What this instance has granted."""
+
+    holder: str = ""
+    round_number: int = 0
+    until_s: float = float("-inf")
+
+
+class LeaseElector:
+    """Holder, candidate and granting side of the coordinator lease.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    domain_instances : list of str
+        Configured instances of the failure domain, this one included.
+    lease_s : float, > 0
+        Duration of a grant in seconds.
+    started_s : float
+        Clock reading at the start of the process.
+    rng : random.Random
+        Source of random numbers; must differ between two starts of an instance.
+    term_floor : int
+        Terms up to this one are not used; should grow from start to start.
+
+    Notes
+    -----
+    A restarted instance has forgotten its grants, so it neither grants nor asks for `lease_s`. The
+    holder counts its lease from the time at which it sent the request, shortened by the margin for
+    clock drift, so it ends at the holder before any of its grants ends.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        domain_instances: list[str],
+        lease_s: float,
+        started_s: float,
+        rng: random.Random,
+        term_floor: int = 0,
+    ) -> None:
+        self.instance_id = instance_id
+        self.domain_instances = domain_instances
+        self.lease_s = lease_s
+        self.rng = rng
+        self.start_wait_s = lease_s
+        self.started_s = started_s
+        self.highest_term = term_floor
+        self.term = 0
+        self.held_since_s = float("-inf")
+        self.held_until_s = float("-inf")
+        self.grant = _Grant()
+        self.round_number = rng.getrandbits(ROUND_NUMBER_BITS)
+        self.round_term = 0
+        self.round_sent_s: float | None = None
+        self.round_grants: set[str] = set()
+        self.round_refusals: set[str] = set()
+        self.next_request_s = started_s + self.start_wait_s + self._backoff_s()
+        self.coordinator_hint = ""
+        self.stopping = False
+
+    @property
+    def majority(self) -> int:
+        """Number of grants that make a lease."""
+        return len(self.domain_instances) // 2 + 1
+
+    def lease(self, now_s: float) -> CoordinatorLease | None:
+        """Return the lease that this instance holds now, if any."""
+        if now_s >= self.held_until_s:
+            return None
+        return CoordinatorLease(self.term, self.held_since_s, self.held_until_s)
+
+    def find_coordinator(self, now_s: float) -> str | None:
+        """Return the instance that is probably the coordinator."""
+        if self.lease(now_s) is not None:
+            return self.instance_id
+        if now_s < self.grant.until_s:
+            return self.grant.holder
+        return self.coordinator_hint or None
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Ask for the lease or extend it when due.
+
+        Parameters
+        ----------
+        now_s : float
+            Clock reading in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Messages to send.
+        """
+        if self.stopping or now_s < self.started_s + self.start_wait_s:
+            return []
+        if now_s < self.next_request_s:
+            return []
+        if self.lease(now_s) is not None:
+            return self._start_round(now_s, is_holder=True)
+        if self.round_sent_s is not None:
+            return self._abandon_round(now_s)
+        if self.grant.holder != self.instance_id and now_s < self.grant.until_s:
+            self.next_request_s = self.grant.until_s + self._backoff_s()
+            return []
+        return self._start_round(now_s, is_holder=False)
+
+    def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
+        """Handle a lease message.
+
+        Parameters
+        ----------
+        sender : str
+            Instance that sent it.
+        message : object
+            One of the lease messages.
+        now_s : float
+            Clock reading in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Messages to send.
+        """
+        if isinstance(message, LeaseRequest):
+            return [Send(sender, self._answer(sender, message, now_s))]
+        if isinstance(message, LeaseGrant):
+            return self._count_grant(sender, message, now_s)
+        if isinstance(message, LeaseRefusal):
+            return self._count_refusal(sender, message, now_s)
+        if isinstance(message, LeaseRelease):
+            self._end_grant(sender, message, now_s)
+        return []
+
+    def release(self, now_s: float) -> list[Effect]:
+        """Give the lease back and ask for no other one.
+
+        The caller makes sure that everything it granted under the lease has ended.
+        """
+        self.stopping = True
+        self.held_until_s = float("-inf")
+        return self._abandon_round(now_s)
+
+    def _start_round(self, now_s: float, is_holder: bool) -> list[Effect]:
+        self.round_number += 1
+        self.round_sent_s = now_s
+        self.round_grants = set()
+        self.round_refusals = set()
+        if not is_holder or self.highest_term > self.term:
+            # A holder that was refused because of a higher term raises its own.
+            self.highest_term += 1
+            self.round_term = self.highest_term
+        self.next_request_s = now_s + self.lease_s / RENEWALS_PER_LEASE
+        request = LeaseRequest(self.round_number, self.round_term, is_holder)
+        effects: list[Effect] = [Send(peer, request) for peer in self._others()]
+        own = self._answer(self.instance_id, request, now_s)
+        return effects + self.receive(self.instance_id, own, now_s)
+
+    def _abandon_round(self, now_s: float) -> list[Effect]:
+        """Free the grants of a round that found no majority."""
+        if self.round_sent_s is None:
+            return []
+        release = LeaseRelease(self.round_number)
+        self.round_sent_s = None
+        self._end_grant(self.instance_id, release, now_s)
+        self.next_request_s = now_s + self._backoff_s()
+        return [Send(peer, release) for peer in self._others()]
+
+    def _answer(
+        self, sender: str, request: LeaseRequest, now_s: float
+    ) -> LeaseGrant | LeaseRefusal:
+        if request.is_holder:
+            self.coordinator_hint = sender
+        busy_s = self.grant.until_s - now_s if self.grant.holder != sender else 0.0
+        starting_s = self.started_s + self.start_wait_s - now_s
+        wait_s = max(busy_s, starting_s, 0.0)
+        is_old = request.term < self.highest_term
+        # A repeated term is granted to its first candidate only, so that no two holders share it.
+        is_taken = request.term == self.highest_term and self.grant.holder != sender
+        if wait_s > 0 or is_old or (is_taken and sender != self.instance_id):
+            return LeaseRefusal(request.round_number, self.highest_term, wait_s)
+        self.highest_term = request.term
+        self.grant = _Grant(sender, request.round_number, now_s + self.lease_s)
+        return LeaseGrant(request.round_number)
+
+    def _count_grant(self, sender: str, message: LeaseGrant, now_s: float) -> list[Effect]:
+        if self.round_sent_s is None or message.round_number != self.round_number:
+            return []
+        self.round_grants.add(sender)
+        if len(self.round_grants) >= self.majority:
+            until_s = self.round_sent_s + holder_duration_s(self.lease_s)
+            is_new = self.lease(now_s) is None
+            self.term = self.round_term
+            self.held_until_s = max(self.held_until_s, until_s)
+            if is_new:
+                self.held_since_s = now_s
+                # Announces the holder to the others at once.
+                self.next_request_s = now_s
+        return []
+
+    def _count_refusal(self, sender: str, message: LeaseRefusal, now_s: float) -> list[Effect]:
+        self.highest_term = max(self.highest_term, message.highest_term)
+        if self.round_sent_s is None or message.round_number != self.round_number:
+            return []
+        self.round_refusals.add(sender)
+        can_win = len(self.domain_instances) - len(self.round_refusals) >= self.majority
+        if can_win or self.lease(now_s) is not None:
+            return []
+        # Frees the grants of the lost round for the other candidates.
+        return self._abandon_round(now_s)
+
+    def _end_grant(self, sender: str, message: LeaseRelease, now_s: float) -> None:
+        if self.grant.holder == sender and self.grant.round_number <= message.round_number:
+            self.grant = _Grant(sender, self.grant.round_number, now_s)
+            if self.coordinator_hint == sender:
+                self.coordinator_hint = ""
+            if self.round_sent_s is None:
+                self.next_request_s = now_s + self._backoff_s()
+
+    def _backoff_s(self) -> float:
+        return self.rng.uniform(0, BACKOFF_PART) * self.lease_s
+
+    def _others(self) -> list[str]:
+        return [peer for peer in self.domain_instances if peer != self.instance_id]
--- /dev/null
+++ b/laburnumrock/ownership/_holdings.py
@@ -0,0 +1,167 @@
+"""Pools that this instance owns, and its map of all owners of the failure domain."""
+
+from laburnumrock.messages import Effect, Send
+from laburnumrock.ownership._clock import holder_duration_s
+from laburnumrock.ownership._messages import (
+    AssignmentRequest,
+    HeldPool,
+    PoolAssignments,
+    PoolOwner,
+)
+
+REQUESTS_PER_ASSIGNMENT = 5
+MAX_PENDING_REQUESTS = 16
+
+
+class PoolHoldings:
+    """Owner's side of the pool assignments.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    incarnation : int
+        Changes with every start of the process.
+    assignment_s : float, > 0
+        Longest validity of an assignment in seconds.
+    """
+
+    def __init__(self, instance_id: str, incarnation: int, assignment_s: float) -> None:
+        self.instance_id = instance_id
+        self.incarnation = incarnation
+        self.assignment_s = assignment_s
+        self.owners: dict[str, PoolOwner] = {}
+        self.version = 0
+        self.wanted: set[str] = set()
+        self.accepting = True
+        self.sequence = 0
+        self.next_request_s = float("-inf")
+        self.held: dict[str, HeldPool] = {}
+        self.ends_s: dict[str, float] = {}
+        self.released: dict[str, HeldPool] = {}
+        self.released_at: dict[str, int] = {}
+        self.pending: dict[int, tuple[str, float]] = {}
+
+    def epoch(self, pool_id: str, now_s: float) -> int | None:
+        """Return the epoch under which this instance owns a pool now, or None."""
+        if now_s >= self.ends_s.get(pool_id, float("-inf")):
+            return None
+        return self.held[pool_id].epoch
+
+    def owned_pools(self, now_s: float) -> dict[str, int]:
+        """Return the pools that this instance owns now, with their epochs."""
+        return {
+            pool_id: held.epoch
+            for pool_id, held in self.held.items()
+            if now_s < self.ends_s[pool_id]
+        }
+
+    def find_owner(self, pool_id: str) -> str | None:
+        """Return the instance that probably owns a pool."""
+        owner = self.owners.get(pool_id)
+        return None if owner is None else owner.instance_id
+
+    def release(self, pool_id: str) -> None:
+        """Give a pool back; this instance no longer owns it when the call returns."""
+        held = self.held.pop(pool_id, None)
+        if held is not None:
+            del self.ends_s[pool_id]
+            self.released[pool_id] = held
+            self.released_at[pool_id] = self.sequence
+
+    def release_all(self) -> None:
+        """Give all pools back and accept no other ones."""
+        self.accepting = False
+        for pool_id in list(self.held):
+            self.release(pool_id)
+
+    def tick(self, now_s: float, coordinator: str | None) -> list[Effect]:
+        """Ask the coordinator for pools when due.
+
+        Parameters
+        ----------
+        now_s : float
+            Clock reading in seconds.
+        coordinator : str, optional
+            Instance that is probably the coordinator.
+
+        Returns
+        -------
+        list of Effect
+            Messages to send.
+        """
+        if coordinator is None or now_s < self.next_request_s:
+            return []
+        self.next_request_s = now_s + self.assignment_s / REQUESTS_PER_ASSIGNMENT
+        self.sequence += 1
+        self.pending[self.sequence] = (coordinator, now_s)
+        self.pending.pop(self.sequence - MAX_PENDING_REQUESTS, None)
+        self._drop_old_releases()
+        request = AssignmentRequest(
+            self.sequence,
+            self.incarnation,
+            self.accepting,
+            list(self.held.values()),
+            list(self.released.values()),
+            sorted(self.wanted),
+            self.version,
+        )
+        return [Send(coordinator, request)]
+
+    def receive(self, sender: str, message: PoolAssignments, now_s: float) -> list[Effect]:
+        """Take over the assignments of an answer.
+
+        Parameters
+        ----------
+        sender : str
+            Instance that answered.
+        message : PoolAssignments
+            The answer.
+        now_s : float
+            Clock reading in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Always empty.
+        """
+        coordinator, sent_s = self.pending.pop(message.sequence, ("", 0.0))
+        if coordinator != sender or message.incarnation != self.incarnation:
+            return []
+        for assignment in message.assignments:
+            self._take(assignment.pool_id, assignment.epoch, assignment.validity_s, sent_s)
+        if message.owners is not None:
+            self.owners = message.owners
+            self.version = message.version
+            self._drop_lost_pools(now_s)
+        return []
+
+    def _drop_lost_pools(self, now_s: float) -> None:
+        """Claim no pool that ended here and has another owner."""
+        for pool_id in list(self.held):
+            owner = self.find_owner(pool_id)
+            if owner not in (None, self.instance_id) and now_s >= self.ends_s[pool_id]:
+                del self.held[pool_id]
+                del self.ends_s[pool_id]
+
+    def _drop_old_releases(self) -> None:
+        # Answers to requests from before the release are no longer accepted by then.
+        for pool_id, sequence in list(self.released_at.items()):
+            if sequence <= self.sequence - MAX_PENDING_REQUESTS:
+                del self.released_at[pool_id]
+                del self.released[pool_id]
+
+    def _take(self, pool_id: str, epoch: int, validity_s: float, sent_s: float) -> None:
+        released = self.released.get(pool_id)
+        if released is not None and epoch <= released.epoch:
+            return
+        self.released.pop(pool_id, None)
+        self.released_at.pop(pool_id, None)
+        held = self.held.get(pool_id)
+        if held is not None and epoch < held.epoch:
+            return
+        ends_s = sent_s + holder_duration_s(validity_s)
+        if held is not None and held.epoch == epoch:
+            ends_s = max(ends_s, self.ends_s[pool_id])
+        self.held[pool_id] = HeldPool(pool_id, epoch)
+        self.ends_s[pool_id] = ends_s
