Run the real pool scheduler and read what engines hold

Change: uses its messages and PoolScheduler, sets service states before an announcement can lead to a grant, and reads GET /v1/load for the reconciliation of the ledger.

--- /dev/null
+++ b/laburnumrock/daemon/_engine_calls.py
@@ -0,0 +1,82 @@
+"""Calls of a pool owner to its engines."""
+
+import asyncio
+import json
+from collections.abc import Awaitable
+
+from eliot import log_message
+from result import Err, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from laburnumrock.errors import ErrorKind, Failure
+
+
+class EngineCalls:
+    """Cancels requests on engines and reads what they hold.
+
+    Parameters
+    ----------
+    timeout_s : float, > 0
+        Longest wait for an answer in seconds.
+    """
+
+    def __init__(self, timeout_s: float) -> None:
+        self.timeout_s = timeout_s
+        self.running: dict[tuple[str, ...], asyncio.Task] = {}
+
+    def start(self, key: tuple[str, ...], call: Awaitable[None]) -> None:
+        """Run a call unless one with the same key is running."""
+        if key in self.running:
+            call.close()
+            return
+        task = asyncio.create_task(call)
+        self.running[key] = task
+        task.add_done_callback(lambda done: self.running.pop(key, None))
+
+    async def stop(self) -> None:
+        """Cancel all running calls."""
+        tasks = list(self.running.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def cancel(self, base_url: str, request_id: str) -> bool:
+        """Cancel a request; returns whether the engine confirmed it."""
+        body = json.dumps({"request_id": request_id})
+        answer = await self._fetch(f"{base_url}/v1/cancel", "POST", body)
+        return answer.is_ok()
+
+    async def read_held_tokens(self, base_url: str) -> Result[dict[str, int], Failure]:
+        """Read which requests hold memory on an engine.
+
+        Returns
+        -------
+        Result
+            KV tokens by request id; a request that waits in the engine has 0.
+        """
+        answer = await self._fetch(f"{base_url}/v1/load", "GET", None)
+        if answer.is_err():
+            return answer
+        try:
+            load = json.loads(answer.unwrap())
+            held = {str(name): 0 for name in load.get("waiting_requests", [])}
+            held.update({str(one["request_id"]): int(one["tokens"]) for one in load["holdings"]})
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            return Err(Failure(ErrorKind.UPSTREAM_FAILED, f"{base_url}/v1/load: {error!r}"))
+        return Ok(held)
+
+    async def _fetch(self, url: str, method: str, body: str | None) -> Result[bytes, Failure]:
+        request = HTTPRequest(
+            url,
+            method=method,
+            body=body,
+            headers={"Content-Type": "application/json"},
+            connect_timeout=self.timeout_s,
+            request_timeout=self.timeout_s,
+        )
+        try:
+            response = await AsyncHTTPClient().fetch(request)
+        except (HTTPClientError, OSError) as error:
+            log_message("engine_call_failed", url=url, reason=str(error))
+            return Err(Failure(ErrorKind.UPSTREAM_FAILED, f"{url}: {error}"))
+        return Ok(response.body)
--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -3,18 +3,18 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from eliot import log_message
 from result import Err, Ok, Result
 
 from laburnumrock.daemon._pool_choice import choose_pool
 from laburnumrock.daemon._pool_directory import PoolDirectory
-from laburnumrock.daemon._pool_messages import PermitCancel, address_request
 from laburnumrock.daemon._pool_runner import ServiceStateView
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.ownership import PoolOwner
 from laburnumrock.placement import (
+    PermitCancel,
     PermitGrant,
     PermitOutcome,
     PermitRefusal,
@@ -207,7 +207,7 @@
             if now_s >= next_send_s:
                 next_send_s = now_s + REPEAT_S
                 remaining_s = waiting.deadline_s - now_s
-                message = address_request(waiting.request, pool_id, remaining_s)
+                message = replace(waiting.request, remaining_s=remaining_s, pool_id=pool_id)
                 self.network.send(owner.instance_id, message)
             done, _ = await asyncio.wait([waiting.answer], timeout=POLL_S)
             if done:
@@ -245,11 +245,11 @@
         answer.set_result(message)
 
     def _receive_refusal(self, sender: str, message: PermitRefusal) -> None:
-        for (request_id, _), waiting in self.waiting.items():
-            if request_id != message.request_id or waiting.answer is None:
-                continue
-            if waiting.owner.instance_id == sender and not waiting.answer.done():
-                waiting.answer.set_result(message)
+        waiting = self.waiting.get((message.request_id, message.attempt))
+        if waiting is None or waiting.answer is None or waiting.answer.done():
+            return
+        if waiting.owner.instance_id == sender:
+            waiting.answer.set_result(message)
 
     def _receive_renewal_answer(self, sender: str, message: PermitRenewalAnswer) -> None:
         for permit_id in message.revoked_permits:
--- a/laburnumrock/daemon/_pool_choice.py
+++ b/laburnumrock/daemon/_pool_choice.py
@@ -5,12 +5,13 @@
 from laburnumrock.daemon._pool_directory import SUMMARY_EXPIRY_S, KnownPool, PoolDirectory
 from laburnumrock.daemon._pool_runner import ServiceStateView
 from laburnumrock.ownership import MODEL_POOL, SERVICE_POOL
-from laburnumrock.placement import PermitRequest
+from laburnumrock.placement import PermitRequest, classify_length
 
 REMOTE_ADVANTAGE_S = 0.5
 """Another failure domain must be expected to start the request this much earlier."""
-SHORT_PROMPT_TOKENS = 8_000
-MEDIUM_PROMPT_TOKENS = 100_000
+
+UNKNOWN_WAIT_S = 60.0
+"""Assumed wait for a class that a pool does not serve at present; it is asked last."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,14 +89,9 @@
         return 0.0 if is_own else None
     if not summary.in_service:
         return None
-    wait_s = summary.expected_wait_s.get(classify(request), 0.0)
+    # The memory of the pool's engines is not known here, so that `spanning` counts as `long`.
+    length_class = classify_length(request.prompt_tokens, request.max_output_tokens, 0)
+    wait_s = summary.expected_wait_s.get(length_class.value)
+    if wait_s is None:
+        return UNKNOWN_WAIT_S
     return wait_s if is_own else wait_s + REMOTE_ADVANTAGE_S
-
-
-def classify(request: PermitRequest) -> str:
-    """Return the length class of a request as summaries name it."""
-    if request.prompt_tokens <= SHORT_PROMPT_TOKENS:
-        return "short"
-    if request.prompt_tokens <= MEDIUM_PROMPT_TOKENS:
-        return "medium"
-    return "long"
--- a/laburnumrock/daemon/_pool_directory.py
+++ b/laburnumrock/daemon/_pool_directory.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from laburnumrock.daemon._ownership_task import OwnershipTask
-from laburnumrock.daemon._pool_messages import PoolSummary
 from laburnumrock.ownership import PoolName, PoolOwner, parse_pool_id
+from laburnumrock.placement import PoolSummary
 
 SUMMARY_EXPIRY_S = 5.0
 
--- a/laburnumrock/daemon/_pool_runner.py
+++ b/laburnumrock/daemon/_pool_runner.py
@@ -1,11 +1,15 @@
 """One pool that this instance owns."""
 
+import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from laburnumrock.daemon._pool_messages import PoolSummary
 from laburnumrock.messages import Effect
-from laburnumrock.upstreams import UpstreamAnnouncement
+from laburnumrock.ownership import parse_pool_id
+from laburnumrock.placement import PoolScheduler, PoolSettings, PoolSummary
+from laburnumrock.settings import InstanceSettings
+from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
 
 
 class ServiceStateView(Protocol):
@@ -36,20 +40,64 @@
     def set_in_service(self, upstream_id: str, in_service: bool, now_s: float) -> list[Effect]:
         """Allow or forbid new work on an upstream."""
 
+    def set_pool_in_service(self, in_service: bool, now_s: float) -> list[Effect]:
+        """Allow or forbid new work in the whole pool."""
+
+    def observe_held_requests(
+        self, upstream_id: str, held_tokens: dict[str, int], read_at_s: float, now_s: float
+    ) -> list[Effect]:
+        """Take over what an engine holds."""
+
     def confirm_cancel(self, upstream_id: str, request_id: str, now_s: float) -> list[Effect]:
         """Note that an upstream confirmed a cancel."""
 
-    def summary(self, now_s: float) -> PoolSummary:
+    def summarize(self, now_s: float) -> PoolSummary:
         """Return the load of the pool."""
 
 
+SchedulerFactory = Callable[[str, int, float], Scheduler]
+
+
+def make_scheduler_factory(settings: InstanceSettings, policy: str) -> SchedulerFactory:
+    """Return the function that makes the scheduler of a pool.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+    policy : str
+        Registered name of the placement policy.
+    """
+
+    def make(pool_id: str, epoch: int, now_s: float) -> PoolScheduler:
+        pool = PoolSettings(pool_id, epoch, policy, settings.timing.permit_ttl_s)
+        # An earlier owner may always have existed; engines' lists soon show what is in use.
+        rng = random.Random(f"{settings.seed}/{pool_id}/{epoch}")
+        return PoolScheduler(pool, rng, now_s, take_over=True)
+
+    return make
+
+
 @dataclass(slots=True)
 class SeenUpstream:
-    """Last announcement of an upstream."""
+    """Last announcement of an upstream.
+
+    Parameters
+    ----------
+    announcement : UpstreamAnnouncement
+        What it announced.
+    seen_s : float
+        Clock reading at the announcement, in seconds.
+    in_service : bool
+        What the scheduler was told.
+    next_read_s : float
+        When the list of held requests is read next; at once after a new incarnation.
+    """
 
     announcement: UpstreamAnnouncement
     seen_s: float
-    in_service: bool = True
+    in_service: bool
+    next_read_s: float = float("-inf")
 
 
 @dataclass(slots=True)
@@ -77,19 +125,27 @@
     owned_s: float
     upstreams: dict[str, SeenUpstream] = field(default_factory=dict)
     last_seen_s: float = float("-inf")
+    in_service: bool = True
 
     def observe(
         self, announcement: UpstreamAnnouncement, view: ServiceStateView, now_s: float
     ) -> list[Effect]:
         """Take over an announcement; one of an older incarnation is dropped."""
-        seen = self.upstreams.get(announcement.upstream_id)
+        name = announcement.upstream_id
+        seen = self.upstreams.get(name)
         if seen is not None and seen.announcement.incarnation > announcement.incarnation:
             return []
         self.last_seen_s = now_s
-        in_service = True if seen is None else seen.in_service
-        self.upstreams[announcement.upstream_id] = SeenUpstream(announcement, now_s, in_service)
-        effects = self.scheduler.observe_upstream(announcement, now_s) or []
-        return effects + self.apply_service_states(view, now_s, announcement.upstream_id)
+        effects: list[Effect] = []
+        in_service = view.is_in_service("upstream", name)
+        if seen is None or seen.in_service != in_service:
+            # Set before the announcement, which can make the scheduler grant on the upstream.
+            effects += self.scheduler.set_in_service(name, in_service, now_s)
+        fresh = SeenUpstream(announcement, now_s, in_service)
+        if seen is not None and seen.announcement.incarnation == announcement.incarnation:
+            fresh.next_read_s = seen.next_read_s
+        self.upstreams[name] = fresh
+        return effects + self.scheduler.observe_upstream(announcement, now_s)
 
     def expire(self, expiry_s: float, now_s: float) -> list[Effect]:
         """Forget the upstreams whose announcements stopped.
@@ -105,20 +161,29 @@
         for upstream_id, seen in list(self.upstreams.items()):
             if now_s - seen.seen_s >= expiry_s:
                 del self.upstreams[upstream_id]
-                effects += self.scheduler.forget_upstream(upstream_id, now_s) or []
+                effects += self.scheduler.forget_upstream(upstream_id, now_s)
         return effects
 
-    def apply_service_states(
-        self, view: ServiceStateView, now_s: float, upstream_id: str | None = None
-    ) -> list[Effect]:
-        """Tell the scheduler which upstreams operators took out of service or back in."""
+    def apply_service_states(self, view: ServiceStateView, now_s: float) -> list[Effect]:
+        """Tell the scheduler what operators took out of service or back in."""
         effects: list[Effect] = []
-        for name in [upstream_id] if upstream_id else list(self.upstreams):
-            seen = self.upstreams[name]
-            domain = seen.announcement.failure_domain
-            in_service = view.is_in_service("failure_domain", domain)
-            in_service = in_service and view.is_in_service("upstream", name)
+        domain = parse_pool_id(self.pool_id).failure_domain
+        pool_in_service = view.is_in_service("failure_domain", domain)
+        if pool_in_service != self.in_service:
+            self.in_service = pool_in_service
+            effects += self.scheduler.set_pool_in_service(pool_in_service, now_s)
+        for name, seen in self.upstreams.items():
+            in_service = view.is_in_service("upstream", name)
             if in_service != seen.in_service:
                 seen.in_service = in_service
-                effects += self.scheduler.set_in_service(name, in_service, now_s) or []
+                effects += self.scheduler.set_in_service(name, in_service, now_s)
         return effects
+
+    def due_reads(self, interval_s: float, now_s: float) -> list[UpstreamAnnouncement]:
+        """Return the engines whose list of held requests is due to be read."""
+        due = []
+        for seen in self.upstreams.values():
+            if seen.announcement.kind is UpstreamKind.MODEL_ENGINE and now_s >= seen.next_read_s:
+                seen.next_read_s = now_s + interval_s
+                due.append(seen.announcement)
+        return due
--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -1,21 +1,26 @@
 """Task that runs the schedulers of the pools which this instance owns."""
 
 import asyncio
-import json
 import time
-from collections.abc import Callable
 
 from eliot import log_message
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from laburnumrock.daemon._engine_calls import EngineCalls
 from laburnumrock.daemon._ownership_task import OwnershipTask
 from laburnumrock.daemon._pool_directory import PoolDirectory
-from laburnumrock.daemon._pool_messages import CancelOnUpstream, PermitCancel, PoolSummary
-from laburnumrock.daemon._pool_runner import PoolRunner, Scheduler, ServiceStateView
+from laburnumrock.daemon._pool_runner import PoolRunner, SchedulerFactory, ServiceStateView
 from laburnumrock.errors import ErrorKind
 from laburnumrock.messages import Effect, Send
 from laburnumrock.ownership import MODEL_POOL, SERVICE_POOL, PoolName, parse_pool_id
-from laburnumrock.placement import PermitRefusal, PermitRelease, PermitRenewal, PermitRequest
+from laburnumrock.placement import (
+    CancelOnUpstream,
+    PermitCancel,
+    PermitRefusal,
+    PermitRelease,
+    PermitRenewal,
+    PermitRequest,
+    PoolSummary,
+)
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
@@ -24,8 +29,8 @@
 SUMMARY_S = 0.5
 EMPTY_POOL_S = 10.0
 """A pool without announcements is given back after this time."""
-
-SchedulerFactory = Callable[[str, int, float], Scheduler]
+READ_LOAD_S = 5.0
+"""Time between two readings of the list of requests that an engine holds."""
 
 
 class PoolTask:
@@ -63,7 +68,7 @@
         self.view = view
         self.make_scheduler = make_scheduler
         self.runners: dict[str, PoolRunner] = {}
-        self.cancels: dict[tuple[str, str], asyncio.Task] = {}
+        self.engines = EngineCalls(settings.timing.connect_timeout_s)
         self.next_summary_s = 0.0
         self.task: asyncio.Task | None = None
 
@@ -79,10 +84,10 @@
 
     async def stop(self) -> None:
         """Stop the schedulers."""
-        tasks = [task for task in (self.task, *self.cancels.values()) if task is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.engines.stop()
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
 
     def announce(self, announcement: UpstreamAnnouncement) -> None:
         """Relay the announcement of an upstream to the owner of its pool.
@@ -114,6 +119,8 @@
             self._carry_out(runner, runner.expire(timing.announcement_expiry_s, now_s))
             self._carry_out(runner, runner.apply_service_states(self.view, now_s))
             self._carry_out(runner, runner.scheduler.tick(now_s))
+            for engine in runner.due_reads(READ_LOAD_S, now_s):
+                self.engines.start(("load", engine.upstream_id), self._read_load(pool_id, engine))
         if now_s >= self.next_summary_s:
             self.next_summary_s = now_s + SUMMARY_S
             self._publish_summaries(now_s)
@@ -125,7 +132,9 @@
             runner = self.runners.get(pool_id)
             if runner is None or runner.epoch != epoch:
                 scheduler = self.make_scheduler(pool_id, epoch, now_s)
-                self.runners[pool_id] = PoolRunner(pool_id, epoch, scheduler, now_s, now_s)
+                runner = PoolRunner(pool_id, epoch, scheduler, now_s, now_s)
+                self.runners[pool_id] = runner
+                self._carry_out(runner, runner.apply_service_states(self.view, now_s))
                 log_message("pool_taken_over", pool=pool_id, epoch=epoch)
         for pool_id, runner in list(self.runners.items()):
             if pool_id in owned:
@@ -158,7 +167,7 @@
             runner = self._find_runner(pool_id, now_s)
             if runner is None:
                 continue
-            summary = runner.scheduler.summary(now_s)
+            summary = runner.scheduler.summarize(now_s)
             for peer in self.settings.peers_in(self.settings.failure_domain):
                 self.network.send(peer.instance_id, summary)
 
@@ -176,13 +185,15 @@
         runner = self._find_requested(message, now_s)
         if runner is None:
             detail = f"{self.settings.instance_id} does not own a pool for {message.model}"
-            refusal = PermitRefusal(message.request_id, ErrorKind.OWNER_UNAVAILABLE, None, detail)
+            refusal = PermitRefusal(
+                message.request_id, ErrorKind.OWNER_UNAVAILABLE, None, detail, message.attempt
+            )
             self.network.send(sender, refusal)
             return
         self._carry_out(runner, runner.scheduler.receive(sender, message, now_s))
 
     def _find_requested(self, message: PermitRequest, now_s: float) -> PoolRunner | None:
-        pool_id = getattr(message, "pool_id", "")
+        pool_id = message.pool_id
         if pool_id:
             return self._find_runner(pool_id, now_s)
         for name in list(self.runners):
@@ -209,31 +220,12 @@
             if isinstance(effect, Send):
                 self.network.send(effect.destination, effect.message)
             elif isinstance(effect, CancelOnUpstream):
-                self._start_cancel(runner, effect)
-
-    def _start_cancel(self, runner: PoolRunner, effect: CancelOnUpstream) -> None:
-        key = (effect.upstream_id, effect.request_id)
-        if key not in self.cancels:
-            task = asyncio.create_task(self._cancel(runner.pool_id, effect))
-            self.cancels[key] = task
-            task.add_done_callback(lambda done: self.cancels.pop(key, None))
+                key = ("cancel", effect.upstream_id, effect.request_id)
+                self.engines.start(key, self._cancel(runner.pool_id, effect))
 
     async def _cancel(self, pool_id: str, effect: CancelOnUpstream) -> None:
         """Send one cancel; the scheduler repeats the effect until it is confirmed."""
-        timeout_s = self.settings.timing.connect_timeout_s
-        request = HTTPRequest(
-            f"{effect.base_url}/v1/cancel",
-            method="POST",
-            body=json.dumps({"request_id": effect.request_id}),
-            headers={"Content-Type": "application/json"},
-            connect_timeout=timeout_s,
-            request_timeout=timeout_s,
-        )
-        try:
-            await AsyncHTTPClient().fetch(request)
-        except Exception as error:
-            # The client raises several unrelated classes for a broken connection.
-            log_message("cancel_failed", upstream=effect.upstream_id, reason=str(error))
+        if not await self.engines.cancel(effect.base_url, effect.request_id):
             return
         now_s = time.monotonic()
         runner = self._find_runner(pool_id, now_s)
@@ -241,6 +233,17 @@
             confirm = runner.scheduler.confirm_cancel
             self._carry_out(runner, confirm(effect.upstream_id, effect.request_id, now_s))
 
+    async def _read_load(self, pool_id: str, engine: UpstreamAnnouncement) -> None:
+        """Reconcile the scheduler's ledger with what an engine holds."""
+        read_at_s = time.monotonic()
+        held = await self.engines.read_held_tokens(engine.base_url)
+        now_s = time.monotonic()
+        runner = self._find_runner(pool_id, now_s)
+        if runner is None or held.is_err() or read_at_s < runner.started_s:
+            return
+        observe = runner.scheduler.observe_held_requests
+        self._carry_out(runner, observe(engine.upstream_id, held.unwrap(), read_at_s, now_s))
+
 
 def find_pool_id(announcement: UpstreamAnnouncement) -> str:
     """Return the id of the pool to which an upstream belongs."""
--- a/laburnumrock/daemon/tests/fakes.py
+++ b/laburnumrock/daemon/tests/fakes.py
@@ -4,16 +4,17 @@
 
 from result import Err, Ok
 
-from laburnumrock.daemon._pool_messages import PermitCancel, PoolSummary
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.messages import Frame, Send, decode_frame, encode_frame
 from laburnumrock.placement import (
+    PermitCancel,
     PermitGrant,
     PermitRelease,
     PermitRenewal,
     PermitRenewalAnswer,
     PermitRequest,
     Placement,
+    PoolSummary,
 )
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
@@ -142,7 +143,13 @@
         self.confirmed.append(request_id)
         return []
 
-    def summary(self, now_s):
+    def set_pool_in_service(self, in_service, now_s):
+        return []
+
+    def observe_held_requests(self, upstream_id, held_tokens, read_at_s, now_s):
+        return []
+
+    def summarize(self, now_s):
         count = len(self.upstreams)
         waits = {"short": 1.0 * len(self.queue)}
         return PoolSummary(self.pool_id, self.epoch, True, count, 0, len(self.queue), waits)
