Test the permit path with the real pool scheduler

Cause: the path was only shown with a fake scheduler. Change: one test over three instances uses PoolScheduler through make_scheduler_factory.

--- a/laburnumrock/daemon/tests/fakes.py
+++ b/laburnumrock/daemon/tests/fakes.py
@@ -192,6 +192,9 @@
         incarnation,
         f"http://127.0.0.1:9/{upstream_id}",
         models=list(models),
+        kv_capacity_tokens=100_000,
+        prefill_tokens_per_s=10_000.0,
+        decode_step_s=0.01,
     )
 
 
--- a/laburnumrock/daemon/tests/test_permit_path.py
+++ b/laburnumrock/daemon/tests/test_permit_path.py
@@ -7,6 +7,7 @@
 from laburnumrock.daemon._ownership_task import OwnershipTask
 from laburnumrock.daemon._permits import PermitClient
 from laburnumrock.daemon._pool_directory import PoolDirectory
+from laburnumrock.daemon._pool_runner import make_scheduler_factory
 from laburnumrock.daemon._pool_task import PoolTask, find_pool_id
 from laburnumrock.daemon.tests.fakes import (
     FakeHub,
@@ -26,14 +27,14 @@
 class Node:
     """Tasks of one instance."""
 
-    def __init__(self, hub, settings):
+    def __init__(self, hub, settings, factory):
         self.name = settings.instance_id
         self.network = FakeNetwork(hub, self.name)
         self.view = FakeView()
         self.ownership = OwnershipTask(settings, self.network)
         self.directory = PoolDirectory(settings.failure_domain, self.ownership)
         self.pools = PoolTask(
-            settings, self.network, self.ownership, self.directory, self.view, FakeScheduler
+            settings, self.network, self.ownership, self.directory, self.view, factory
         )
         self.permits = PermitClient(settings, self.network, self.directory, self.view)
         self.tasks = [self.ownership, self.pools, self.permits]
@@ -51,10 +52,13 @@
 class Cluster:
     """Several instances on one event loop, and engines that announce themselves."""
 
-    def __init__(self, names):
+    def __init__(self, names, real_scheduler):
         self.hub = FakeHub()
-        settings = make_settings(names)
-        self.nodes = {name: Node(self.hub, settings[name]) for name in names}
+        self.nodes = {}
+        for name, settings in make_settings(names).items():
+            factory = make_scheduler_factory(settings, "length_aware")
+            factory = factory if real_scheduler else FakeScheduler
+            self.nodes[name] = Node(self.hub, settings, factory)
         self.announcements = [make_announcement()]
 
     async def announce(self):
@@ -89,8 +93,8 @@
 
 
 @asynccontextmanager
-async def running(names=("a1", "a2", "a3")):
-    cluster = Cluster(names)
+async def running(names=("a1", "a2", "a3"), real_scheduler=False):
+    cluster = Cluster(names, real_scheduler)
     for node in cluster.nodes.values():
         for task in node.tasks:
             await task.start()
@@ -119,6 +123,23 @@
 
         asyncio.run(run())
 
+    def test_real_scheduler_grants_and_takes_the_release(self):
+        """Guards against an interface of the pool scheduler that the tasks do not meet."""
+
+        async def run():
+            async with running(real_scheduler=True) as cluster:
+                owner = await cluster.owner()
+                entry = next(node for node in cluster.nodes.values() if node is not owner)
+                grant = (await entry.permits.acquire(make_request())).unwrap()
+                assert [place.upstream_id for place in grant.placements] == ["e1"]
+                await asyncio.sleep(1.0)
+                book = owner.scheduler().book
+                assert grant.permit_id in book.permits
+                entry.permits.release(PermitRelease(grant.permit_id, PermitOutcome.FINISHED))
+                await wait_until(lambda: not book.permits)
+
+        asyncio.run(run())
+
     def test_queued_request_moves_to_the_new_owner(self):
         """Guards against a request that waits for a dead owner until its deadline."""
 
