Add the declaration task and the operator HTTP handlers

Cause: changes must reach all instances, operators need to see who lags, and a partitioned failure domain needs an emergency drain.

Change: DeclarationTask drives the distribution state machine, answers in-force questions domain by domain, stores holds and enters them into the log. The operator handlers answer every bad input with a problem document.

--- /dev/null
+++ b/laburnumrock/daemon/_in_force.py
@@ -0,0 +1,99 @@
+"""Answers the question which instances have applied a revision.
+
+Notes
+-----
+The question goes to one instance of each failure domain, which asks the others of its domain. The
+cost per instance grows with its own domain and arises only when an operator asks.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from laburnumrock.declarations import (
+    DeclarationView,
+    InForceAnswer,
+    InForceQuery,
+    RevisionTracker,
+)
+from laburnumrock.settings import InstanceSettings
+from laburnumrock.transport import PeerNetwork
+
+INSTANCE_TIMEOUT_S = 0.5
+DOMAIN_TIMEOUT_S = 1.0
+# Instances of a domain that are asked one after the other before the whole domain counts as
+# lagging.
+DOMAIN_ATTEMPTS = 3
+
+
+class InForceFinder:
+    """Finds the instances that have not applied a revision.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+    network : PeerNetwork
+        Links to other instances.
+    view : DeclarationView
+        Own copy of the declarations.
+    clock : callable
+        Monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        network: PeerNetwork,
+        view: DeclarationView,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.view = view
+        self.clock = clock
+        self.tracker = RevisionTracker()
+
+    def register_handlers(self) -> None:
+        """Answer the questions of other instances."""
+        self.network.handle(InForceQuery, self._answer)
+
+    def record(self, instance_id: str, revision: int) -> None:
+        """Record a revision that an instance reported in passing."""
+        self.tracker.record(instance_id, revision, self.clock())
+
+    async def find_lagging(self, revision: int) -> list[str]:
+        """Return the lagging instances of all failure domains in the order of their names."""
+        domains = sorted({peer.failure_domain for peer in self.settings.peers})
+        found = await asyncio.gather(*(self._find_in(domain, revision) for domain in domains))
+        return sorted(name for names in found for name in names)
+
+    async def _find_in(self, domain: str, revision: int) -> list[str]:
+        if domain == self.settings.failure_domain:
+            return await self._find_in_own_domain(revision)
+        names = [peer.instance_id for peer in self.settings.peers_in(domain)]
+        query = InForceQuery(revision, whole_domain=True)
+        for name in names[:DOMAIN_ATTEMPTS]:
+            answer = await self.network.call(name, query, DOMAIN_TIMEOUT_S)
+            if answer.is_ok():
+                return answer.unwrap().lagging
+        return names
+
+    async def _find_in_own_domain(self, revision: int) -> list[str]:
+        own = self.settings.instance_id
+        self.record(own, self.view.revision)
+        names = [peer.instance_id for peer in self.settings.peers_in(self.settings.failure_domain)]
+        asked = self.tracker.find_lagging(revision, names, self.clock())
+        await asyncio.gather(*(self._ask(name, revision) for name in asked if name != own))
+        return self.tracker.find_lagging(revision, names, self.clock())
+
+    async def _ask(self, name: str, revision: int) -> None:
+        answer = await self.network.call(name, InForceQuery(revision), INSTANCE_TIMEOUT_S)
+        if answer.is_ok():
+            self.record(name, answer.unwrap().revision)
+
+    async def _answer(self, sender: str, query: InForceQuery) -> InForceAnswer:
+        if not query.whole_domain:
+            return InForceAnswer(self.view.revision)
+        lagging = await self._find_in_own_domain(query.revision)
+        return InForceAnswer(self.view.revision, lagging)
--- /dev/null
+++ b/laburnumrock/daemon/tests/test_declaration_task.py
@@ -0,0 +1,146 @@
+"""Tests of the declaration task over real links on loopback."""
+
+import asyncio
+import socket
+from types import SimpleNamespace
+
+from result import Err, Ok
+
+from laburnumrock.daemon._declaration_task import DeclarationTask
+from laburnumrock.daemon._hold_file import HoldFile
+from laburnumrock.declarations import ApplyChange, DeclarationStore, HoldBook
+from laburnumrock.declarations.tests._builders import plain_template, put
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.settings import InstanceSettings
+from laburnumrock.transport import PeerNetwork
+
+NAMES = ("a1", "a2", "b1", "b2")
+
+
+class FakeLog:
+    """One voter that applies commands at once while `quorum` is set."""
+
+    def __init__(self):
+        self.replica = SimpleNamespace(store=DeclarationStore(), applied_index=0)
+        self.is_leader = True
+        self.quorum = True
+
+    async def propose(self, command):
+        if not self.quorum:
+            return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE))
+        self.replica.applied_index += 1
+        return Ok(self.replica.store.apply(command, self.replica.applied_index))
+
+    async def read_confirmed(self):
+        if not self.quorum:
+            return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE))
+        return Ok(self.replica.applied_index)
+
+
+def _make_settings(folder):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(2 * len(NAMES))]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    addresses = {
+        name: {"host": "127.0.0.1", "caller_port": ports[2 * i], "peer_port": ports[2 * i + 1]}
+        for i, name in enumerate(NAMES)
+    }
+    peers = [
+        {"instance_id": name, "failure_domain": name[0], "voter": name == "a1", **address}
+        for name, address in addresses.items()
+    ]
+    return [
+        InstanceSettings.model_validate(
+            {
+                "instance_id": name,
+                "failure_domain": name[0],
+                "listen": addresses[name],
+                "data_folder": str(folder / name),
+                "shared_key_file": "x",
+                "operator_key_file": "x",
+                "peers": peers,
+            }
+        )
+        for name in NAMES
+    ]
+
+
+async def _start(settings, log):
+    network = PeerNetwork(settings, b"k" * 32)
+    replica = log.replica if settings.own_peer.voter else None
+    task = DeclarationTask(settings, network, log, replica)
+    await network.start()
+    await task.start()
+    return task
+
+
+async def _stop(tasks):
+    for task in tasks:
+        await task.stop()
+        await task.network.stop()
+
+
+async def _wait_for(condition, timeout_s=5.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+class TestDeclarationTask:
+    def test_change_comes_into_force_and_a_dead_instance_is_named(self, tmp_path):
+        """Guards against a wait that ends before the change is in force everywhere."""
+
+        async def run():
+            log = FakeLog()
+            tasks = [await _start(settings, log) for settings in _make_settings(tmp_path)]
+            await _wait_for(lambda: all(task.is_ready() for task in tasks))
+            command = ApplyChange("r", 0, [put(plain_template())], "op", 0.0)
+            assert (await tasks[3].submit(command)).unwrap().revision == 1
+            await _wait_for(lambda: all(task.view.revision == 1 for task in tasks))
+            assert await tasks[3].find_lagging(1) == []
+            assert await tasks[3].find_lagging(2) == list(NAMES)
+            assert len((await tasks[3].read_history(5)).unwrap()) == 1
+            await _stop(tasks[1:2])
+            lagging = await tasks[3].find_lagging(2)
+            await _stop([tasks[0], *tasks[2:]])
+            return lagging
+
+        assert "a2" in asyncio.run(run())
+
+    def test_hold_spreads_in_its_domain_and_enters_the_log(self, tmp_path):
+        """Guards against an emergency drain that is lost, or that needs a quorum to take effect."""
+
+        async def run():
+            log = FakeLog()
+            tasks = [await _start(settings, log) for settings in _make_settings(tmp_path)]
+            await _wait_for(lambda: all(task.is_ready() for task in tasks))
+            log.quorum = False
+            assert tasks[3].add_hold("a", "op").is_err()
+            tasks[3].add_hold("b", "op").unwrap()
+            assert await tasks[3].find_hold_lagging("b") == []
+            assert [task.view.is_in_service("failure_domain", "b") for task in tasks] == [
+                True,
+                True,
+                False,
+                False,
+            ]
+            stored = HoldBook()
+            HoldFile(tmp_path / "b1").load(stored)
+            assert stored.is_held("b", 0)
+            log.quorum = True
+            await _wait_for(lambda: all(task.view.revision == 1 for task in tasks))
+            await _wait_for(lambda: not tasks[2].view.holds.pending())
+            served = [task.view.is_in_service("failure_domain", "b") for task in tasks]
+            await _stop(tasks)
+            return served
+
+        assert asyncio.run(run()) == [False] * 4
+
+
+class TestHoldFile:
+    def test_unreadable_file_is_kept_aside(self, tmp_path):
+        """Guards against an instance that cannot start because of a damaged holds file."""
+        (tmp_path / "holds.json").write_text("{")
+        HoldFile(tmp_path).load(HoldBook())
+        assert (tmp_path / "holds.unreadable").exists()
--- a/laburnumrock/declarations/__init__.py
+++ b/laburnumrock/declarations/__init__.py
@@ -14,6 +14,7 @@
     HistoryEntry,
     HistoryFetch,
     Hold,
+    HoldExchange,
     InForceAnswer,
     InForceQuery,
 )
@@ -32,7 +33,12 @@
     Template,
 )
 from laburnumrock.declarations._plan import Difference, diff_sets, plan_changes, read_folder
-from laburnumrock.declarations._set import DeclarationSet, changes_to_plain, parse_changes
+from laburnumrock.declarations._set import (
+    DeclarationSet,
+    changes_to_plain,
+    describe_declaration_error,
+    parse_changes,
+)
 from laburnumrock.declarations._store import DeclarationStore
 from laburnumrock.declarations._sync import DeclarationSync
 from laburnumrock.declarations._view import DeclarationView
@@ -57,6 +63,7 @@
     "HistoryFetch",
     "Hold",
     "HoldBook",
+    "HoldExchange",
     "HoldsChanged",
     "InForceAnswer",
     "InForceQuery",
@@ -73,6 +80,7 @@
     "ServiceState",
     "Template",
     "changes_to_plain",
+    "describe_declaration_error",
     "diff_sets",
     "parse_changes",
     "plan_changes",
--- a/laburnumrock/declarations/_messages.py
+++ b/laburnumrock/declarations/_messages.py
@@ -102,6 +102,20 @@
     stamped_at_s: float
 
 
+@register_message
+@dataclass(frozen=True, slots=True)
+class HoldExchange:
+    """Holds of the sender; the answer is a `HoldExchange` with the merged holds of the receiver.
+
+    Parameters
+    ----------
+    holds : list of Hold
+        All entries of the hold book.
+    """
+
+    holds: list[Hold]
+
+
 @register_message
 @dataclass(frozen=True, slots=True)
 class DeclarationStep:
--- a/laburnumrock/declarations/_set.py
+++ b/laburnumrock/declarations/_set.py
@@ -24,8 +24,10 @@
 _UNION_TAGS = frozenset(("put", "remove", "template", "service", "service_state"))
 
 
-def describe_declaration_error(error: ValidationError, prefix: str = "") -> Failure:
-    """Describe the first problem of a declaration or change.
+def describe_declaration_error(
+    error: ValidationError, prefix: str = "", kind: ErrorKind = ErrorKind.INVALID_DECLARATION
+) -> Failure:
+    """Describe the first problem of a declaration, a change or another operator document.
 
     Parameters
     ----------
@@ -33,11 +35,13 @@
         The error.
     prefix : str
         Path of the validated value, such as a file name.
+    kind : ErrorKind
+        Kind of the returned failure.
 
     Returns
     -------
     Failure
-        Kind ``invalid_declaration`` with the path of the field.
+        Detail in words, with the path of the field; the echoed input is cut short.
     """
     problem = error.errors(include_url=False)[0]
     path = prefix
@@ -48,7 +52,7 @@
     message = problem["msg"].removeprefix("Value error, ")
     if problem["type"] not in ("missing", "extra_forbidden", "value_error"):
         message = f"{message}, got {str(problem['input'])[:80]!r}"
-    return Failure(ErrorKind.INVALID_DECLARATION, message, field_path=path.lstrip(".") or None)
+    return Failure(kind, message, field_path=path.lstrip(".") or None)
 
 
 def parse_changes(plain: object) -> Result[list[Change], Failure]:
--- /dev/null
+++ b/laburnumrock/gateway/_operator.py
@@ -0,0 +1,251 @@
+"""HTTP handlers for operators."""
+
+import time
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+from result import Ok
+
+from laburnumrock.declarations import (
+    ApplyChange,
+    ChangeAnswer,
+    changes_to_plain,
+    parse_changes,
+)
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.gateway._operator_base import OperatorHandler
+from laburnumrock.gateway._operator_services import OperatorServices
+from laburnumrock.messages import to_plain
+
+PREFIX = "/operator/v1"
+DEFAULT_HISTORY_ENTRIES = 50
+# Largest whole number that every JSON reader keeps exact.
+MAX_REVISION = 2**53 - 1
+# The length bounds the table of answers in the replicated state.
+RequestId = Annotated[str, Field(min_length=1, max_length=200)]
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class ChangesBody(_Body):
+    """Body of ``POST changes``; the changes themselves are checked by `parse_changes`."""
+
+    request_id: RequestId
+    base_revision: int = Field(ge=0, le=MAX_REVISION)
+    changes: list[dict]
+
+
+class HoldBody(_Body):
+    """Body of ``POST holds``."""
+
+    failure_domain: str = Field(min_length=1, max_length=200)
+
+
+class ReconcileBody(_Body):
+    """Body of ``POST operations/{account}/{key}/reconcile``."""
+
+    outcome: Literal["done", "not_run"]
+    source: str = Field(min_length=1, max_length=2_000)
+    request_id: RequestId | None = None
+
+
+class VoterBody(_Body):
+    """Body of ``POST voters``."""
+
+    action: Literal["add", "remove"]
+    instance_id: str = Field(min_length=1, max_length=200)
+
+
+class StatusHandler(OperatorHandler):
+    """``GET status``."""
+
+    def get(self) -> None:
+        """Return the status of this instance."""
+        view = self.services.declarations.view
+        now_s = time.monotonic()
+        status = {
+            "revision": view.revision,
+            "stale": view.is_stale(now_s),
+            "confirmed_age_s": view.confirmed_age_s(now_s),
+            "holds": [to_plain(hold) for hold in view.holds.entries() if hold.held],
+        }
+        self.write_result(Ok(status | self.services.status.describe_status()))
+
+
+class DeclarationsHandler(OperatorHandler):
+    """``GET declarations``."""
+
+    def get(self) -> None:
+        """Return the declarations as this instance applies them."""
+        view = self.services.declarations.view
+        document = {
+            "revision": view.revision,
+            "stale": view.is_stale(time.monotonic()),
+            "declarations": view.current.to_plain(),
+        }
+        self.write_result(Ok(document))
+
+
+class ChangesHandler(OperatorHandler):
+    """``POST changes``."""
+
+    async def post(self) -> None:
+        """Apply a change."""
+        body = self.read_body(ChangesBody)
+        if body.is_err():
+            self.write_failure(body.unwrap_err())
+            return
+        request = body.unwrap()
+        self.request_id = request.request_id
+        changes = parse_changes(request.changes)
+        if changes.is_err():
+            self.write_failure(changes.unwrap_err())
+            return
+        command = ApplyChange(
+            request.request_id,
+            request.base_revision,
+            changes_to_plain(changes.unwrap()),
+            self.operator,
+            time.time(),
+        )
+        answer = await self.services.declarations.submit(command)
+        self.write_result(answer.map(_describe_answer))
+
+
+class InForceHandler(OperatorHandler):
+    """``GET in-force?revision=N``, or ``?hold=DOMAIN`` for a local hold."""
+
+    async def get(self) -> None:
+        """Return whether a revision or a hold is in force, and who lags."""
+        hold = self.get_query_argument("hold", None)
+        if hold is not None:
+            lagging = await self.services.declarations.find_hold_lagging(hold)
+            self.write_result(Ok({"in_force": not lagging, "lagging": lagging}))
+            return
+        revision = self.read_number("revision", None)
+        if revision.is_err():
+            self.write_failure(revision.unwrap_err())
+            return
+        lagging = await self.services.declarations.find_lagging(revision.unwrap())
+        self.write_result(Ok({"in_force": not lagging, "lagging": lagging}))
+
+
+class HistoryHandler(OperatorHandler):
+    """``GET history?limit=N``."""
+
+    async def get(self) -> None:
+        """Return the last changes, newest last."""
+        limit = self.read_number("limit", DEFAULT_HISTORY_ENTRIES)
+        if limit.is_err():
+            self.write_failure(limit.unwrap_err())
+            return
+        entries = await self.services.declarations.read_history(limit.unwrap())
+        self.write_result(entries.map(lambda found: {"entries": to_plain(found)}))
+
+
+class HoldsHandler(OperatorHandler):
+    """``POST holds``."""
+
+    def post(self) -> None:
+        """Hold the failure domain of this instance."""
+        body = self.read_body(HoldBody)
+        if body.is_err():
+            self.write_failure(body.unwrap_err())
+            return
+        domain = body.unwrap().failure_domain
+        self.write_result(self.services.declarations.add_hold(domain, self.operator).map(to_plain))
+
+
+class HoldHandler(OperatorHandler):
+    """``DELETE holds/{failure_domain}``."""
+
+    def delete(self, failure_domain: str) -> None:
+        """Remove a hold."""
+        removed = self.services.declarations.remove_hold(failure_domain, self.operator)
+        self.write_result(removed.map(to_plain))
+
+
+class OperationHandler(OperatorHandler):
+    """``GET operations/{account}/{key}``."""
+
+    async def get(self, account: str, key: str) -> None:
+        """Return the state of an operation."""
+        self.write_result(await self.services.operations.find_operation(account, key))
+
+
+class ReconcileHandler(OperatorHandler):
+    """``POST operations/{account}/{key}/reconcile``."""
+
+    async def post(self, account: str, key: str) -> None:
+        """Record the outcome of an unknown operation."""
+        body = self.read_body(ReconcileBody)
+        if body.is_err():
+            self.write_failure(body.unwrap_err())
+            return
+        request = body.unwrap()
+        self.request_id = request.request_id or self.request_id
+        result = await self.services.operations.reconcile(
+            account, key, request.outcome, request.source, self.operator, self.request_id
+        )
+        self.write_result(result)
+
+
+class VotersHandler(OperatorHandler):
+    """``POST voters``."""
+
+    async def post(self) -> None:
+        """Add or remove a voter."""
+        body = self.read_body(VoterBody)
+        if body.is_err():
+            self.write_failure(body.unwrap_err())
+            return
+        request = body.unwrap()
+        result = await self.services.voters.change_voter(request.action, request.instance_id)
+        self.write_result(result)
+
+
+class UnknownPathHandler(OperatorHandler):
+    """Every other path below the prefix."""
+
+    def prepare(self) -> None:
+        """Check the key, then refuse."""
+        super().prepare()
+        if not self._finished:
+            self.write_failure(Failure(ErrorKind.NOT_FOUND, f"{self.request.path} does not exist"))
+
+
+def operator_routes(services: OperatorServices) -> list[tuple]:
+    """Return the tornado routes of the operator API.
+
+    Parameters
+    ----------
+    services : OperatorServices
+        What the handlers call.
+
+    Returns
+    -------
+    list of tuple
+        Route patterns, handler classes and handler arguments for `tornado.web.Application`.
+    """
+    arguments = {"services": services}
+    operation = "/operations/([^/]+)/([^/]+)"
+    table = [
+        ("/status", StatusHandler),
+        ("/declarations", DeclarationsHandler),
+        ("/changes", ChangesHandler),
+        ("/in-force", InForceHandler),
+        ("/history", HistoryHandler),
+        ("/holds", HoldsHandler),
+        ("/holds/([^/]+)", HoldHandler),
+        (operation, OperationHandler),
+        (operation + "/reconcile", ReconcileHandler),
+        ("/voters", VotersHandler),
+        ("/.*", UnknownPathHandler),
+    ]
+    return [(PREFIX + path, handler, arguments) for path, handler in table]
+
+
+def _describe_answer(answer: ChangeAnswer) -> dict[str, object]:
+    return {"request_id": answer.request_id, "revision": answer.revision, "applied": True}
--- /dev/null
+++ b/laburnumrock/gateway/_operator_base.py
@@ -0,0 +1,100 @@
+"""Base of the HTTP handlers for operators."""
+
+import hmac
+import json
+import math
+import uuid
+from typing import Any
+
+from eliot import log_message
+from pydantic import BaseModel, ValidationError
+from result import Err, Ok, Result
+from tornado.web import RequestHandler
+
+from laburnumrock.declarations import describe_declaration_error
+from laburnumrock.errors import ErrorKind, Failure, problem_document
+from laburnumrock.gateway._operator_services import OperatorServices
+
+
+class OperatorHandler(RequestHandler):
+    """Base of the operator handlers: checks the key and writes problem documents."""
+
+    def initialize(self, services: OperatorServices) -> None:
+        """Store the services."""
+        self.services = services
+        self.request_id = self.request.headers.get("X-Request-Id", "")[:200] or uuid.uuid4().hex
+
+    def prepare(self) -> None:
+        """Refuse requests without the operator key before anything else happens."""
+        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
+        known = hmac.compare_digest(key.strip().encode(), self.services.operator_key)
+        if scheme.lower() != "bearer" or not known:
+            detail = "the operator key is missing or wrong"
+            self.write_failure(Failure(ErrorKind.UNAUTHENTICATED, detail))
+
+    @property
+    def operator(self) -> str:
+        """Name that the operator gave, for the history."""
+        return self.request.headers.get("X-Operator", "operator")[:200]
+
+    def write_failure(self, failure: Failure) -> None:
+        """Finish with the problem document of a failure."""
+        self.set_status(failure.answer.status)
+        if failure.kind is ErrorKind.UNAUTHENTICATED:
+            self.set_header("WWW-Authenticate", "Bearer")
+        if failure.retry_after_s is not None:
+            self.set_header("Retry-After", str(max(1, math.ceil(failure.retry_after_s))))
+        self.set_header("Content-Type", "application/problem+json")
+        self.finish(json.dumps(problem_document(failure, self.request_id)))
+
+    def write_result(self, result: Result[object, Failure]) -> None:
+        """Finish with a value as JSON, or with the problem document of a failure."""
+        if result.is_err():
+            self.write_failure(result.unwrap_err())
+            return
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(result.unwrap()))
+
+    def write_error(self, status_code: int, **context) -> None:
+        """Write a problem document for what no handler expected."""
+        error = context.get("exc_info", (None, None, None))[1]
+        log_message("operator_request_failed", status=status_code, error=repr(error))
+        if status_code in (404, 405):
+            detail = f"{self.request.method} {self.request.path} does not exist"
+            self.write_failure(Failure(ErrorKind.NOT_FOUND, detail))
+        elif status_code == 400:
+            self.write_failure(Failure(ErrorKind.INVALID_REQUEST, "malformed request"))
+        else:
+            self.write_failure(Failure(ErrorKind.INTERNAL))
+
+    def read_body(self, model: type[BaseModel]) -> Result[Any, Failure]:
+        """Validate the JSON body.
+
+        Parameters
+        ----------
+        model : type of pydantic.BaseModel
+            Model of the body.
+
+        Returns
+        -------
+        Result
+            Instance of `model`, or a failure of kind ``invalid_request`` that names the field.
+        """
+        try:
+            document = json.loads(self.request.body)
+        except (ValueError, RecursionError) as error:
+            return Err(Failure(ErrorKind.INVALID_REQUEST, f"the body is not JSON: {error}"))
+        try:
+            return Ok(model.model_validate(document))
+        except ValidationError as error:
+            return Err(describe_declaration_error(error, "", ErrorKind.INVALID_REQUEST))
+
+    def read_number(self, name: str, default: int | None) -> Result[int, Failure]:
+        """Return a non-negative whole number from the query."""
+        text = self.get_query_argument(name, None)
+        if text is None and default is not None:
+            return Ok(default)
+        if text is None or not (text.isascii() and text.isdigit()) or len(text) > 15:
+            detail = "a whole number >= 0 is required"
+            return Err(Failure(ErrorKind.INVALID_REQUEST, detail, name))
+        return Ok(int(text))
