--- /dev/null
+++ b/laburnumrock/cli/__main__.py
@@ -0,0 +1,12 @@
+"""Entry point of ``laburnumrock``."""
+
+from laburnumrock.cli._app import build_program
+
+
+def main() -> None:
+    """Run the command line."""
+    build_program()(prog_name="laburnumrock")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/laburnumrock/cli/_control.py
@@ -0,0 +1,113 @@
+"""Subcommands ``status``, ``operations`` and ``voters``."""
+
+import urllib.parse
+
+import click
+
+from laburnumrock.cli._client import OperatorClient
+from laburnumrock.cli._options import (
+    json_option,
+    make_request_id,
+    show,
+    unwrap,
+    wait_options,
+)
+from laburnumrock.cli._registry import register_command
+
+
+@register_command
+@click.command()
+@json_option
+@click.pass_obj
+def status(client: OperatorClient, as_json: bool) -> None:
+    """Show the status of the first server that answers."""
+    document = unwrap(client.get("status"))
+    show(document, as_json, _describe(document))
+
+
+@register_command
+@click.group()
+def operations() -> None:
+    """Operations that may not be repeated."""
+
+
+@operations.command("show")
+@click.argument("account")
+@click.argument("key")
+@json_option
+@click.pass_obj
+def show_operation(client: OperatorClient, account: str, key: str, as_json: bool) -> None:
+    """Show the operation of ACCOUNT with the idempotency key KEY."""
+    document = unwrap(client.get(_operation_path(account, key)))
+    show(document, as_json, _describe(document))
+
+
+@operations.command("reconcile")
+@click.argument("account")
+@click.argument("key")
+@click.option("--outcome", type=click.Choice(["done", "not_run"]), required=True)
+@click.option("--source", required=True, help="Evidence for the outcome, such as a ledger entry.")
+@click.option("--request-id", help="Request id of an earlier attempt whose answer was lost.")
+@wait_options
+@click.pass_obj
+def reconcile(
+    client: OperatorClient,
+    account: str,
+    key: str,
+    outcome: str,
+    source: str,
+    request_id: str | None,
+    wait: bool,
+    wait_timeout: float,
+) -> None:
+    """Record the outcome of an operation whose outcome is unknown.
+
+    The record is in the replicated log and in force when the command returns, so that --wait adds
+    nothing.
+    """
+    request_id = request_id or make_request_id()
+    body = {"outcome": outcome, "source": source, "request_id": request_id}
+    path = f"{_operation_path(account, key)}/reconcile"
+    unwrap(client.call("POST", path, body), request_id)
+    click.echo(f"operation {key} of {account} is recorded as {outcome}")
+
+
+@register_command
+@click.group()
+def voters() -> None:
+    """Voters of the replicated log."""
+
+
+@voters.command("add")
+@click.argument("instance_id")
+@wait_options
+@click.pass_obj
+def add_voter(client: OperatorClient, instance_id: str, wait: bool, wait_timeout: float) -> None:
+    """Add INSTANCE_ID; with --wait, return when the log has committed the membership."""
+    _change_voter(client, "add", instance_id, wait, wait_timeout)
+
+
+@voters.command("remove")
+@click.argument("instance_id")
+@wait_options
+@click.pass_obj
+def remove_voter(client: OperatorClient, instance_id: str, wait: bool, wait_timeout: float) -> None:
+    """Remove INSTANCE_ID; with --wait, return when the log has committed the membership."""
+    _change_voter(client, "remove", instance_id, wait, wait_timeout)
+
+
+def _change_voter(
+    client: OperatorClient, action: str, instance_id: str, wait: bool, wait_timeout: float
+) -> None:
+    if wait:
+        client.timeout_s = max(client.timeout_s, wait_timeout)
+    unwrap(client.call("POST", "voters", {"action": action, "instance_id": instance_id}))
+    click.echo(f"voters: {action} {instance_id} committed")
+
+
+def _operation_path(account: str, key: str) -> str:
+    return f"operations/{urllib.parse.quote(account, safe='')}/{urllib.parse.quote(key, safe='')}"
+
+
+def _describe(document: dict) -> list[str]:
+    return [f"{name}: {value}" for name, value in sorted(document.items())]
--- /dev/null
+++ b/laburnumrock/cli/_exit.py
@@ -0,0 +1,95 @@
+"""Exit codes, and the end of the program with a failure."""
+
+import json
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NoReturn
+
+import click
+
+from laburnumrock.errors import ErrorKind, Failure
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the program."""
+
+    SUCCESS = 0
+    ERROR = 1
+    USAGE = 2
+    INVALID = 3
+    STALE_REVISION = 4
+    UNAVAILABLE = 5
+    UNAUTHENTICATED = 6
+    NOT_IN_FORCE = 7
+    NOT_FOUND = 8
+    OUTCOME_UNKNOWN = 9
+    DIFFERENCES = 10
+
+
+MEANINGS = {
+    ExitCode.SUCCESS: "success, also when there was nothing to change",
+    ExitCode.ERROR: "any other error; the message names it",
+    ExitCode.USAGE: "wrong command line",
+    ExitCode.INVALID: "invalid declarations or input; nothing was changed",
+    ExitCode.STALE_REVISION: "another change came first; plan again",
+    ExitCode.UNAVAILABLE: "no server answers with confirmed data; resend with the same request id",
+    ExitCode.UNAUTHENTICATED: "the key is missing or wrong",
+    ExitCode.NOT_IN_FORCE: "accepted, but not in force everywhere within --wait-timeout",
+    ExitCode.NOT_FOUND: "the named object does not exist",
+    ExitCode.OUTCOME_UNKNOWN: "a request may have run",
+    ExitCode.DIFFERENCES: "differences exist (plan and diff with --exit-code)",
+}
+
+_CODES = {
+    ErrorKind.INVALID_REQUEST: ExitCode.INVALID,
+    ErrorKind.INVALID_SETTINGS: ExitCode.INVALID,
+    ErrorKind.INVALID_DECLARATION: ExitCode.INVALID,
+    ErrorKind.IDEMPOTENCY_MISMATCH: ExitCode.INVALID,
+    ErrorKind.STALE_REVISION: ExitCode.STALE_REVISION,
+    ErrorKind.PEER_UNREACHABLE: ExitCode.UNAVAILABLE,
+    ErrorKind.QUORUM_UNAVAILABLE: ExitCode.UNAVAILABLE,
+    ErrorKind.UNAUTHENTICATED: ExitCode.UNAUTHENTICATED,
+    ErrorKind.NOT_FOUND: ExitCode.NOT_FOUND,
+    ErrorKind.OUTCOME_UNKNOWN: ExitCode.OUTCOME_UNKNOWN,
+    ErrorKind.DEADLINE_EXCEEDED: ExitCode.OUTCOME_UNKNOWN,
+    ErrorKind.UPSTREAM_FAILED: ExitCode.OUTCOME_UNKNOWN,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Failure as the program reports it.
+
+    Parameters
+    ----------
+    failure : Failure
+        The failure.
+    request_id : str, optional
+        Request id to give when the command is repeated.
+    """
+
+    failure: Failure
+    request_id: str | None = None
+
+
+def find_exit_code(kind: ErrorKind) -> ExitCode:
+    """Return the exit code of an error kind."""
+    return _CODES.get(kind, ExitCode.ERROR)
+
+
+def describe_exit_codes() -> str:
+    """Return the table of exit codes as text."""
+    return "\n".join(f"  {code:>2}  {meaning}" for code, meaning in MEANINGS.items())
+
+
+def fail(problem: Problem) -> NoReturn:
+    """Write a failure to standard error and end the program."""
+    click.echo(f"error: {problem.failure}", err=True)
+    if problem.request_id is not None:
+        click.echo(f"request id: {problem.request_id}", err=True)
+    raise SystemExit(find_exit_code(problem.failure.kind))
+
+
+def print_json(value: object) -> None:
+    """Write a value as JSON to standard output."""
+    click.echo(json.dumps(value, indent=2, sort_keys=True))
--- /dev/null
+++ b/laburnumrock/cli/_service_states.py
@@ -0,0 +1,108 @@
+"""Subcommands ``drain``, ``restore`` and ``hold``."""
+
+import urllib.parse
+
+import click
+
+from laburnumrock.cli._client import OperatorClient
+from laburnumrock.cli._options import make_request_id, unwrap, wait_if, wait_options
+from laburnumrock.cli._registry import register_command
+from laburnumrock.declarations import (
+    InService,
+    PutChange,
+    ServiceKind,
+    ServiceState,
+    changes_to_plain,
+    parse_changes,
+)
+from laburnumrock.errors import ErrorKind
+
+# A drain does not depend on what another change did, so that it is planned again when another
+# change came first.
+MAX_ATTEMPTS = 10
+
+kind_argument = click.argument("kind", type=click.Choice([str(kind) for kind in ServiceKind]))
+
+
+@register_command
+@click.command()
+@kind_argument
+@click.argument("name")
+@wait_options
+@click.pass_obj
+def drain(client: OperatorClient, kind: str, name: str, wait: bool, wait_timeout: float) -> None:
+    """Take KIND NAME out of service: it gets no new work, running work goes on."""
+    revision = _set_state(client, kind, name, InService.DRAINED)
+    wait_if(client, wait, wait_timeout, revision=revision)
+
+
+@register_command
+@click.command()
+@kind_argument
+@click.argument("name")
+@wait_options
+@click.pass_obj
+def restore(client: OperatorClient, kind: str, name: str, wait: bool, wait_timeout: float) -> None:
+    """Bring KIND NAME back into service."""
+    revision = _set_state(client, kind, name, InService.IN_SERVICE)
+    wait_if(client, wait, wait_timeout, revision=revision)
+
+
+@register_command
+@click.group()
+def hold() -> None:
+    """Emergency drain of a failure domain that may be cut off from the quorum."""
+
+
+@hold.command("add")
+@click.argument("failure_domain")
+@wait_options
+@click.pass_obj
+def add_hold(client: OperatorClient, failure_domain: str, wait: bool, wait_timeout: float) -> None:
+    """Hold FAILURE_DOMAIN; --server must name an instance of it.
+
+    With --wait the command returns when all instances of the domain have the hold.
+    """
+    unwrap(client.call("POST", "holds", {"failure_domain": failure_domain}))
+    click.echo(f"{failure_domain} is held")
+    wait_if(client, wait, wait_timeout, hold=failure_domain)
+
+
+@hold.command("remove")
+@click.argument("failure_domain")
+@wait_options
+@click.pass_obj
+def remove_hold(
+    client: OperatorClient, failure_domain: str, wait: bool, wait_timeout: float
+) -> None:
+    """Remove a hold that has not entered the log; use restore afterwards."""
+    path = f"holds/{urllib.parse.quote(failure_domain, safe='')}"
+    unwrap(client.call("DELETE", path))
+    click.echo(f"{failure_domain} is no longer held")
+    wait_if(client, wait, wait_timeout, hold=failure_domain)
+
+
+def _set_state(client: OperatorClient, kind: str, name: str, state: InService) -> int:
+    plain = {"type": "service_state", "kind": kind, "name": name, "state": str(state)}
+    unwrap(parse_changes([{"action": "put", "declaration": plain}]))
+    declaration = ServiceState(kind=ServiceKind(kind), name=name, state=state)
+    changes = changes_to_plain([PutChange(declaration=declaration)])
+    for attempt in range(1, MAX_ATTEMPTS + 1):
+        declared = unwrap(client.read_declarations())
+        if declared.declarations.find_state(kind, name) is state:
+            click.echo(f"{kind} {name} is {state} at revision {declared.revision}")
+            return declared.revision
+        request_id = make_request_id()
+        body = {
+            "request_id": request_id,
+            "base_revision": declared.revision,
+            "changes": changes,
+        }
+        answer = client.call("POST", "changes", body)
+        stale = answer.is_err() and answer.unwrap_err().kind is ErrorKind.STALE_REVISION
+        if stale and attempt < MAX_ATTEMPTS:
+            continue
+        revision = unwrap(answer, request_id)["revision"]
+        click.echo(f"{kind} {name} is {state} as of revision {revision}")
+        return revision
+    raise AssertionError("the last attempt returns or ends the program")
--- /dev/null
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -0,0 +1,183 @@
+"""Tests of the command line against the operator handlers over HTTP."""
+
+import json
+import socket
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from laburnumrock.cli import build_program
+from laburnumrock.cli._caller import EventParser, StreamReader
+from laburnumrock.cli._exit import MEANINGS, ExitCode, describe_exit_codes
+from laburnumrock.declarations.tests._builders import plain_template
+from laburnumrock.errors import ErrorKind
+from laburnumrock.gateway.tests._operator_fakes import KEY, make_services, run_server
+
+DOCS = Path(__file__).parents[3] / "docs" / "cli.md"
+
+
+class Shell:
+    """Runs the program against a fake instance, with a dead server tried first."""
+
+    def __init__(self, url, folder, services):
+        with socket.create_server(("127.0.0.1", 0)) as closed:
+            dead = f"http://127.0.0.1:{closed.getsockname()[1]}"
+        key_file = folder / "key"
+        key_file.write_bytes(KEY)
+        self.options = ["--server", dead, "--server", url, "--operator-key-file", str(key_file)]
+        self.declarations = services.declarations
+        self.declarations.view.confirm(float("inf"))
+        self.folder = folder / "declarations"
+        self.folder.mkdir()
+
+    def run(self, *arguments):
+        result = CliRunner().invoke(build_program(), [*self.options, *map(str, arguments)])
+        assert result.exception is None or isinstance(result.exception, SystemExit)
+        return result.exit_code, result.output
+
+    def declare(self, *templates):
+        (self.folder / "all.json").write_text(json.dumps(templates))
+
+
+@pytest.fixture
+def shell(tmp_path):
+    services = make_services()
+    with run_server(services) as url:
+        yield Shell(url, tmp_path, services)
+
+
+class TestDeclarationCommands:
+    def test_apply_is_idempotent(self, shell):
+        """Guards against a pipeline that fails or makes a revision when nothing changed."""
+        shell.declare(plain_template())
+        assert shell.run("plan", shell.folder, "--exit-code")[0] == ExitCode.DIFFERENCES
+        assert shell.run("apply", shell.folder, "--wait") == (
+            0,
+            "1 changes applied as revision 1\nin force everywhere\n",
+        )
+        assert shell.run("apply", shell.folder) == (0, "no changes at revision 1\n")
+        assert shell.run("diff", shell.folder, "--exit-code") == (0, "no differences\n")
+        assert len(shell.declarations.commands) == 1
+
+    def test_planned_revision_is_checked(self, shell):
+        """Guards against a reviewed plan that is applied on top of another change."""
+        shell.declare(plain_template())
+        shell.run("drain", "failure_domain", "a")
+        code, output = shell.run("apply", shell.folder, "--revision", 0)
+        assert (code, shell.declarations.store.revision) == (ExitCode.STALE_REVISION, 1)
+        assert "now 1" in output
+
+    def test_lost_answer_is_resent_with_the_same_request_id(self, shell):
+        """Guards against a change that a lost answer makes run twice or look refused."""
+        shell.declare(plain_template())
+        shell.declarations.lost_answers = 1
+        shell.options += shell.options[2:4]
+        assert shell.run("apply", shell.folder)[0] == 0
+        first, second = shell.declarations.commands
+        assert (first.request_id, first.base_revision) == (second.request_id, second.base_revision)
+
+    def test_stale_server_does_not_hide_a_difference(self, shell):
+        """Guards against success without a change because an isolated instance knew no better."""
+        shell.declare(plain_template())
+        shell.run("apply", shell.folder)
+        shell.declarations.view.confirmed_at_s = None
+        assert shell.run("apply", shell.folder)[0] == ExitCode.UNAVAILABLE
+
+    def test_invalid_folder(self, shell):
+        """Guards against an invalid declaration that reaches a server."""
+        shell.declare(plain_template(max_output_tokens=0))
+        code, output = shell.run("validate", shell.folder)
+        assert code == ExitCode.INVALID
+        assert "all.json[0].max_output_tokens" in output
+
+    def test_json_output(self, shell):
+        """Guards against output that a program cannot read."""
+        shell.declare(plain_template())
+        shell.run("apply", shell.folder)
+        shell.declare(plain_template(model="n"))
+        found = json.loads(shell.run("diff", shell.folder, "--json")[1])
+        assert found["differences"][0]["after"] == {"model": "n"}
+        assert json.loads(shell.run("plan", shell.folder, "--json")[1])["base_revision"] == 1
+        assert json.loads(shell.run("history", "--json")[1])["entries"][0]["revision"] == 1
+        assert json.loads(shell.run("status", "--json")[1])["instance_id"] == "a1"
+        assert json.loads(shell.run("validate", shell.folder, "--json")[1])["templates"] == 1
+
+
+class TestServiceStateCommands:
+    def test_drain_and_restore(self, shell):
+        """Guards against a drain that is lost, or repeated as a new revision."""
+        assert shell.run("drain", "upstream", "e1", "--wait")[0] == 0
+        assert not shell.declarations.view.is_in_service("upstream", "e1")
+        assert shell.run("drain", "upstream", "e1")[0] == 0
+        assert shell.run("restore", "upstream", "e1")[0] == 0
+        assert shell.declarations.view.is_in_service("upstream", "e1")
+        assert shell.declarations.store.revision == 2
+        assert shell.run("drain", "upstream", "a b")[0] == ExitCode.INVALID
+
+    def test_wait_names_who_lags(self, shell):
+        """Guards against a wait that reports success too early or does not say who lags."""
+        shell.declarations.lagging = [["b2"], ["b2"]]
+        assert shell.run("drain", "instance", "b1", "--wait")[0] == 0
+        shell.declarations.lagging = [["b2", "c1"]] * 50
+        code, output = shell.run("restore", "instance", "b1", "--wait", "--wait-timeout", 0.3)
+        assert code == ExitCode.NOT_IN_FORCE
+        assert "b2, c1" in output
+
+    def test_holds(self, shell):
+        """Guards against a hold that the command line cannot end."""
+        assert shell.run("hold", "add", "a", "--wait")[0] == 0
+        assert not shell.declarations.view.is_in_service("failure_domain", "a")
+        assert shell.run("hold", "remove", "a")[0] == 0
+        assert shell.run("hold", "remove", "a")[0] == ExitCode.NOT_FOUND
+
+
+class TestControlCommands:
+    def test_operations_and_voters(self, shell):
+        """Guards against a key with a slash that names another operation."""
+        code, output = shell.run("operations", "show", "acme", "k/1", "--json")
+        assert (code, json.loads(output)["key"]) == (0, "k/1")
+        arguments = ["--outcome", "done", "--source", "ledger"]
+        assert shell.run("operations", "reconcile", "acme", "k/1", *arguments)[0] == 0
+        assert shell.run("operations", "show", "acme", "absent")[0] == ExitCode.NOT_FOUND
+        assert shell.run("voters", "remove", "a1")[0] == 0
+
+    def test_wrong_key_and_no_server(self, shell, tmp_path):
+        """Guards against exit codes that a pipeline cannot tell apart."""
+        (tmp_path / "key").write_text("another key of enough bytes")
+        assert shell.run("status")[0] == ExitCode.UNAUTHENTICATED
+        shell.options[2:4] = []
+        assert shell.run("status")[0] == ExitCode.UNAVAILABLE
+
+
+class TestExitCodes:
+    def test_every_code_is_documented(self, shell):
+        """Guards against a code that neither the help nor the page explains."""
+        assert set(MEANINGS) == set(ExitCode)
+        shown = [line.strip() for line in shell.run("--help")[1].splitlines()]
+        assert {line.strip() for line in describe_exit_codes().splitlines()} <= set(shown)
+        page = DOCS.read_text(encoding="utf-8")
+        for code, meaning in MEANINGS.items():
+            assert f"| {int(code)} | {meaning} |" in page
+
+
+class TestStream:
+    def _read(self, data):
+        texts = []
+        reader = StreamReader(texts.append)
+        parser = EventParser(reader.read_event)
+        for index in range(len(data)):
+            parser.feed(data[index : index + 1])
+        return reader, texts
+
+    def test_pieces_are_joined(self):
+        """Guards against text lost where a chunk of the body ends inside a line or character."""
+        event = json.dumps({"choices": [{"text": "天光 "}]}, ensure_ascii=False)
+        reader, texts = self._read(f"data: {event}\r\n\r\ndata: [DONE]\n\n".encode())
+        assert (texts, reader.finished, reader.failure) == (["天光 "], True, None)
+
+    def test_error_event_is_a_failure(self):
+        """Guards against a broken stream that counts as a complete answer."""
+        reader, _ = self._read(b'event: error\ndata: {"kind": "deadline_exceeded"}\n\n')
+        assert reader.failure.kind is ErrorKind.DEADLINE_EXCEEDED
+        assert not reader.finished
