Add the load tool with its checks and report

Measurements need an open-loop load that verifies every answer. The plan is seeded; each answer is checked for its own prompt hash, order, length and end, and operations are compared with the executions that application engines counted.

--- a/laburnumrock/standins/__init__.py
+++ b/laburnumrock/standins/__init__.py
@@ -2,6 +2,8 @@
 
 from laburnumrock.standins._batching import BatchingModel
 from laburnumrock.standins._engine import hash_prompt, token_text
+from laburnumrock.standins._load import load_command, read_executions, read_report, report_command
+from laburnumrock.standins._load_report import LoadReport
 from laburnumrock.standins._parameters import (
     EngineEvent,
     EngineParameters,
@@ -19,11 +21,16 @@
     "EngineEvent",
     "EngineParameters",
     "EngineRequest",
+    "LoadReport",
     "PrefillFinished",
     "RefusalReason",
     "RequestAborted",
     "TokenEvent",
     "hash_prefixes",
     "hash_prompt",
+    "load_command",
+    "read_executions",
+    "read_report",
+    "report_command",
     "token_text",
 ]
