Add the process runner of scenarios

Tests, the demo and fault runs need one place that starts processes and stops them even after an error.

--- /dev/null
+++ b/laburnumrock/scenarios/_processes.py
@@ -0,0 +1,263 @@
+"""Process runner: starts a deployment on loopback and injects faults into its processes."""
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import laburnumrock
+from laburnumrock.scenarios._deployment import Deployment
+from laburnumrock.scenarios._plan import DeploymentPlan
+
+POLL_S = 0.02
+STOP_TIMEOUT_S = 3.0
+LOG_TAIL_BYTES = 4_000
+SOURCE_FOLDER = Path(laburnumrock.__file__).parents[1]
+
+
+@dataclass(slots=True)
+class ManagedProcess:
+    """One process of a deployment.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    command : list of str
+        Arguments after the interpreter.
+    log_file : Path
+        Receives standard output and standard error.
+    data_folder : Path, optional
+        Durable state.
+    process : subprocess.Popen, optional
+        The process, once started.
+    """
+
+    name: str
+    command: list[str]
+    log_file: Path
+    data_folder: Path | None = None
+    process: subprocess.Popen | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its log is appended to."""
+        if self.is_running:
+            raise ValueError(f"{self.name} is running")
+        if self.data_folder is not None:
+            self.data_folder.mkdir(parents=True, exist_ok=True)
+        environment = {**os.environ, "PYTHONPATH": str(SOURCE_FOLDER), "PYTHONUNBUFFERED": "1"}
+        with self.log_file.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *self.command],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill with SIGKILL and wait for the end."""
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def wait(self, timeout_s: float) -> int | None:
+        """Wait for the end; returns the exit status, or ``None`` after the timeout."""
+        if self.process is None:
+            return None
+        try:
+            return self.process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def read_log(self) -> str:
+        """Return everything that the process printed."""
+        if not self.log_file.exists():
+            return ""
+        return self.log_file.read_text(encoding="utf-8", errors="replace")
+
+
+@dataclass(slots=True)
+class ProcessGroup:
+    """The processes of a deployment, by name.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Addresses and files.
+    processes : dict of str to ManagedProcess
+        Instances, upstreams, balancer and relay.
+    """
+
+    deployment: Deployment
+    processes: dict[str, ManagedProcess] = field(default_factory=dict)
+
+    def start(self, *names: str) -> None:
+        """Start processes."""
+        for name in names:
+            self.processes[name].start()
+
+    def kill(self, *names: str) -> None:
+        """Kill processes at once, as ``kill -9`` does."""
+        for name in names:
+            self.processes[name].kill()
+
+    def pause(self, *names: str) -> None:
+        """Freeze processes with SIGSTOP."""
+        for name in names:
+            self.processes[name].send(signal.SIGSTOP)
+
+    def resume(self, *names: str) -> None:
+        """Continue frozen processes with SIGCONT."""
+        for name in names:
+            self.processes[name].send(signal.SIGCONT)
+
+    def stop(self, name: str, timeout_s: float) -> int | None:
+        """Send SIGTERM and wait; returns the exit status, or ``None`` after the timeout."""
+        self.processes[name].send(signal.SIGTERM)
+        return self.processes[name].wait(timeout_s)
+
+    def remove_data(self, name: str) -> None:
+        """Remove the data folder of a process that does not run, as a lost disk does."""
+        process = self.processes[name]
+        if process.is_running:
+            raise ValueError(f"{name} is running")
+        if process.data_folder is not None:
+            shutil.rmtree(process.data_folder, ignore_errors=True)
+
+    def read_log(self, name: str) -> str:
+        """Return everything that a process printed."""
+        return self.processes[name].read_log()
+
+    def wait_for(self, condition: Callable[[], bool], timeout_s: float, what: str) -> float:
+        """Poll a condition.
+
+        Parameters
+        ----------
+        condition : callable
+            Returns whether to stop waiting.
+        timeout_s : float
+            Longest wait in seconds.
+        what : str
+            What is awaited, for the error message.
+
+        Returns
+        -------
+        float
+            Time waited in seconds.
+
+        Raises
+        ------
+        TimeoutError
+            If the condition does not hold in time; the message has the ends of the logs of
+            processes that ended.
+        """
+        started_s = time.monotonic()
+        while not condition():
+            if time.monotonic() - started_s > timeout_s:
+                raise TimeoutError(f"{what} not reached in {timeout_s} s{self._describe_ended()}")
+            time.sleep(POLL_S)
+        return time.monotonic() - started_s
+
+    def wait_ready(self, timeout_s: float, names: list[str] | None = None) -> float:
+        """Wait until instances and upstreams answer.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds.
+        names : list of str, optional
+            Processes to wait for; all by default.
+
+        Returns
+        -------
+        float
+            Time waited in seconds.
+        """
+        waiting = set(self.processes if names is None else names)
+
+        def is_ready() -> bool:
+            for name in list(waiting):
+                if self.deployment.is_ready(name):
+                    waiting.discard(name)
+            return not waiting
+
+        return self.wait_for(is_ready, timeout_s, "readiness of all processes")
+
+    def stop_all(self, graceful: bool = False) -> None:
+        """Stop every process; with `graceful`, SIGTERM comes first."""
+        for process in self.processes.values():
+            if graceful:
+                process.send(signal.SIGCONT)
+                process.send(signal.SIGTERM)
+        end_s = time.monotonic() + (STOP_TIMEOUT_S if graceful else 0.0)
+        for process in self.processes.values():
+            process.wait(max(0.0, end_s - time.monotonic()))
+        for process in self.processes.values():
+            process.kill()
+
+    def _describe_ended(self) -> str:
+        ended = [one for one in self.processes.values() if one.process and not one.is_running]
+        text = ""
+        for process in ended[:3]:
+            tail = process.read_log()[-LOG_TAIL_BYTES:]
+            text += f"\n--- {process.name} ended with {process.process.returncode}\n{tail}"
+        return text
+
+
+@contextmanager
+def run_deployment(
+    plan: DeploymentPlan, ready_timeout_s: float = 20.0, graceful_stop: bool = False
+) -> Iterator[ProcessGroup]:
+    """Run a deployment until the end of the block, and stop it even on errors.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        What to run.
+    ready_timeout_s : float
+        Longest wait for readiness in seconds.
+    graceful_stop : bool
+        Whether processes get SIGTERM before SIGKILL at the end.
+
+    Yields
+    ------
+    ProcessGroup
+        The running processes.
+
+    Raises
+    ------
+    TimeoutError
+        If the deployment is not ready in time.
+    """
+    folder = Path(tempfile.mkdtemp(prefix="laburnumrock-"))
+    group = ProcessGroup(Deployment(plan, folder))
+    try:
+        for spec in group.deployment.write_files():
+            log_file = folder / f"{spec.name}.log"
+            group.processes[spec.name] = ManagedProcess(
+                spec.name, spec.command, log_file, spec.data_folder
+            )
+        group.start(*group.processes)
+        group.wait_ready(ready_timeout_s)
+        yield group
+    finally:
+        group.stop_all(graceful_stop)
+        shutil.rmtree(folder, ignore_errors=True)
