--- a/laburnumrock/standins/__init__.py
+++ b/laburnumrock/standins/__init__.py
@@ -2,8 +2,24 @@
 
 from laburnumrock.standins._batching import BatchingModel
 from laburnumrock.standins._engine import hash_prompt, token_text
-from laburnumrock.standins._load import load_command, read_executions, read_report, report_command
-from laburnumrock.standins._load_report import LoadReport
+from laburnumrock.standins._load import (
+    load_command,
+    read_executions,
+    read_report,
+    report_command,
+    run_load,
+)
+from laburnumrock.standins._load_calls import CallRecord, LoadClient
+from laburnumrock.standins._load_profile import (
+    AccountProfile,
+    ClassProfile,
+    LoadProfile,
+    PlannedCall,
+    ServiceProfile,
+    load_profile,
+    plan_calls,
+)
+from laburnumrock.standins._load_report import LoadReport, format_report, summarize
 from laburnumrock.standins._parameters import (
     EngineEvent,
     EngineParameters,
@@ -17,20 +33,32 @@
 
 __all__ = [
     "PREFIX_LENGTHS",
+    "AccountProfile",
     "BatchingModel",
+    "CallRecord",
+    "ClassProfile",
     "EngineEvent",
     "EngineParameters",
     "EngineRequest",
+    "LoadClient",
+    "LoadProfile",
     "LoadReport",
+    "PlannedCall",
     "PrefillFinished",
     "RefusalReason",
     "RequestAborted",
+    "ServiceProfile",
     "TokenEvent",
+    "format_report",
     "hash_prefixes",
     "hash_prompt",
     "load_command",
+    "load_profile",
+    "plan_calls",
     "read_executions",
     "read_report",
     "report_command",
+    "run_load",
+    "summarize",
     "token_text",
 ]
