--- /dev/null
+++ b/laburnumrock/daemon/_log_service.py
@@ -0,0 +1,137 @@
+"""Answers of a voter to instances that use the replicated log."""
+
+import asyncio
+import dataclasses
+import time
+
+from result import Err
+
+from laburnumrock.daemon._log_messages import (
+    ChangeVoters,
+    LogStatus,
+    Propose,
+    ProposeAnswer,
+    ReadState,
+    ReadStateAnswer,
+)
+from laburnumrock.daemon._log_runner import LogRunner
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.replication import RAFT_MESSAGES, Role
+from laburnumrock.settings import InstanceSettings
+from laburnumrock.state import ReplicatedState, decode_message, encode_message, stamp
+
+# Less than the shortest wait of the asking instance.
+FORWARD_TIMEOUT_S = 0.3
+
+
+class LogService:
+    """Handles the messages of the log on an instance that stores it.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Name of this instance.
+    network : PeerNetwork
+        Links to the other instances.
+    state : ReplicatedState
+        State of this instance.
+    runner : LogRunner
+        The log of this instance.
+    """
+
+    def __init__(
+        self, settings: InstanceSettings, network, state: ReplicatedState, runner: LogRunner
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.state = state
+        self.runner = runner
+
+    def register(self) -> None:
+        """Register the handlers."""
+        for message_type in RAFT_MESSAGES:
+            self.network.handle(message_type, self._receive)
+        self.network.handle(Propose, self._answer_propose)
+        self.network.handle(ReadState, self._answer_read)
+        self.network.handle(ChangeVoters, self._answer_change)
+
+    def _receive(self, sender: str, message: object) -> None:
+        self.runner.receive(sender, message)
+
+    async def _answer_propose(self, sender: str, message: Propose) -> ProposeAnswer:
+        refusal = self._find_refusal(message)
+        if refusal is not None:
+            return refusal
+        future = self._propose_here(message)
+        if future is None:
+            forwarded = await self._forward(message, message.timeout_s)
+            if forwarded is None:
+                return ProposeAnswer(LogStatus.UNCERTAIN)
+            return forwarded or ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader())
+        try:
+            answer = await asyncio.wait_for(asyncio.shield(future), message.timeout_s)
+        except TimeoutError:
+            answer = Err(Failure(ErrorKind.OUTCOME_UNKNOWN))
+        if answer is None:
+            return ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader())
+        if isinstance(answer, Err):
+            return ProposeAnswer(LogStatus.UNCERTAIN, None, self._leader())
+        return ProposeAnswer(LogStatus.DONE, encode_message(answer), self._leader())
+
+    def _find_refusal(self, message: Propose) -> ProposeAnswer | None:
+        try:
+            command = decode_message(message.command)
+        except (ValueError, TypeError, KeyError) as error:
+            return ProposeAnswer(LogStatus.REFUSED, detail=str(error))
+        if not self.state.handles(command):
+            return ProposeAnswer(LogStatus.REFUSED, detail=f"no part for {type(command).__name__}")
+        return None
+
+    def _propose_here(self, message: Propose) -> asyncio.Future | None:
+        if self.runner.node is None:
+            return None
+        # The leader's clock is the only clock that the state sees.
+        command = stamp(decode_message(message.command), time.time())
+        return self.runner.propose(encode_message(command))
+
+    async def _forward(self, message: object, timeout_s: float) -> object | None:
+        """Pass a message on to the leader: its answer, False if not sent, None if not answered."""
+        leader = self._leader()
+        if message.forwarded or leader in (None, self.settings.instance_id):
+            return False
+        passed_on = dataclasses.replace(message, forwarded=True)
+        answer = await self.network.call(leader, passed_on, timeout_s)
+        return None if answer.is_err() else answer.unwrap()
+
+    async def _answer_read(self, sender: str, message: ReadState) -> ReadStateAnswer:
+        future = None
+        if self.runner.node is not None:
+            future = self.runner.read()
+        if future is None:
+            forwarded = await self._forward(message, FORWARD_TIMEOUT_S)
+            return forwarded or ReadStateAnswer(LogStatus.NOT_APPENDED, leader=self._leader())
+        index = await future
+        if index is None:
+            return ReadStateAnswer(LogStatus.NOT_APPENDED, leader=self._leader())
+        answer = None
+        if message.part is not None:
+            question = decode_message(message.question)
+            answer = encode_message(self.state.query(message.part, question))
+        return ReadStateAnswer(LogStatus.DONE, index, answer, self._leader())
+
+    async def _answer_change(self, sender: str, message: ChangeVoters) -> ProposeAnswer:
+        node = self.runner.node
+        if node is None or node.role is not Role.LEADER:
+            forwarded = await self._forward(message, FORWARD_TIMEOUT_S)
+            return forwarded or ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader())
+        change = node.add_learner if message.action == "add" else node.remove_member
+        effects = change(message.instance_id, time.monotonic())
+        if effects is None:
+            detail = "another change is running, or the identity of the instance is not known"
+            return ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader(), detail)
+        self.runner.enqueue(effects)
+        return ProposeAnswer(LogStatus.DONE, None, self._leader())
+
+    def _leader(self) -> str | None:
+        node = self.runner.node
+        return node.leader if node is not None else None
--- /dev/null
+++ b/laburnumrock/daemon/tests/test_log_task.py
@@ -0,0 +1,152 @@
+"""Tests of the log task and the operation client over loopback."""
+
+import asyncio
+import time
+
+from result import Err, Ok
+
+from laburnumrock.daemon._log_task import LogTask
+from laburnumrock.daemon._operations import OperationClient
+from laburnumrock.errors import ErrorKind, Failure, Outcome
+from laburnumrock.journal import OperationOutcome, OperationState, RecordedAnswer
+from laburnumrock.scenarios import make_loopback_settings
+from laburnumrock.transport import PeerNetwork
+
+KEY = b"k" * 32
+VOTERS = ["a1", "b1", "c1"]
+
+
+class _Fleet:
+    def __init__(self, folder):
+        self.settings = make_loopback_settings(folder, VOTERS, ["a2"])
+        self.networks = {}
+        self.logs = {}
+
+    async def start(self, name):
+        network = PeerNetwork(self.settings[name], KEY)
+        log = LogTask(self.settings[name], network)
+        await network.start()
+        assert (await log.start()).is_ok()
+        self.networks[name] = network
+        self.logs[name] = log
+
+    async def start_all(self):
+        for name in self.settings:
+            await self.start(name)
+
+    async def stop(self, name):
+        await self.logs.pop(name).stop()
+        await self.networks.pop(name).stop()
+
+    async def stop_all(self):
+        for name in list(self.logs):
+            await self.stop(name)
+
+    def leader(self):
+        return next((name for name, log in self.logs.items() if log.is_leader), None)
+
+
+def _run(folder, scenario):
+    async def body():
+        fleet = _Fleet(folder)
+        await fleet.start_all()
+        try:
+            return await scenario(fleet)
+        finally:
+            await fleet.stop_all()
+
+    return asyncio.run(body())
+
+
+class _Engine:
+    def __init__(self, result):
+        self.result = result
+        self.executions = 0
+
+    async def dispatch(self):
+        self.executions += 1
+        return self.result
+
+
+class TestLogTask:
+    def test_operation_from_an_instance_without_a_disk_survives_a_restart(self, tmp_path):
+        """Guards against a lost record: the answer is replayed after all voters restarted."""
+
+        async def scenario(fleet):
+            engine = _Engine(Ok(RecordedAnswer(201, {"x": "y"}, b"booked")))
+            client = OperationClient(fleet.settings["a2"], fleet.logs["a2"])
+            first = await client.run("acme", "k", "f", 10.0, engine.dispatch)
+            for name in VOTERS:
+                await fleet.stop(name)
+            for name in VOTERS:
+                await fleet.start(name)
+            second = await client.run("acme", "k", "f", 10.0, engine.dispatch)
+            other = await client.run("acme", "k", "g", 10.0, engine.dispatch)
+            return engine.executions, first.unwrap(), second.unwrap(), other.unwrap_err().kind
+
+        executions, first, second, mismatch = _run(tmp_path, scenario)
+        assert executions == 1
+        assert (first.body, first.replayed) == (b"booked", False)
+        assert (second.body, second.replayed) == (b"booked", True)
+        assert mismatch is ErrorKind.IDEMPOTENCY_MISMATCH
+
+    def test_without_a_quorum_the_refusal_is_timely_and_nothing_is_sent(self, tmp_path):
+        """Guards against a false "not run", and against a refusal held back to the deadline."""
+
+        async def scenario(fleet):
+            log = fleet.logs["a2"]
+            assert (await log.read_confirmed(10.0)).is_ok()
+            engine = _Engine(Ok(RecordedAnswer(200)))
+            client = OperationClient(fleet.settings["a2"], log)
+            await fleet.stop("a1")
+            await fleet.stop("b1")
+            started_s = time.monotonic()
+            result = await client.run("acme", "k", "f", 30.0, engine.dispatch)
+            duration_s = time.monotonic() - started_s
+            await client.stop()
+            return engine.executions, result.unwrap_err(), duration_s
+
+        executions, failure, duration_s = _run(tmp_path, scenario)
+        assert executions == 0
+        assert failure.kind is ErrorKind.QUORUM_UNAVAILABLE
+        assert failure.answer.outcome is Outcome.NOT_RUN
+        assert duration_s < 6.0
+
+    def test_planned_stop_hands_leadership_over(self, tmp_path):
+        """Guards against an election timeout at every planned stop."""
+
+        async def scenario(fleet):
+            assert (await fleet.logs["a2"].read_confirmed(10.0)).is_ok()
+            old = fleet.leader()
+            started_s = time.monotonic()
+            await fleet.stop(old)
+            stop_s = time.monotonic() - started_s
+            read = await fleet.logs["a2"].read_confirmed(10.0)
+            return old, fleet.leader(), read, stop_s, time.monotonic() - started_s
+
+        old, new, read, stop_s, total_s = _run(tmp_path, scenario)
+        assert new not in (None, old)
+        assert read.is_ok()
+        assert stop_s < 0.4
+        assert total_s < 2.0
+
+    def test_unknown_outcome_stays_until_reconciled(self, tmp_path):
+        """Guards against a second dispatch after a broken connection."""
+
+        async def scenario(fleet):
+            engine = _Engine(Err(Failure(ErrorKind.UPSTREAM_FAILED)))
+            client = OperationClient(fleet.settings["a2"], fleet.logs["a2"])
+            first = await client.run("acme", "k", "f", 10.0, engine.dispatch)
+            second = await client.run("acme", "k", "f", 10.0, engine.dispatch)
+            await client.reconcile("acme", "k", OperationOutcome.NOT_RUN, "ledger")
+            found = (await client.find("acme", "k")).unwrap()
+            engine.result = Ok(RecordedAnswer(200))
+            third = await client.run("acme", "k", "f", 10.0, engine.dispatch)
+            return engine.executions, first, second, found, third
+
+        executions, first, second, found, third = _run(tmp_path, scenario)
+        assert first.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
+        assert second.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
+        assert (found.state, found.source) == (OperationState.NOT_RUN, "ledger")
+        assert third.is_ok()
+        assert executions == 2
--- a/laburnumrock/journal/_run.py
+++ b/laburnumrock/journal/_run.py
@@ -36,6 +36,9 @@
 ABANDON_GRACE_S = 10.0
 # An answer in hand is worth a short wait for its record even when the deadline has passed.
 SETTLE_MIN_S = 1.0
+# Longer than an election; without a quorum the caller is refused after this time, not at its
+# deadline.
+COMMAND_TIMEOUT_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +131,7 @@
     end_s = start_s + request.deadline_s
     while True:
         claim_id = make_id()
-        claimed = yield ProposeStep(_claim(request, claim_id), end_s - clock())
+        claimed = yield ProposeStep(_claim(request, claim_id), _limit(end_s - clock()))
         void = VoidClaim(request.account, request.key, claim_id)
         if claimed.is_err():
             return OperationEnd(_not_run(ErrorKind.QUORUM_UNAVAILABLE), void)
@@ -150,7 +153,7 @@
 ) -> Generator[Step, object, OperationEnd | None]:
     identity = (request.account, request.key, claim_id)
     close = SettleOperation(*identity, OperationOutcome.NOT_RUN)
-    started = yield ProposeStep(StartDispatch(*identity), end_s - clock())
+    started = yield ProposeStep(StartDispatch(*identity), _limit(end_s - clock()))
     if started.is_err():
         return OperationEnd(_not_run(ErrorKind.QUORUM_UNAVAILABLE), close)
     answer = started.unwrap()
@@ -261,5 +264,9 @@
     return SettleOperation(*identity, OperationOutcome.UNKNOWN)
 
 
+def _limit(remaining_s: float) -> float:
+    return min(remaining_s, COMMAND_TIMEOUT_S)
+
+
 def _not_run(kind: ErrorKind) -> Err[Failure]:
     return Err(Failure(kind, "the call was not sent"))
--- a/laburnumrock/replication/_leader.py
+++ b/laburnumrock/replication/_leader.py
@@ -73,9 +73,9 @@
     def follow(self, members: Members, next_index: int, now_s: float) -> None:
         """Match the set of followers to the members."""
         wanted = members.everyone.keys() - {self.voter_id}
-        for voter_id in wanted - self.progress.keys():
+        for voter_id in sorted(wanted - self.progress.keys()):
             self.progress[voter_id] = Progress(next_index, acked_s=now_s)
-        for voter_id in self.progress.keys() - wanted:
+        for voter_id in sorted(self.progress.keys() - wanted):
             del self.progress[voter_id]
 
     def start_round(self, now_s: float) -> None:
--- a/laburnumrock/replication/_leading.py
+++ b/laburnumrock/replication/_leading.py
@@ -131,7 +131,7 @@
         float
             Reading of the monotonic clock; minus infinity if this instance does not lead.
         """
-        if self.leadership is None:
+        if self.leadership is None or self.leadership.transfer_target is not None:
             return float("-inf")
         contact_s = self.leadership.quorum_contact_s(self.members, now_s)
         return contact_s + self.timing.election_min_s
@@ -159,11 +159,14 @@
 
     def _tick_leader(self, now_s: float) -> None:
         leadership = self.leadership
-        if self.lease_ends_s(now_s) < now_s:
+        contact_s = leadership.quorum_contact_s(self.members, now_s)
+        if contact_s + self.timing.election_min_s < now_s:
             self._become_follower(self.term, None, now_s)
             return
         if leadership.transfer_target is not None and now_s >= leadership.transfer_ends_s:
-            leadership.transfer_target = None
+            # The order to stand for election may still arrive, so that this lease is void.
+            self._become_follower(self.term, None, now_s)
+            return
         if now_s >= leadership.heartbeat_due_s:
             self._beat(now_s)
         self._promote_learners(now_s)
@@ -201,10 +204,9 @@
         if progress is None or message.index != progress.snapshot_index:
             return
         progress.snapshot_offset = message.received_bytes
-        done = message.index <= self.log.snapshot.index and (
-            message.received_bytes >= len(self.log.snapshot.data)
-        )
-        if done and message.index == self.log.snapshot.index:
+        snapshot = self.log.snapshot
+        done = message.index == snapshot.index and message.received_bytes >= len(snapshot.data)
+        if done:
             progress.match_index = max(progress.match_index, message.index)
             progress.next_index = max(progress.next_index, message.index + 1)
             progress.snapshot_index = 0
--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -89,6 +89,7 @@
         self.leader_id: str | None = None
         self.leader_heard_s = float("-inf")
         self.election_due_s: float | None = None
+        self.quiet_until_s: float | None = None
         self.votes: set[str] = set()
         self.leadership: Leadership | None = None
         self.bootstrap = Bootstrap(instance_id, self.voter_id, first_voters, timing)
@@ -157,6 +158,8 @@
             return self._take_effects()
         if self.election_due_s is None:
             self._reset_election(now_s)
+            if self.quiet_until_s is None:
+                self.quiet_until_s = now_s + self.timing.election_min_s
         if self.role is Role.LEADER:
             self._tick_leader(now_s)
         elif now_s >= self.election_due_s:
--- a/laburnumrock/replication/_voting.py
+++ b/laburnumrock/replication/_voting.py
@@ -99,6 +99,11 @@
     def _follows_leader(self, now_s: float) -> bool:
         if self.role is Role.LEADER:
             return True
+        if self.quiet_until_s is None:
+            # A leader of which this instance knew before its restart may still hold a lease.
+            self.quiet_until_s = now_s + self.timing.election_min_s
+        if now_s < self.quiet_until_s:
+            return True
         heard_s = now_s - self.leader_heard_s
         return self.leader_id is not None and heard_s < self.timing.election_min_s
 
--- a/laburnumrock/scenarios/__init__.py
+++ b/laburnumrock/scenarios/__init__.py
@@ -4,6 +4,7 @@
 from laburnumrock.scenarios._log_cluster import LogCluster, LogReport
 from laburnumrock.scenarios._log_host import LogHost
 from laburnumrock.scenarios._log_owner import OperationOwner
+from laburnumrock.scenarios._loopback import make_loopback_settings
 from laburnumrock.scenarios._virtual import FaultRates, VirtualClock, VirtualNetwork
 
 __all__ = [
@@ -15,4 +16,5 @@
     "OperationOwner",
     "VirtualClock",
     "VirtualNetwork",
+    "make_loopback_settings",
 ]
