--- a/laburnumrock/scenarios/__init__.py
+++ b/laburnumrock/scenarios/__init__.py
@@ -6,6 +6,7 @@
 from laburnumrock.scenarios._log_cluster import LogCluster, LogReport
 from laburnumrock.scenarios._log_host import LogHost
 from laburnumrock.scenarios._log_owner import OperationOwner
+from laburnumrock.scenarios._loopback import make_loopback_settings
 from laburnumrock.scenarios._plan import DeploymentPlan
 from laburnumrock.scenarios._processes import ManagedProcess, ProcessGroup, run_deployment
 from laburnumrock.scenarios._virtual import FaultRates, VirtualClock, VirtualNetwork
@@ -24,6 +25,7 @@
     "ProcessGroup",
     "VirtualClock",
     "VirtualNetwork",
+    "make_loopback_settings",
     "request_json",
     "run_deployment",
 ]
