Bound declarations to the frame size and keep keys out of errors

Cause: a set, a history or a push above 4 MiB could not be encoded, and the failed encoding would have ended the task's loop. A key pasted into api_key_sha256 was echoed in the error message.

Change: limits for a set (2 MiB), a change (4,096 entries), a history answer and the steps of a push; the store trims its history by changes as well. A failed write of holds.json is logged and the hold stays in force.

--- /dev/null
+++ b/laburnumrock/daemon/_declaration_history.py
@@ -0,0 +1,66 @@
+"""Reading of the last changes from any instance."""
+
+import json
+
+from result import Err, Ok, Result
+
+from laburnumrock.daemon._log_access import ReplicaAccess
+from laburnumrock.declarations import HistoryAnswer, HistoryEntry, HistoryFetch
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.settings import InstanceSettings
+from laburnumrock.transport import PeerNetwork
+
+CALL_TIMEOUT_S = 1.0
+MAX_ENTRIES = 200
+# Leaves room below the largest frame between instances for one more large entry.
+MAX_BYTES = 1024 * 1024
+
+
+class HistoryReader:
+    """Reads the history from the own store, or from that of a voter.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+    network : PeerNetwork
+        Links to other instances.
+    replica : ReplicaAccess, optional
+        Replicated state, on a voter.
+    """
+
+    def __init__(
+        self, settings: InstanceSettings, network: PeerNetwork, replica: ReplicaAccess | None
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.replica = replica
+
+    def register_handlers(self) -> None:
+        """Answer the questions of other instances."""
+        self.network.handle(HistoryFetch, self._answer)
+
+    async def read(self, limit: int) -> Result[list[HistoryEntry], Failure]:
+        """Return the last changes, newest last; fewer than `limit` when they are large."""
+        fetch = HistoryFetch(limit)
+        own = self._answer(self.settings.instance_id, fetch)
+        if own.entries is not None:
+            return Ok(own.entries)
+        for peer in self.settings.voters():
+            answer = await self.network.call(peer.instance_id, fetch, CALL_TIMEOUT_S)
+            if answer.is_ok() and answer.unwrap().entries is not None:
+                return Ok(answer.unwrap().entries)
+        return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE, "no voter answers"))
+
+    def _answer(self, sender: str, fetch: HistoryFetch) -> HistoryAnswer:
+        if self.replica is None:
+            return HistoryAnswer()
+        entries: list[HistoryEntry] = []
+        size = 0
+        for entry in reversed(self.replica.store.history):
+            size += len(json.dumps(entry.command.changes))
+            full = len(entries) >= min(fetch.limit, MAX_ENTRIES)
+            if full or (entries and size > MAX_BYTES):
+                break
+            entries.append(entry)
+        return HistoryAnswer(entries[::-1])
--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -5,25 +5,23 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Protocol
 
 from eliot import log_message
 from result import Err, Ok, Result
 
+from laburnumrock.daemon._declaration_history import HistoryReader
 from laburnumrock.daemon._hold_file import HoldFile
 from laburnumrock.daemon._in_force import INSTANCE_TIMEOUT_S, InForceFinder
+from laburnumrock.daemon._log_access import LogAccess, ReplicaAccess
 from laburnumrock.declarations import (
     ApplyChange,
     ChangeAnswer,
     DeclarationFetch,
-    DeclarationStore,
     DeclarationSync,
     DeclarationUpdate,
     DeclarationView,
     EnterHold,
-    HistoryAnswer,
     HistoryEntry,
-    HistoryFetch,
     Hold,
     HoldExchange,
     HoldsChanged,
@@ -37,40 +35,6 @@
 
 TICK_S = 0.05
 ENTER_HOLDS_PERIOD_S = 1.0
-HISTORY_TIMEOUT_S = 1.0
-MAX_HISTORY_ENTRIES = 200
-
-
-class LogAccess(Protocol):
-    """What the task needs of the replicated log."""
-
-    @property
-    def is_leader(self) -> bool:
-        """Whether this instance leads the log."""
-
-    async def propose(self, command: object) -> Result[object, Failure]:
-        """Apply a command and return its answer."""
-
-    async def read_confirmed(self) -> Result[int, Failure]:
-        """Return a log index that the leader confirmed as current."""
-
-
-class ReplicaAccess(Protocol):
-    """What the task needs of the replicated state of a voter.
-
-    Notes
-    -----
-    `applied_index` may be read after `store`, never before a state that it does not contain: the
-    store must hold every command up to `applied_index`.
-    """
-
-    @property
-    def store(self) -> DeclarationStore:
-        """Replicated declarations; the same object for the life of the voter."""
-
-    @property
-    def applied_index(self) -> int:
-        """Last log index that the state contains."""
 
 
 class DeclarationTask:
@@ -109,6 +73,7 @@
         store = None if replica is None else replica.store
         self.sync = DeclarationSync(settings, self.view, random.Random(settings.seed), store)
         self.in_force = InForceFinder(settings, network, self.view, clock)
+        self.history = HistoryReader(settings, network, replica)
         self.hold_file = HoldFile(settings.data_folder)
         self.listeners: list[Callable[[], None]] = []
         self.running: set[asyncio.Task] = set()
@@ -119,9 +84,9 @@
         self.hold_file.load(self.view.holds)
         for message_type in (DeclarationFetch, DeclarationUpdate):
             self.network.handle(message_type, self._receive)
-        self.network.handle(HistoryFetch, self._answer_history)
         self.network.handle(HoldExchange, self._exchange_holds)
         self.in_force.register_handlers()
+        self.history.register_handlers()
         self._spawn(self._run())
         self._spawn(self._enter_holds())
 
@@ -169,15 +134,7 @@
 
     async def read_history(self, limit: int) -> Result[list[HistoryEntry], Failure]:
         """Return the last changes, newest last, from the own store or that of a voter."""
-        fetch = HistoryFetch(min(limit, MAX_HISTORY_ENTRIES))
-        own = self._answer_history(self.settings.instance_id, fetch)
-        if own.entries is not None:
-            return Ok(own.entries)
-        for peer in self.settings.voters():
-            answer = await self.network.call(peer.instance_id, fetch, HISTORY_TIMEOUT_S)
-            if answer.is_ok() and answer.unwrap().entries is not None:
-                return Ok(answer.unwrap().entries)
-        return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE, "no voter answers"))
+        return await self.history.read(limit)
 
     def add_hold(self, failure_domain: str, operator: str) -> Result[Hold, Failure]:
         """Hold the own failure domain.
@@ -286,12 +243,6 @@
         self.receive_holds(exchange.holds)
         return HoldExchange(self.view.holds.entries())
 
-    def _answer_history(self, sender: str, fetch: HistoryFetch) -> HistoryAnswer:
-        if self.replica is None:
-            return HistoryAnswer()
-        entries = list(self.replica.store.history)
-        return HistoryAnswer(entries[-max(1, min(fetch.limit, MAX_HISTORY_ENTRIES)) :])
-
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self.running.add(task)
--- a/laburnumrock/daemon/_hold_file.py
+++ b/laburnumrock/daemon/_hold_file.py
@@ -34,13 +34,25 @@
             os.replace(self.path, self.path.with_suffix(".unreadable"))
 
     def save(self, book: HoldBook) -> None:
-        """Replace the stored holds; durable when the call returns."""
+        """Replace the stored holds; durable when the call returns.
+
+        Notes
+        -----
+        A failed write is logged and not raised: the hold is in force in memory and at the other
+        instances of the domain, and an emergency drain must not depend on a disk.
+        """
         if self.path is None:
             return
+        try:
+            self._write(json.dumps(book.to_plain()))
+        except OSError as error:
+            log_message("holds_not_stored", error=str(error))
+
+    def _write(self, text: str) -> None:
         self.path.parent.mkdir(parents=True, exist_ok=True)
         draft = self.path.with_suffix(".draft")
         with draft.open("w", encoding="utf-8") as file:
-            json.dump(book.to_plain(), file)
+            file.write(text)
             file.flush()
             os.fsync(file.fileno())
         os.replace(draft, self.path)
--- a/laburnumrock/declarations/_models.py
+++ b/laburnumrock/declarations/_models.py
@@ -10,6 +10,11 @@
 # A name is part of keys and URL paths, so it contains no slash and no white space.
 Name = Annotated[str, Field(min_length=1, max_length=200, pattern=r"^[^\s/]+$")]
 
+# These bounds keep every message about declarations below the largest frame between instances.
+MAX_PATHS = 200
+MAX_KEY_LENGTH = 450
+MAX_CHANGES = 4_096
+
 
 class DeclarationModel(BaseModel):
     """Model that refuses unknown fields and cannot be changed after validation."""
@@ -119,7 +124,7 @@
         Whether a call may be repeated without harm.
     """
 
-    path: str = Field(min_length=1, pattern=r"^[^\s/?#][^\s?#]*$")
+    path: str = Field(min_length=1, max_length=200, pattern=r"^[^\s/?#][^\s?#]*$")
     repeatable: bool
 
 
@@ -138,7 +143,7 @@
 
     type: Literal["service"] = "service"
     name: Name
-    paths: list[ServicePath] = Field(min_length=1)
+    paths: list[ServicePath] = Field(min_length=1, max_length=MAX_PATHS)
     timeout_s: PositiveTime
 
     @model_validator(mode="after")
@@ -201,10 +206,10 @@
     """Removes one declaration; the key must exist."""
 
     action: Literal["remove"] = "remove"
-    key: str = Field(min_length=1)
+    key: str = Field(min_length=1, max_length=MAX_KEY_LENGTH)
 
 
 Change = Annotated[PutChange | RemoveChange, Field(discriminator="action")]
 
 DECLARATION = TypeAdapter(Declaration)
-CHANGES = TypeAdapter(Annotated[list[Change], Field(min_length=1)])
+CHANGES = TypeAdapter(Annotated[list[Change], Field(min_length=1, max_length=MAX_CHANGES)])
--- a/laburnumrock/declarations/_set.py
+++ b/laburnumrock/declarations/_set.py
@@ -1,5 +1,6 @@
 """The set of all declarations, and changes to it."""
 
+import json
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -50,7 +51,9 @@
             continue
         path += f"[{part}]" if isinstance(part, int) else f".{part}"
     message = problem["msg"].removeprefix("Value error, ")
-    if problem["type"] not in ("missing", "extra_forbidden", "value_error"):
+    echoed = problem["type"] not in ("missing", "extra_forbidden", "value_error")
+    # A key pasted in place of its hash must not appear in messages and logs.
+    if echoed and "api_key_sha256" not in problem["loc"]:
         message = f"{message}, got {str(problem['input'])[:80]!r}"
     return Failure(kind, message, field_path=path.lstrip(".") or None)
 
@@ -145,6 +148,10 @@
         """Convert to plain data."""
         return [item.model_dump(mode="json", exclude_none=True) for item in self.items().values()]
 
+    def count_bytes(self) -> int:
+        """Return the size of the plain data as JSON, in bytes."""
+        return len(json.dumps(self.to_plain(), ensure_ascii=False).encode())
+
     @classmethod
     def from_plain(cls, plain: object) -> "DeclarationSet":
         """Build a set from plain data.
--- a/laburnumrock/declarations/_store.py
+++ b/laburnumrock/declarations/_store.py
@@ -20,6 +20,10 @@
 # answer was dropped is refused as stale, because its base revision is no longer current.
 MAX_ANSWERS = 4_096
 MAX_HISTORY = 512
+# Bounds the snapshot when single changes are large: 4,096 templates are about 1.6 MB.
+MAX_HISTORY_CHANGES = 4_096
+# Half of the largest frame between instances, so that the whole set fits into one message.
+MAX_SET_BYTES = 2 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +56,7 @@
         self.revision = 0
         self.current = DeclarationSet()
         self.answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
-        self.history: deque[HistoryEntry] = deque(maxlen=max_history)
+        self.history: deque[HistoryEntry] = deque()
 
     def apply(self, command: ApplyChange | EnterHold, index: int) -> ChangeAnswer:
         """Apply one command of the log.
@@ -120,7 +124,7 @@
         for fingerprint, entry in plain["answers"]:
             answer = from_plain(ChangeAnswer, entry)
             answers[answer.request_id] = _StoredAnswer(fingerprint, answer)
-        history = deque(maxlen=self.max_history)
+        history: deque[HistoryEntry] = deque()
         for index, revision, entry in plain["history"]:
             history.append(HistoryEntry(index, revision, from_plain(ApplyChange, entry)))
         self.revision = plain["revision"]
@@ -165,11 +169,23 @@
         changed = parse_changes(command.changes).and_then(self.current.with_changes)
         if changed.is_err():
             return self._refuse(command, changed.unwrap_err())
+        size = changed.unwrap().count_bytes()
+        if size > MAX_SET_BYTES:
+            detail = (
+                f"the declarations would take {size} bytes, at most {MAX_SET_BYTES} are allowed"
+            )
+            return self._refuse(command, Failure(ErrorKind.INVALID_DECLARATION, detail))
         self.current = changed.unwrap()
         self.revision += 1
         self.history.append(HistoryEntry(index, self.revision, command))
+        self._trim_history()
         return ChangeAnswer(command.request_id, self.revision)
 
+    def _trim_history(self) -> None:
+        changes = sum(len(entry.command.changes) for entry in self.history)
+        while len(self.history) > self.max_history or changes > MAX_HISTORY_CHANGES:
+            changes -= len(self.history.popleft().command.changes)
+
     def _refuse(self, command: ApplyChange, failure: Failure) -> ChangeAnswer:
         return ChangeAnswer(
             command.request_id, self.revision, failure.kind, failure.detail, failure.field_path
--- a/laburnumrock/declarations/_sync.py
+++ b/laburnumrock/declarations/_sync.py
@@ -33,6 +33,9 @@
 READ_PERIOD_S = 0.4
 # Fetches from a substitute before the preferred source is tried again.
 RETURN_AFTER_FETCHES = 5
+# More changes than this are sent as the whole set, which the store keeps below half a frame. One
+# declaration takes at most about 50 KB.
+MAX_STEP_CHANGES = 32
 # An instance that fetched within this time gets pushes.
 CHILD_TTL_S = 3 * FETCH_PERIOD_S
 
@@ -225,6 +228,8 @@
         self, revision: int, now_s: float, sequence: int | None, inside: bool
     ) -> DeclarationUpdate:
         steps = self.view.find_steps(revision)
+        if steps is not None and sum(len(step.changes) for step in steps) > MAX_STEP_CHANGES:
+            steps = None
         whole = steps is None and revision < self.view.revision
         return DeclarationUpdate(
             self.view.revision,
--- a/laburnumrock/declarations/tests/test_plan.py
+++ b/laburnumrock/declarations/tests/test_plan.py
@@ -30,6 +30,11 @@
         assert failure.field_path.startswith("a.json[1].")
         assert path in failure.field_path
 
+    def test_key_in_place_of_its_hash_is_not_echoed(self, tmp_path):
+        """Guards against a credential in an error message or log."""
+        _write(tmp_path, "a.json", plain_template(api_key_sha256="secret-key"))
+        assert "secret" not in str(read(tmp_path).unwrap_err())
+
     def test_duplicate_is_refused(self, tmp_path):
         """Guards against two files of which the last one wins silently."""
         _write(tmp_path, "a.json", plain_template())
--- a/laburnumrock/declarations/tests/test_store.py
+++ b/laburnumrock/declarations/tests/test_store.py
@@ -5,9 +5,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from laburnumrock.declarations import ApplyChange, DeclarationStore, EnterHold, Hold
+from laburnumrock.declarations import (
+    ApplyChange,
+    DeclarationStore,
+    DeclarationUpdate,
+    EnterHold,
+    Hold,
+)
 from laburnumrock.declarations.tests._builders import drain, plain_template, put
 from laburnumrock.errors import ErrorKind
+from laburnumrock.messages import MAX_FRAME_BYTES, Frame, encode_frame
 
 
 class NaiveStore:
@@ -114,6 +121,23 @@
         assert store.find_steps(5) == []
         assert store.find_steps(1) is None
 
+    def test_set_fits_into_a_frame(self):
+        """Guards against declarations that are accepted but too large to be sent."""
+        store = DeclarationStore()
+        paths = [{"path": f"{number:0200d}", "repeatable": True} for number in range(200)]
+        kind = None
+        for number in range(100):
+            service = {"type": "service", "name": f"s{number}", "paths": paths, "timeout_s": 1}
+            change = ApplyChange(f"r{number}", number, [put(service)], "op", 0.0)
+            kind = store.apply(change, number).kind
+            if kind is not None:
+                break
+        assert kind is ErrorKind.INVALID_DECLARATION
+        whole = DeclarationUpdate(store.revision, declarations=store.current.to_plain())
+        steps = DeclarationUpdate(store.revision, steps=store.find_steps(store.revision - 32))
+        for update in (whole, steps):
+            assert len(encode_frame(Frame(update))) < MAX_FRAME_BYTES
+
     def test_hold_enters_once(self):
         """Guards against a late proposal that drains a domain which was restored meanwhile."""
         store = DeclarationStore()
--- a/laburnumrock/gateway/_operator.py
+++ b/laburnumrock/gateway/_operator.py
@@ -22,7 +22,10 @@
 # Largest whole number that every JSON reader keeps exact.
 MAX_REVISION = 2**53 - 1
 # The length bounds the table of answers in the replicated state.
-RequestId = Annotated[str, Field(min_length=1, max_length=200)]
+# Request ids with a slash are used by the store itself, for holds.
+RequestId = Annotated[str, Field(pattern=r"^[^\s/]{1,200}$")]
+# Half of the largest frame between instances.
+MAX_CHANGES_BYTES = 2 * 1024 * 1024
 
 
 class _Body(BaseModel):
@@ -93,6 +96,10 @@
 
     async def post(self) -> None:
         """Apply a change."""
+        if len(self.request.body) > MAX_CHANGES_BYTES:
+            detail = f"at most {MAX_CHANGES_BYTES} bytes are allowed; split the change"
+            self.write_failure(Failure(ErrorKind.BODY_TOO_LARGE, detail))
+            return
         body = self.read_body(ChangesBody)
         if body.is_err():
             self.write_failure(body.unwrap_err())
--- a/laburnumrock/gateway/tests/test_operator.py
+++ b/laburnumrock/gateway/tests/test_operator.py
@@ -53,6 +53,8 @@
             (change | {"changes": []}, 400, "changes"),
             (change | {"changes": [{"action": "put"}]}, 400, "changes[0].declaration"),
             (change | {"request_id": "x" * 201}, 400, "request_id"),
+            (change | {"request_id": "hold/a/1"}, 400, "request_id"),
+            (" " * 3_000_000, 413, None),
         ]
         for body, code, path in faults:
             answer, problem = self.ask("POST", "changes", body)
