--- a/laburnumrock/cli/_client.py
+++ b/laburnumrock/cli/_client.py
@@ -18,7 +18,12 @@
 POLL_PERIOD_S = 0.2
 # Answers after which another server may know better; a resend carries the same request id.
 _TRY_NEXT = frozenset(
-    (ErrorKind.QUORUM_UNAVAILABLE, ErrorKind.STOPPING, ErrorKind.PEER_UNREACHABLE)
+    (
+        ErrorKind.QUORUM_UNAVAILABLE,
+        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.STOPPING,
+        ErrorKind.PEER_UNREACHABLE,
+    )
 )
 
 
@@ -151,6 +156,18 @@
                 return lagging
             time.sleep(POLL_PERIOD_S)
 
+    def wait_for_voter(self, instance_id: str, member: bool, timeout_s: float) -> bool:
+        """Wait until an instance is, or is not, among the ``voters`` of the status."""
+        end_s = time.monotonic() + timeout_s
+        while True:
+            answer = self.get("status")
+            voters = answer.unwrap().get("voters") if answer.is_ok() else None
+            if voters is not None and (instance_id in voters) is member:
+                return True
+            if time.monotonic() + POLL_PERIOD_S > end_s:
+                return False
+            time.sleep(POLL_PERIOD_S)
+
     async def _call_server(
         self, server: str, key: bytes, method: str, path: str, body: dict | None
     ) -> Result[dict, Failure]:
--- a/laburnumrock/cli/_control.py
+++ b/laburnumrock/cli/_control.py
@@ -5,6 +5,7 @@
 import click
 
 from laburnumrock.cli._client import OperatorClient
+from laburnumrock.cli._exit import ExitCode
 from laburnumrock.cli._options import (
     json_option,
     make_request_id,
@@ -83,7 +84,7 @@
 @wait_options
 @click.pass_obj
 def add_voter(client: OperatorClient, instance_id: str, wait: bool, wait_timeout: float) -> None:
-    """Add INSTANCE_ID; with --wait, return when the log has committed the membership."""
+    """Add INSTANCE_ID; with --wait, return when the log lists it."""
     _change_voter(client, "add", instance_id, wait, wait_timeout)
 
 
@@ -92,17 +93,22 @@
 @wait_options
 @click.pass_obj
 def remove_voter(client: OperatorClient, instance_id: str, wait: bool, wait_timeout: float) -> None:
-    """Remove INSTANCE_ID; with --wait, return when the log has committed the membership."""
+    """Remove INSTANCE_ID; with --wait, return when the log no longer lists it."""
     _change_voter(client, "remove", instance_id, wait, wait_timeout)
 
 
 def _change_voter(
     client: OperatorClient, action: str, instance_id: str, wait: bool, wait_timeout: float
 ) -> None:
-    if wait:
-        client.timeout_s = max(client.timeout_s, wait_timeout)
     unwrap(client.call("POST", "voters", {"action": action, "instance_id": instance_id}))
-    click.echo(f"voters: {action} {instance_id} committed")
+    click.echo(f"voters: {action} {instance_id} accepted")
+    if not wait:
+        return
+    if client.wait_for_voter(instance_id, action == "add", wait_timeout):
+        click.echo("in force")
+        return
+    click.echo(f"not in force within {wait_timeout:g} s; lagging: {instance_id}", err=True)
+    raise SystemExit(ExitCode.NOT_IN_FORCE)
 
 
 def _operation_path(account: str, key: str) -> str:
--- a/laburnumrock/cli/_exit.py
+++ b/laburnumrock/cli/_exit.py
@@ -36,7 +36,7 @@
     ExitCode.UNAUTHENTICATED: "the key is missing or wrong",
     ExitCode.NOT_IN_FORCE: "accepted, but not in force everywhere within --wait-timeout",
     ExitCode.NOT_FOUND: "the named object does not exist",
-    ExitCode.OUTCOME_UNKNOWN: "a request may have run",
+    ExitCode.OUTCOME_UNKNOWN: "the request may have run; resend a change with its request id",
     ExitCode.DIFFERENCES: "differences exist (plan and diff with --exit-code)",
 }
 
--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -140,7 +140,10 @@
         arguments = ["--outcome", "done", "--source", "ledger"]
         assert shell.run("operations", "reconcile", "acme", "k/1", *arguments)[0] == 0
         assert shell.run("operations", "show", "acme", "absent")[0] == ExitCode.NOT_FOUND
-        assert shell.run("voters", "remove", "a1")[0] == 0
+        assert shell.run("voters", "add", "a2", "--wait")[0] == 0
+        code, output = shell.run("voters", "remove", "a1", "--wait", "--wait-timeout", 0.1)
+        assert code == ExitCode.NOT_IN_FORCE
+        assert "lagging: a1" in output
 
     def test_wrong_key_and_no_server(self, shell, tmp_path):
         """Guards against exit codes that a pipeline cannot tell apart."""
--- a/laburnumrock/daemon/_declaration_history.py
+++ b/laburnumrock/daemon/_declaration_history.py
@@ -1,7 +1,5 @@
 """Reading of the last changes from any instance."""
 
-import json
-
 from result import Err, Ok, Result
 
 from laburnumrock.daemon._log_access import ReplicaAccess
@@ -11,9 +9,6 @@
 from laburnumrock.transport import PeerNetwork
 
 CALL_TIMEOUT_S = 1.0
-MAX_ENTRIES = 200
-# Leaves room below the largest frame between instances for one more large entry.
-MAX_BYTES = 1024 * 1024
 
 
 class HistoryReader:
@@ -55,12 +50,4 @@
     def _answer(self, sender: str, fetch: HistoryFetch) -> HistoryAnswer:
         if self.replica is None:
             return HistoryAnswer()
-        entries: list[HistoryEntry] = []
-        size = 0
-        for entry in reversed(self.replica.store.history):
-            size += len(json.dumps(entry.command.changes))
-            full = len(entries) >= min(fetch.limit, MAX_ENTRIES)
-            if full or (entries and size > MAX_BYTES):
-                break
-            entries.append(entry)
-        return HistoryAnswer(entries[::-1])
+        return self.replica.store.query(fetch)
--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -116,13 +116,16 @@
         Returns
         -------
         Result
-            The answer of the store, or the reason why the change was refused. A failure of kind
-            ``quorum_unavailable`` does not prove that a later leader will not apply the change; a
-            resend with the same request id tells.
+            The answer of the store, or the reason why the change was refused. After a failure of
+            kind ``outcome_unknown`` a resend with the same request id tells what happened.
         """
         proposed = await self.log.propose(command)
         if proposed.is_err():
-            return proposed
+            failure = proposed.unwrap_err()
+            if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+                detail = "the change may take effect; resend it with the same request id"
+                failure = Failure(failure.kind, detail)
+            return Err(failure)
         answer = proposed.unwrap()
         if answer.kind is not None:
             return Err(Failure(answer.kind, answer.detail, answer.field_path))
--- a/laburnumrock/declarations/_store.py
+++ b/laburnumrock/declarations/_store.py
@@ -10,7 +10,9 @@
     ChangeAnswer,
     DeclarationStep,
     EnterHold,
+    HistoryAnswer,
     HistoryEntry,
+    HistoryFetch,
 )
 from laburnumrock.declarations._set import DeclarationSet, parse_changes
 from laburnumrock.errors import ErrorKind, Failure
@@ -22,6 +24,9 @@
 MAX_HISTORY = 512
 # Bounds the snapshot when single changes are large: 4,096 templates are about 1.6 MB.
 MAX_HISTORY_CHANGES = 4_096
+MAX_ANSWER_ENTRIES = 200
+# Leaves room below the largest frame between instances for one more large entry.
+MAX_ANSWER_BYTES = 1024 * 1024
 # Half of the largest frame between instances, so that the whole set fits into one message.
 MAX_SET_BYTES = 2 * 1024 * 1024
 
@@ -84,6 +89,18 @@
             return self._refuse(command, Failure(ErrorKind.IDEMPOTENCY_MISMATCH, detail))
         return self._store_answer(fingerprint, self._apply_new(command, index))
 
+    def query(self, question: HistoryFetch) -> HistoryAnswer:
+        """Return the last changes, newest last; fewer than asked for when they are large."""
+        entries: list[HistoryEntry] = []
+        size = 0
+        for entry in reversed(self.history):
+            size += len(json.dumps(entry.command.changes))
+            full = len(entries) >= min(question.limit, MAX_ANSWER_ENTRIES)
+            if full or (entries and size > MAX_ANSWER_BYTES):
+                break
+            entries.append(entry)
+        return HistoryAnswer(entries[::-1])
+
     def find_steps(self, revision: int) -> list[DeclarationStep] | None:
         """Return the steps that lead from a revision to the current one.
 
@@ -111,14 +128,16 @@
             ],
         }
 
-    def restore(self, plain: dict) -> None:
-        """Replace the whole part by the content of a snapshot.
+    def restore(self, plain: dict | None) -> None:
+        """Replace the whole part by the content of a snapshot; None means the empty state.
 
         Raises
         ------
         ValueError, KeyError
             If the data is malformed; the part is unchanged then.
         """
+        if plain is None:
+            plain = {"revision": 0, "declarations": [], "answers": [], "history": []}
         current = DeclarationSet.from_plain(plain["declarations"])
         answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
         for fingerprint, entry in plain["answers"]:
--- a/laburnumrock/declarations/_sync.py
+++ b/laburnumrock/declarations/_sync.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from laburnumrock.declarations._children import ChildTable
 from laburnumrock.declarations._effects import HoldsChanged, ReadConfirmed, RevisionApplied
 from laburnumrock.declarations._messages import DeclarationFetch, DeclarationUpdate, Hold
 from laburnumrock.declarations._set import DeclarationSet
@@ -31,6 +32,7 @@
 # the 3 s after which a view is stale. 0.8 s for all four hops gave false staleness.
 FETCH_PERIOD_S = 0.6
 READ_PERIOD_S = 0.4
+READ_TTL_S = 3 * READ_PERIOD_S
 # Fetches from a substitute before the preferred source is tried again.
 RETURN_AFTER_FETCHES = 5
 # More changes than this are sent as the whole set, which the store keeps below half a frame. One
@@ -46,12 +48,6 @@
     sent_at_s: float
 
 
-@dataclass(slots=True)
-class _Child:
-    seen_at_s: float
-    revision: int
-
-
 class DeclarationSync:
     """Decides what to fetch from whom, what to accept and what to push.
 
@@ -82,13 +78,14 @@
         self.sources = order_sources(settings)
         self.source_index = 0
         self.substitute_fetches = 0
-        self.children: dict[str, _Child] = {}
+        self.children = ChildTable(CHILD_TTL_S)
         self.questions: dict[str, _Question] = {}
         self.next_sequence = 1
         self.next_fetch_s: float | None = None
         self.started_at_s: float | None = None
         self.peer_answered = False
         self.pending_read: tuple[int, float] | None = None
+        self.last_read_s: float | None = None
 
     def is_ready(self, now_s: float) -> bool:
         """Tell whether the instance may take work as far as declarations are concerned.
@@ -114,13 +111,15 @@
         effects = self.observe_store(now_s)
         if now_s < self.next_fetch_s:
             return effects
-        self._forget_children(now_s)
+        self.children.forget_old(now_s)
         period_s = FETCH_PERIOD_S if self.store is None else READ_PERIOD_S
         self.next_fetch_s = now_s + period_s * self.random.uniform(0.9, 1.0)
         if not self.is_ready(now_s):
             return effects + self._fetch_at_start(now_s)
         if self.store is not None:
-            return [*effects, ReadConfirmed(), *self._fetch_as_voter(now_s)]
+            effects.append(ReadConfirmed())
+        if self._reads_succeed(now_s):
+            return effects + self._fetch_as_voter(now_s)
         return effects + self._fetch_from_source(now_s)
 
     def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
@@ -154,6 +153,7 @@
             index, started_s = self.pending_read
             if applied_index >= index:
                 self.pending_read = None
+                self.last_read_s = started_s
                 self.view.confirm(started_s)
         return effects
 
@@ -170,6 +170,10 @@
         """Take holds that arrived in another way, such as on membership probes."""
         return [HoldsChanged()] if self.view.holds.merge(holds) else []
 
+    def _reads_succeed(self, now_s: float) -> bool:
+        # An instance whose store is not, or no longer, part of the log fetches like the others.
+        return self.last_read_s is not None and now_s - self.last_read_s < READ_TTL_S
+
     def _others(self) -> list[str]:
         own = self.settings.instance_id
         return [peer for peer in self.domain_peers if peer != own]
@@ -216,7 +220,7 @@
         return Send(peer, DeclarationFetch(sequence, self.view.revision, holds))
 
     def _receive_fetch(self, sender: str, fetch: DeclarationFetch, now_s: float) -> list[Effect]:
-        self.children[sender] = _Child(now_s, fetch.revision)
+        self.children.record(sender, fetch.revision, now_s)
         effects = self.observe_store(now_s)
         inside = sender in self.domain_peers
         if inside:
@@ -277,21 +281,9 @@
             self._use_next_source()
 
     def _announce_revision(self, now_s: float) -> list[Effect]:
-        self._forget_children(now_s)
         revision = self.view.revision
         effects: list[Effect] = [RevisionApplied(revision)]
-        for name, child in self.children.items():
-            if child.revision >= revision:
-                continue
-            update = self._build_update(child.revision, now_s, None, name in self.domain_peers)
+        for name, known in self.children.take_behind(revision, now_s).items():
+            update = self._build_update(known, now_s, None, name in self.domain_peers)
             effects.append(Send(name, update))
-            # A lost push leaves a gap, which the next fetch of the child fills.
-            child.revision = revision
         return effects
-
-    def _forget_children(self, now_s: float) -> None:
-        self.children = {
-            name: child
-            for name, child in self.children.items()
-            if now_s - child.seen_at_s < CHILD_TTL_S
-        }
--- a/laburnumrock/declarations/tests/test_store.py
+++ b/laburnumrock/declarations/tests/test_store.py
@@ -111,6 +111,8 @@
         assert (len(store.answers), len(store.history)) == (3, 2)
         late = store.apply(ApplyChange("r0", 0, [put(plain_template())], "op", 0.0), 11)
         assert late.kind is ErrorKind.STALE_REVISION
+        store.restore(None)
+        assert store.to_plain() == DeclarationStore().to_plain()
 
     def test_steps_lead_to_the_current_revision(self):
         """Guards against a push that skips a change."""
--- a/laburnumrock/declarations/tests/test_sync.py
+++ b/laburnumrock/declarations/tests/test_sync.py
@@ -151,6 +151,18 @@
         cluster.run(12)
         assert cluster.revisions() == {12}
 
+    def test_removed_voter_follows_the_others(self):
+        """Guards against an instance with an idle log that stays on old declarations."""
+        cluster = Cluster(voters=("a1", "b1", "c1", "c2"))
+        cluster.start("c2")
+        cluster.run(3)
+        cluster.stores["c2"][0] = float("inf")
+        cluster.nodes["c2"].observe_confirmed_read = lambda index, started_s: None
+        cluster.change(0)
+        cluster.run(5)
+        assert cluster.nodes["c2"].view.revision == 1
+        assert not cluster.nodes["c2"].view.is_stale(cluster.now_s)
+
     def test_without_quorum_the_highest_revision_of_the_domain_counts(self):
         """Guards against an instance that never starts, or starts as fresh, without a quorum."""
         cluster = Cluster()
--- a/laburnumrock/gateway/_operator_services.py
+++ b/laburnumrock/gateway/_operator_services.py
@@ -62,7 +62,13 @@
     """Status of the instance."""
 
     def describe_status(self) -> dict[str, object]:
-        """Return plain data about this instance, without credentials."""
+        """Return plain data about this instance, without credentials.
+
+        Notes
+        -----
+        ``voters`` lists the voters of the log as known here; ``laburnumrock voters --wait`` reads
+        it.
+        """
 
 
 @dataclass(slots=True)
--- a/laburnumrock/gateway/tests/_operator_fakes.py
+++ b/laburnumrock/gateway/tests/_operator_fakes.py
@@ -60,6 +60,7 @@
 
     def __init__(self):
         self.calls = []
+        self.voters = ["a1"]
 
     async def find_operation(self, account, key):
         if key == "absent":
@@ -72,10 +73,12 @@
 
     async def change_voter(self, action, instance_id):
         self.calls.append((action, instance_id))
+        if action == "add":
+            self.voters.append(instance_id)
         return Ok({"action": action, "instance_id": instance_id})
 
     def describe_status(self):
-        return {"instance_id": "a1"}
+        return {"instance_id": "a1", "voters": self.voters}
 
 
 def make_services():
