Add the SWIM member table

Cause: instances must learn which others live at a fixed cost. Change: MemberTable without I/O: one probe per period, two indirect probes, suspicion with incarnations, a last direct ping before a death, leave, bounded news and plain facts on probes.

--- /dev/null
+++ b/laburnumrock/membership/__init__.py
@@ -0,0 +1,29 @@
+"""Which instances live: probes inside a failure domain, digests between them."""
+
+from laburnumrock.membership._effects import FactsReceived, MemberChanged
+from laburnumrock.membership._members import Member
+from laburnumrock.membership._messages import (
+    Ack,
+    DomainDigest,
+    MemberState,
+    MemberUpdate,
+    Ping,
+    PingRequest,
+)
+from laburnumrock.membership._table import MemberTable
+from laburnumrock.membership._updates import MAX_UPDATES, UpdateQueue
+
+__all__ = [
+    "MAX_UPDATES",
+    "Ack",
+    "DomainDigest",
+    "FactsReceived",
+    "Member",
+    "MemberChanged",
+    "MemberState",
+    "MemberTable",
+    "MemberUpdate",
+    "Ping",
+    "PingRequest",
+    "UpdateQueue",
+]
--- /dev/null
+++ b/laburnumrock/membership/_messages.py
@@ -0,0 +1,130 @@
+"""Messages of the membership protocol."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from laburnumrock.messages import register_message
+
+
+class MemberState(StrEnum):
+    """What an instance believes of another one."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+@dataclass(frozen=True, slots=True)
+class MemberUpdate:
+    """News of one member.
+
+    Parameters
+    ----------
+    instance_id : str
+        The member.
+    state : MemberState
+        Its state.
+    incarnation : int
+        Incarnation of the member to which the state belongs.
+    """
+
+    instance_id: str
+    state: MemberState
+    incarnation: int
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Probe of a member.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the probe, repeated in the answer.
+    incarnation : int
+        Incarnation of the sender.
+    updates : list of MemberUpdate
+        News, at most `MAX_UPDATES` and one about the receiver.
+    facts : dict
+        Plain data of other packages, such as the revision of the declarations.
+    """
+
+    sequence: int
+    incarnation: int
+    updates: list[MemberUpdate] = field(default_factory=list)
+    facts: dict[str, Any] = field(default_factory=dict)
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class PingRequest:
+    """Request to probe a member on behalf of the sender.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the sender's probe.
+    incarnation : int
+        Incarnation of the sender.
+    target : str
+        Member to probe.
+    updates : list of MemberUpdate
+        News as in `Ping`.
+    """
+
+    sequence: int
+    incarnation: int
+    target: str
+    updates: list[MemberUpdate] = field(default_factory=list)
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class Ack:
+    """Answer to a probe, sent by the member or relayed by a helper.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the probe.
+    member : str
+        Member that was probed.
+    incarnation : int
+        Incarnation of that member.
+    updates : list of MemberUpdate
+        News as in `Ping`.
+    facts : dict
+        Plain data as in `Ping`; empty in a relayed answer.
+    """
+
+    sequence: int
+    member: str
+    incarnation: int
+    updates: list[MemberUpdate] = field(default_factory=list)
+    facts: dict[str, Any] = field(default_factory=dict)
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class DomainDigest:
+    """State of one failure domain, sent to instances of the others.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of the sender.
+    version : int
+        Grows with every change of the sender's member table.
+    live : list of str
+        Live instances as the sender sees them.
+    reports : list of dict
+        Plain data of other packages, such as the load of pools.
+    """
+
+    failure_domain: str
+    version: int
+    live: list[str]
+    reports: list[dict[str, Any]] = field(default_factory=list)
--- /dev/null
+++ b/laburnumrock/membership/_table.py
@@ -0,0 +1,294 @@
+"""Table of the members of a failure domain, kept by probes (SWIM)."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from laburnumrock.membership._effects import FactsReceived, MemberChanged
+from laburnumrock.membership._members import Member, Probe, Relay
+from laburnumrock.membership._messages import Ack, MemberState, MemberUpdate, Ping, PingRequest
+from laburnumrock.membership._updates import UpdateQueue
+from laburnumrock.messages import Effect, Send
+from laburnumrock.settings import TimingSettings
+
+HELPERS = 2
+"""Members that are asked for an indirect probe."""
+LEAVE_TARGETS = 3
+MAX_RELAYS = 64
+WARNING_TIMEOUTS = 2
+"""A suspect is pinged a last time this many probe timeouts before its death."""
+
+
+class MemberTable:
+    """State machine of the membership of one failure domain.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    domain_instances : list of str
+        Configured instances of the failure domain, this one included.
+    timing : TimingSettings
+        Probe period, probe timeout and suspicion time.
+    rng : random.Random
+        Order of the probes.
+    incarnation : int
+        Must exceed that of the instance's last process; a higher one is taken when others know one.
+
+    Notes
+    -----
+    A tick that comes late by more than a probe timeout means that this process was frozen. It then
+    restarts its probe, prolongs its suspicions by the gap, and takes a higher incarnation, so that
+    it neither accuses others nor stays accused.
+
+    References
+    ----------
+    Das, Gupta, Motivala: "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+    Protocol", 2002.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        domain_instances: list[str],
+        timing: TimingSettings,
+        rng: random.Random,
+        incarnation: int = 1,
+    ) -> None:
+        self.instance_id = instance_id
+        self.domain_instances = domain_instances
+        self.timing = timing
+        self.rng = rng
+        self.incarnation = incarnation
+        self.members = {name: Member() for name in domain_instances if name != instance_id}
+        self.updates = UpdateQueue(len(domain_instances))
+        self.facts: dict[str, Any] = {}
+        self.version = 0
+        self.last_tick_s: float | None = None
+        self.next_period_s = 0.0
+        self.probe: Probe | None = None
+        self.order: list[str] = []
+        self.sequence = 0
+        self.relays: dict[int, Relay] = {}
+        self.left = False
+
+    def live_members(self) -> list[str]:
+        """Return the live instances of the failure domain, this one included, sorted.
+
+        A suspect counts as live until it is declared dead.
+        """
+        live = [name for name, member in self.members.items() if member.is_live]
+        return sorted(live if self.left else [*live, self.instance_id])
+
+    def state_of(self, instance_id: str) -> MemberState:
+        """Return the believed state of an instance of the failure domain."""
+        if instance_id == self.instance_id:
+            return MemberState.LEFT if self.left else MemberState.ALIVE
+        return self.members[instance_id].state
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Probe, ask helpers, suspect and declare dead when due.
+
+        Parameters
+        ----------
+        now_s : float
+            Clock reading in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Probes to send and changes of members.
+        """
+        if self.left:
+            return []
+        if self.last_tick_s is None:
+            self.last_tick_s = now_s
+            self.next_period_s = now_s + self.timing.probe_period_s
+            return self._join()
+        effects = self._notice_freeze(now_s)
+        self.last_tick_s = now_s
+        effects += self._ask_helpers(now_s)
+        if now_s >= self.next_period_s:
+            effects += self._finish_probe(now_s)
+            effects += self._start_probe(now_s)
+            self.next_period_s = now_s + self.timing.probe_period_s
+        return effects + self._bury_suspects(now_s)
+
+    def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
+        """Handle a membership message.
+
+        Parameters
+        ----------
+        sender : str
+            Instance that sent it; messages of unknown instances are ignored.
+        message : object
+            `Ping`, `PingRequest` or `Ack`.
+        now_s : float
+            Clock reading in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Answers, changes of members and received facts.
+        """
+        if self.left or sender not in self.members:
+            return []
+        if not isinstance(message, (Ping, PingRequest, Ack)):
+            return []
+        subject = message.member if isinstance(message, Ack) else sender
+        alive = MemberUpdate(subject, MemberState.ALIVE, message.incarnation)
+        effects = self._apply(alive, now_s)
+        for update in message.updates:
+            effects += self._apply(update, now_s)
+        if isinstance(message, Ping):
+            effects.append(Send(sender, self._make_ack(sender, message.sequence)))
+        elif isinstance(message, PingRequest):
+            effects += self._relay_probe(sender, message)
+        else:
+            effects += self._take_ack(sender, message)
+        facts = {} if isinstance(message, PingRequest) else message.facts
+        return effects + ([FactsReceived(sender, facts)] if facts else [])
+
+    def leave(self) -> list[Effect]:
+        """Announce a planned stop to some members, which pass it on."""
+        live = self._shuffled(lambda member: member.is_live)
+        self.updates.add(MemberUpdate(self.instance_id, MemberState.LEFT, self.incarnation))
+        effects: list[Effect] = [self._make_ping(name) for name in live[:LEAVE_TARGETS]]
+        self.left = True
+        return effects
+
+    def _join(self) -> list[Effect]:
+        # Once per start; afterwards the cost per period does not depend on the number of members.
+        return [self._make_ping(name) for name in self.members]
+
+    def _notice_freeze(self, now_s: float) -> list[Effect]:
+        gap_s = now_s - self.last_tick_s
+        if gap_s <= self.timing.probe_timeout_s:
+            return []
+        for member in self.members.values():
+            if member.state is MemberState.SUSPECT:
+                member.suspected_s += gap_s
+        self.probe = None
+        self.next_period_s = now_s
+        self._raise_incarnation(self.incarnation)
+        live = self._shuffled(lambda member: member.is_live)
+        return [self._make_ping(name) for name in live[:HELPERS]]
+
+    def _start_probe(self, now_s: float) -> list[Effect]:
+        target = self._next_target()
+        if target is None:
+            return []
+        ping = self._make_ping(target)
+        self.probe = Probe(target, ping.message.sequence, now_s)
+        return [ping]
+
+    def _next_target(self) -> str | None:
+        """Return the next member in a random order that covers all, dead ones included.
+
+        Dead members are probed so that both sides of a healed partition find each other.
+        """
+        if not self.order:
+            self.order = list(self.members)
+            self.rng.shuffle(self.order)
+        return self.order.pop() if self.order else None
+
+    def _ask_helpers(self, now_s: float) -> list[Effect]:
+        probe = self.probe
+        if probe is None or probe.answered or probe.asked_helpers:
+            return []
+        if now_s - probe.sent_s < self.timing.probe_timeout_s:
+            return []
+        probe.asked_helpers = True
+        helpers = self._shuffled(lambda member: member.state is MemberState.ALIVE)
+        helpers = [name for name in helpers if name != probe.target]
+        request = PingRequest(probe.sequence, self.incarnation, probe.target, self.updates.take())
+        return [Send(name, request) for name in helpers[:HELPERS]]
+
+    def _finish_probe(self, now_s: float) -> list[Effect]:
+        probe, self.probe = self.probe, None
+        if probe is None or probe.answered:
+            return []
+        member = self.members[probe.target]
+        if member.state is not MemberState.ALIVE:
+            return []
+        suspicion = MemberUpdate(probe.target, MemberState.SUSPECT, member.incarnation)
+        effects = self._apply(suspicion, now_s)
+        # Tells the suspect itself, so that it can refute at once when it wakes up.
+        return [*effects, self._make_ping(probe.target)]
+
+    def _bury_suspects(self, now_s: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for name, member in self.members.items():
+            if member.state is not MemberState.SUSPECT:
+                continue
+            left_s = member.suspected_s + self.timing.suspicion_s - now_s
+            if left_s <= 0:
+                dead = MemberUpdate(name, MemberState.DEAD, member.incarnation)
+                effects += self._apply(dead, now_s)
+            elif not member.warned and left_s <= WARNING_TIMEOUTS * self.timing.probe_timeout_s:
+                # A refutation that gossip has not brought here yet is asked for directly.
+                member.warned = True
+                effects.append(self._make_ping(name))
+        return effects
+
+    def _apply(self, update: MemberUpdate, now_s: float) -> list[Effect]:
+        if update.instance_id == self.instance_id:
+            if update.state is not MemberState.ALIVE or update.incarnation > self.incarnation:
+                self._raise_incarnation(update.incarnation)
+            return []
+        member = self.members.get(update.instance_id)
+        if member is None or not member.is_older_than(update):
+            return []
+        self.updates.add(update)
+        if not member.apply(update, now_s):
+            return []
+        self.version += 1
+        return [MemberChanged(update.instance_id, update.state)]
+
+    def _raise_incarnation(self, known: int) -> None:
+        if known >= self.incarnation:
+            self.incarnation = known + 1
+            self.updates.add(MemberUpdate(self.instance_id, MemberState.ALIVE, self.incarnation))
+
+    def _relay_probe(self, sender: str, message: PingRequest) -> list[Effect]:
+        if message.target not in self.members or message.target == sender:
+            return []
+        ping = self._make_ping(message.target)
+        self.relays[ping.message.sequence] = Relay(sender, message.sequence, message.target)
+        if len(self.relays) > MAX_RELAYS:
+            del self.relays[next(iter(self.relays))]
+        return [ping]
+
+    def _take_ack(self, sender: str, message: Ack) -> list[Effect]:
+        probe = self.probe
+        if probe and probe.sequence == message.sequence and probe.target == message.member:
+            probe.answered = True
+            return []
+        relay = self.relays.get(message.sequence)
+        if relay is None or relay.target != sender:
+            return []
+        del self.relays[message.sequence]
+        return [Send(relay.asker, Ack(relay.sequence, sender, message.incarnation))]
+
+    def _shuffled(self, is_chosen: Callable[[Member], bool]) -> list[str]:
+        names = [name for name, member in self.members.items() if is_chosen(member)]
+        self.rng.shuffle(names)
+        return names
+
+    def _make_ping(self, target: str) -> Send:
+        self.sequence += 1
+        updates = self._updates_for(target)
+        return Send(target, Ping(self.sequence, self.incarnation, updates, dict(self.facts)))
+
+    def _make_ack(self, target: str, sequence: int) -> Ack:
+        updates = self._updates_for(target)
+        return Ack(sequence, self.instance_id, self.incarnation, updates, dict(self.facts))
+
+    def _updates_for(self, target: str) -> list[MemberUpdate]:
+        """Return the news for a message; an accused receiver always hears the accusation."""
+        updates = self.updates.take()
+        member = self.members[target]
+        is_accused = member.state is not MemberState.ALIVE and member.incarnation > 0
+        if is_accused and all(update.instance_id != target for update in updates):
+            updates.append(MemberUpdate(target, member.state, member.incarnation))
+        return updates
