Add the membership task and digests between failure domains

Cause: an entry instance must know the pools of other failure domains. Change: MembershipTask drives the member table, hooks for facts on probes and reports on digests; the pool task reports and receives the load of pools.

--- a/laburnumrock/daemon/_pool_runner.py
+++ b/laburnumrock/daemon/_pool_runner.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from laburnumrock.messages import Effect
-from laburnumrock.ownership import parse_pool_id
+from laburnumrock.ownership import MODEL_POOL, SERVICE_POOL, PoolName, parse_pool_id
 from laburnumrock.placement import PoolScheduler, PoolSettings, PoolSummary
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
@@ -187,3 +187,12 @@
                 seen.next_read_s = now_s + interval_s
                 due.append(seen.announcement)
         return due
+
+
+def find_pool_id(announcement: UpstreamAnnouncement) -> str:
+    """Return the id of the pool to which an upstream belongs."""
+    if announcement.kind is UpstreamKind.MODEL_ENGINE:
+        kind, served = MODEL_POOL, announcement.models
+    else:
+        kind, served = SERVICE_POOL, announcement.services
+    return PoolName(announcement.failure_domain, kind, tuple(served)).pool_id
--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -2,16 +2,23 @@
 
 import asyncio
 import time
+from typing import Any
 
 from eliot import log_message
 
 from laburnumrock.daemon._engine_calls import EngineCalls
 from laburnumrock.daemon._ownership_task import OwnershipTask
-from laburnumrock.daemon._pool_directory import PoolDirectory
-from laburnumrock.daemon._pool_runner import PoolRunner, SchedulerFactory, ServiceStateView
+from laburnumrock.daemon._pool_directory import PoolDirectory, PoolReport
+from laburnumrock.daemon._pool_runner import (
+    PoolRunner,
+    SchedulerFactory,
+    ServiceStateView,
+    find_pool_id,
+)
 from laburnumrock.errors import ErrorKind
-from laburnumrock.messages import Effect, Send
-from laburnumrock.ownership import MODEL_POOL, SERVICE_POOL, PoolName, parse_pool_id
+from laburnumrock.membership import DomainDigest
+from laburnumrock.messages import Effect, Send, from_plain, to_plain
+from laburnumrock.ownership import parse_pool_id
 from laburnumrock.placement import (
     CancelOnUpstream,
     PermitCancel,
@@ -23,7 +30,7 @@
 )
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
-from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
+from laburnumrock.upstreams import UpstreamAnnouncement
 
 TICK_S = 0.02
 SUMMARY_S = 0.5
@@ -103,6 +110,27 @@
         if owner is not None:
             self.network.send(owner.instance_id, announcement)
 
+    def collect_reports(self) -> list[dict[str, Any]]:
+        """Return the load of the own domain's pools as plain data for a digest."""
+        now_s = time.monotonic()
+        return [
+            to_plain(PoolReport(pool.owner.instance_id, now_s - pool.received_s, pool.summary))
+            for pool in self.directory.recent_summaries(self.settings.failure_domain, now_s)
+        ]
+
+    def receive_reports(self, sender: str, digest: DomainDigest) -> None:
+        """Take over the load of another domain's pools from a digest."""
+        now_s = time.monotonic()
+        for plain in digest.reports:
+            try:
+                report = from_plain(PoolReport, plain)
+                domain = parse_pool_id(report.summary.pool_id).failure_domain
+            except ValueError as error:
+                log_message("malformed_message", peer=sender, failure=str(error))
+                continue
+            if domain == digest.failure_domain:
+                self.directory.note_summary(report.owner, report.summary, now_s - report.age_s)
+
     async def _run(self) -> None:
         while True:
             self._tick(time.monotonic())
@@ -243,12 +271,3 @@
             return
         observe = runner.scheduler.observe_held_requests
         self._carry_out(runner, observe(engine.upstream_id, held.unwrap(), read_at_s, now_s))
-
-
-def find_pool_id(announcement: UpstreamAnnouncement) -> str:
-    """Return the id of the pool to which an upstream belongs."""
-    if announcement.kind is UpstreamKind.MODEL_ENGINE:
-        kind, served = MODEL_POOL, announcement.models
-    else:
-        kind, served = SERVICE_POOL, announcement.services
-    return PoolName(announcement.failure_domain, kind, tuple(served)).pool_id
--- a/laburnumrock/daemon/tests/fakes.py
+++ b/laburnumrock/daemon/tests/fakes.py
@@ -31,9 +31,10 @@
 class FakeNetwork:
     """Stand-in of `PeerNetwork` inside one event loop, with the real codec."""
 
-    def __init__(self, hub, instance_id):
+    def __init__(self, hub, settings):
         self.hub = hub
-        self.instance_id = instance_id
+        self.instance_id = instance_id = settings.instance_id
+        self.peers = {peer.instance_id: peer for peer in settings.peers}
         self.handlers = {}
         self.bytes_sent = 0
         hub.networks[instance_id] = self
--- a/laburnumrock/daemon/tests/test_permit_path.py
+++ b/laburnumrock/daemon/tests/test_permit_path.py
@@ -4,11 +4,12 @@
 import time
 from contextlib import asynccontextmanager
 
+from laburnumrock.daemon._membership_task import MembershipTask
 from laburnumrock.daemon._ownership_task import OwnershipTask
 from laburnumrock.daemon._permits import PermitClient
 from laburnumrock.daemon._pool_directory import PoolDirectory
-from laburnumrock.daemon._pool_runner import make_scheduler_factory
-from laburnumrock.daemon._pool_task import PoolTask, find_pool_id
+from laburnumrock.daemon._pool_runner import find_pool_id, make_scheduler_factory
+from laburnumrock.daemon._pool_task import PoolTask
 from laburnumrock.daemon.tests.fakes import (
     FakeHub,
     FakeNetwork,
@@ -29,7 +30,7 @@
 
     def __init__(self, hub, settings, factory):
         self.name = settings.instance_id
-        self.network = FakeNetwork(hub, self.name)
+        self.network = FakeNetwork(hub, settings)
         self.view = FakeView()
         self.ownership = OwnershipTask(settings, self.network)
         self.directory = PoolDirectory(settings.failure_domain, self.ownership)
@@ -37,7 +38,10 @@
             settings, self.network, self.ownership, self.directory, self.view, factory
         )
         self.permits = PermitClient(settings, self.network, self.directory, self.view)
-        self.tasks = [self.ownership, self.pools, self.permits]
+        self.membership = MembershipTask(settings, self.network)
+        self.membership.report_sources.append(self.pools.collect_reports)
+        self.membership.digest_handlers.append(self.pools.receive_reports)
+        self.tasks = [self.ownership, self.pools, self.permits, self.membership]
 
     def scheduler(self):
         return self.pools.runners[POOL].scheduler
@@ -197,6 +201,26 @@
 
         asyncio.run(run())
 
+    def test_drained_domain_sends_work_to_another(self):
+        """Guards against requests that fail although another failure domain could serve them."""
+
+        async def run():
+            async with running(("a1", "b1")) as cluster:
+                cluster.announcements.append(make_announcement("e2", "b"))
+                entry = cluster.nodes["a1"]
+                other = find_pool_id(make_announcement("e2", "b"))
+                await wait_until(lambda: entry.directory.find_owner(other) is not None)
+                first = (await entry.permits.acquire(make_request("first"))).unwrap()
+                assert first.placements[0].upstream_id == "e1"
+                entry.view.drained.add(("failure_domain", "a"))
+                second = (await entry.permits.acquire(make_request("second"))).unwrap()
+                assert second.placements[0].upstream_id == "e2"
+                entry.view.stale = True
+                failure = (await entry.permits.acquire(make_request("third"))).unwrap_err()
+                assert failure.kind is ErrorKind.NO_UPSTREAM
+
+        asyncio.run(run())
+
     def test_unknown_model_is_refused_at_once(self):
         """Guards against a caller that waits for a model which nobody serves."""
 
