--- a/laburnumrock/charts/tests/test_chart.py
+++ b/laburnumrock/charts/tests/test_chart.py
@@ -19,6 +19,26 @@
         with pytest.raises(ValidationError, match="unknown states"):
             ChartModel.model_validate({"initial": "a", "states": {"a": {"on": {"x": "b"}}}})
 
+    def test_entry_actions_run_in_order(self):
+        """Guards against actions that run in another order than the chart file names them."""
+        states = {
+            "a": {"on": {"go": "b"}, "entry": ["first"]},
+            "b": {"entry": ["second", "third"]},
+        }
+        chart = Chart("x", ChartModel.model_validate({"initial": "a", "states": states}))
+        called = []
+        names = ("first", "second", "third")
+        chart.bind({name: lambda name=name: called.append((name, chart.state)) for name in names})
+        chart.fire("go")
+        assert called == [("first", "a"), ("second", "b"), ("third", "b")]
+        assert chart.is_final
+
+    def test_actions_must_match_the_chart(self):
+        """Guards against a misspelt action that is found only when its state is entered."""
+        model = ChartModel.model_validate({"initial": "a", "states": {"a": {"entry": ["first"]}}})
+        with pytest.raises(ChartError, match="first.*frist"):
+            Chart("x", model).bind({"frist": print})
+
 
 class TestInstanceChart:
     def test_planned_stop_passes_every_step(self):
--- /dev/null
+++ b/laburnumrock/daemon/tests/test_quotas.py
@@ -0,0 +1,82 @@
+"""Tests of the quota client."""
+
+import asyncio
+
+from laburnumrock.daemon._quota_messages import (
+    QuotaGrant,
+    QuotaRefusal,
+    QuotaRelease,
+    QuotaRequest,
+)
+from laburnumrock.daemon._quotas import QuotaClient
+from laburnumrock.daemon.tests.fakes import FakeHub, FakeNetwork, make_settings
+from laburnumrock.errors import ErrorKind
+
+
+class _Coordinators:
+    """Names the coordinators one after the other, the last one for ever."""
+
+    def __init__(self, *names):
+        self.names = list(names)
+
+    def find_coordinator(self):
+        return self.names.pop(0) if len(self.names) > 1 else self.names[0]
+
+
+def _make(coordinators, answer):
+    hub = FakeHub()
+    settings = make_settings(["a1", "a2"])
+    client = QuotaClient(settings["a1"], FakeNetwork(hub, settings["a1"]), coordinators)
+    other = FakeNetwork(hub, settings["a2"])
+    released = []
+    other.handle(QuotaRequest, lambda sender, message: answer(message))
+    other.handle(QuotaRelease, lambda sender, message: released.append(message.quota_id))
+    return client, released
+
+
+class TestQuotaClient:
+    def test_grant_is_released_where_it_was_granted(self):
+        """Guards against quota that is never returned."""
+
+        async def run():
+            client, released = _make(
+                _Coordinators(None, "a2"), lambda message: QuotaGrant(message.quota_id)
+            )
+            quota_id = (await client.acquire("acct", "caller", 10)).unwrap()
+            client.release(quota_id)
+            client.release(quota_id)
+            await asyncio.sleep(0.01)
+            assert released == [quota_id]
+
+        asyncio.run(run())
+
+    def test_refusal_reaches_the_caller(self):
+        """Guards against a limit that is retried or loses its retry time."""
+
+        async def run():
+            client, released = _make(
+                _Coordinators("a2"),
+                lambda message: QuotaRefusal(message.quota_id, ErrorKind.RATE_LIMITED, 2.5),
+            )
+            failure = (await client.acquire("acct", "caller", 10)).unwrap_err()
+            assert (failure.kind, failure.retry_after_s) == (ErrorKind.RATE_LIMITED, 2.5)
+            await asyncio.sleep(0.01)
+            assert released == []
+
+        asyncio.run(run())
+
+    def test_lost_answer_frees_the_quota(self):
+        """Guards against quota held for a caller that went away before the answer."""
+
+        async def run():
+            async def never(message):
+                await asyncio.sleep(60)
+
+            client, released = _make(_Coordinators("a2"), never)
+            task = asyncio.create_task(client.acquire("acct", "caller", 10))
+            await asyncio.sleep(0.02)
+            task.cancel()
+            await asyncio.sleep(0.02)
+            assert len(released) == 1
+
+        asyncio.run(run())
