--- a/examples/demo.py
+++ b/examples/demo.py
@@ -166,7 +166,7 @@
     """Run the operator program and return its exit status and output."""
     deployment = demo.group.deployment
     url = next(iter(deployment.instances.values())).url
-    options = ["--url", url, "--key-file", str(deployment.operator_key_file)]
+    options = ["--server", url, "--operator-key-file", str(deployment.operator_key_file)]
     done = subprocess.run(
         [*CLI, *options, *arguments], capture_output=True, text=True, timeout=CLI_TIMEOUT_S
     )
@@ -228,7 +228,7 @@
     await asyncio.sleep(0.5)
     started_s = time.monotonic()
     status, output = await asyncio.to_thread(
-        run_cli, demo, "drain", "failure-domain", DRAINED_DOMAIN, "--wait"
+        run_cli, demo, "drain", "failure_domain", DRAINED_DOMAIN, "--wait"
     )
     text = f"exit {status} after {time.monotonic() - started_s:.2f} s {output}"
     demo.report(f"drain failure domain {DRAINED_DOMAIN}", text, status == 0)
@@ -238,7 +238,7 @@
     added = count_tokens(demo, DRAINED_DOMAIN) - before
     demo.report("new work in the drained domain", f"{added} tokens in 1 s", added == 0)
     status, output = await asyncio.to_thread(
-        run_cli, demo, "restore", "failure-domain", DRAINED_DOMAIN, "--wait"
+        run_cli, demo, "restore", "failure_domain", DRAINED_DOMAIN, "--wait"
     )
     demo.report(f"restore failure domain {DRAINED_DOMAIN}", f"exit {status} {output}", status == 0)
     demo.report("short requests meanwhile", *describe(await background))
--- a/laburnumrock/standins/_batching.py
+++ b/laburnumrock/standins/_batching.py
@@ -100,10 +100,10 @@
         self._start_step(now_s)
         return None
 
-    def cancel(self, request_id: str, now_s: float) -> bool:
+    def cancel(self, request_id: str, now_s: float, reason: str = "cancelled") -> bool:
         """End a request and free its memory; returns whether the engine held it."""
         self._catch_up(now_s)
-        was_known = self._abort(request_id, "cancelled", now_s)
+        was_known = self._abort(request_id, reason, now_s)
         was_held = self.memory.release(request_id)
         self._start_step(now_s)
         return was_known or was_held
--- a/laburnumrock/standins/_engine_completions.py
+++ b/laburnumrock/standins/_engine_completions.py
@@ -15,6 +15,8 @@
 )
 from laburnumrock.standins._prefix_cache import hash_prefixes
 
+WATCH_INTERVAL_S = 0.25
+
 
 class CompletionHandler(EngineHandler):
     """``POST /v1/completions``: streams the tokens of a completion."""
@@ -33,11 +35,13 @@
             return
         self.stream_key = (request.request_id, request.attempt)
         self.set_header("Content-Type", "text/event-stream")
+        watch = asyncio.create_task(self._watch_segments(request.request_id))
         try:
             await self._stream(request, events, hash_prompt(body["prompt"]))
         except StreamClosedError:
             await self._drain(events)
         finally:
+            watch.cancel()
             if self.engine.streams.get(self.stream_key) is events:
                 del self.engine.streams[self.stream_key]
 
@@ -96,6 +100,15 @@
             self.engine.segments.add_imported(body["request_id"], segment)
         return None
 
+    async def _watch_segments(self, request_id: str) -> None:
+        """End a completion whose remote memory is gone: its attention can no longer read it."""
+        while self.engine.segments.imported.get(request_id):
+            for segment in list(self.engine.segments.imported[request_id]):
+                if await fetch_segment(segment.source, segment.handle) is None:
+                    self.engine.cancel(request_id, "segment_lost")
+                    return
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
     async def _stream(
         self, request: EngineRequest, events: asyncio.Queue, prompt_hash: str
     ) -> None:
--- a/laburnumrock/standins/_engine_kv.py
+++ b/laburnumrock/standins/_engine_kv.py
@@ -12,7 +12,8 @@
         """Reserve memory."""
         body = self.read_body(request_id=str, tokens=int, ttl_s=(int | float))
         engine = self.engine
-        if engine.model.is_leaving:
+        is_renewal = body["request_id"] in engine.model.memory.holdings
+        if engine.model.is_leaving and not is_renewal:
             self.refuse(503, RefusalReason.LEAVING)
             return
         ttl_s = body["ttl_s"] * engine.options.time_factor
