--- a/laburnumrock/scenarios/__init__.py
+++ b/laburnumrock/scenarios/__init__.py
@@ -1,16 +1,29 @@
-"""Runs of whole deployments: the process runner."""
+"""Failure scenarios: under a virtual clock, and over real processes."""
 
 from laburnumrock.scenarios._deployment import Deployment
 from laburnumrock.scenarios._http import HttpAnswer, request_json
+from laburnumrock.scenarios._log_checks import LogChecks
+from laburnumrock.scenarios._log_cluster import LogCluster, LogReport
+from laburnumrock.scenarios._log_host import LogHost
+from laburnumrock.scenarios._log_owner import OperationOwner
 from laburnumrock.scenarios._plan import DeploymentPlan
 from laburnumrock.scenarios._processes import ManagedProcess, ProcessGroup, run_deployment
+from laburnumrock.scenarios._virtual import FaultRates, VirtualClock, VirtualNetwork
 
 __all__ = [
     "Deployment",
     "DeploymentPlan",
+    "FaultRates",
     "HttpAnswer",
+    "LogChecks",
+    "LogCluster",
+    "LogHost",
+    "LogReport",
     "ManagedProcess",
+    "OperationOwner",
     "ProcessGroup",
+    "VirtualClock",
+    "VirtualNetwork",
     "request_json",
     "run_deployment",
 ]
