--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -11,6 +11,7 @@
 from laburnumrock.daemon._declaration_task import DeclarationTask
 from laburnumrock.daemon._lifecycle import Lifecycle
 from laburnumrock.daemon._log_task import LogTask
+from laburnumrock.daemon._membership_task import MembershipTask
 from laburnumrock.daemon._operations import OperationClient
 from laburnumrock.daemon._operator_access import OperationDesk, StatusDesk, VoterDesk
 from laburnumrock.daemon._ownership_task import OwnershipTask
@@ -18,6 +19,7 @@
 from laburnumrock.daemon._pool_directory import PoolDirectory
 from laburnumrock.daemon._pool_runner import make_scheduler_factory
 from laburnumrock.daemon._pool_task import PoolTask
+from laburnumrock.daemon._quota_messages import QuotaGrant, QuotaRelease, QuotaRequest
 from laburnumrock.daemon._quotas import QuotaClient
 from laburnumrock.daemon._replica import Replica
 from laburnumrock.errors import Failure
@@ -70,6 +72,7 @@
         replica = Replica(self.log.state) if self.log.runner is not None else None
         self.declarations = DeclarationTask(settings, self.network, self.log, replica)
         view = self.declarations.view
+        self.membership = MembershipTask(settings, self.network)
         self.ownership = OwnershipTask(settings, self.network)
         self.directory = PoolDirectory(settings.failure_domain, self.ownership)
         self.pools = PoolTask(
@@ -80,8 +83,13 @@
             view,
             make_scheduler_factory(settings, PLACEMENT_POLICY),
         )
+        self.membership.report_sources.append(self.pools.collect_reports)
+        self.membership.digest_handlers.append(self.pools.receive_reports)
         self.permits = PermitClient(settings, self.network, self.directory, view)
-        self.quotas = QuotaClient(settings, self.network, self.ownership, view)
+        # Grants every quota until the limits of the client accounts are enforced.
+        self.network.handle(QuotaRequest, lambda _, message: QuotaGrant(message.quota_id))
+        self.network.handle(QuotaRelease, lambda _, message: None)
+        self.quotas = QuotaClient(settings, self.network, self.ownership)
         self.operations = OperationClient(settings, self.log)
         self.services = GatewayServices(
             settings=settings,
@@ -124,6 +132,7 @@
             stack.push_async_callback(self.log.stop)
             for task in (
                 self.declarations,
+                self.membership,
                 self.ownership,
                 self.pools,
                 self.permits,
--- a/laburnumrock/declarations/_store.py
+++ b/laburnumrock/declarations/_store.py
@@ -17,6 +17,7 @@
 from laburnumrock.declarations._set import DeclarationSet, parse_changes
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.messages import from_plain, to_plain
+from laburnumrock.state import register_part
 
 # Keeps the answers of more than one day at 2,400 changes a day. A resend that arrives after its
 # answer was dropped is refused as stale, because its base revision is no longer current.
@@ -37,6 +38,7 @@
     answer: ChangeAnswer
 
 
+@register_part("declarations")
 class DeclarationStore:
     """Declarations, their revision, answers by request id, and history.
 
