--- a/laburnumrock/journal/_run.py
+++ b/laburnumrock/journal/_run.py
@@ -196,11 +196,18 @@
     """Wait for the claim of another run; None when a new claim may succeed."""
     wait_ends_s = start_s + request.deadline_s / 2
     poll_s = POLL_MIN_S
+    first_answer = answer
+    first_s = clock()
     while True:
         end = _answer_finished(answer)
         if end is not None or not _is_open(answer):
             return end
-        overdue = _close_overdue(request, answer)
+        if answer.claim_id != first_answer.claim_id:
+            first_answer = answer
+            first_s = clock()
+        # The state's own time stands still while no command is committed.
+        age_s = max(answer.age_s, first_answer.age_s + clock() - first_s)
+        overdue = _close_overdue(request, answer, age_s)
         remaining_s = wait_ends_s - clock()
         if remaining_s <= 0:
             failure = Failure(ErrorKind.OPERATION_IN_PROGRESS, retry_after_s=POLL_MAX_S)
@@ -230,8 +237,10 @@
     return answer.state in (OperationState.CLAIMED, OperationState.DISPATCHED)
 
 
-def _close_overdue(request: OperationRequest, answer: OperationAnswer) -> object | None:
-    if answer.age_s < answer.limit_s + ABANDON_GRACE_S:
+def _close_overdue(
+    request: OperationRequest, answer: OperationAnswer, age_s: float
+) -> object | None:
+    if age_s < answer.limit_s + ABANDON_GRACE_S:
         return None
     return AbandonOperation(request.account, request.key, answer.claim_id)
 
--- /dev/null
+++ b/laburnumrock/replication/tests/test_store.py
@@ -0,0 +1,111 @@
+"""Tests of the disk format."""
+
+import random
+
+import pytest
+
+from laburnumrock.errors import ErrorKind
+from laburnumrock.replication import (
+    Entry,
+    EntryKind,
+    FakeDisk,
+    FolderDisk,
+    LogStore,
+    Members,
+    SaveEntries,
+    SaveHardState,
+    SaveSnapshot,
+    Snapshot,
+)
+
+
+def _entries(first, last, term=1):
+    return [Entry(i, term, EntryKind.COMMAND, b"%d" % i) for i in range(first, last + 1)]
+
+
+def _load(disk):
+    return LogStore(disk).load(lambda: "new")
+
+
+def _filled(disk):
+    store = LogStore(disk)
+    store.load(lambda: "old").unwrap()
+    store.save(SaveHardState(3, "old"))
+    for first in (1, 4, 7):
+        store.save(SaveEntries(_entries(first, first + 2)))
+        store.sync()
+    return store
+
+
+class TestLogStore:
+    @pytest.mark.parametrize("kind", ["fake", "folder"])
+    def test_everything_synced_is_read_again(self, kind, tmp_path):
+        """Guards against a lost identity, vote or entry after a restart."""
+        disk = FakeDisk() if kind == "fake" else FolderDisk(tmp_path / "log")
+        store = _filled(disk)
+        store.save(SaveEntries(_entries(8, 8, term=2)))
+        store.sync()
+        state = _load(disk if kind == "fake" else FolderDisk(tmp_path / "log")).unwrap()
+        assert (state.voter_id, state.term, state.vote) == ("old", 3, "old")
+        assert state.entries == [*_entries(1, 7), *_entries(8, 8, term=2)]
+
+    def test_torn_tail_is_cut_at_every_length(self):
+        """Guards against a refusal to start, or a half entry, after a power cut."""
+        disk = FakeDisk()
+        _filled(disk)
+        whole = disk.durable["log"]
+        sync_ends = whole.rfind(b"LRF1")
+        for length in range(sync_ends, len(whole)):
+            disk.durable["log"] = whole[:length]
+            assert _load(disk).unwrap().entries == _entries(1, 6)
+            assert len(disk.durable["log"]) == sync_ends
+
+    def test_damage_in_the_middle_is_refused(self):
+        """Guards against silently dropping acknowledged entries after damage."""
+        disk = FakeDisk()
+        _filled(disk)
+        whole = disk.durable["log"]
+        for position in range(whole.rfind(b"LRF1")):
+            damaged = bytearray(whole)
+            damaged[position] ^= 0x40
+            disk.durable["log"] = bytes(damaged)
+            assert _load(disk).unwrap_err().kind is ErrorKind.STORAGE_CORRUPT
+
+    def test_damaged_vote_or_snapshot_is_refused(self):
+        """Guards against a second vote in a term after damage."""
+        for name in ("vote", "snapshot", "identity"):
+            disk = FakeDisk()
+            _filled(disk).save(SaveSnapshot(Snapshot(2, 1, Members(), b"s"), _entries(3, 9)))
+            disk.durable[name] = disk.durable[name][:-1] + b"\xff"
+            assert _load(disk).unwrap_err().kind is ErrorKind.STORAGE_CORRUPT
+
+    def test_log_without_identity_is_refused(self):
+        """Guards against a voter that takes over the votes of another identity."""
+        disk = FakeDisk()
+        _filled(disk)
+        del disk.durable["identity"]
+        assert _load(disk).unwrap_err().kind is ErrorKind.STORAGE_CORRUPT
+
+    def test_crash_between_snapshot_and_log(self):
+        """Guards against a voter that cannot start after a crash while it compacts."""
+        for index, term, expected in ((5, 1, _entries(6, 9)), (5, 2, []), (20, 2, [])):
+            disk = FakeDisk()
+            store = _filled(disk)
+            old = disk.durable["log"]
+            store.save(SaveSnapshot(Snapshot(index, term, Members(), b"s"), expected))
+            disk.durable["log"] = old
+            store = LogStore(disk)
+            assert store.load(lambda: "new").unwrap().entries == expected
+            following = (expected[-1].index if expected else index) + 1
+            store.save(SaveEntries(_entries(following, following, 3)))
+            store.sync()
+            assert _load(disk).unwrap().entries == expected + _entries(following, following, 3)
+
+    def test_unsynced_entries_may_be_lost_but_no_others(self):
+        """Guards against a sync that is not one: the fake disk drops what was not synced."""
+        source = random.Random(1)
+        disk = FakeDisk()
+        store = _filled(disk)
+        store.save(SaveEntries(_entries(10, 12)))
+        disk.crash(source)
+        assert _load(disk).unwrap().entries == _entries(1, 9)
--- a/laburnumrock/scenarios/_log_cluster.py
+++ b/laburnumrock/scenarios/_log_cluster.py
@@ -3,19 +3,28 @@
 import random
 from dataclasses import dataclass
 
-from laburnumrock.journal import OperationState
+from laburnumrock.journal import (
+    AbandonOperation,
+    OperationOutcome,
+    OperationState,
+    ReconcileOperation,
+    VoidClaim,
+)
 from laburnumrock.replication import Role
 from laburnumrock.scenarios._log_checks import LogChecks
 from laburnumrock.scenarios._log_host import LogHost
 from laburnumrock.scenarios._log_owner import OperationOwner
 from laburnumrock.scenarios._virtual import FaultRates, VirtualClock, VirtualNetwork
+from laburnumrock.settings import TimingSettings
 
 VOTERS = ["a1", "b1", "c1"]
 OWNERS = ["a2", "b2", "c2"]
 FAULT_PHASE_S = 12.0
 # Long enough for an election, a catch-up and the retries of every open command.
-CALM_PHASE_S = 24.0
+CALM_PHASE_S = 9.0
 KEYS = 12
+# Falls between the claim and the start of many dispatches.
+CLOSE_DELAY_S = 0.1
 # Long against the delay of a proposal, so that no proposal outlives its run.
 RESEND_DEADLINE_S = 20.0
 
@@ -54,6 +63,10 @@
             for name in VOTERS
         }
         hosts = list(self.hosts.values())
+        # Close election timeouts make several candidates stand in one term.
+        election_max_s = self.source.choice([0.52, 0.6, 1.0])
+        for host in hosts:
+            host.timing = TimingSettings(election_max_s=election_max_s)
         self.owners = [
             OperationOwner(name, hosts, self.clock, self.checks, self.source, loss)
             for name in OWNERS
@@ -107,11 +120,34 @@
             key = f"k{self.source.randrange(KEYS)}"
             deadline_s = self.source.uniform(0.3, 4.0)
             self.clock.at(time_s, lambda o=owner, k=key, d=deadline_s: self._work(o, k, d))
+            self.clock.at(time_s, self._read_anywhere)
+            self.clock.at(time_s + CLOSE_DELAY_S, self._close_anything)
 
     def _work(self, owner: OperationOwner, key: str, deadline_s: float) -> None:
         if not owner.frozen:
             owner.run(key, deadline_s)
 
+    def _read_anywhere(self) -> None:
+        for host in self.hosts.values():
+            host.read(lambda confirmed: None)
+
+    def _close_anything(self) -> None:
+        """Void, abandon or reconcile a random operation, which must be safe at any time."""
+        leader = self.find_leader()
+        operations = leader.state.parts["journal"].operations if leader is not None else None
+        if not operations:
+            return
+        operation = self.source.choice(list(operations.values()))
+        identity = (operation.account, operation.key)
+        command = self.source.choice(
+            [
+                VoidClaim(*identity, operation.claim_id),
+                AbandonOperation(*identity, operation.claim_id),
+                ReconcileOperation(*identity, OperationOutcome.DONE, "ledger"),
+            ]
+        )
+        leader.propose(command, lambda answer: None)
+
     def _inject(self) -> None:
         self.faults += 1
         host = self.source.choice(list(self.hosts.values()))
--- a/laburnumrock/scenarios/_log_host.py
+++ b/laburnumrock/scenarios/_log_host.py
@@ -68,8 +68,9 @@
         self.disk = FakeDisk()
         self.node: RaftNode | None = None
         self.state = ReplicatedState()
+        self.timing = TimingSettings()
         self.frozen = False
-        self.held: list[tuple[str, object]] = []
+        self.held: list[Callable[[], object]] = []
         self.waiting: dict[int, tuple[int, Answered]] = {}
         self.reads: dict[int, tuple[int, Callable[[bool], None]]] = {}
         self.next_read = 1
@@ -80,9 +81,8 @@
         """Start the process on what its disk holds."""
         self.store = LogStore(self.disk)
         stored = self.store.load(lambda: f"{self.source.getrandbits(64):016x}").unwrap()
-        timing = TimingSettings()
         source = random.Random(self.source.random())
-        self.node = self.node_type(self.name, self.voters, timing, stored, source)
+        self.node = self.node_type(self.name, self.voters, self.timing, stored, source)
         self.state = ReplicatedState()
         self.state.restore(stored.snapshot.data)
         self.applied_index = stored.snapshot.index
@@ -100,18 +100,18 @@
         self.reads.clear()
 
     def thaw(self) -> None:
-        """Go on after a freeze; messages that came meanwhile are handled now."""
+        """Go on after a freeze; messages and reads that came meanwhile are handled now."""
         self.frozen = False
         held, self.held = self.held, []
-        for sender, message in held:
-            self.receive(sender, message)
+        for action in held:
+            action()
 
     def receive(self, sender: str, message: object) -> None:
         """Handle a message."""
         if self.node is None:
             return
         if self.frozen:
-            self.held.append((sender, message))
+            self.held.append(lambda: self.receive(sender, message))
             return
         self._run(self.node.receive(sender, message, self.clock.now_s))
 
@@ -129,8 +129,11 @@
 
     def read(self, finished: Callable[[bool], None]) -> bool:
         """Ask for a confirmed read; False if this host cannot serve one."""
-        if self.node is None or self.frozen:
+        if self.node is None:
             return False
+        if self.frozen:
+            self.held.append(lambda: self.read(finished) or finished(False))
+            return True
         read_id = self.next_read
         self.next_read += 1
         floor = self.checks.highest_acknowledged
--- /dev/null
+++ b/laburnumrock/state/tests/test_state.py
@@ -0,0 +1,79 @@
+"""Tests of the replicated state."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from laburnumrock.journal import ClaimOperation, JournalPart, SettleOperation
+from laburnumrock.messages import register_message
+from laburnumrock.state import PARTS, ReplicatedState, decode_message, encode_message, stamp
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class CountForTest:
+    stamp_s: float = 0.0
+
+
+class _Counter:
+    command_types = (CountForTest,)
+
+    def __init__(self):
+        self.stamps = []
+
+    def apply(self, command, index):
+        self.stamps.append(command.stamp_s)
+        return command
+
+    def query(self, question):
+        return question
+
+    def to_plain(self):
+        return self.stamps
+
+    def restore(self, plain):
+        self.stamps = list(plain or [])
+
+
+class TestReplicatedState:
+    def test_time_never_goes_back_when_the_leader_changes(self):
+        """Guards against early or endless retention after a leader with a slow clock."""
+        state = ReplicatedState({"counter": _Counter})
+        for index, now_s in enumerate((100.0, 40.0, 120.0), start=1):
+            state.apply(index, stamp(CountForTest(), now_s))
+        assert state.parts["counter"].stamps == [100.0, 100.0, 120.0]
+
+    def test_restored_state_equals_the_original(self):
+        """Guards against a part, the clock or the index missing from snapshots."""
+        state = ReplicatedState({"counter": _Counter, "journal": JournalPart})
+        state.apply(1, CountForTest(50.0))
+        state.apply(2, ClaimOperation("a", "k", "f", "c1", "a1", "p", 1.0, 60.0))
+        other = ReplicatedState({"counter": _Counter, "journal": JournalPart})
+        other.restore(state.snapshot())
+        assert other.snapshot() == state.snapshot()
+        assert (other.applied_index, other.clock_s) == (2, 60.0)
+        other.restore(b"")
+        assert (
+            other.snapshot()
+            == ReplicatedState({"counter": _Counter, "journal": JournalPart}).snapshot()
+        )
+
+    def test_two_parts_cannot_handle_one_command(self):
+        """Guards against a command that silently reaches only one of two parts."""
+        with pytest.raises(ValueError):
+            ReplicatedState({"one": _Counter, "two": _Counter})
+
+    def test_command_survives_its_encoding(self):
+        """Guards against a command that changes between proposal and apply."""
+        for command in (CountForTest(1.5), SettleOperation("a", "k", "c", "done")):
+            assert encode_message(decode_message(encode_message(command))) == (
+                encode_message(command)
+            )
+
+    @pytest.mark.parametrize("name", sorted(PARTS))
+    def test_every_registered_part_restores_its_empty_state(self, name):
+        """Guards against a part that cannot start on an empty log."""
+        part = PARTS[name]()
+        part.restore(None)
+        assert part.to_plain() == PARTS[name]().to_plain()
+        assert part.command_types
