--- a/laburnumrock/scenarios/__init__.py
+++ b/laburnumrock/scenarios/__init__.py
@@ -1,20 +1,31 @@
-"""Scenarios and the virtual clock that they run on."""
+"""Failure scenarios: under a virtual clock, and over real processes."""
 
+from laburnumrock.scenarios._deployment import Deployment
+from laburnumrock.scenarios._http import HttpAnswer, request_json
 from laburnumrock.scenarios._log_checks import LogChecks
 from laburnumrock.scenarios._log_cluster import LogCluster, LogReport
 from laburnumrock.scenarios._log_host import LogHost
 from laburnumrock.scenarios._log_owner import OperationOwner
 from laburnumrock.scenarios._loopback import make_loopback_settings
+from laburnumrock.scenarios._plan import DeploymentPlan
+from laburnumrock.scenarios._processes import ManagedProcess, ProcessGroup, run_deployment
 from laburnumrock.scenarios._virtual import FaultRates, VirtualClock, VirtualNetwork
 
 __all__ = [
+    "Deployment",
+    "DeploymentPlan",
     "FaultRates",
+    "HttpAnswer",
     "LogChecks",
     "LogCluster",
     "LogHost",
     "LogReport",
+    "ManagedProcess",
     "OperationOwner",
+    "ProcessGroup",
     "VirtualClock",
     "VirtualNetwork",
     "make_loopback_settings",
+    "request_json",
+    "run_deployment",
 ]
