--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import Any
 
 from eliot import log_message
 from result import Err, Ok, Result
@@ -29,7 +30,7 @@
     RevisionApplied,
 )
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.messages import Effect, Send
+from laburnumrock.messages import Effect, Send, from_plain
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
@@ -181,8 +182,17 @@
             if answer.is_err() or expected not in answer.unwrap().holds
         ]
 
-    def receive_holds(self, holds: list[Hold]) -> None:
-        """Take holds that arrived on membership probes."""
+    def provide_facts(self) -> dict[str, Any]:
+        """Return the plain data that travel on membership probes."""
+        return {"revision": self.view.revision, "holds": self.view.holds.to_plain()}
+
+    def receive_facts(self, sender: str, facts: dict[str, Any]) -> None:
+        """Take the plain data of a probe from an instance of the own failure domain."""
+        try:
+            holds = [from_plain(Hold, plain) for plain in facts.get("holds", [])]
+        except (ValueError, TypeError) as error:
+            log_message("malformed_message", peer=sender, failure=f"facts.holds: {error}")
+            return
         self._execute(self.sync.merge_holds(holds))
 
     async def _run(self) -> None:
@@ -243,7 +253,7 @@
                     self._execute(self.sync.push_holds())
 
     def _exchange_holds(self, sender: str, exchange: HoldExchange) -> HoldExchange:
-        self.receive_holds(exchange.holds)
+        self._execute(self.sync.merge_holds(exchange.holds))
         return HoldExchange(self.view.holds.entries())
 
     def _spawn(self, coroutine) -> None:
--- a/laburnumrock/daemon/tests/test_declaration_task.py
+++ b/laburnumrock/daemon/tests/test_declaration_task.py
@@ -137,6 +137,19 @@
 
         assert asyncio.run(run()) == [False] * 4
 
+    def test_holds_travel_on_membership_probes(self, tmp_path):
+        """Guards against a hold that one lost push keeps from an instance, and a faulty peer."""
+        tasks = [
+            DeclarationTask(settings, PeerNetwork(settings, b"k" * 32), FakeLog())
+            for settings in _make_settings(tmp_path)[:2]
+        ]
+        tasks[0].view.holds.add("a", "op", 1.0)
+        for facts in ({}, {"holds": 3}, {"holds": [{"failure_domain": "a"}]}):
+            tasks[1].receive_facts("a1", facts)
+        assert tasks[1].view.is_in_service("failure_domain", "a")
+        tasks[1].receive_facts("a1", tasks[0].provide_facts())
+        assert not tasks[1].view.is_in_service("failure_domain", "a")
+
 
 class TestHoldFile:
     def test_unreadable_file_is_kept_aside(self, tmp_path):
