--- a/laburnumrock/cli/_client.py
+++ b/laburnumrock/cli/_client.py
@@ -145,15 +145,21 @@
             Instances that lag at the end, empty when in force; None when no server answered.
         """
         end_s = time.monotonic() + timeout_s
-        lagging: list[str] | None = None
+        lagging: dict[str, list[str]] = {}
+        turn = 0
         while True:
-            answer = self.get("in-force", **query)
+            # Each poll starts with another server: an isolated one sees all others lag.
+            start = turn % max(1, len(self.servers))
+            order = self.servers[start:] + self.servers[:start]
+            rotated = OperatorClient(order, self.key_file, self.timeout_s, self.operator)
+            answer = rotated.get("in-force", **query)
             if answer.is_ok():
-                lagging = answer.unwrap()["lagging"]
                 if answer.unwrap()["in_force"]:
                     return []
+                lagging[order[0]] = answer.unwrap()["lagging"]
             if time.monotonic() + POLL_PERIOD_S > end_s:
-                return lagging
+                return min(lagging.values(), key=len, default=None)
+            turn += 1
             time.sleep(POLL_PERIOD_S)
 
     def wait_for_voter(self, instance_id: str, member: bool, timeout_s: float) -> bool:
--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -124,6 +124,14 @@
         assert code == ExitCode.NOT_IN_FORCE
         assert "b2, c1" in output
 
+    def test_wait_asks_more_than_one_server(self, shell):
+        """Guards against a wait that fails because an isolated instance sees all others lag."""
+        isolated = make_services()
+        isolated.declarations.lagging = [["a1", "b1", "c1"]] * 50
+        with run_server(isolated) as url:
+            shell.options = ["--server", url, *shell.options]
+            assert shell.run("drain", "instance", "b1", "--wait", "--wait-timeout", 3)[0] == 0
+
     def test_holds(self, shell):
         """Guards against a hold that the command line cannot end."""
         assert shell.run("hold", "add", "a", "--wait")[0] == 0
