--- a/laburnumrock/ownership/_assigner.py
+++ b/laburnumrock/ownership/_assigner.py
@@ -15,7 +15,10 @@
 TERM_SHIFT = 16
 """An epoch is the term, shifted by this number of bits, plus a counter."""
 
-SETTLE_PART = 0.3
+LIVE_PART = 0.6
+"""An instance that has not asked for this part of an assignment gets no more pools."""
+
+SETTLE_PART = 0.2
 """A new coordinator waits this part of an assignment for the former owners to ask."""
 
 
@@ -56,6 +59,7 @@
 
     def __init__(self, assignment_s: float) -> None:
         self.assignment_s = assignment_s
+        self.live_s = assignment_s * LIVE_PART
         self.pools: dict[str, _Pool] = {}
         self.candidates: dict[str, _Candidate] = {}
         self.lease_since_s = float("-inf")
@@ -63,6 +67,7 @@
         self.next_epoch = 0
         self.version = 0
         self.last_end_s = float("-inf")
+        self.forgotten_end_s = float("-inf")
         self.stopping = False
 
     def receive(
@@ -127,6 +132,7 @@
     def _begin_lease(self, lease: CoordinatorLease, now_s: float) -> None:
         # Other coordinators may have assigned the pools since this instance's last lease.
         self.lease_since_s = lease.since_s
+        self.forgotten_end_s = self.last_end_s
         self.pools = {}
         self.candidates = {}
         self.version = max(self.version + 1, lease.term << TERM_SHIFT)
@@ -139,7 +145,7 @@
             self._note_claim(sender, held)
         for pool_id in request.wanted:
             if pool_id not in self.pools:
-                self.pools[pool_id] = _Pool(ends_s=self.last_end_s)
+                self.pools[pool_id] = _Pool(ends_s=self.forgotten_end_s)
 
     def _note_claim(self, sender: str, held: HeldPool) -> None:
         """Prefer the last owner for a pool that this coordinator has not assigned yet."""
@@ -149,7 +155,7 @@
         self.pools[held.pool_id] = _Pool(
             sender,
             claimed_epoch=held.epoch,
-            ends_s=self.last_end_s if pool is None else pool.ends_s,
+            ends_s=self.forgotten_end_s if pool is None else pool.ends_s,
         )
         self.version += 1
 
@@ -188,7 +194,7 @@
         return now_s >= pool.ends_s
 
     def _live_candidates(self, now_s: float) -> list[str]:
-        oldest_s = now_s - self.assignment_s
+        oldest_s = now_s - self.live_s
         return [
             name
             for name, candidate in self.candidates.items()
--- a/laburnumrock/ownership/_elector.py
+++ b/laburnumrock/ownership/_elector.py
@@ -9,8 +9,12 @@
 
 ROUND_NUMBER_BITS = 48
 RENEWALS_PER_LEASE = 4
-BACKOFF_PART = 0.1
-"""Candidates wait a random part of the lease, up to this one, so that few compete."""
+ROUND_PART = 0.05
+"""A candidate gives up a round without a majority after this part of the lease."""
+MIN_BACKOFF_PART = 0.02
+"""Covers the different ends of the other instances' grants to the last holder."""
+MAX_BACKOFF_PART = 0.1
+"""Candidates wait a random part of the lease, so that few of them compete."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,7 +161,8 @@
             Messages to send.
         """
         if isinstance(message, LeaseRequest):
-            return [Send(sender, self._answer(sender, message, now_s))]
+            effects = self._yield_to(sender, now_s)
+            return [*effects, Send(sender, self._answer(sender, message, now_s))]
         if isinstance(message, LeaseGrant):
             return self._count_grant(sender, message, now_s)
         if isinstance(message, LeaseRefusal):
@@ -184,7 +189,8 @@
             # A holder that was refused because of a higher term raises its own.
             self.highest_term += 1
             self.round_term = self.highest_term
-        self.next_request_s = now_s + self.lease_s / RENEWALS_PER_LEASE
+        part = 1 / RENEWALS_PER_LEASE if is_holder else ROUND_PART
+        self.next_request_s = now_s + part * self.lease_s
         request = LeaseRequest(self.round_number, self.round_term, is_holder)
         effects: list[Effect] = [Send(peer, request) for peer in self._others()]
         own = self._answer(self.instance_id, request, now_s)
@@ -232,6 +238,15 @@
                 self.next_request_s = now_s
         return []
 
+    def _yield_to(self, sender: str, now_s: float) -> list[Effect]:
+        """Give up an open round when a candidate with a lower name competes."""
+        is_open = self.round_sent_s is not None and self.lease(now_s) is None
+        if not is_open or sender >= self.instance_id:
+            return []
+        effects = self._abandon_round(now_s)
+        self.next_request_s = now_s + MAX_BACKOFF_PART * self.lease_s
+        return effects
+
     def _count_refusal(self, sender: str, message: LeaseRefusal, now_s: float) -> list[Effect]:
         self.highest_term = max(self.highest_term, message.highest_term)
         if self.round_sent_s is None or message.round_number != self.round_number:
@@ -252,7 +267,7 @@
                 self.next_request_s = now_s + self._backoff_s()
 
     def _backoff_s(self) -> float:
-        return self.rng.uniform(0, BACKOFF_PART) * self.lease_s
+        return self.rng.uniform(MIN_BACKOFF_PART, MAX_BACKOFF_PART) * self.lease_s
 
     def _others(self) -> list[str]:
         return [peer for peer in self.domain_instances if peer != self.instance_id]
--- a/laburnumrock/ownership/_holdings.py
+++ b/laburnumrock/ownership/_holdings.py
@@ -35,6 +35,7 @@
         self.wanted: set[str] = set()
         self.accepting = True
         self.sequence = 0
+        self.last_coordinator: str | None = None
         self.next_request_s = float("-inf")
         self.held: dict[str, HeldPool] = {}
         self.ends_s: dict[str, float] = {}
@@ -90,8 +91,12 @@
         list of Effect
             Messages to send.
         """
-        if coordinator is None or now_s < self.next_request_s:
+        is_new = coordinator != self.last_coordinator
+        if coordinator is None or (now_s < self.next_request_s and not is_new):
             return []
+        self.last_coordinator = coordinator
+        # A new coordinator learns from its members which pools exist.
+        wanted = self.wanted | self.owners.keys() if is_new else self.wanted
         self.next_request_s = now_s + self.assignment_s / REQUESTS_PER_ASSIGNMENT
         self.sequence += 1
         self.pending[self.sequence] = (coordinator, now_s)
@@ -103,7 +108,7 @@
             self.accepting,
             list(self.held.values()),
             list(self.released.values()),
-            sorted(self.wanted),
+            sorted(wanted),
             self.version,
         )
         return [Send(coordinator, request)]
