--- a/laburnumrock/standins/_engine.py
+++ b/laburnumrock/standins/_engine.py
@@ -133,6 +133,7 @@
         self.samples: deque[LoadSample] = deque(maxlen=64)
         self.hidden_until_s = 0.0
         self.break_streams = 0
+        self.break_after_tokens = 0
         self.wake = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
         self.announcer = Announcer(
--- a/laburnumrock/standins/_engine_completions.py
+++ b/laburnumrock/standins/_engine_completions.py
@@ -122,16 +122,22 @@
                     await self.finish()
                     return
                 self._write_token(event, prompt_hash)
-            if self.engine.break_streams > 0:
-                self.engine.break_streams -= 1
+            await self.flush()
+            if self._takes_break(batch[-1].index + 1 - request.resume_from):
                 self.request.connection.stream.close()
                 raise StreamClosedError
-            await self.flush()
             if batch[-1].is_last:
                 self.engine.segments.forget(request.request_id)
                 await self.finish("data: [DONE]\n\n")
                 return
 
+    def _takes_break(self, sent_tokens: int) -> bool:
+        """Use up one ordered break if enough tokens of this stream were sent."""
+        if self.engine.break_streams == 0 or sent_tokens < self.engine.break_after_tokens:
+            return False
+        self.engine.break_streams -= 1
+        return True
+
     def _write_token(self, event: TokenEvent, prompt_hash: str) -> None:
         token = {
             "request_id": event.request_id,
--- a/laburnumrock/standins/_engine_http.py
+++ b/laburnumrock/standins/_engine_http.py
@@ -97,6 +97,7 @@
             self.engine.announcer.is_enabled = bool(body.get("enabled", True))
         elif action == "break-streams":
             self.engine.break_streams = int(body.get("count", 1))
+            self.engine.break_after_tokens = int(body.get("after_tokens", 1))
         else:
             self.refuse(404, "unknown_action")
             return
--- a/laburnumrock/standins/_engine_kv.py
+++ b/laburnumrock/standins/_engine_kv.py
@@ -33,7 +33,10 @@
 
 
 class PrefillHandler(EngineHandler):
-    """``POST /v1/kv/prefill``: computes one segment of a prompt in reserved memory."""
+    """``POST /v1/kv/prefill``: computes one segment of a prompt in reserved memory.
+
+    The body carries either the whole prompt or the words of the segment alone.
+    """
 
     async def post(self) -> None:
         """Compute a segment and answer when it is complete."""
@@ -41,7 +44,8 @@
         request_id, start, end = body["request_id"], body["start"], body["end"]
         holding = self.engine.model.memory.holdings.get(request_id)
         needed = end - start + self.engine.segments.local_tokens(request_id)
-        if start < 0 or end <= start:
+        words = len(body["prompt"].split())
+        if start < 0 or end <= start or not (words == end - start or words >= end):
             self.refuse(400, "invalid_range")
             return
         if holding is None or holding.tokens < needed:
