--- a/laburnumrock/scenarios/_processes.py
+++ b/laburnumrock/scenarios/_processes.py
@@ -224,7 +224,10 @@
 
 @contextmanager
 def run_deployment(
-    plan: DeploymentPlan, ready_timeout_s: float = 20.0, graceful_stop: bool = False
+    plan: DeploymentPlan,
+    ready_timeout_s: float = 20.0,
+    graceful_stop: bool = False,
+    log_folder: Path | None = None,
 ) -> Iterator[ProcessGroup]:
     """Run a deployment until the end of the block, and stop it even on errors.
 
@@ -236,6 +239,8 @@
         Longest wait for readiness in seconds.
     graceful_stop : bool
         Whether processes get SIGTERM before SIGKILL at the end.
+    log_folder : Path, optional
+        Receives the logs at the end; they are removed with the other files without it.
 
     Yields
     ------
@@ -260,4 +265,9 @@
         yield group
     finally:
         group.stop_all(graceful_stop)
+        if log_folder is not None:
+            log_folder.mkdir(parents=True, exist_ok=True)
+            for process in group.processes.values():
+                if process.log_file.exists():
+                    shutil.copy2(process.log_file, log_folder)
         shutil.rmtree(folder, ignore_errors=True)
--- a/laburnumrock/scenarios/tests/test_processes.py
+++ b/laburnumrock/scenarios/tests/test_processes.py
@@ -66,13 +66,14 @@
         assert not any(is_alive(process) for process in group.processes.values())
         assert not folder.exists()
 
-    def test_stops_everything_after_an_error(self):
+    def test_stops_everything_after_an_error(self, tmp_path):
         """Guards against leaked processes when a test fails inside the block."""
         started = []
-        with pytest.raises(RuntimeError), run_deployment(EMULATORS) as group:
+        with pytest.raises(RuntimeError), run_deployment(EMULATORS, log_folder=tmp_path) as group:
             started += group.processes.values()
             raise RuntimeError
         assert started
+        assert "serving" in (tmp_path / "a-engine-1.log").read_text()
         assert not any(is_alive(process) for process in started)
 
     def test_failed_start_reports_the_log(self):
--- a/laburnumrock/standins/tests/test_load.py
+++ b/laburnumrock/standins/tests/test_load.py
@@ -4,6 +4,7 @@
 import io
 import json
 import socket
+from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
@@ -11,10 +12,11 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+import laburnumrock
 from laburnumrock.standins import hash_prompt, read_report, report_command, token_text
 from laburnumrock.standins._load import run_load
 from laburnumrock.standins._load_calls import CallRecord, LoadClient, StreamCheck
-from laburnumrock.standins._load_profile import LoadProfile, plan_calls
+from laburnumrock.standins._load_profile import LoadProfile, load_profile, plan_calls
 from laburnumrock.standins._load_report import percentile, summarize
 
 HOST = "127.0.0.1"
@@ -49,6 +51,13 @@
         assert [len(prompt.split()) for prompt in prompts] == [c.prompt_tokens for c in calls]
         assert len({hash_prompt(prompt) for prompt in prompts}) == len(calls)
 
+    def test_example_profile_is_valid(self):
+        """Guards against an example that drifts from the profile's fields."""
+        file = Path(laburnumrock.__file__).parents[1] / "examples" / "load_profile.json"
+        calls = plan_calls(load_profile(file), 100.0, 10.0, 1)
+        assert {call.account.name for call in calls} == {"skylight", "archives", "survey"}
+        assert any(call.service for call in calls)
+
     def test_resent_operations_share_their_key(self):
         """Guards against a resend that the service cannot recognise."""
         services = [{"service": "orders", "path": "place"}]
