Bound finish times by worst-case prefill ends; tune the reserve

Cause: two short requests of shortest_wait missed their deadline at 1.2 load, because the wait for prefill was predicted from the batch at grant time and later parts of spanning prompts were not counted.

--- a/laburnumrock/placement/_intake.py
+++ b/laburnumrock/placement/_intake.py
@@ -19,6 +19,8 @@
 DISCOVERY_S = 1.0
 # Guards deadlines against the granularity of engine steps and the way of the messages.
 DEADLINE_MARGIN_S = 0.1
+# Work that starts on the later upstreams of a spanning prompt before its own parts delays them.
+SPANNING_FACTOR = 2.0
 EARMARK_CLASSES = (LengthClass.LONG, LengthClass.SPANNING)
 
 
@@ -176,7 +178,7 @@
     def _enqueue(self, waiting: WaitingRequest, line: str, now_s: float) -> list[Effect]:
         give_up_s = waiting.deadline_s
         if self.policy.predicts:
-            service_s = self._service_s(waiting, now_s)
+            service_s = self._service_s(waiting)
             give_up_s = waiting.deadline_s - service_s - DEADLINE_MARGIN_S
             if now_s + self._line_wait_s(line) > give_up_s:
                 return [self.refuse(waiting, ErrorKind.DEADLINE_UNREACHABLE, now_s)]
@@ -185,12 +187,14 @@
         self._earmark(self.queue.first(line), now_s)
         return []
 
-    def _service_s(self, waiting: WaitingRequest, now_s: float) -> float:
+    def _service_s(self, waiting: WaitingRequest) -> float:
         ledger = self.sample_ledger()
         if ledger is None:
             return 0.0
-        idle_s = ledger.wait_s(now_s)
-        return max(0.0, ledger.latest_finish_s(waiting.request, now_s + idle_s) - now_s - idle_s)
+        service_s = ledger.latest_service_s(waiting.request)
+        if waiting.length_class is LengthClass.SPANNING:
+            service_s *= SPANNING_FACTOR
+        return service_s
 
     def _line_wait_s(self, line: str) -> float:
         count = max(1, len(self.table.capacities))
@@ -208,10 +212,10 @@
         ):
             return None
         self.scheduler.clear_earmarks(now_s, waiting.key)
-        first_s = self._charge_prefill(waiting, parts, now_s)
-        grant = self.book.grant(waiting, parts, first_s - now_s, now_s)
+        grant = self.book.grant(waiting, parts, now_s)
         permit = self.book.permits[grant.permit_id]
-        permit.prefill_done_s = first_s
+        first_s = self._charge_prefill(waiting, parts, grant.permit_id, now_s)
+        permit.predicted_first_s = first_s - now_s
         return Send(waiting.sender, grant)
 
     def _choose_parts(
@@ -233,14 +237,17 @@
         parts: list[tuple[UpstreamLedger, Placement]],
         now_s: float,
     ) -> float:
-        finish_s = parts[-1][0].latest_finish_s(waiting.request, now_s)
-        waits = [ledger.wait_s(now_s) for ledger, _ in parts]
-        return finish_s - waits[-1] + max(waits)
+        request = waiting.request
+        finish_s = max(ledger.latest_finish_s(request, now_s) for ledger, _ in parts)
+        if len(parts) > 1:
+            finish_s += (SPANNING_FACTOR - 1) * parts[0][0].latest_service_s(request)
+        return finish_s
 
     def _charge_prefill(
         self,
         waiting: WaitingRequest,
         parts: list[tuple[UpstreamLedger, Placement]],
+        permit_id: str,
         now_s: float,
     ) -> float:
         """Enter the prefill of the first part; returns the expected time of the first token.
@@ -250,25 +257,30 @@
         """
         tokens = waiting.request.prompt_tokens
         is_long = waiting.length_class in EARMARK_CLASSES
-        first_ledger, first_placement = parts[0]
-        first_tokens = min(tokens, first_placement.kv_tokens)
-        end_s = first_ledger.charge_prefill(first_tokens, is_long, now_s)
-        tokens -= first_tokens
-        for ledger, placement in parts[1:]:
+        end_s = now_s
+        for index, (ledger, placement) in enumerate(parts):
             part_tokens = min(tokens, placement.kv_tokens)
             tokens -= part_tokens
-            heapq.heappush(self.later_prefills, (end_s, ledger.upstream_id, part_tokens))
+            if index == 0:
+                end_s = ledger.charge_prefill(part_tokens, is_long, now_s)
+                self.table.reindex(ledger, now_s)
+                continue
+            ledger.later_parts[permit_id] = part_tokens
+            heapq.heappush(self.later_prefills, (end_s, ledger.upstream_id, permit_id))
             end_s = max(end_s, ledger.prefill_free_s)
             end_s += ledger.prefill_s(part_tokens, len(ledger.permits))
         return end_s
 
     def start_later_prefills(self, now_s: float) -> None:
-        """Enter the parts of spanning prompts that are expected to start now."""
+        """Enter the parts of spanning prompts that are expected to start now.
+
+        They also stay among the later parts until the permit ends, as a bound for deadlines.
+        """
         while self.later_prefills and self.later_prefills[0][0] <= now_s:
-            _, upstream_id, tokens = heapq.heappop(self.later_prefills)
+            _, upstream_id, permit_id = heapq.heappop(self.later_prefills)
             ledger = self.table.ledgers.get(upstream_id)
-            if ledger is not None and ledger.permits:
-                ledger.charge_prefill(tokens, True, now_s)
+            if ledger is not None and permit_id in ledger.later_parts:
+                ledger.charge_prefill(ledger.later_parts[permit_id], False, now_s)
                 self.table.reindex(ledger, now_s)
 
     def _earmark(self, waiting: WaitingRequest, now_s: float) -> None:
--- a/laburnumrock/placement/_ledger.py
+++ b/laburnumrock/placement/_ledger.py
@@ -65,8 +65,6 @@
         When it ends unless it is renewed.
     predicted_first_s : float
         Predicted time to the first token in seconds.
-    prefill_done_s : float
-        When its prefill is expected to end.
     unconfirmed : set of str
         Upstreams that have not confirmed the cancel of an ended permit.
     ended : bool
@@ -80,7 +78,6 @@
     length_class: LengthClass
     expires_s: float
     predicted_first_s: float = 0.0
-    prefill_done_s: float = 0.0
     unconfirmed: set[str] = field(default_factory=set)
     ended: bool = False
     ended_s: float = 0.0
@@ -134,6 +131,8 @@
         self.earmarked_kv = 0
         self.earmarked_for: tuple[str, int] | None = None
         self.prefill_free_s = 0.0
+        self.latest_prefill_free_s = 0.0
+        self.later_parts: dict[str, int] = {}
         self.long_prefill_ends: list[float] = []
         self.signature: tuple = (frozenset(), frozenset(), frozenset())
         self.index_keys: tuple | None = None
@@ -202,6 +201,7 @@
         if placement is None:
             return False
         self.kv_used -= placement.kv_tokens
+        self.later_parts.pop(permit_id, None)
         return True
 
     def set_unattributed(self, request_id: str, kv_tokens: int | None) -> None:
@@ -219,16 +219,25 @@
         """Return how many long prompts are expected to be in prefill."""
         if self.long_prefill_ends:
             self.long_prefill_ends = [end_s for end_s in self.long_prefill_ends if end_s > now_s]
-        return len(self.long_prefill_ends)
+        return len(self.long_prefill_ends) + len(self.later_parts)
 
     def charge_prefill(self, tokens: int, is_long: bool, now_s: float) -> float:
         """Enter a prefill that follows the present ones; returns its expected end."""
         start_s = max(now_s, self.prefill_free_s)
         self.prefill_free_s = start_s + self.prefill_s(tokens, len(self.permits))
+        full = self.settings.permits_per_upstream
+        latest_start_s = max(now_s, self.latest_prefill_free_s)
+        self.latest_prefill_free_s = latest_start_s + self.prefill_s(tokens, full)
         if is_long:
             self.long_prefill_ends.append(self.prefill_free_s)
         return self.prefill_free_s
 
+    def clear_prefills(self, now_s: float) -> None:
+        """Enter that no prefill is left, whatever was predicted."""
+        self.prefill_free_s = min(self.prefill_free_s, now_s)
+        self.latest_prefill_free_s = min(self.latest_prefill_free_s, now_s)
+        self.long_prefill_ends.clear()
+
     def step_s(self, sequences: int) -> float:
         """Return the expected time of a decode step with `sequences` in the batch."""
         base_s = self.announcement.decode_step_s if self.announcement else 0.0
@@ -251,8 +260,8 @@
         chunks = tokens / self.settings.prefill_chunk_tokens
         return chunks * self.mixed_step_s(sequences)
 
-    def latest_finish_s(self, request: PermitRequest, now_s: float) -> float:
-        """Return an upper bound on the finish of a request that is granted now.
+    def latest_service_s(self, request: PermitRequest) -> float:
+        """Return an upper bound on the time from the start of prefill to the finish, in seconds.
 
         Notes
         -----
@@ -261,9 +270,16 @@
         batch and a chunk in every step; hence no later grant can invalidate it.
         """
         full = self.settings.permits_per_upstream
-        step_s = self.mixed_step_s(full)
-        expected_s = self.mixed_step_s(len(self.permits))
-        stretch = step_s / expected_s if expected_s > 0 else 1.0
-        start_s = now_s + self.wait_s(now_s) * max(1.0, stretch)
-        prefill_s = self.prefill_s(request.prompt_tokens, full)
-        return start_s + prefill_s + request.max_output_tokens * step_s
+        decode_s = request.max_output_tokens * self.mixed_step_s(full)
+        return self.prefill_s(request.prompt_tokens, full) + decode_s
+
+    def latest_finish_s(self, request: PermitRequest, now_s: float) -> float:
+        """Return an upper bound on the finish of a request that is granted now.
+
+        The later parts of spanning prompts count in full, because their start is not known.
+        """
+        start_s = max(now_s, self.latest_prefill_free_s)
+        if self.later_parts:
+            full = self.settings.permits_per_upstream
+            start_s += self.prefill_s(sum(self.later_parts.values()), full)
+        return start_s + self.latest_service_s(request)
--- a/laburnumrock/placement/_length_aware.py
+++ b/laburnumrock/placement/_length_aware.py
@@ -20,17 +20,18 @@
 PRIORITY_STEP_S = 30.0
 # An upstream whose prefills end within this time counts as ready for a short request.
 READY_WAIT_S = 0.3
-# Further medium and long prompts wait in the queue, where their order can still change.
-MAX_BACKLOG_S = 4.0
+# Further medium and long prompts wait in the queue, where their order can still change and they
+# hold no memory.
+MAX_BACKLOG_S = 1.0
 # Prefill load up to which upstreams are filled with medium and long prompts before the reserve
 # of upstreams for short ones shrinks.
-GENERAL_TARGET_LOAD = 0.85
+GENERAL_TARGET_LOAD = 0.65
 DEMAND_WINDOW_S = 20.0
 # Part of each engine's KV memory that medium and long prompts leave free: the mean need of short
 # prompts times a factor for its variation, between two bounds.
-MIN_MEMORY_RESERVE = 0.05
+MIN_MEMORY_RESERVE = 0.03
 MAX_MEMORY_RESERVE = 0.25
-MEMORY_RESERVE_FACTOR = 1.25
+MEMORY_RESERVE_FACTOR = 1.1
 RESERVE_PERIOD_S = 1.0
 
 
--- a/laburnumrock/placement/_permits.py
+++ b/laburnumrock/placement/_permits.py
@@ -35,7 +35,6 @@
         self,
         waiting: WaitingRequest,
         parts: list[tuple[UpstreamLedger, Placement]],
-        predicted_first_s: float,
         now_s: float,
     ) -> PermitGrant:
         """Enter a permit in the ledgers of all its upstreams in one step."""
@@ -49,8 +48,7 @@
             placements=[placement for _, placement in parts],
             ttl_s=settings.permit_ttl_s,
         )
-        permit = self._enter(waiting.sender, grant, waiting.length_class, now_s)
-        permit.predicted_first_s = predicted_first_s
+        self._enter(waiting.sender, grant, waiting.length_class, now_s)
         return grant
 
     def find_live(self, key: tuple[str, int]) -> Permit | None:
@@ -172,8 +170,7 @@
         ledger.cancelling.clear()
         for request_id in list(ledger.unattributed):
             ledger.set_unattributed(request_id, None)
-        ledger.prefill_free_s = now_s
-        ledger.long_prefill_ends.clear()
+        ledger.clear_prefills(now_s)
         self.table.reindex(ledger, now_s)
 
     def _permits_of(self, ledger: UpstreamLedger, request_id: str) -> Iterable[str]:
@@ -220,9 +217,7 @@
         if upstream_id in permit.unconfirmed:
             ledger.cancelling.discard(permit.grant.request_id)
         if not ledger.permits:
-            # An upstream without permits has no prefill left, whatever was predicted.
-            ledger.prefill_free_s = min(ledger.prefill_free_s, now_s)
-            ledger.long_prefill_ends.clear()
+            ledger.clear_prefills(now_s)
         self.table.reindex(ledger, now_s)
 
     def _forget(self, permit: Permit) -> None:
