--- a/laburnumrock/admission/tests/test_admission.py
+++ b/laburnumrock/admission/tests/test_admission.py
@@ -141,6 +141,26 @@
             total = sum(allocator.share("acme", now_s) for allocator in allocators.values())
             assert total <= 1 + 1e-9
 
+    def test_lent_concurrency_counts_until_it_is_returned(self):
+        """Guards against two domains that run the same part of the concurrency limit."""
+        lender = ShareAllocator("a", DOMAINS)
+        borrower = ShareAllocator("b", DOMAINS)
+
+        def report(fraction, concurrency, now_s):
+            demand = [AccountDemand("acme", fraction, concurrency)]
+            message = borrower.make_reports({"a": "a"}, demand, now_s)[0].message
+            for effect in lender.lend("b", message, {}, now_s):
+                borrower.accept(effect.message, now_s)
+
+        report(0.5, 0.1, 0.0)
+        assert borrower.concurrency_share("acme", 0.0) > 0.5
+        low = lender.concurrency_share("acme", 0.0)
+        report(0.1, 0.5, 4.0)
+        assert lender.share("acme", 4.0) > low
+        assert lender.concurrency_share("acme", 4.0) == low
+        report(0.1, 0.2, 5.0)
+        assert abs(lender.concurrency_share("acme", 5.0) - 1 / 3) < 1e-9
+
     def test_new_coordinator_does_not_use_what_was_lent(self):
         """Guards against a share that is used by lender and borrower after a restart."""
         allocator = ShareAllocator("a", DOMAINS, started_s=10.0)
--- a/laburnumrock/placement/tests/test_scheduler.py
+++ b/laburnumrock/placement/tests/test_scheduler.py
@@ -184,6 +184,18 @@
         scheduler = make_scheduler()
         assert ask(scheduler) == ask(scheduler, 0.1)
 
+    def test_new_attempt_avoids_the_upstream_that_cancels_the_old_one(self):
+        """Guards against a cancel by request id that stops the new attempt."""
+        scheduler = make_scheduler(("e1", "e2"))
+        first = messages(ask(scheduler), PermitGrant)[0].placements[0].upstream_id
+        scheduler.tick(2.1)
+        for number in range(6):
+            grant = messages(ask(scheduler, 2.2, attempt=number + 2), PermitGrant)[0]
+            assert grant.placements[0].upstream_id != first
+        scheduler.confirm_cancel(first, "r1", 2.3)
+        grant = messages(ask(scheduler, 2.4, attempt=9), PermitGrant)[0]
+        assert grant.placements[0].upstream_id == first
+
     def test_cancel_of_a_queued_request(self):
         """Guards against a grant to a caller that has gone."""
         scheduler = make_scheduler(("e1",), warm=False)
