Draw the pool of a request by free memory among equally fast pools

Cause: all instances sent to one pool until its next summary. Change: order_pools draws in proportion to free memory; the simulation uses it.

--- a/benchmarks/cluster_model.py
+++ b/benchmarks/cluster_model.py
@@ -16,6 +16,7 @@
 )
 from workload import Call
 
+from laburnumrock.admission import order_pools
 from laburnumrock.placement import (
     PermitGrant,
     PermitOutcome,
@@ -166,7 +167,7 @@
         if not names or self.now_s >= entry.call.deadline_s:
             self.refuse(entry)
             return
-        name = self.pick_domain(names, entry.call.length_class)
+        name = self.pick_domain(names, entry.call)
         entry.domains.append(name)
         entry.domain = name
         call = entry.call
@@ -183,19 +184,14 @@
         )
         self.handle(name, self.schedulers[name].receive("entry", request, self.now_s))
 
-    def pick_domain(self, names: list[str], length_class: str) -> str:
-        """Return the better of two random pools by their last summaries."""
-        pair = self.rng.sample(names, min(2, len(names)))
-        infinite = float("inf")
-
-        def key(name: str) -> tuple:
-            summary = self.summaries.get(name)
-            if summary is None:
-                return (0, 0)
-            wait_s = summary.expected_wait_s.get(length_class, infinite)
-            return (round(wait_s, 2), -summary.free_kv_tokens)
-
-        return min(pair, key=key)
+    def pick_domain(self, names: list[str], call: Call) -> str:
+        """Return the pool that the entry instance tries next, by the last summaries."""
+        summaries = [self.summaries[name] for name in names if name in self.summaries]
+        remaining_s = call.deadline_s - self.now_s
+        ordered = order_pools(
+            summaries, call.prompt_tokens, call.output_tokens, remaining_s, self.rng
+        )
+        return ordered[0].pool_id.split("/")[0] if ordered else self.rng.choice(names)
 
     def handle(self, domain: str, effects: list) -> None:
         """Carry out the effects of a scheduler."""
--- a/laburnumrock/admission/_deadlines.py
+++ b/laburnumrock/admission/_deadlines.py
@@ -1,10 +1,14 @@
 """Prediction at the entry instance whether a pool can finish a request in time."""
 
+import random
+
 from laburnumrock.placement import PoolSummary, classify_length
 
 # Summaries are about a second old and queues move, so that only clear misses are ruled out here;
 # the exact decision is the pool owner's.
 SAFETY_FACTOR = 0.8
+# Pools whose predictions differ by less count as equally fast.
+NEAR_BEST_S = 0.1
 
 
 def predict_finish_s(summary: PoolSummary, prompt_tokens: int, output_tokens: int) -> float:
@@ -25,7 +29,11 @@
 
 
 def order_pools(
-    summaries: list[PoolSummary], prompt_tokens: int, output_tokens: int, remaining_s: float
+    summaries: list[PoolSummary],
+    prompt_tokens: int,
+    output_tokens: int,
+    remaining_s: float,
+    rng: random.Random,
 ) -> list[PoolSummary]:
     """Return the pools that may finish a request in time, most promising first.
 
@@ -37,11 +45,21 @@
         Sizes of the request in tokens.
     remaining_s : float
         Time to the deadline in seconds.
+    rng : random.Random
+        Draws between pools that are about equally fast, in proportion to their free memory, so
+        that not every instance sends its requests to the same pool until the next summary.
     """
     rated = []
     for summary in summaries:
         finish_s = predict_finish_s(summary, prompt_tokens, output_tokens)
         if finish_s * SAFETY_FACTOR <= remaining_s:
-            rated.append((round(finish_s, 2), -summary.free_kv_tokens, summary.pool_id, summary))
-    rated.sort(key=lambda entry: entry[:3])
-    return [entry[3] for entry in rated]
+            rated.append((finish_s, summary.pool_id, summary))
+    rated.sort(key=lambda entry: entry[:2])
+    if not rated:
+        return []
+    limit_s = rated[0][0] + NEAR_BEST_S
+    near = [entry[2] for entry in rated if entry[0] <= limit_s]
+    rest = [entry[2] for entry in rated if entry[0] > limit_s]
+    # Keys u ** (1 / w) give a random order in which weights w act as in drawing without return.
+    near.sort(key=lambda pool: rng.random() ** (1.0 / max(1, pool.free_kv_tokens)), reverse=True)
+    return near + rest
--- a/laburnumrock/admission/tests/test_admission.py
+++ b/laburnumrock/admission/tests/test_admission.py
@@ -187,9 +187,20 @@
             PoolSummary("b/m", 1, True, 7, 500, 0, {"short": 0.0}, 450_000, 60_000.0, 0.015),
             PoolSummary("c/m", 1, False, 0, 0, 0),
         ]
-        names = [pool.pool_id for pool in order_pools(pools, 2_000, 100, 30.0)]
+        rng = random.Random(1)
+        names = [pool.pool_id for pool in order_pools(pools, 2_000, 100, 30.0, rng)]
         assert names == ["b/m", "a/m"]
-        assert [pool.pool_id for pool in order_pools(pools, 2_000, 100, 3.0)] == ["b/m"]
+        assert [pool.pool_id for pool in order_pools(pools, 2_000, 100, 3.0, rng)] == ["b/m"]
+
+    def test_equal_pools_are_drawn_by_free_memory(self):
+        """Guards against all instances that send to one pool until the next summary."""
+        pools = [
+            PoolSummary(name, 1, True, 7, free, 0, {"short": 0.0}, 450_000, 60_000.0, 0.015)
+            for name, free in (("a/m", 1_000_000), ("b/m", 3_000_000))
+        ]
+        rng = random.Random(1)
+        first = [order_pools(pools, 2_000, 100, 30.0, rng)[0].pool_id for _ in range(1_000)]
+        assert 700 <= first.count("b/m") <= 800
 
 
 def test_refusals_name_a_retry_time():
