--- a/laburnumrock/placement/_length_aware.py
+++ b/laburnumrock/placement/_length_aware.py
@@ -19,7 +19,7 @@
 }
 PRIORITY_STEP_S = 30.0
 # An upstream whose prefills end within this time counts as ready for a short request.
-READY_WAIT_S = 0.3
+READY_WAIT_S = 0.1
 # Further medium and long prompts wait in the queue, where their order can still change and they
 # hold no memory.
 MAX_BACKLOG_S = 1.0
@@ -29,9 +29,9 @@
 DEMAND_WINDOW_S = 20.0
 # Part of each engine's KV memory that medium and long prompts leave free: the mean need of short
 # prompts times a factor for its variation, between two bounds.
-MIN_MEMORY_RESERVE = 0.03
+MIN_MEMORY_RESERVE = 0.08
 MAX_MEMORY_RESERVE = 0.25
-MEMORY_RESERVE_FACTOR = 1.1
+MEMORY_RESERVE_FACTOR = 1.4
 RESERVE_PERIOD_S = 1.0
 
 
