--- a/laburnumrock/daemon/_log_runner.py
+++ b/laburnumrock/daemon/_log_runner.py
@@ -95,6 +95,7 @@
         self.node = RaftNode(settings.instance_id, voters, settings.timing, stored, source)
         self.state.restore(stored.snapshot.data)
         self.applied_index = stored.snapshot.index
+        self.state.applied_index = self.applied_index
         self.tasks = [
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._run_queue()),
@@ -163,11 +164,12 @@
                 self.queue_filled.clear()
                 effects, self.queue = self.queue, []
                 await self._run(effects)
-        except OSError as error:
-            # What reached the disk is unknown after a failed write; this process may not go on.
+        except Exception as error:
+            # What reached the disk is unknown after a failed write, and a command that cannot be
+            # applied leaves the state behind the log. This process may not go on in either case.
             self.failed = True
-            log_message("log_storage_failed", error=str(error))
-            self._fail_waiting("the log storage failed")
+            log_message("log_failed", error=f"{type(error).__name__}: {error}")
+            self._fail_waiting("the log of this instance failed")
 
     async def _run(self, effects: list[Effect]) -> None:
         saves = [effect for effect in effects if isinstance(effect, _SAVES)]
@@ -176,7 +178,6 @@
         for effect in effects:
             self._run_one(effect)
         if self.applied_index >= self.node.log.snapshot.index + COMPACT_ENTRIES:
-            self.state.applied_index = self.applied_index
             self.enqueue(self.node.compact(self.applied_index, self.state.snapshot()))
 
     def _save(self, saves: list[Effect]) -> None:
@@ -211,6 +212,8 @@
             answer = self.state.apply(entry.index, command)
             for listener in self.applied_listeners:
                 listener(entry.index, command, answer)
+        # Reads are confirmed at any entry, so that the state counts those without a command too.
+        self.state.applied_index = entry.index
         term, future = self.commits.pop(entry.index, (None, None))
         if future is not None:
             _finish(future, answer if term == entry.term else None)
@@ -218,6 +221,7 @@
     def _restore(self, effect: Restore) -> None:
         self.state.restore(effect.snapshot.data)
         self.applied_index = effect.snapshot.index
+        self.state.applied_index = self.applied_index
         covered = [index for index in self.commits if index <= self.applied_index]
         for index in covered:
             # Whether the snapshot contains the command is not known.
--- a/laburnumrock/daemon/_log_service.py
+++ b/laburnumrock/daemon/_log_service.py
@@ -134,4 +134,4 @@
 
     def _leader(self) -> str | None:
         node = self.runner.node
-        return node.leader if node is not None else None
+        return node.leader if node is not None and not self.runner.failed else None
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -16,10 +16,13 @@
 )
 from laburnumrock.daemon._log_runner import LogRunner
 from laburnumrock.daemon._log_service import LogService
+from laburnumrock.declarations import DeclarationStore
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.replication import Disk, FolderDisk, Role
+from laburnumrock.replication import Disk, FolderDisk, Members, Role
 from laburnumrock.settings import InstanceSettings
-from laburnumrock.state import ReplicatedState, decode_message, encode_message
+from laburnumrock.state import ReplicatedState, decode_message, encode_message, register_part
+
+register_part("declarations")(DeclarationStore)
 
 LOG_FOLDER = "log"
 PROPOSE_TIMEOUT_S = 5.0
@@ -70,13 +73,29 @@
 
     @property
     def is_leader(self) -> bool:
-        """Whether this instance leads and no other instance can have been elected since."""
+        """Whether this instance leads, and no other can have been elected since.
+
+        Its state then contains everything that earlier leaders acknowledged.
+        """
         node = self.runner.node if self.runner is not None else None
         if node is None or node.role is not Role.LEADER or self.runner.failed:
             return False
+        if self.runner.applied_index < node.leadership.first_index:
+            return False
         now_s = time.monotonic()
         return node.lease_ends_s(now_s) > now_s
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the log of this instance stopped for good; the process must be restarted."""
+        return self.runner is not None and self.runner.failed
+
+    @property
+    def members(self) -> Members:
+        """Voters and learners as known here; empty on an instance without a log."""
+        node = self.runner.node if self.runner is not None else None
+        return node.members if node is not None else Members()
+
     @property
     def term(self) -> int:
         """Term of the log as known here; 0 without a log."""
@@ -93,12 +112,18 @@
             return
         node = self.runner.node
         if node is not None and node.role is Role.LEADER and not self.runner.failed:
-            self.runner.enqueue(node.transfer(time.monotonic()))
-            ends_s = time.monotonic() + TRANSFER_TIMEOUT_S
-            while node.role is Role.LEADER and time.monotonic() < ends_s:
-                await asyncio.sleep(RETRY_S / 5)
+            await self._hand_over()
         await self.runner.stop()
 
+    async def _hand_over(self) -> None:
+        node = self.runner.node
+        self.runner.enqueue(node.transfer(time.monotonic()))
+        if node.leadership.transfer_target is None:
+            return
+        ends_s = time.monotonic() + TRANSFER_TIMEOUT_S
+        while node.role is Role.LEADER and time.monotonic() < ends_s:
+            await asyncio.sleep(RETRY_S / 5)
+
     def on_applied(self, listener: Callable[[int, object, object], None]) -> None:
         """Call a function with index, command and answer of every command applied here."""
         if self.runner is not None:
@@ -220,8 +245,10 @@
             self.next_voter += 1
             return None
         answer = answer.unwrap()
-        self.known_leader = answer.leader
-        if answer.leader is None or answer.leader == target:
+        done = answer.status is LogStatus.DONE
+        # An instance that refuses and yet names itself as the leader has failed or is about to.
+        self.known_leader = answer.leader if done or answer.leader != target else None
+        if self.known_leader is None:
             self.next_voter += 1
         return answer
 
--- a/laburnumrock/daemon/tests/test_log_task.py
+++ b/laburnumrock/daemon/tests/test_log_task.py
@@ -1,12 +1,14 @@
 """Tests of the log task and the operation client over loopback."""
 
 import asyncio
+import shutil
 import time
 
 from result import Err, Ok
 
 from laburnumrock.daemon._log_task import LogTask
 from laburnumrock.daemon._operations import OperationClient
+from laburnumrock.declarations import ApplyChange
 from laburnumrock.errors import ErrorKind, Failure, Outcome
 from laburnumrock.journal import OperationOutcome, OperationState, RecordedAnswer
 from laburnumrock.scenarios import make_loopback_settings
@@ -150,3 +152,75 @@
         assert (found.state, found.source) == (OperationState.NOT_RUN, "ledger")
         assert third.is_ok()
         assert executions == 2
+
+    def test_lost_disk_is_replaced_by_an_operator_command(self, tmp_path):
+        """Guards against a replaced disk that never counts again, or counts without a command."""
+
+        async def scenario(fleet):
+            log = fleet.logs["a2"]
+            assert (await log.read_confirmed(10.0)).is_ok()
+            old = fleet.logs["c1"].runner.node.voter_id
+            await fleet.stop("c1")
+            shutil.rmtree(tmp_path / "c1")
+            await fleet.start("c1")
+            await asyncio.sleep(1.0)
+            before = fleet.logs["c1"].runner.node.has_log
+            changed = await log.change_voters("add", "c1")
+            new = fleet.logs["c1"].runner.node.voter_id
+            ends_s = time.monotonic() + 10.0
+            while new not in fleet.logs["c1"].members.voters and time.monotonic() < ends_s:
+                await asyncio.sleep(0.05)
+            return old, new, before, changed, fleet.logs["c1"].members.voters
+
+        old, new, before, changed, voters = _run(tmp_path, scenario)
+        assert not before
+        assert changed.is_ok()
+        assert new in voters
+        assert old not in voters
+        assert len(voters) == 3
+
+    def test_failed_disk_stops_the_voter_and_not_the_others(self, tmp_path):
+        """Guards against a voter that goes on after a write of which nothing is known."""
+
+        async def scenario(fleet):
+            log = fleet.logs["a2"]
+            assert (await log.read_confirmed(10.0)).is_ok()
+            leader = fleet.leader()
+
+            def fail():
+                raise OSError("no space left")
+
+            fleet.logs[leader].runner.store.sync = fail
+            engine = _Engine(Ok(RecordedAnswer(200)))
+            client = OperationClient(fleet.settings["a2"], log)
+            result = await client.run("acme", "k", "f", 20.0, engine.dispatch)
+            failed = fleet.logs[leader].has_failed, fleet.logs[leader].is_leader
+            if result.is_err():
+                result = await client.run("acme", "k", "f", 20.0, engine.dispatch)
+            await client.stop()
+            return failed, result, engine.executions
+
+        failed, result, executions = _run(tmp_path, scenario)
+        assert failed == (True, False)
+        assert result.is_ok()
+        assert executions == 1
+
+    def test_declarations_are_a_part(self, tmp_path):
+        """Guards against a part whose commands do not reach it through the log."""
+
+        async def scenario(fleet):
+            change = ApplyChange("r1", 7, [], "operator", 0.0)
+            return await fleet.logs["a2"].propose(change, 10.0)
+
+        answer = _run(tmp_path, scenario).unwrap()
+        assert (answer.request_id, answer.kind) == ("r1", ErrorKind.STALE_REVISION)
+
+    def test_state_counts_every_confirmed_entry(self, tmp_path):
+        """Guards against a replica that waits for ever for an entry without a command."""
+
+        async def scenario(fleet):
+            index = (await fleet.logs["a1"].read_confirmed(10.0)).unwrap()
+            return index, fleet.logs["a1"].state.applied_index
+
+        index, applied_index = _run(tmp_path, scenario)
+        assert applied_index >= index > 0
--- a/laburnumrock/journal/_messages.py
+++ b/laburnumrock/journal/_messages.py
@@ -71,7 +71,7 @@
         Instance that claims, and the run of its process.
     limit_s : float
         Longest time that the owner works on the operation.
-    stamp_s : float
+    stamped_at_s : float
         Set by the leader.
     """
 
@@ -82,7 +82,7 @@
     owner: str
     process_id: str
     limit_s: float
-    stamp_s: float = 0.0
+    stamped_at_s: float = 0.0
 
 
 @register_message
@@ -93,7 +93,7 @@
     account: str
     key: str
     claim_id: str
-    stamp_s: float = 0.0
+    stamped_at_s: float = 0.0
 
 
 @register_message
@@ -106,7 +106,7 @@
     claim_id: str
     outcome: OperationOutcome
     answer: RecordedAnswer | None = None
-    stamp_s: float = 0.0
+    stamped_at_s: float = 0.0
 
 
 @register_message
@@ -117,7 +117,7 @@
     account: str
     key: str
     claim_id: str
-    stamp_s: float = 0.0
+    stamped_at_s: float = 0.0
 
 
 @register_message
@@ -128,7 +128,7 @@
     account: str
     key: str
     claim_id: str
-    stamp_s: float = 0.0
+    stamped_at_s: float = 0.0
 
 
 @register_message
@@ -146,7 +146,7 @@
 
     owner: str
     process_id: str
-    stamp_s: float = 0.0
+    stamped_at_s: float = 0.0
 
 
 @register_message
@@ -167,7 +167,7 @@
     outcome: OperationOutcome
     source: str
     answer: RecordedAnswer | None = None
-    stamp_s: float = 0.0
+    stamped_at_s: float = 0.0
 
 
 @register_message
--- a/laburnumrock/journal/_part.py
+++ b/laburnumrock/journal/_part.py
@@ -87,8 +87,8 @@
 
     def apply(self, command: object, index: int) -> OperationAnswer:
         """Apply a command of the journal."""
-        self.clock_s = command.stamp_s
-        self._forget_old(command.stamp_s)
+        self.clock_s = command.stamped_at_s
+        self._forget_old(command.stamped_at_s)
         if isinstance(command, AbandonOwner):
             return self._abandon_owner(command)
         return self.handlers[type(command)](command)
@@ -120,19 +120,19 @@
         if operation is None:
             self.operations[key] = _new_operation(command, [])
             self.open_keys[key] = None
-            return _answer(True, self.operations[key], command.stamp_s)
+            return _answer(True, self.operations[key], command.stamped_at_s)
         if operation.fingerprint != command.fingerprint:
-            return _answer(False, operation, command.stamp_s, mismatch=True)
+            return _answer(False, operation, command.stamped_at_s, mismatch=True)
         if operation.claim_id == command.claim_id:
             accepted = operation.state is OperationState.CLAIMED
-            return _answer(accepted, operation, command.stamp_s)
+            return _answer(accepted, operation, command.stamped_at_s)
         allowed = "claim" in _CHART[operation.state]
         if not allowed or command.claim_id in operation.past_claims:
-            return _answer(False, operation, command.stamp_s)
+            return _answer(False, operation, command.stamped_at_s)
         past = [*operation.past_claims, operation.claim_id][-PAST_CLAIMS:]
         self.operations[key] = _new_operation(command, past)
         self.open_keys[key] = None
-        return _answer(True, self.operations[key], command.stamp_s)
+        return _answer(True, self.operations[key], command.stamped_at_s)
 
     def _start(self, command: StartDispatch) -> OperationAnswer:
         return self._fire(command, "start", OperationState.DISPATCHED)
@@ -154,7 +154,7 @@
         for key in list(self.open_keys):
             operation = self.operations[key]
             if operation.owner == command.owner and operation.process_id != command.process_id:
-                self._move(operation, "abandon", command.stamp_s)
+                self._move(operation, "abandon", command.stamped_at_s)
         return OperationAnswer(True)
 
     def _reconcile(self, command: ReconcileOperation) -> OperationAnswer:
@@ -166,11 +166,11 @@
                 and operation.state == OperationState(command.outcome)
                 and operation.source == command.source != ""
             )
-            return _answer(repeated, operation, command.stamp_s)
+            return _answer(repeated, operation, command.stamped_at_s)
         operation.source = command.source
         operation.answer = command.answer
-        self._move(operation, event, command.stamp_s)
-        return _answer(True, operation, command.stamp_s)
+        self._move(operation, event, command.stamped_at_s)
+        return _answer(True, operation, command.stamped_at_s)
 
     def _fire(
         self,
@@ -182,13 +182,13 @@
         """Move an operation if the claim is the current one and the chart allows the event."""
         operation = self.operations.get((command.account, command.key))
         if operation is None or operation.claim_id != command.claim_id:
-            return _answer(False, operation, command.stamp_s)
+            return _answer(False, operation, command.stamped_at_s)
         if event not in _CHART[operation.state]:
-            return _answer(operation.state is target, operation, command.stamp_s)
+            return _answer(operation.state is target, operation, command.stamped_at_s)
         if answer is not None:
             operation.answer = _limit_body(answer)
-        self._move(operation, event, command.stamp_s)
-        return _answer(True, operation, command.stamp_s)
+        self._move(operation, event, command.stamped_at_s)
+        return _answer(True, operation, command.stamped_at_s)
 
     def _move(self, operation: Operation, event: str, now_s: float) -> None:
         operation.state = OperationState(_CHART[operation.state][event])
@@ -221,8 +221,8 @@
         command.process_id,
         command.limit_s,
         OperationState.CLAIMED,
-        command.stamp_s,
-        command.stamp_s,
+        command.stamped_at_s,
+        command.stamped_at_s,
         past_claims=past_claims,
     )
 
--- a/laburnumrock/journal/tests/test_journal.py
+++ b/laburnumrock/journal/tests/test_journal.py
@@ -125,10 +125,10 @@
         """Guards against a second run within the retention, and against unbounded growth."""
         part = JournalPart(retention_s=100.0)
         part.apply(_claim("c1"), 1)
-        part.apply(SettleOperation(*ID, "c1", NOT_RUN, stamp_s=10.0), 2)
+        part.apply(SettleOperation(*ID, "c1", NOT_RUN, stamped_at_s=10.0), 2)
         part.apply(ClaimOperation("acme", "u", "f", "c2", "a1", "p", 5.0, 10.0), 3)
         part.apply(StartDispatch("acme", "u", "c2", 10.0), 4)
-        part.apply(SettleOperation("acme", "u", "c2", UNKNOWN, stamp_s=10.0), 5)
+        part.apply(SettleOperation("acme", "u", "c2", UNKNOWN, stamped_at_s=10.0), 5)
         part.apply(AbandonOwner("x", "", 110.0), 6)
         assert ID in part.operations
         part.apply(AbandonOwner("x", "", 110.1), 7)
--- a/laburnumrock/replication/_bootstrap.py
+++ b/laburnumrock/replication/_bootstrap.py
@@ -11,6 +11,8 @@
 from laburnumrock.settings import TimingSettings
 
 QUERY_INTERVAL_HEARTBEATS = 2
+# An instance that may be added later only makes its identity known.
+SPARE_QUERY_INTERVAL_HEARTBEATS = 20
 
 
 class Bootstrap:
@@ -49,7 +51,10 @@
         """Return the instances to ask now."""
         if now_s < self.query_due_s:
             return []
-        self.query_due_s = now_s + QUERY_INTERVAL_HEARTBEATS * self.timing.heartbeat_s
+        heartbeats = SPARE_QUERY_INTERVAL_HEARTBEATS
+        if self.instance_id in self.first_voters:
+            heartbeats = QUERY_INTERVAL_HEARTBEATS
+        self.query_due_s = now_s + heartbeats * self.timing.heartbeat_s
         self.fresh = {self.instance_id}
         others = [name for name in self.first_voters if name != self.instance_id]
         if not others and self.first_voters:
--- a/laburnumrock/state/_registry.py
+++ b/laburnumrock/state/_registry.py
@@ -11,8 +11,8 @@
     Notes
     -----
     `apply` must depend on nothing but the state and the command. A command that needs the time has
-    a field ``stamp_s: float``, which the leader sets to seconds since 1970 before it appends the
-    command; over the commands that a part sees it never decreases. `apply` must give the same
+    a field ``stamped_at_s: float``, which the leader sets to seconds since 1970 before it appends
+    the command; over the commands that a part sees it never decreases. `apply` must give the same
     answer for a command that comes twice, since proposals are repeated when an answer is lost.
     """
 
@@ -49,7 +49,7 @@
     """
 
     def register(cls: type) -> type:
-        if name in PARTS:
+        if PARTS.get(name, cls) is not cls:
             raise ValueError(f"part {name} is registered twice")
         PARTS[name] = cls
         return cls
--- a/laburnumrock/state/_state.py
+++ b/laburnumrock/state/_state.py
@@ -6,7 +6,7 @@
 
 from laburnumrock.state._registry import PARTS
 
-STAMP_FIELD = "stamp_s"
+STAMP_FIELD = "stamped_at_s"
 
 
 class ReplicatedState:
@@ -52,8 +52,8 @@
         self.applied_index = index
         if hasattr(command, STAMP_FIELD):
             # Clocks of successive leaders differ; the state's own time never goes back.
-            self.clock_s = max(self.clock_s, command.stamp_s)
-            command = dataclasses.replace(command, stamp_s=self.clock_s)
+            self.clock_s = max(self.clock_s, command.stamped_at_s)
+            command = dataclasses.replace(command, stamped_at_s=self.clock_s)
         return self.parts[self.owners[type(command)]].apply(command, index)
 
     def query(self, part: str, question: object) -> object:
@@ -78,5 +78,5 @@
 def stamp(command: object, now_s: float) -> object:
     """Set the stamp of a command that has one."""
     if hasattr(command, STAMP_FIELD):
-        return dataclasses.replace(command, stamp_s=now_s)
+        return dataclasses.replace(command, stamped_at_s=now_s)
     return command
--- a/laburnumrock/state/tests/test_state.py
+++ b/laburnumrock/state/tests/test_state.py
@@ -12,7 +12,7 @@
 @register_message
 @dataclass(frozen=True, slots=True)
 class CountForTest:
-    stamp_s: float = 0.0
+    stamped_at_s: float = 0.0
 
 
 class _Counter:
@@ -22,7 +22,7 @@
         self.stamps = []
 
     def apply(self, command, index):
-        self.stamps.append(command.stamp_s)
+        self.stamps.append(command.stamped_at_s)
         return command
 
     def query(self, question):
