Confirm views without the index of the last command

Cause: the composed Replica reports the index of the last command, while a confirmed read returns the index of the last entry. A new leader appends an entry without a command, so that no view was confirmed until the next change and every instance started only after start_grace_s. A recorded answer with a body of bytes could not be written as JSON.

Change: the task relies on read_confirmed, which waits for the own state. ReplicaAccess no longer needs applied_index. Recorded bodies are decoded.

--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -197,11 +197,7 @@
 
     async def _run(self) -> None:
         while True:
-            now_s = self.clock()
-            self._execute(self.sync.tick(now_s))
-            if self.replica is not None:
-                applied_index = self.replica.applied_index
-                self._execute(self.sync.observe_store(now_s, applied_index))
+            self._execute(self.sync.tick(self.clock()))
             await asyncio.sleep(TICK_S)
 
     def _receive(self, sender: str, message: object) -> None:
@@ -237,7 +233,7 @@
             started_s = self.clock()
             index = await self.log.read_confirmed()
             if index.is_ok():
-                self.sync.observe_confirmed_read(index.unwrap(), started_s)
+                self._execute(self.sync.observe_confirmed_read(started_s, self.clock()))
         finally:
             self.reading = False
 
--- a/laburnumrock/daemon/_log_access.py
+++ b/laburnumrock/daemon/_log_access.py
@@ -19,22 +19,18 @@
         """Apply a command and return its answer."""
 
     async def read_confirmed(self) -> Result[int, Failure]:
-        """Return a log index that the leader confirmed as current."""
+        """Return a log index that the leader confirmed as current.
 
+        Notes
+        -----
+        On an instance with a replica, the replica contains that index when this returns. Its last
+        command may have a lower index, because a new leader appends entries without a command.
+        """
 
-class ReplicaAccess(Protocol):
-    """What the task needs of the replicated state of a voter.
 
-    Notes
-    -----
-    `applied_index` may be read after `store`, never before a state that it does not contain: the
-    store must hold every command up to `applied_index`.
-    """
+class ReplicaAccess(Protocol):
+    """What the task needs of the replicated state of a voter."""
 
     @property
     def store(self) -> DeclarationStore:
         """Replicated declarations; the same object for the life of the voter."""
-
-    @property
-    def applied_index(self) -> int:
-        """Last log index that the state contains."""
--- a/laburnumrock/daemon/tests/test_declaration_task.py
+++ b/laburnumrock/daemon/tests/test_declaration_task.py
@@ -21,20 +21,22 @@
     """One voter that applies commands at once while `quorum` is set."""
 
     def __init__(self):
-        self.replica = SimpleNamespace(store=DeclarationStore(), applied_index=0)
+        self.replica = SimpleNamespace(store=DeclarationStore())
+        # A new leader appends an entry without a command, which the store never sees.
+        self.index = 1
         self.is_leader = True
         self.quorum = True
 
     async def propose(self, command):
         if not self.quorum:
             return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE))
-        self.replica.applied_index += 1
-        return Ok(self.replica.store.apply(command, self.replica.applied_index))
+        self.index += 1
+        return Ok(self.replica.store.apply(command, self.index))
 
     async def read_confirmed(self):
         if not self.quorum:
             return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE))
-        return Ok(self.replica.applied_index)
+        return Ok(self.index)
 
 
 def _make_settings(folder):
--- a/laburnumrock/declarations/_sync.py
+++ b/laburnumrock/declarations/_sync.py
@@ -84,7 +84,6 @@
         self.next_fetch_s: float | None = None
         self.started_at_s: float | None = None
         self.peer_answered = False
-        self.pending_read: tuple[int, float] | None = None
         self.last_read_s: float | None = None
 
     def is_ready(self, now_s: float) -> bool:
@@ -130,37 +129,28 @@
             return self._receive_update(sender, message, now_s)
         return []
 
-    def observe_store(self, now_s: float, applied_index: int | None = None) -> list[Effect]:
-        """Take over what the replicated state has applied, on a voter.
+    def observe_store(self, now_s: float) -> list[Effect]:
+        """Take over what the replicated state has applied, on a voter."""
+        if self.store is None or self.store.revision <= self.view.revision:
+            return []
+        steps = self.store.find_steps(self.view.revision)
+        if steps is not None:
+            self.view.apply_steps(steps)
+        self.view.replace(self.store.current, self.store.revision)
+        return self._announce_revision(now_s)
+
+    def observe_confirmed_read(self, started_s: float, now_s: float) -> list[Effect]:
+        """Confirm the view after a read of the leader that started at `started_s`.
 
-        Parameters
-        ----------
-        now_s : float
-            Monotonic clock in seconds.
-        applied_index : int, optional
-            Last log index that the replicated state contains.
+        Notes
+        -----
+        The store must contain the index that the leader confirmed.
         """
-        if self.store is None:
-            return []
-        effects: list[Effect] = []
-        if self.store.revision > self.view.revision:
-            steps = self.store.find_steps(self.view.revision)
-            if steps is not None:
-                self.view.apply_steps(steps)
-            self.view.replace(self.store.current, self.store.revision)
-            effects = self._announce_revision(now_s)
-        if self.pending_read is not None and applied_index is not None:
-            index, started_s = self.pending_read
-            if applied_index >= index:
-                self.pending_read = None
-                self.last_read_s = started_s
-                self.view.confirm(started_s)
+        effects = self.observe_store(now_s)
+        self.last_read_s = started_s
+        self.view.confirm(started_s)
         return effects
 
-    def observe_confirmed_read(self, index: int, started_s: float) -> None:
-        """Record a read of the leader that started at `started_s`; confirmed once applied."""
-        self.pending_read = (index, started_s)
-
     def push_holds(self) -> list[Effect]:
         """Send the hold book to the instances of the own failure domain and have it stored."""
         update = DeclarationUpdate(self.view.revision, holds=self.view.holds.entries())
--- a/laburnumrock/declarations/tests/test_sync.py
+++ b/laburnumrock/declarations/tests/test_sync.py
@@ -73,8 +73,7 @@
         if applied < len(self.log) and self.random.random() < 0.5:
             store.apply(self.log[applied], applied)
             self.stores[name][0] += 1
-        effects = node.observe_store(self.now_s, applied_index=self.stores[name][0])
-        self.execute(name, effects)
+        self.execute(name, node.observe_store(self.now_s))
 
     def is_cut(self, sender, target):
         return sender[0] != target[0] and bool({sender[0], target[0]} & self.cut)
@@ -88,8 +87,13 @@
                     longest_s = 0.005 if name[0] == effect.destination[0] else 0.1
                     due_s = self.now_s + self.random.uniform(0.001, longest_s)
                     self.queue.append((due_s, name, effect.destination, effect.message))
-            elif isinstance(effect, ReadConfirmed) and self.quorum and name[0] not in self.cut:
-                self.nodes[name].observe_confirmed_read(len(self.log), self.now_s)
+            elif isinstance(effect, ReadConfirmed) and self.can_read(name):
+                node = self.nodes[name]
+                self.execute(name, node.observe_confirmed_read(self.now_s, self.now_s))
+
+    def can_read(self, name):
+        caught_up = self.stores[name][0] == len(self.log)
+        return self.quorum and name[0] not in self.cut and caught_up
 
     def revisions(self):
         return {node.view.revision for node in self.nodes.values()}
@@ -157,7 +161,6 @@
         cluster.start("c2")
         cluster.run(3)
         cluster.stores["c2"][0] = float("inf")
-        cluster.nodes["c2"].observe_confirmed_read = lambda index, started_s: None
         cluster.change(0)
         cluster.run(5)
         assert cluster.nodes["c2"].view.revision == 1
--- a/laburnumrock/gateway/_operator_base.py
+++ b/laburnumrock/gateway/_operator_base.py
@@ -53,7 +53,7 @@
             self.write_failure(result.unwrap_err())
             return
         self.set_header("Content-Type", "application/json")
-        self.finish(json.dumps(result.unwrap()))
+        self.finish(json.dumps(result.unwrap(), default=_decode_bytes))
 
     def write_error(self, status_code: int, **context) -> None:
         """Write a problem document for what no handler expected."""
@@ -98,3 +98,10 @@
             detail = "a whole number >= 0 is required"
             return Err(Failure(ErrorKind.INVALID_REQUEST, detail, name))
         return Ok(int(text))
+
+
+def _decode_bytes(value: object) -> str:
+    """Convert a recorded body, the only part of an answer that JSON cannot hold."""
+    if isinstance(value, bytes):
+        return value.decode("utf-8", "replace")
+    raise TypeError(f"{type(value).__name__} is not JSON")
--- a/laburnumrock/gateway/tests/_operator_fakes.py
+++ b/laburnumrock/gateway/tests/_operator_fakes.py
@@ -65,7 +65,8 @@
     async def find_operation(self, account, key):
         if key == "absent":
             return Err(Failure(ErrorKind.NOT_FOUND, "no such operation"))
-        return Ok({"client_account": account, "key": key, "state": "unknown"})
+        found = {"client_account": account, "key": key, "state": "done"}
+        return Ok(found | {"answer": {"status": 200, "body": b"order 7 \xff"}})
 
     async def reconcile(self, account, key, outcome, source, operator, request_id):
         self.calls.append((account, key, outcome, source))
--- a/laburnumrock/gateway/tests/test_operator.py
+++ b/laburnumrock/gateway/tests/test_operator.py
@@ -88,6 +88,8 @@
         assert self.ask("DELETE", "holds/a")[0] == 200
         assert self.ask("DELETE", "holds/a")[0] == 404
         assert self.ask("GET", "operations/acme/absent")[0] == 404
+        found = self.ask("GET", "operations/acme/k")[1]
+        assert found["answer"]["body"] == "order 7 \ufffd"
         body = {"outcome": "done", "source": "delivery note"}
         path = "operations/acme/k%2F1/reconcile"
         assert self.ask("POST", path, body)[1]["key"] == "k/1"
