--- a/laburnumrock/ownership/_elector.py
+++ b/laburnumrock/ownership/_elector.py
@@ -11,6 +11,8 @@
 RENEWALS_PER_LEASE = 4
 ROUND_PART = 0.05
 """A candidate gives up a round without a majority after this part of the lease."""
+MAX_REPEATS = 2
+"""Rounds that a candidate repeats at once with a higher term after a competitor has yielded."""
 MIN_BACKOFF_PART = 0.02
 """Covers the different ends of the other instances' grants to the last holder."""
 MAX_BACKOFF_PART = 0.1
@@ -94,6 +96,8 @@
         self.round_sent_s: float | None = None
         self.round_grants: set[str] = set()
         self.round_refusals: set[str] = set()
+        self.repeats = 0
+        self.repeat_due = False
         self.next_request_s = started_s + self.start_wait_s + self._backoff_s()
         self.coordinator_hint = ""
         self.stopping = False
@@ -136,7 +140,7 @@
             return []
         if self.lease(now_s) is not None:
             return self._start_round(now_s, is_holder=True)
-        if self.round_sent_s is not None:
+        if self.round_sent_s is not None and not self.repeat_due:
             return self._abandon_round(now_s)
         if self.grant.holder != self.instance_id and now_s < self.grant.until_s:
             self.next_request_s = self.grant.until_s + self._backoff_s()
@@ -185,6 +189,7 @@
         self.round_sent_s = now_s
         self.round_grants = set()
         self.round_refusals = set()
+        self.repeat_due = False
         if not is_holder or self.highest_term > self.term:
             # A holder that was refused because of a higher term raises its own.
             self.highest_term += 1
@@ -202,6 +207,8 @@
             return []
         release = LeaseRelease(self.round_number)
         self.round_sent_s = None
+        self.repeats = 0
+        self.repeat_due = False
         self._end_grant(self.instance_id, release, now_s)
         self.next_request_s = now_s + self._backoff_s()
         return [Send(peer, release) for peer in self._others()]
@@ -251,6 +258,12 @@
         self.highest_term = max(self.highest_term, message.highest_term)
         if self.round_sent_s is None or message.round_number != self.round_number:
             return []
+        if message.retry_after_s == 0 and self.lease(now_s) is None and self.repeats < MAX_REPEATS:
+            # Only the term was too low, as after a competitor has yielded.
+            self.repeats += 1
+            self.repeat_due = True
+            self.next_request_s = now_s
+            return []
         self.round_refusals.add(sender)
         can_win = len(self.domain_instances) - len(self.round_refusals) >= self.majority
         if can_win or self.lease(now_s) is not None:
