Bound the control traffic and end needless elections

Cause: an instance that had refused the holder's term campaigned for ever; digests and load reports exceeded the traffic budget. Change: instances yield to a holder's request; digests take turns over domains and carry load as lists; loads are published once a second; tasks tick every 50 ms.

--- a/laburnumrock/daemon/_membership_task.py
+++ b/laburnumrock/daemon/_membership_task.py
@@ -24,12 +24,14 @@
 
 TICK_S = 0.05
 DIGEST_PERIOD_S = 1.0
+MAX_DIGESTS = 2
+"""Digests per period; with more failure domains they take turns, so that the cost stays fixed."""
 DIGEST_EXPIRY_S = 10.0
 MS_PER_S = 1_000
 
 FactsSource = Callable[[], dict[str, Any]]
 FactsHandler = Callable[[str, dict[str, Any]], None]
-ReportSource = Callable[[], list[dict[str, Any]]]
+ReportSource = Callable[[], list[Any]]
 DigestHandler = Callable[[str, DomainDigest], None]
 
 
@@ -77,6 +79,7 @@
             {peer.failure_domain for peer in settings.peers} - {settings.failure_domain}
         )
         self.digest_turn = self._own_position()
+        self.next_domain = self.digest_turn
         self.next_digest_s = 0.0
         self.task: asyncio.Task | None = None
 
@@ -120,7 +123,7 @@
             await asyncio.sleep(TICK_S)
 
     def _send_digests(self) -> None:
-        """Send one digest to one instance of each other domain.
+        """Send one digest to one instance of each of the next other domains.
 
         Instances of a domain start at different positions and move on together, so that their
         digests reach different instances of the other domain.
@@ -130,7 +133,9 @@
         digest = DomainDigest(
             self.settings.failure_domain, self.table.version, self.table.live_members(), reports
         )
-        for domain in self.other_domains:
+        for _ in range(min(MAX_DIGESTS, len(self.other_domains))):
+            domain = self.other_domains[self.next_domain % len(self.other_domains)]
+            self.next_domain += 1
             targets = self.live_members(domain)
             if targets:
                 self.network.send(targets[self.digest_turn % len(targets)], digest)
--- a/laburnumrock/daemon/_ownership_task.py
+++ b/laburnumrock/daemon/_ownership_task.py
@@ -23,7 +23,7 @@
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
-TICK_S = 0.02
+TICK_S = 0.05
 ASSIGNMENT_PART = 0.5
 """Validity of an assignment as a part of the coordinator's lease."""
 MS_PER_S = 1_000
--- a/laburnumrock/daemon/_pool_directory.py
+++ b/laburnumrock/daemon/_pool_directory.py
@@ -9,25 +9,6 @@
 SUMMARY_EXPIRY_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class PoolReport:
-    """Load of a pool in the digest of its failure domain.
-
-    Parameters
-    ----------
-    owner : str
-        Instance that owns the pool.
-    age_s : float
-        Time since the owner's report, in seconds.
-    summary : PoolSummary
-        Its load.
-    """
-
-    owner: str
-    age_s: float
-    summary: PoolSummary
-
-
 @dataclass(slots=True)
 class KnownPool:
     """A pool, its probable owner and its last known load.
--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import time
-from typing import Any
 
 from eliot import log_message
 
 from laburnumrock.daemon._engine_calls import EngineCalls
 from laburnumrock.daemon._ownership_task import OwnershipTask
-from laburnumrock.daemon._pool_directory import PoolDirectory, PoolReport
+from laburnumrock.daemon._pool_directory import PoolDirectory
+from laburnumrock.daemon._pool_report import PoolReport, parse_row
 from laburnumrock.daemon._pool_runner import (
     PoolRunner,
     SchedulerFactory,
@@ -17,7 +17,7 @@
 )
 from laburnumrock.errors import ErrorKind
 from laburnumrock.membership import DomainDigest
-from laburnumrock.messages import Effect, Send, from_plain, to_plain
+from laburnumrock.messages import Effect, Send
 from laburnumrock.ownership import parse_pool_id
 from laburnumrock.placement import (
     CancelOnUpstream,
@@ -32,8 +32,8 @@
 from laburnumrock.transport import PeerNetwork
 from laburnumrock.upstreams import UpstreamAnnouncement
 
-TICK_S = 0.02
-SUMMARY_S = 0.5
+TICK_S = 0.05
+SUMMARY_S = 1.0
 EMPTY_POOL_S = 10.0
 """A pool without announcements is given back after this time."""
 READ_LOAD_S = 5.0
@@ -110,24 +110,24 @@
         if owner is not None:
             self.network.send(owner.instance_id, announcement)
 
-    def collect_reports(self) -> list[dict[str, Any]]:
+    def collect_reports(self) -> list[list[object]]:
         """Return the load of the own domain's pools as plain data for a digest."""
         now_s = time.monotonic()
         return [
-            to_plain(PoolReport(pool.owner.instance_id, now_s - pool.received_s, pool.summary))
+            PoolReport(pool.owner.instance_id, now_s - pool.received_s, pool.summary).to_row()
             for pool in self.directory.recent_summaries(self.settings.failure_domain, now_s)
         ]
 
     def receive_reports(self, sender: str, digest: DomainDigest) -> None:
         """Take over the load of another domain's pools from a digest."""
         now_s = time.monotonic()
-        for plain in digest.reports:
+        for row in digest.reports:
             try:
-                report = from_plain(PoolReport, plain)
-                domain = parse_pool_id(report.summary.pool_id).failure_domain
+                report = parse_row(row)
             except ValueError as error:
                 log_message("malformed_message", peer=sender, failure=str(error))
                 continue
+            domain = parse_pool_id(report.summary.pool_id).failure_domain
             if domain == digest.failure_domain:
                 self.directory.note_summary(report.owner, report.summary, now_s - report.age_s)
 
--- a/laburnumrock/membership/_messages.py
+++ b/laburnumrock/membership/_messages.py
@@ -120,11 +120,11 @@
         Grows with every change of the sender's member table.
     live : list of str
         Live instances as the sender sees them.
-    reports : list of dict
+    reports : list
         Plain data of other packages, such as the load of pools.
     """
 
     failure_domain: str
     version: int
     live: list[str]
-    reports: list[dict[str, Any]] = field(default_factory=list)
+    reports: list[Any] = field(default_factory=list)
--- a/laburnumrock/ownership/_elector.py
+++ b/laburnumrock/ownership/_elector.py
@@ -165,7 +165,7 @@
             Messages to send.
         """
         if isinstance(message, LeaseRequest):
-            effects = self._yield_to(sender, now_s)
+            effects = self._yield_to(sender, message, now_s)
             return [*effects, Send(sender, self._answer(sender, message, now_s))]
         if isinstance(message, LeaseGrant):
             return self._count_grant(sender, message, now_s)
@@ -245,10 +245,17 @@
                 self.next_request_s = now_s
         return []
 
-    def _yield_to(self, sender: str, now_s: float) -> list[Effect]:
-        """Give up an open round when a candidate with a lower name competes."""
-        is_open = self.round_sent_s is not None and self.lease(now_s) is None
-        if not is_open or sender >= self.instance_id:
+    def _yield_to(self, sender: str, request: LeaseRequest, now_s: float) -> list[Effect]:
+        """Give up an open round for the holder, or for a candidate with a lower name."""
+        if self.lease(now_s) is not None:
+            return []
+        if request.is_holder:
+            # The holder raises its term when this instance refuses it because of a higher one; an
+            # instance that went on as a candidate would raise its own as fast.
+            effects = self._abandon_round(now_s)
+            self.next_request_s = max(self.next_request_s, now_s + self.lease_s / 2)
+            return effects
+        if self.round_sent_s is None or sender >= self.instance_id:
             return []
         effects = self._abandon_round(now_s)
         self.next_request_s = now_s + MAX_BACKOFF_PART * self.lease_s
--- a/laburnumrock/ownership/tests/test_ownership.py
+++ b/laburnumrock/ownership/tests/test_ownership.py
@@ -85,6 +85,21 @@
                 simulation.run(4.0)
                 simulation.run_faults(4.0 + FAULTS_S)
 
+    def test_nobody_competes_with_a_live_coordinator(self):
+        """Guards against candidates and terms that never come to rest."""
+        for seed in range(20):
+            simulation = Simulation(seed)
+            simulation.run(5.0)
+            simulation.run_faults(10.0)
+            simulation.run(18.0)
+            term = simulation.coordinator().elector.term
+            simulation.run(23.0)
+            assert simulation.coordinator().elector.term == term
+            assert all(
+                node.elector.find_coordinator(node.local(23.0)) == simulation.coordinator().name
+                for node in simulation.nodes.values()
+            ), f"seed {seed}"
+
     def test_pool_has_a_new_owner_within_three_seconds(self):
         """Guards against a wait after the death of owner and coordinator that exceeds 3 s."""
         for seed in range(40):
