Wait in the demo until every instance routes requests

Directly after the start, 6 of 40 short requests were refused with no_upstream in one run, since pools get an owner only after the first announcements.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from laburnumrock.scenarios import DeploymentPlan, ProcessGroup, request_json, run_deployment
 from laburnumrock.standins import (
@@ -29,6 +29,7 @@
 TIME_FACTOR = 4
 READY_TIMEOUT_S = 20.0
 IN_FORCE_TIMEOUT_S = 10.0
+ROUTES_TIMEOUT_S = 10.0
 CLI_TIMEOUT_S = 20.0
 CLI = [sys.executable, "-m", "laburnumrock.cli"]
 DRAINED_DOMAIN = "b"
@@ -50,27 +51,20 @@
 )
 
 
-@dataclass(slots=True)
-class Row:
-    """One line of the printed table."""
-
-    step: str
-    result: str
-    passed: bool
-
-
 @dataclass(slots=True)
 class Demo:
     """Steps of the demonstration and their results."""
 
     group: ProcessGroup
-    rows: list[Row] = field(default_factory=list)
+    steps: int = 0
+    failures: int = 0
     client: LoadClient | None = None
     sent: int = 0
 
     def report(self, step: str, result: str, passed: bool) -> None:
-        """Add a line to the table and print it at once."""
-        self.rows.append(Row(step, result, passed))
+        """Print a line of the table at once, and count it."""
+        self.steps += 1
+        self.failures += not passed
         print(f"{'ok  ' if passed else 'FAIL'}  {step:<34}  {result}", flush=True)
 
     def plan(self, kind: ClassProfile, count: int, rate: float, tokens: int) -> list[PlannedCall]:
@@ -182,6 +176,22 @@
     return total
 
 
+def wait_for_routes(demo: Demo) -> None:
+    """Wait until every instance routes a request: pools get an owner after the start."""
+    waiting = [instance.url for instance in demo.group.deployment.instances.values()]
+    headers = {"X-Client-Account": SKYLIGHT.name}
+    body = {"prompt": "route check", "max_tokens": 1}
+
+    def has_routes() -> bool:
+        answer = request_json(f"{waiting[0]}/v1/completions", body, headers=headers)
+        if answer.status == 200:
+            waiting.pop(0)
+        return not waiting
+
+    waited_s = demo.group.wait_for(has_routes, ROUTES_TIMEOUT_S, "a route on every instance")
+    demo.report("first answer of each instance", f"15 of 15 after {waited_s:.2f} s", True)
+
+
 async def send_completions(demo: Demo) -> None:
     """Send short requests alone, then beside long and spanning ones."""
     alone = await demo.send(demo.plan(SHORT, 40, 20.0, 4_000))
@@ -280,12 +290,12 @@
         count = len(group.processes)
         demo.report("start", f"{count} processes ready after {ready_s:.2f} s", True)
         declare(demo)
+        wait_for_routes(demo)
         asyncio.run(run_steps(demo))
         check_memory(demo)
-    failed = sum(not row.passed for row in demo.rows)
     elapsed_s = time.monotonic() - started_s
-    print(f"{len(demo.rows) - failed} of {len(demo.rows)} steps passed in {elapsed_s:.1f} s")
-    return 1 if failed else 0
+    print(f"{demo.steps - demo.failures} of {demo.steps} steps passed in {elapsed_s:.1f} s")
+    return 1 if demo.failures else 0
 
 
 if __name__ == "__main__":
