--- a/laburnumrock/ownership/_elector.py
+++ b/laburnumrock/ownership/_elector.py
@@ -11,6 +11,8 @@
 RENEWALS_PER_LEASE = 4
 ROUND_PART = 0.05
 """A candidate gives up a round without a majority after this part of the lease."""
+MAX_REPEATS = 2
+"""Rounds that a candidate repeats at once with a higher term after a competitor has yielded."""
 MIN_BACKOFF_PART = 0.02
 """Covers the different ends of the other instances' grants to the last holder."""
 MAX_BACKOFF_PART = 0.1
@@ -94,6 +96,8 @@
         self.round_sent_s: float | None = None
         self.round_grants: set[str] = set()
         self.round_refusals: set[str] = set()
+        self.repeats = 0
+        self.repeat_due = False
         self.next_request_s = started_s + self.start_wait_s + self._backoff_s()
         self.coordinator_hint = ""
         self.stopping = False
@@ -136,7 +140,7 @@
             return []
         if self.lease(now_s) is not None:
             return self._start_round(now_s, is_holder=True)
-        if self.round_sent_s is not None:
+        if self.round_sent_s is not None and not self.repeat_due:
             return self._abandon_round(now_s)
         if self.grant.holder != self.instance_id and now_s < self.grant.until_s:
             self.next_request_s = self.grant.until_s + self._backoff_s()
@@ -161,7 +165,7 @@
             Messages to send.
         """
         if isinstance(message, LeaseRequest):
-            effects = self._yield_to(sender, now_s)
+            effects = self._yield_to(sender, message, now_s)
             return [*effects, Send(sender, self._answer(sender, message, now_s))]
         if isinstance(message, LeaseGrant):
             return self._count_grant(sender, message, now_s)
@@ -185,6 +189,7 @@
         self.round_sent_s = now_s
         self.round_grants = set()
         self.round_refusals = set()
+        self.repeat_due = False
         if not is_holder or self.highest_term > self.term:
             # A holder that was refused because of a higher term raises its own.
             self.highest_term += 1
@@ -202,6 +207,8 @@
             return []
         release = LeaseRelease(self.round_number)
         self.round_sent_s = None
+        self.repeats = 0
+        self.repeat_due = False
         self._end_grant(self.instance_id, release, now_s)
         self.next_request_s = now_s + self._backoff_s()
         return [Send(peer, release) for peer in self._others()]
@@ -238,10 +245,17 @@
                 self.next_request_s = now_s
         return []
 
-    def _yield_to(self, sender: str, now_s: float) -> list[Effect]:
-        """Give up an open round when a candidate with a lower name competes."""
-        is_open = self.round_sent_s is not None and self.lease(now_s) is None
-        if not is_open or sender >= self.instance_id:
+    def _yield_to(self, sender: str, request: LeaseRequest, now_s: float) -> list[Effect]:
+        """Give up an open round for the holder, or for a candidate with a lower name."""
+        if self.lease(now_s) is not None:
+            return []
+        if request.is_holder:
+            # The holder raises its term when this instance refuses it because of a higher one; an
+            # instance that went on as a candidate would raise its own as fast.
+            effects = self._abandon_round(now_s)
+            self.next_request_s = max(self.next_request_s, now_s + self.lease_s / 2)
+            return effects
+        if self.round_sent_s is None or sender >= self.instance_id:
             return []
         effects = self._abandon_round(now_s)
         self.next_request_s = now_s + MAX_BACKOFF_PART * self.lease_s
@@ -251,6 +265,12 @@
         self.highest_term = max(self.highest_term, message.highest_term)
         if self.round_sent_s is None or message.round_number != self.round_number:
             return []
+        if message.retry_after_s == 0 and self.lease(now_s) is None and self.repeats < MAX_REPEATS:
+            # Only the term was too low, as after a competitor has yielded.
+            self.repeats += 1
+            self.repeat_due = True
+            self.next_request_s = now_s
+            return []
         self.round_refusals.add(sender)
         can_win = len(self.domain_instances) - len(self.round_refusals) >= self.majority
         if can_win or self.lease(now_s) is not None:
--- a/laburnumrock/placement/_intake.py
+++ b/laburnumrock/placement/_intake.py
@@ -7,8 +7,14 @@
 from laburnumrock.messages import Effect, Send
 from laburnumrock.placement._ledger import UpstreamLedger, WaitingRequest
 from laburnumrock.placement._messages import PermitRefusal, PermitRequest, Placement
+from laburnumrock.placement._prediction import SPANNING_FACTOR
 from laburnumrock.placement._settings import LengthClass, classify_length
-from laburnumrock.placement._spanning import plan_earmarks, plan_long_earmark, plan_span
+from laburnumrock.placement._spanning import (
+    can_span,
+    plan_earmarks,
+    plan_long_earmark,
+    plan_span,
+)
 
 if typing.TYPE_CHECKING:
     from laburnumrock.placement._scheduler import PoolScheduler
@@ -19,17 +25,13 @@
 DISCOVERY_S = 1.0
 # Guards deadlines against the granularity of engine steps and the way of the messages.
 DEADLINE_MARGIN_S = 0.1
+# A refusal after more than this part of the caller's time leaves too little for another try.
+MAX_QUEUE_PART = 0.5
 EARMARK_CLASSES = (LengthClass.LONG, LengthClass.SPANNING)
 
 
 class Intake:
-    """Way of a request from arrival to grant or refusal.
-
-    Parameters
-    ----------
-    scheduler : PoolScheduler
-        Owner of queue, ledger and policy.
-    """
+    """Way of a request from arrival to grant or refusal, for one `PoolScheduler`."""
 
     def __init__(self, scheduler: "PoolScheduler") -> None:
         self.scheduler = scheduler
@@ -38,6 +40,7 @@
         self.queue = scheduler.queue
         self.book = scheduler.book
         self.policy = scheduler.policy
+        self.predictor = scheduler.predictor
         self.spans = scheduler.spans
         self.longs = scheduler.longs
         self.later_prefills: list[tuple[float, str, int]] = []
@@ -123,43 +126,14 @@
         message = PermitRefusal(request.request_id, kind, retry_after_s, detail, request.attempt)
         return Send(waiting.sender, message)
 
-    def expected_waits(self, now_s: float) -> dict[str, float]:
-        """Return the expected wait per length class in seconds."""
-        if not self.table.capacities or not self.scheduler.in_service:
-            return {}
-        return {
-            length_class.value: self._line_wait_s(length_class.value)
-            + self.policy.expected_start_s(length_class, self.table, now_s)
-            for length_class in LengthClass
-        }
-
     def _prepare(self, sender: str, request: PermitRequest, now_s: float) -> WaitingRequest:
         largest = self.table.largest_engine_tokens
         length_class = classify_length(request.prompt_tokens, request.max_output_tokens, largest)
         deadline_s = now_s + request.remaining_s
         waiting = WaitingRequest(sender, request, length_class, now_s, deadline_s)
-        self._estimate_cost(waiting)
+        self.predictor.estimate_cost(waiting)
         return waiting
 
-    def _estimate_cost(self, waiting: WaitingRequest) -> None:
-        """Set the cost to the larger of the engine's time and its share of memory over time."""
-        ledger = self._sample_ledger()
-        if ledger is None:
-            return
-        request = waiting.request
-        full = self.settings.permits_per_upstream
-        output = request.max_output_tokens * self.settings.assumed_output_fraction
-        waiting.prefill_s = ledger.prefill_s(request.prompt_tokens, full // 2)
-        busy_s = ledger.prefill_s(request.prompt_tokens, 0) + output * ledger.step_s(full) / full
-        waiting.held_s = waiting.prefill_s + output * ledger.step_s(full)
-        memory_share = waiting.kv_tokens / ledger.kv_capacity if ledger.kv_capacity else 0.0
-        waiting.cost_s = max(busy_s, waiting.held_s * memory_share)
-
-    def _sample_ledger(self) -> UpstreamLedger | None:
-        if not self.table.capacities:
-            return None
-        return self.table.ledgers[self.table.capacities[-1][1]]
-
     def _find_obstacle(self, waiting: WaitingRequest, now_s: float) -> ErrorKind | None:
         if not self.scheduler.in_service:
             return ErrorKind.NO_UPSTREAM
@@ -168,35 +142,25 @@
         if self.table.count_usable(waiting.request) <= 0:
             discovering = now_s < self.scheduler.started_s + DISCOVERY_S
             return None if discovering else ErrorKind.NO_UPSTREAM
-        if waiting.length_class is LengthClass.SPANNING and not plan_earmarks(waiting, self.table):
+        if waiting.length_class is LengthClass.SPANNING and not can_span(waiting, self.table):
             return ErrorKind.PROMPT_TOO_LONG
         return None
 
     def _enqueue(self, waiting: WaitingRequest, line: str, now_s: float) -> list[Effect]:
         give_up_s = waiting.deadline_s
         if self.policy.predicts:
-            service_s = self._service_s(waiting, now_s)
-            give_up_s = waiting.deadline_s - service_s - DEADLINE_MARGIN_S
-            if now_s + self._line_wait_s(line) > give_up_s:
+            service_s = self.predictor.service_s(waiting)
+            latest_start_s = waiting.deadline_s - service_s - DEADLINE_MARGIN_S
+            give_up_s = min(latest_start_s, now_s + MAX_QUEUE_PART * waiting.request.remaining_s)
+            if now_s + self.predictor.line_wait_s(line, now_s) > give_up_s:
                 return [self.refuse(waiting, ErrorKind.DEADLINE_UNREACHABLE, now_s)]
         waiting.order = self.policy.rank(waiting, now_s)
         self.queue.add(waiting, line, give_up_s)
         self._earmark(self.queue.first(line), now_s)
         return []
 
-    def _service_s(self, waiting: WaitingRequest, now_s: float) -> float:
-        ledger = self._sample_ledger()
-        if ledger is None:
-            return 0.0
-        idle_s = ledger.wait_s(now_s)
-        return max(0.0, ledger.latest_finish_s(waiting.request, now_s + idle_s) - now_s - idle_s)
-
-    def _line_wait_s(self, line: str) -> float:
-        count = max(1, len(self.table.capacities))
-        return self.queue.cost_s.get(line, 0.0) / count
-
     def _expected_wait(self, waiting: WaitingRequest, now_s: float) -> float:
-        return self._line_wait_s(self.policy.find_line(waiting))
+        return self.predictor.line_wait_s(self.policy.find_line(waiting), now_s)
 
     def _try_grant(self, waiting: WaitingRequest, now_s: float) -> Send | None:
         parts = self._choose_parts(waiting, now_s)
@@ -207,10 +171,11 @@
         ):
             return None
         self.scheduler.clear_earmarks(now_s, waiting.key)
-        first_s = self._charge_prefill(waiting, parts, now_s)
-        grant = self.book.grant(waiting, parts, first_s - now_s, now_s)
+        self.queue.record_grant(self.policy.find_line(waiting), waiting.cost_s, now_s)
+        grant = self.book.grant(waiting, parts, now_s)
         permit = self.book.permits[grant.permit_id]
-        permit.prefill_done_s = first_s
+        first_s = self._charge_prefill(waiting, parts, grant.permit_id, now_s)
+        permit.predicted_first_s = first_s - now_s
         return Send(waiting.sender, grant)
 
     def _choose_parts(
@@ -232,14 +197,17 @@
         parts: list[tuple[UpstreamLedger, Placement]],
         now_s: float,
     ) -> float:
-        finish_s = parts[-1][0].latest_finish_s(waiting.request, now_s)
-        waits = [ledger.wait_s(now_s) for ledger, _ in parts]
-        return finish_s - waits[-1] + max(waits)
+        request = waiting.request
+        finish_s = max(ledger.latest_finish_s(request, now_s) for ledger, _ in parts)
+        if len(parts) > 1:
+            finish_s += (SPANNING_FACTOR - 1) * parts[0][0].latest_service_s(request)
+        return finish_s
 
     def _charge_prefill(
         self,
         waiting: WaitingRequest,
         parts: list[tuple[UpstreamLedger, Placement]],
+        permit_id: str,
         now_s: float,
     ) -> float:
         """Enter the prefill of the first part; returns the expected time of the first token.
@@ -249,25 +217,30 @@
         """
         tokens = waiting.request.prompt_tokens
         is_long = waiting.length_class in EARMARK_CLASSES
-        first_ledger, first_placement = parts[0]
-        first_tokens = min(tokens, first_placement.kv_tokens)
-        end_s = first_ledger.charge_prefill(first_tokens, is_long, now_s)
-        tokens -= first_tokens
-        for ledger, placement in parts[1:]:
+        end_s = now_s
+        for index, (ledger, placement) in enumerate(parts):
             part_tokens = min(tokens, placement.kv_tokens)
             tokens -= part_tokens
-            heapq.heappush(self.later_prefills, (end_s, ledger.upstream_id, part_tokens))
+            if index == 0:
+                end_s = ledger.charge_prefill(part_tokens, is_long, now_s)
+                self.table.reindex(ledger, now_s)
+                continue
+            ledger.later_parts[permit_id] = part_tokens
+            heapq.heappush(self.later_prefills, (end_s, ledger.upstream_id, permit_id))
             end_s = max(end_s, ledger.prefill_free_s)
             end_s += ledger.prefill_s(part_tokens, len(ledger.permits))
         return end_s
 
     def start_later_prefills(self, now_s: float) -> None:
-        """Enter the parts of spanning prompts that are expected to start now."""
+        """Enter the parts of spanning prompts that are expected to start now.
+
+        They also stay among the later parts until the permit ends, as a bound for deadlines.
+        """
         while self.later_prefills and self.later_prefills[0][0] <= now_s:
-            _, upstream_id, tokens = heapq.heappop(self.later_prefills)
+            _, upstream_id, permit_id = heapq.heappop(self.later_prefills)
             ledger = self.table.ledgers.get(upstream_id)
-            if ledger is not None and ledger.permits:
-                ledger.charge_prefill(tokens, True, now_s)
+            if ledger is not None and permit_id in ledger.later_parts:
+                ledger.charge_prefill(ledger.later_parts[permit_id], False, now_s)
                 self.table.reindex(ledger, now_s)
 
     def _earmark(self, waiting: WaitingRequest, now_s: float) -> None:
@@ -278,7 +251,8 @@
                 plan = plan_earmarks(waiting, self.table, self.policy.memory_reserve)
                 self.spans.place(waiting, plan, now_s)
         elif self.longs.key is None and (self.spans.key is not None or not self._span_waits()):
-            self.longs.place(waiting, plan_long_earmark(waiting, self.table), now_s)
+            plan = plan_long_earmark(waiting, self.table, self.policy.memory_reserve)
+            self.longs.place(waiting, plan, now_s)
 
     def _span_waits(self) -> bool:
         return bool(self.queue.lines.get(LengthClass.SPANNING.value))
