--- a/laburnumrock/replication/_leading.py
+++ b/laburnumrock/replication/_leading.py
@@ -282,10 +282,9 @@
         if not self._can_change_members():
             return
         for voter_id, instance_id in self.members.learners.items():
-            progress = self.leadership.progress[voter_id]
-            if progress.match_index + CAUGHT_UP_ENTRIES < self.log.last_index:
-                continue
-            if progress.match_index < self.leadership.first_index:
+            match_index = self.leadership.progress[voter_id].match_index
+            needed = max(self.log.last_index - CAUGHT_UP_ENTRIES, self.leadership.first_index)
+            if match_index < needed:
                 continue
             voters = _without(self.members.voters, instance_id)
             learners = self.members.learners
