Enforce the limits of client accounts at the coordinator

Cause: every quota was granted; holds and revisions did not travel on probes; a status without voters made the voter commands wait in vain. Change: a task runs the quota keeper on the coordinator of each failure domain and finds the other coordinators in their digests; holds, revision and voters are wired.

--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -19,13 +19,17 @@
 from laburnumrock.daemon._pool_directory import PoolDirectory
 from laburnumrock.daemon._pool_runner import make_scheduler_factory
 from laburnumrock.daemon._pool_task import PoolTask
-from laburnumrock.daemon._quota_messages import QuotaGrant, QuotaRelease, QuotaRequest
+from laburnumrock.daemon._quota_task import QuotaTask
 from laburnumrock.daemon._quotas import QuotaClient
 from laburnumrock.daemon._replica import Replica
 from laburnumrock.errors import Failure
-from laburnumrock.gateway import GatewayServices, make_app, serve_app
-from laburnumrock.gateway._operator import operator_routes
-from laburnumrock.gateway._operator_services import OperatorServices
+from laburnumrock.gateway import (
+    GatewayServices,
+    OperatorServices,
+    make_app,
+    operator_routes,
+    serve_app,
+)
 from laburnumrock.metrics import Counters, HistogramRegistry
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
@@ -83,12 +87,14 @@
             view,
             make_scheduler_factory(settings, PLACEMENT_POLICY),
         )
+        self.membership.facts_sources.append(self.declarations.provide_facts)
+        self.membership.facts_handlers.append(self.declarations.receive_facts)
         self.membership.report_sources.append(self.pools.collect_reports)
         self.membership.digest_handlers.append(self.pools.receive_reports)
         self.permits = PermitClient(settings, self.network, self.directory, view)
-        # Grants every quota until the limits of the client accounts are enforced.
-        self.network.handle(QuotaRequest, lambda _, message: QuotaGrant(message.quota_id))
-        self.network.handle(QuotaRelease, lambda _, message: None)
+        self.quota_keeping = QuotaTask(settings, self.network, self.ownership, view)
+        self.membership.find_coordinator = self.ownership.find_coordinator
+        self.membership.digest_handlers.append(self.quota_keeping.receive_digest)
         self.quotas = QuotaClient(settings, self.network, self.ownership)
         self.operations = OperationClient(settings, self.log)
         self.services = GatewayServices(
@@ -136,6 +142,7 @@
                 self.ownership,
                 self.pools,
                 self.permits,
+                self.quota_keeping,
                 self.quotas,
                 self.operations,
             ):
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -102,6 +102,11 @@
         node = self.runner.node if self.runner is not None else None
         return node.term if node is not None else 0
 
+    def voters(self) -> list[str] | None:
+        """Return the instances that vote, as known here; None without a log."""
+        node = self.runner.node if self.runner is not None else None
+        return None if node is None else sorted(node.members.voters.values())
+
     async def start(self) -> Result[None, Failure]:
         """Load the log, if any, and take part in it."""
         return Ok(None) if self.runner is None else await self.runner.start()
--- a/laburnumrock/daemon/_membership_task.py
+++ b/laburnumrock/daemon/_membership_task.py
@@ -55,6 +55,8 @@
     ----------
     facts_sources, facts_handlers : list of callable
         Provide and receive the plain data on probes, such as the declarations revision.
+    find_coordinator : callable
+        Returns the coordinator of the own failure domain, for digests.
     report_sources, digest_handlers : list of callable
         Provide the reports of digests, and receive the digests of other domains.
     """
@@ -74,6 +76,7 @@
         self.facts_handlers: list[FactsHandler] = []
         self.report_sources: list[ReportSource] = []
         self.digest_handlers: list[DigestHandler] = []
+        self.find_coordinator: Callable[[], str | None] = lambda: None
         self.digests: dict[str, _Received] = {}
         self.other_domains = sorted(
             {peer.failure_domain for peer in settings.peers} - {settings.failure_domain}
@@ -131,7 +134,11 @@
         self.digest_turn += 1
         reports = [report for source in self.report_sources for report in source()]
         digest = DomainDigest(
-            self.settings.failure_domain, self.table.version, self.table.live_members(), reports
+            self.settings.failure_domain,
+            self.table.version,
+            self.table.live_members(),
+            reports,
+            self.find_coordinator(),
         )
         for _ in range(min(MAX_DIGESTS, len(self.other_domains))):
             domain = self.other_domains[self.next_domain % len(self.other_domains)]
--- a/laburnumrock/daemon/_operator_access.py
+++ b/laburnumrock/daemon/_operator_access.py
@@ -11,7 +11,7 @@
 from laburnumrock.daemon._pool_directory import PoolDirectory
 from laburnumrock.declarations import DeclarationView
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.journal import OperationOutcome
+from laburnumrock.journal import OperationAnswer, OperationOutcome
 from laburnumrock.messages import to_plain
 from laburnumrock.settings import InstanceSettings
 
@@ -116,6 +116,7 @@
             "stale": self.view.is_stale(now_s),
             "log_leader": self.log.is_leader,
             "log_term": self.log.term,
+            "voters": self.log.voters(),
             "coordinator": self.ownership.find_coordinator(),
             "owned_pools": sorted(self.ownership.owned_pools()),
             "pools": self._describe_pools(),
@@ -133,9 +134,8 @@
         return pools
 
 
-def _describe_operation(answer: object) -> Result[dict[str, object], Failure]:
+def _describe_operation(answer: OperationAnswer) -> Result[dict[str, object], Failure]:
     document = to_plain(answer)
-    recorded = document.get("recorded")
-    if recorded is not None:
-        recorded["body"] = bytes(recorded["body"]).decode("utf-8", "replace")
+    if answer.answer is not None:
+        document["answer"]["body"] = answer.answer.body.decode("utf-8", "replace")
     return Ok(document)
--- /dev/null
+++ b/laburnumrock/daemon/_quota_task.py
@@ -0,0 +1,142 @@
+"""Task that enforces the limits of the client accounts while this instance is the coordinator."""
+
+import asyncio
+import time
+
+from laburnumrock.admission import (
+    AccountLimits,
+    QuotaKeeper,
+    QuotaRelease,
+    QuotaRenewal,
+    QuotaRequest,
+    ShareAllocator,
+    ShareGrant,
+    ShareReport,
+)
+from laburnumrock.daemon._ownership_task import OwnershipTask
+from laburnumrock.declarations import DeclarationView, Limits
+from laburnumrock.membership import DomainDigest
+from laburnumrock.messages import Effect, Send
+from laburnumrock.settings import InstanceSettings
+from laburnumrock.transport import PeerNetwork
+
+TICK_S = 0.25
+# The coordinator of another failure domain is not asked for shares without a recent digest.
+COORDINATOR_EXPIRY_S = 10.0
+MICROSECONDS_PER_SECOND = 1_000_000
+
+
+class QuotaTask:
+    """Runs the quota keeper of the failure domain on its coordinator.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+    network : PeerNetwork
+        Links to the other instances.
+    ownership : OwnershipTask
+        Tells whether this instance is the coordinator.
+    view : DeclarationView
+        Limits of the client accounts.
+    """
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        network: PeerNetwork,
+        ownership: OwnershipTask,
+        view: DeclarationView,
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.ownership = ownership
+        self.view = view
+        self.keeper: QuotaKeeper | None = None
+        self.limits_revision = -1
+        self.coordinators: dict[str, tuple[str, float]] = {}
+        self.task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Receive requests for quota and reports of other coordinators."""
+        self.network.handle(QuotaRequest, self._answer)
+        for message_type in (QuotaRelease, QuotaRenewal, ShareReport, ShareGrant):
+            self.network.handle(message_type, self._receive)
+        self.task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop; a new coordinator rebuilds the counts from renewals."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    def receive_digest(self, sender: str, digest: DomainDigest) -> None:
+        """Note the coordinator of another failure domain."""
+        if digest.coordinator is not None:
+            self.coordinators[digest.failure_domain] = (digest.coordinator, time.monotonic())
+
+    async def _run(self) -> None:
+        while True:
+            now_s = time.monotonic()
+            keeper = self._find_keeper(now_s)
+            if keeper is not None:
+                keeper.set_coordinators(self._live_coordinators(now_s))
+                self._send(keeper.tick(now_s))
+            await asyncio.sleep(TICK_S)
+
+    def _find_keeper(self, now_s: float) -> QuotaKeeper | None:
+        """Return the keeper while this instance is the coordinator."""
+        if not self.ownership.is_coordinator():
+            self.keeper = None
+            return None
+        if self.keeper is None:
+            self.keeper = self._make_keeper(now_s)
+            self.limits_revision = -1
+        if self.limits_revision != self.view.revision:
+            self.limits_revision = self.view.revision
+            templates = self.view.current.templates
+            limits = {name: _read_limits(one.limits) for name, one in templates.items()}
+            self.keeper.set_limits(limits, now_s)
+        return self.keeper
+
+    def _make_keeper(self, now_s: float) -> QuotaKeeper:
+        domains = sorted({peer.failure_domain for peer in self.settings.peers})
+        allocator = ShareAllocator(
+            self.settings.failure_domain,
+            domains,
+            # Reports of an earlier coordinator were numbered by an earlier time of the day.
+            first_sequence=int(time.time() * MICROSECONDS_PER_SECOND),
+            started_s=now_s,
+        )
+        return QuotaKeeper(allocator)
+
+    def _live_coordinators(self, now_s: float) -> dict[str, str]:
+        return {
+            domain: name
+            for domain, (name, heard_s) in self.coordinators.items()
+            if now_s - heard_s < COORDINATOR_EXPIRY_S
+        }
+
+    def _answer(self, sender: str, message: QuotaRequest) -> object | None:
+        """Return the answer to the asking entry instance; None when another one coordinates."""
+        now_s = time.monotonic()
+        keeper = self._find_keeper(now_s)
+        if keeper is None:
+            return None
+        answers = keeper.receive(sender, message, now_s)
+        return next(effect.message for effect in answers if effect.destination == sender)
+
+    def _receive(self, sender: str, message: object) -> None:
+        now_s = time.monotonic()
+        keeper = self._find_keeper(now_s)
+        if keeper is not None:
+            self._send(keeper.receive(sender, message, now_s))
+
+    def _send(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.network.send(effect.destination, effect.message)
+
+
+def _read_limits(limits: Limits) -> AccountLimits:
+    return AccountLimits(limits.requests_per_s, limits.tokens_per_s, limits.concurrency)
--- a/laburnumrock/daemon/_replica.py
+++ b/laburnumrock/daemon/_replica.py
@@ -22,8 +22,3 @@
     def store(self) -> DeclarationStore:
         """Replicated declarations."""
         return self.state.parts[DECLARATIONS_PART]
-
-    @property
-    def applied_index(self) -> int:
-        """Last log index that the state contains."""
-        return self.state.applied_index
--- a/laburnumrock/membership/_messages.py
+++ b/laburnumrock/membership/_messages.py
@@ -122,9 +122,12 @@
         Live instances as the sender sees them.
     reports : list
         Plain data of other packages, such as the load of pools.
+    coordinator : str, optional
+        Coordinator of the failure domain as far as the sender knows.
     """
 
     failure_domain: str
     version: int
     live: list[str]
     reports: list[Any] = field(default_factory=list)
+    coordinator: str | None = None
