Send prefix hints, bound retries and stop revoked attempts in the gateway

Cause: permit requests carried no prefix hashes, retries had no budget, and an attempt went on after the pool owner had revoked its permit. Change: the hash of prefixes is part of the engine protocol in upstreams and used by gateway and emulator; the retry budget and the revocation event are wired into completions and services.

--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from eliot import log_message
 from result import Err, Result
@@ -46,6 +46,8 @@
         Length class of the prompt.
     deadline_s : float
         Time allowed for the whole answer in seconds.
+    prefix_hashes : list of str
+        Hashes of the prompt's prefixes, shortest first.
     """
 
     work: EngineWork
@@ -54,6 +56,7 @@
     prompt_tokens: int
     length_class: str
     deadline_s: float
+    prefix_hashes: list[str] = field(default_factory=list)
 
 
 class CompletionRun:
@@ -86,7 +89,11 @@
     async def run(self) -> Result[None, Failure]:
         """Run attempts until the answer is complete, refused or past its deadline."""
         failure = Failure(ErrorKind.NO_UPSTREAM)
+        self.services.retries.record_first_attempt(self.started_s)
         for attempt in range(1, MAX_ATTEMPTS + 1):
+            if attempt > 1 and not self.services.retries.try_retry(time.monotonic()):
+                self.services.counters.count("retry_budget_used_up")
+                break
             granted = await self._acquire(attempt)
             if granted.is_err():
                 return Err(self._judge_refusal(granted.unwrap_err()))
@@ -116,6 +123,7 @@
                 priority=work.priority,
                 adapter=work.adapter,
                 version=work.version,
+                prefix_hashes=self.order.prefix_hashes,
                 excluded_upstreams=list(self.excluded),
             )
         )
@@ -142,7 +150,7 @@
         )
         try:
             async with asyncio.timeout(self._remaining_s()):
-                result = await self._call_engines(grant)
+                result = await self._call_unless_revoked(grant)
         except TimeoutError:
             await self._abandon(grant, PermitOutcome.CANCELLED)
             return Err(Failure(ErrorKind.DEADLINE_EXCEEDED, retry_after_s=RETRY_AFTER_FAILURE_S))
@@ -157,6 +165,20 @@
         await self._abandon(grant, _permit_outcome(result.unwrap_err()))
         return result
 
+    async def _call_unless_revoked(self, grant: PermitGrant) -> Result[None, Failure]:
+        """Call the engines; stop when the owner of the pool takes the permit back."""
+        revoked = self.services.permits.revocation(grant.permit_id) or asyncio.Event()
+        waiting = asyncio.create_task(revoked.wait())
+        calling = asyncio.create_task(self._call_engines(grant))
+        try:
+            await asyncio.wait([waiting, calling], return_when=asyncio.FIRST_COMPLETED)
+            if calling.done():
+                return calling.result()
+            return Err(Failure(ErrorKind.UPSTREAM_FAILED, "the permit was revoked"))
+        finally:
+            waiting.cancel()
+            calling.cancel()
+
     async def _call_engines(self, grant: PermitGrant) -> Result[None, Failure]:
         prepared = await prepare_segments(grant, self.order.work)
         if prepared.is_err():
--- a/laburnumrock/gateway/_completions.py
+++ b/laburnumrock/gateway/_completions.py
@@ -16,6 +16,7 @@
 from laburnumrock.gateway._handler import BodyHandler
 from laburnumrock.gateway._sse import DONE, format_event
 from laburnumrock.placement import LengthClass, classify_length
+from laburnumrock.upstreams import hash_prefixes
 
 TIMEOUT_HEADER = "X-Timeout-S"
 
@@ -73,7 +74,8 @@
         if body.max_tokens > template.max_output_tokens:
             detail = f"must be <= {template.max_output_tokens}, got {body.max_tokens}"
             return Err(Failure(ErrorKind.INVALID_REQUEST, detail, field_path="max_tokens"))
-        prompt_tokens = len(body.prompt.split())
+        words = body.prompt.split()
+        prompt_tokens = len(words)
         if prompt_tokens == 0:
             detail = "must contain at least one word"
             return Err(Failure(ErrorKind.INVALID_REQUEST, detail, field_path="prompt"))
@@ -99,6 +101,7 @@
                 prompt_tokens=prompt_tokens,
                 length_class=str(length_class),
                 deadline_s=timeout.unwrap(),
+                prefix_hashes=[prefix_hash for _, prefix_hash in hash_prefixes(words)],
             )
         )
 
--- a/laburnumrock/gateway/_interfaces.py
+++ b/laburnumrock/gateway/_interfaces.py
@@ -1,11 +1,13 @@
 """What the gateway needs from the tasks of the daemon."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from result import Result
 
+from laburnumrock.admission import RetryBudget
 from laburnumrock.declarations import DeclarationView
 from laburnumrock.errors import Failure
 from laburnumrock.journal import RecordedAnswer
@@ -26,6 +28,9 @@
     def release(self, release: PermitRelease) -> None:
         """Report the end of the work under a permit."""
 
+    def revocation(self, permit_id: str) -> asyncio.Event | None:
+        """Return the event that is set when the owner revokes a held permit."""
+
 
 class QuotaSource(Protocol):
     """Obtains quota of a client account."""
@@ -83,6 +88,8 @@
         Histograms per client account and length class.
     counters : Counters
         statsd counters.
+    retries : RetryBudget
+        Limit on the retries of this instance.
     """
 
     settings: InstanceSettings
@@ -94,3 +101,4 @@
     lifecycle: Lifecycle
     histograms: HistogramRegistry
     counters: Counters
+    retries: RetryBudget = field(default_factory=RetryBudget)
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -141,7 +141,10 @@
     async def _run_repeatable(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
         excluded: list[str] = []
         result = Err(Failure(ErrorKind.NO_UPSTREAM))
+        self.services.retries.record_first_attempt(time.monotonic())
         for attempt in range(1, MAX_ATTEMPTS + 1):
+            if attempt > 1 and not self.services.retries.try_retry(time.monotonic()):
+                return result
             granted = await self._acquire(call, attempt, excluded)
             if granted.is_err():
                 return granted if not excluded else result
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 import socket
+import time
 
 import pytest
 from result import Err, Ok
@@ -29,6 +30,7 @@
         self.base_urls = list(base_urls)
         self.requests = []
         self.releases = []
+        self.revoked = asyncio.Event()
 
     async def acquire(self, request):
         self.requests.append(request)
@@ -41,6 +43,9 @@
     def release(self, release):
         self.releases.append(release.outcome)
 
+    def revocation(self, permit_id):
+        return self.revoked
+
 
 class FakeQuotas:
     """Grants everything and counts what is held."""
@@ -315,6 +320,35 @@
 
         asyncio.run(run())
 
+    def test_revoked_permit_stops_the_attempt(self):
+        """Guards against an engine that two owners let work under one reservation."""
+
+        async def run():
+            engine = ScriptedEngine(1, "hang")
+            async with serving(engine) as gateway:
+                asyncio.get_running_loop().call_later(0.2, gateway.permits.revoked.set)
+                answer = await gateway.complete()
+                assert b"[DONE]" not in answer.body
+                assert engine.cancelled.is_set()
+
+        asyncio.run(run())
+
+    def test_retry_budget_bounds_the_load(self):
+        """Guards against a retry storm after the loss of a failure domain."""
+
+        async def run():
+            engines = [ScriptedEngine(0, "refuse") for _ in range(12)]
+            async with serving(*engines) as gateway:
+                budget = gateway.services.retries
+                budget.bucket.refill(time.monotonic())
+                budget.bucket.take(budget.max_saved - 1)
+                for _ in range(4):
+                    await gateway.complete()
+                # Four first attempts earn 0.8 retries; one was left in the budget.
+                assert len(gateway.permits.requests) <= 4 + 2
+
+        asyncio.run(run())
+
     @pytest.mark.parametrize(
         ("body", "headers", "kind", "field_path"),
         [
--- a/laburnumrock/standins/__init__.py
+++ b/laburnumrock/standins/__init__.py
@@ -29,10 +29,8 @@
     RequestAborted,
     TokenEvent,
 )
-from laburnumrock.standins._prefix_cache import PREFIX_LENGTHS, hash_prefixes
 
 __all__ = [
-    "PREFIX_LENGTHS",
     "AccountProfile",
     "BatchingModel",
     "CallRecord",
@@ -50,7 +48,6 @@
     "ServiceProfile",
     "TokenEvent",
     "format_report",
-    "hash_prefixes",
     "hash_prompt",
     "load_command",
     "load_profile",
--- a/laburnumrock/standins/_engine_completions.py
+++ b/laburnumrock/standins/_engine_completions.py
@@ -13,7 +13,7 @@
     RequestAborted,
     TokenEvent,
 )
-from laburnumrock.standins._prefix_cache import hash_prefixes
+from laburnumrock.upstreams import hash_prefixes
 
 WATCH_INTERVAL_S = 0.25
 
--- a/laburnumrock/standins/_prefix_cache.py
+++ b/laburnumrock/standins/_prefix_cache.py
@@ -1,45 +1,15 @@
 """Prefix cache of one emulated engine, with events that arrive late and with gaps."""
 
-import hashlib
 import random
 from collections import OrderedDict
 from dataclasses import dataclass
 
-# Prefix lengths, in words, for which an engine reports cache events.
-PREFIX_LENGTHS = (256, 1_024, 4_096, 16_384, 65_536)
-HASH_DIGITS = 16
 EVENT_DELAY_MIN_S = 0.2
 EVENT_DELAY_MAX_S = 2.0
 EVENT_LOSS = 0.05
 MAX_EVENTS_PER_REPORT = 64
 
 
-def hash_prefixes(words: list[str]) -> tuple[tuple[int, str], ...]:
-    """Return length and hash of each cacheable prefix of a prompt.
-
-    Parameters
-    ----------
-    words : list of str
-        Tokens of the prompt.
-
-    Returns
-    -------
-    tuple of (int, str)
-        Shortest prefix first. The hash is that of the words joined by single spaces.
-    """
-    digest = hashlib.sha256()
-    hashes = []
-    start = 0
-    for length in PREFIX_LENGTHS:
-        if length > len(words):
-            break
-        separator = " " if start else ""
-        digest.update((separator + " ".join(words[start:length])).encode())
-        hashes.append((length, digest.copy().hexdigest()[:HASH_DIGITS]))
-        start = length
-    return tuple(hashes)
-
-
 @dataclass(frozen=True, slots=True)
 class _PendingEvent:
     due_s: float
--- a/laburnumrock/upstreams/__init__.py
+++ b/laburnumrock/upstreams/__init__.py
@@ -7,5 +7,14 @@
     UpstreamState,
 )
 from laburnumrock.upstreams._cold_start import ColdStartGate
+from laburnumrock.upstreams._prefixes import PREFIX_LENGTHS, hash_prefixes
 
-__all__ = ["CacheEvent", "ColdStartGate", "UpstreamAnnouncement", "UpstreamKind", "UpstreamState"]
+__all__ = [
+    "PREFIX_LENGTHS",
+    "CacheEvent",
+    "ColdStartGate",
+    "UpstreamAnnouncement",
+    "UpstreamKind",
+    "UpstreamState",
+    "hash_prefixes",
+]
