Bound the waits of the permit client and give engine calls their own client

Cause: an entry instance that reached no owner answered no_upstream instead of owner_unavailable; a request that had queued longer than the wait for an owner was refused as soon as its owner died; cancels shared ten connections with the streams of the gateway.

--- a/laburnumrock/daemon/_engine_calls.py
+++ b/laburnumrock/daemon/_engine_calls.py
@@ -10,6 +10,8 @@
 
 from laburnumrock.errors import ErrorKind, Failure
 
+MAX_CALLS = 64
+
 
 class EngineCalls:
     """Cancels requests on engines and reads what they hold.
@@ -22,6 +24,9 @@
 
     def __init__(self, timeout_s: float) -> None:
         self.timeout_s = timeout_s
+        # A client of its own: the shared one also carries long streams, behind which a cancel would
+        # wait.
+        self.client: AsyncHTTPClient | None = None
         self.running: dict[tuple[str, ...], asyncio.Task] = {}
 
     def start(self, key: tuple[str, ...], call: Awaitable[None]) -> None:
@@ -39,6 +44,9 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        if self.client is not None:
+            self.client.close()
+            self.client = None
 
     async def cancel(self, base_url: str, request_id: str) -> bool:
         """Cancel a request; returns whether the engine confirmed it."""
@@ -74,9 +82,11 @@
             connect_timeout=self.timeout_s,
             request_timeout=self.timeout_s,
         )
+        if self.client is None:
+            self.client = AsyncHTTPClient(force_instance=True, max_clients=MAX_CALLS)
         try:
-            response = await AsyncHTTPClient().fetch(request)
-        except (HTTPClientError, OSError) as error:
+            response = await self.client.fetch(request)
+        except (HTTPClientError, OSError, ValueError) as error:
             log_message("engine_call_failed", url=url, reason=str(error))
             return Err(Failure(ErrorKind.UPSTREAM_FAILED, f"{url}: {error}"))
         return Ok(response.body)
--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -167,7 +167,10 @@
             if isinstance(answer, PermitGrant):
                 return Ok(answer)
             if answer is None:
+                # The pool had an owner until now; the wait for the next one begins.
+                missing_since_s = time.monotonic()
                 continue
+            refusal = Failure(answer.kind, answer.detail, retry_after_s=answer.retry_after_s)
             if (
                 answer.kind is ErrorKind.OWNER_UNAVAILABLE
                 and now_s - missing_since_s < OWNER_WAIT_S
@@ -175,7 +178,6 @@
                 # The new owner may not know of its assignment yet, or the owner map is old.
                 await asyncio.sleep(POLL_S)
                 continue
-            refusal = Failure(answer.kind, answer.detail, retry_after_s=answer.retry_after_s)
             if answer.kind not in ELSEWHERE:
                 return Err(refusal)
             waiting.tried.add(choice.pool_id)
--- a/laburnumrock/daemon/tests/test_permit_path.py
+++ b/laburnumrock/daemon/tests/test_permit_path.py
@@ -4,6 +4,9 @@
 import time
 from contextlib import asynccontextmanager
 
+import pytest
+
+from laburnumrock.daemon import _permits, _pool_task
 from laburnumrock.daemon._membership_task import MembershipTask
 from laburnumrock.daemon._ownership_task import OwnershipTask
 from laburnumrock.daemon._permits import PermitClient
@@ -144,8 +147,11 @@
 
         asyncio.run(run())
 
-    def test_queued_request_moves_to_the_new_owner(self):
-        """Guards against a request that waits for a dead owner until its deadline."""
+    @pytest.mark.parametrize("queued_s", [0.0, 1.4])
+    def test_queued_request_moves_to_the_new_owner(self, queued_s, monkeypatch):
+        """Guards against a request that stays with a dead owner, or gives up after a long wait."""
+        monkeypatch.setattr(_permits, "OWNER_WAIT_S", 1.3)
+        monkeypatch.setattr(_pool_task, "SUMMARY_S", 0.1)
 
         async def run():
             async with running() as cluster:
@@ -154,7 +160,10 @@
                 await entry.permits.acquire(make_request("first"))
                 queued = asyncio.create_task(entry.permits.acquire(make_request("second")))
                 await wait_until(lambda: owner.scheduler().queue)
+                await asyncio.sleep(queued_s)
                 owner.kill()
+                # As after the death of the coordinator: the next one knows no owner at first.
+                entry.ownership.holdings.owners.pop(POOL)
                 grant = (await queued).unwrap()
                 assert grant.owner_epoch > owner.scheduler().epoch
 
@@ -221,6 +230,48 @@
 
         asyncio.run(run())
 
+    def test_isolated_entry_refuses_in_time(self, monkeypatch):
+        """Guards against a caller that waits until the deadline for an unreachable owner."""
+        monkeypatch.setattr(_permits, "OWNER_WAIT_S", 0.6)
+        monkeypatch.setattr(_pool_task, "SUMMARY_S", 0.1)
+
+        async def run():
+            async with running() as cluster:
+                owner = await cluster.owner()
+                # An isolated coordinator may still own the pool itself until its lease ends.
+                entry = next(
+                    node
+                    for node in cluster.nodes.values()
+                    if node is not owner and not node.ownership.is_coordinator()
+                )
+                await wait_until(lambda: entry.directory.find_owner(POOL) is not None)
+                cluster.hub.cut.add(entry.name)
+                began_s = time.monotonic()
+                request = make_request("lonely", remaining_s=30.0)
+                failure = (await entry.permits.acquire(request)).unwrap_err()
+                assert failure.kind is ErrorKind.OWNER_UNAVAILABLE
+                assert time.monotonic() - began_s < 2.0
+
+        asyncio.run(run())
+
+    def test_lost_request_is_sent_again(self, monkeypatch):
+        """Guards against a request that a broken link loses and that then waits for nothing."""
+        monkeypatch.setattr(_permits, "REPEAT_S", 0.1)
+
+        async def run():
+            async with running() as cluster:
+                owner = await cluster.owner()
+                entry = next(node for node in cluster.nodes.values() if node is not owner)
+                await wait_until(lambda: entry.directory.find_owner(POOL) is not None)
+                cluster.hub.cut.add(entry.name)
+                queued = asyncio.create_task(entry.permits.acquire(make_request()))
+                await asyncio.sleep(0.05)
+                cluster.hub.cut.clear()
+                grant = (await queued).unwrap()
+                assert list(owner.scheduler().permits) == [grant.permit_id]
+
+        asyncio.run(run())
+
     def test_unknown_model_is_refused_at_once(self):
         """Guards against a caller that waits for a model which nobody serves."""
 
