Choose the placement policy by a setting; register the load commands

Cause: the policy was a constant of the daemon, so that a deployment could not run the naive baseline; `load` and `report` were not in the program. Change: `placement_policy` in InstanceSettings, checked against the registered policies, and in DeploymentPlan; `make_scheduler_factory` reads it.

--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -35,7 +35,6 @@
 from laburnumrock.transport import PeerNetwork
 
 READY_POLL_S = 0.05
-PLACEMENT_POLICY = "length_aware"
 
 
 class Task(Protocol):
@@ -85,7 +84,7 @@
             self.ownership,
             self.directory,
             view,
-            make_scheduler_factory(settings, PLACEMENT_POLICY),
+            make_scheduler_factory(settings),
         )
         self.membership.facts_sources.append(self.declarations.provide_facts)
         self.membership.facts_handlers.append(self.declarations.receive_facts)
--- a/laburnumrock/daemon/_pool_runner.py
+++ b/laburnumrock/daemon/_pool_runner.py
@@ -58,19 +58,17 @@
 SchedulerFactory = Callable[[str, int, float], Scheduler]
 
 
-def make_scheduler_factory(settings: InstanceSettings, policy: str) -> SchedulerFactory:
+def make_scheduler_factory(settings: InstanceSettings) -> SchedulerFactory:
     """Return the function that makes the scheduler of a pool.
 
     Parameters
     ----------
     settings : InstanceSettings
-        Settings of the instance.
-    policy : str
-        Registered name of the placement policy.
+        Settings of the instance, with the placement policy.
     """
 
     def make(pool_id: str, epoch: int, now_s: float) -> PoolScheduler:
-        pool = PoolSettings(pool_id, epoch, policy, settings.timing.permit_ttl_s)
+        pool = PoolSettings(pool_id, epoch, settings.placement_policy, settings.timing.permit_ttl_s)
         # An earlier owner may always have existed; engines' lists soon show what is in use.
         rng = random.Random(f"{settings.seed}/{pool_id}/{epoch}")
         return PoolScheduler(pool, rng, now_s, take_over=True)
--- a/laburnumrock/daemon/tests/test_permit_path.py
+++ b/laburnumrock/daemon/tests/test_permit_path.py
@@ -63,7 +63,7 @@
         self.hub = FakeHub()
         self.nodes = {}
         for name, settings in make_settings(names).items():
-            factory = make_scheduler_factory(settings, "length_aware")
+            factory = make_scheduler_factory(settings)
             factory = factory if real_scheduler else FakeScheduler
             self.nodes[name] = Node(self.hub, settings, factory)
         self.announcements = [make_announcement()]
--- a/laburnumrock/scenarios/_deployment.py
+++ b/laburnumrock/scenarios/_deployment.py
@@ -185,6 +185,7 @@
             "operator_key_file": str(self.operator_key_file),
             "peers": [self._describe_peer(instance, peer) for peer in self.instances.values()],
             "timing": self.plan.timing,
+            "placement_policy": self.plan.placement_policy,
             "seed": self.plan.seed,
         }
         file = self.folder / f"{instance.name}.json"
--- a/laburnumrock/scenarios/_plan.py
+++ b/laburnumrock/scenarios/_plan.py
@@ -31,6 +31,8 @@
         Further options of the emulators.
     timing : dict of str to float
         Members of the instances' ``timing`` settings.
+    placement_policy : str
+        Placement policy of the instances.
     seed : int
         Seed of every process.
     """
@@ -47,6 +49,7 @@
     engine_options: tuple[str, ...] = ()
     application_options: tuple[str, ...] = ()
     timing: dict[str, float] = field(default_factory=dict)
+    placement_policy: str = "length_aware"
     seed: int = 0
 
 
--- a/laburnumrock/scenarios/tests/test_processes.py
+++ b/laburnumrock/scenarios/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Tests of the process runner with the emulators alone."""
 
+import dataclasses
 import json
 import os
 import time
@@ -27,12 +28,14 @@
     def test_settings_are_valid_and_links_are_used(self, tmp_path):
         """Guards against settings that the daemon refuses, and links that bypass the relay."""
         plan = DeploymentPlan(instances=2, has_links=True, timing={"permit_ttl_s": 1.5})
+        plan = dataclasses.replace(plan, placement_policy="round_robin")
         deployment = Deployment(plan, tmp_path)
         specs = deployment.write_files()
         assert len(specs) == 1 + 6 + 9 + 1
         for name in deployment.instances:
             settings = load_settings(tmp_path / f"{name}.json").unwrap()
             assert settings.timing.permit_ttl_s == 1.5
+            assert settings.placement_policy == "round_robin"
             assert len(settings.voters()) == 3
             assert len({peer.failure_domain for peer in settings.voters()}) == 3
             for peer in settings.peers:
--- a/laburnumrock/settings/_instance.py
+++ b/laburnumrock/settings/_instance.py
@@ -2,7 +2,9 @@
 
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import BaseModel, ConfigDict, Field, field_validator, model_validator
+
+from laburnumrock.placement import POLICIES
 
 MAX_PORT = 65_535
 
@@ -158,6 +160,8 @@
         File for eliot log lines; standard error when absent.
     max_body_bytes : int, > 0
         Largest accepted HTTP body.
+    placement_policy : str
+        Registered name of the placement policy of the pools that this instance owns.
     """
 
     instance_id: str = Field(min_length=1)
@@ -173,6 +177,14 @@
     statsd: StatsdSettings | None = None
     log_file: Path | None = None
     max_body_bytes: int = Field(default=16 * 1024 * 1024, gt=0)
+    placement_policy: str = "length_aware"
+
+    @field_validator("placement_policy")
+    @classmethod
+    def _check_policy(cls, name: str) -> str:
+        if name not in POLICIES:
+            raise ValueError(f"placement_policy must be one of {', '.join(sorted(POLICIES))}")
+        return name
 
     @model_validator(mode="after")
     def _check_peers(self) -> "InstanceSettings":
--- a/laburnumrock/settings/tests/test_settings.py
+++ b/laburnumrock/settings/tests/test_settings.py
@@ -44,6 +44,7 @@
         ("changes", "path"),
         [
             ({"unknown": 1}, "unknown"),
+            ({"placement_policy": "unregistered"}, "placement_policy"),
             ({"timing": {"lease_s": -1}}, "timing.lease_s"),
             ({"timing": {"lease_s": "2 minutes"}}, "timing.lease_s"),
             ({"peers": [{"instance_id": "a1"}]}, "peers[0].failure_domain"),
--- a/laburnumrock/standins/_load.py
+++ b/laburnumrock/standins/_load.py
@@ -10,6 +10,7 @@
 import click
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
+from laburnumrock.cli import register_command
 from laburnumrock.standins._load_calls import CallRecord, LoadClient
 from laburnumrock.standins._load_profile import LoadProfile, PlannedCall, load_profile, plan_calls
 from laburnumrock.standins._load_report import LoadReport, format_report, summarize
@@ -143,6 +144,7 @@
     return summarize(records, executions, repeatable)
 
 
+@register_command
 @click.command("load")
 @click.option("--url", required=True, help="Base URL of the balancer or an instance.")
 @click.option("--profile", "profile_file", type=click.Path(exists=True, path_type=Path))
@@ -168,6 +170,7 @@
     asyncio.run(run_load(url, profile, rate, duration_s, seed, output, list(executions)))
 
 
+@register_command
 @click.command("report")
 @click.argument("file", type=click.Path(exists=True, path_type=Path))
 @click.option("--json", "as_json", is_flag=True, help="Print JSON instead of a table.")
