--- a/laburnumrock/placement/_intake.py
+++ b/laburnumrock/placement/_intake.py
@@ -194,9 +194,10 @@
         line = self.policy.find_line(waiting)
         if not self.queue.lines.get(line):
             return 0.0
-        # Later requests with an earlier fair time stamp are served first.
-        wait_s = self.predictor.line_wait_s(line, now_s, waiting.order)
-        return wait_s + waiting.fair_delay_s
+        # Later requests with an earlier fair time stamp are served first, unless the line empties.
+        line_s = self.predictor.line_wait_s(line, now_s)
+        ahead_s = self.predictor.line_wait_s(line, now_s, waiting.order)
+        return ahead_s + min(waiting.fair_delay_s, line_s)
 
     def _try_grant(self, waiting: WaitingRequest, now_s: float) -> Send | None:
         parts = self._choose_parts(waiting, now_s)
