--- a/laburnumrock/daemon/_operations.py
+++ b/laburnumrock/daemon/_operations.py
@@ -100,7 +100,7 @@
         if drive.dispatched:
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the call has not ended"))
         # The steps check the clock before they send, so that nothing is sent after this.
-        return Err(Failure(ErrorKind.DEADLINE_UNREACHABLE, "the call was not sent"))
+        return Err(Failure(ErrorKind.JOURNAL_UNAVAILABLE, "this request was not sent"))
 
     async def find(self, account: str, key: str) -> Result[OperationAnswer, Failure]:
         """Return the state of an operation."""
--- a/laburnumrock/daemon/_operator_access.py
+++ b/laburnumrock/daemon/_operator_access.py
@@ -11,7 +11,12 @@
 from laburnumrock.daemon._pool_directory import PoolDirectory
 from laburnumrock.declarations import DeclarationView
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.journal import OperationAnswer, OperationOutcome
+from laburnumrock.journal import (
+    RECONCILE_GRACE_S,
+    OperationAnswer,
+    OperationOutcome,
+    OperationState,
+)
 from laburnumrock.messages import to_plain
 from laburnumrock.settings import InstanceSettings
 
@@ -48,7 +53,7 @@
             detail = f"{outcome!r} is not one of {', '.join(OperationOutcome)}"
             return Err(Failure(ErrorKind.INVALID_REQUEST, detail, field_path="outcome"))
         settled = await self.operations.reconcile(account, key, known, f"{operator}: {source}")
-        return settled.and_then(_describe_operation)
+        return settled.and_then(_check_reconciled).and_then(_describe_operation)
 
 
 class VoterDesk:
@@ -134,6 +139,19 @@
         return pools
 
 
+def _check_reconciled(answer: OperationAnswer) -> Result[OperationAnswer, Failure]:
+    if answer.accepted:
+        return Ok(answer)
+    if answer.state is None:
+        return Err(Failure(ErrorKind.NOT_FOUND, "no operation with this key"))
+    if answer.state is OperationState.UNKNOWN:
+        detail = "the owner may still send the call until the limit of its claim has passed"
+        wait_s = max(0.0, answer.limit_s + RECONCILE_GRACE_S - answer.age_s)
+        return Err(Failure(ErrorKind.OPERATION_IN_PROGRESS, detail, retry_after_s=wait_s))
+    detail = f"the operation is {answer.state}, only an unknown outcome can be reconciled"
+    return Err(Failure(ErrorKind.INVALID_REQUEST, detail))
+
+
 def _describe_operation(answer: OperationAnswer) -> Result[dict[str, object], Failure]:
     document = to_plain(answer)
     if answer.answer is not None:
--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -88,6 +88,7 @@
         self.view = view
         self.waiting: dict[Key, _Waiting] = {}
         self.held: dict[str, HeldPermit] = {}
+        self.started_s = time.monotonic()
         self.on_revoked: Callable[[PermitGrant], None] | None = None
         self.task: asyncio.Task | None = None
 
@@ -159,8 +160,10 @@
                 return Err(refusal or Failure(ErrorKind.DEADLINE_UNREACHABLE, detail))
             choice = choose_pool(self.directory, self.view, waiting.request, waiting.tried, now_s)
             if choice.pool_id is None:
-                if not choice.may_appear or now_s - missing_since_s >= OWNER_WAIT_S:
-                    return Err(refusal or _unavailable(choice.may_appear))
+                # A process that has just started has not heard of the pools yet.
+                may_appear = choice.may_appear or now_s - self.started_s < OWNER_WAIT_S
+                if not may_appear or now_s - missing_since_s >= OWNER_WAIT_S:
+                    return Err(refusal or _unavailable(may_appear))
                 await asyncio.sleep(POLL_S)
                 continue
             answer = await self._ask(waiting, choice.pool_id)
--- a/laburnumrock/daemon/_quotas.py
+++ b/laburnumrock/daemon/_quotas.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from laburnumrock.daemon._quota_messages import (
+from laburnumrock.admission import (
     QuotaGrant,
     QuotaRefusal,
     QuotaRelease,
--- a/laburnumrock/daemon/tests/test_quotas.py
+++ b/laburnumrock/daemon/tests/test_quotas.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from laburnumrock.daemon import _quotas
-from laburnumrock.daemon._quota_messages import (
+from laburnumrock.admission import (
     QuotaGrant,
     QuotaRefusal,
     QuotaRelease,
--- a/laburnumrock/errors/_kinds.py
+++ b/laburnumrock/errors/_kinds.py
@@ -61,6 +61,7 @@
     IDEMPOTENCY_MISMATCH = "idempotency_mismatch"
     OPERATION_IN_PROGRESS = "operation_in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    JOURNAL_UNAVAILABLE = "journal_unavailable"
     STALE_REVISION = "stale_revision"
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
@@ -146,6 +147,15 @@
         RetryAdvice.RECONCILE,
         "The operation may have run",
     ),
+    # This request was not sent, but without the journal nothing proves that an earlier request with
+    # the same key did not run, so the outcome of the operation is unknown.
+    ErrorKind.JOURNAL_UNAVAILABLE: ErrorAnswer(
+        503,
+        Phase.ADMISSION,
+        Outcome.UNKNOWN,
+        RetryAdvice.SAME_IDEMPOTENCY_KEY,
+        "The journal of operations has no reachable quorum",
+    ),
     ErrorKind.STALE_REVISION: _refuse(
         409, _VALIDATION, _CORRECT, "The change was planned against an old revision"
     ),
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -29,6 +29,12 @@
     ErrorKind.UPSTREAM_FAILED,
 )
 
+_REASON_OUTCOMES = {
+    "cold": PermitOutcome.COLD,
+    "overloaded": PermitOutcome.OVERLOADED,
+    "no_memory": PermitOutcome.OVERLOADED,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class CompletionOrder:
@@ -229,7 +235,8 @@
 
 
 def _permit_outcome(failure: Failure) -> PermitOutcome:
+    """Return what a failure tells about the engine; only some refusals are signs of overload."""
     if failure.kind is ErrorKind.UPSTREAM_REJECTED:
-        cold = failure.detail.endswith("cold")
-        return PermitOutcome.COLD if cold else PermitOutcome.OVERLOADED
+        reason = failure.detail.rpartition(": ")[2]
+        return _REASON_OUTCOMES.get(reason, PermitOutcome.FAILED)
     return PermitOutcome.FAILED
--- a/laburnumrock/gateway/_interfaces.py
+++ b/laburnumrock/gateway/_interfaces.py
@@ -10,7 +10,7 @@
 from laburnumrock.admission import RetryBudget
 from laburnumrock.declarations import DeclarationView
 from laburnumrock.errors import Failure
-from laburnumrock.journal import RecordedAnswer
+from laburnumrock.journal import OperationAnswer, RecordedAnswer
 from laburnumrock.metrics import Counters, HistogramRegistry
 from laburnumrock.placement import PermitGrant, PermitRelease, PermitRequest
 from laburnumrock.settings import InstanceSettings
@@ -50,6 +50,9 @@
     ) -> Result[RecordedAnswer, Failure]:
         """Run an operation at most once and return its recorded answer."""
 
+    async def find(self, account: str, key: str) -> Result[OperationAnswer, Failure]:
+        """Return the state of an operation."""
+
 
 class Lifecycle(Protocol):
     """State of the instance as far as callers see it."""
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -11,8 +11,9 @@
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._accounts import identify_account
 from laburnumrock.gateway._handler import BodyHandler
+from laburnumrock.gateway._interfaces import Dispatch
 from laburnumrock.gateway._upstream_http import UpstreamAnswer, UpstreamCall, exchange
-from laburnumrock.journal import RecordedAnswer
+from laburnumrock.journal import OperationState, RecordedAnswer
 from laburnumrock.placement import PermitGrant, PermitOutcome, PermitRelease, PermitRequest
 
 IDEMPOTENCY_HEADER = "Idempotency-Key"
@@ -21,8 +22,8 @@
 MAX_ATTEMPTS = 3
 RETRY_AFTER_FAILURE_S = 1.0
 
-# A process that was frozen for longer than this after its durable dispatch record sends nothing,
-# so that an operator may settle the operation as not run after the same time.
+# A process that was frozen for longer than this during its dispatch sends nothing. No call is sent
+# after its deadline, so that an operator may settle it as not run some time later.
 DISPATCH_WINDOW_S = 2.0
 
 # Headers of an upstream's answer that are passed on and recorded.
@@ -130,7 +131,7 @@
         account = call.template.client_account
         quota = await self.services.quotas.acquire(account, "", 0)
         if quota.is_err():
-            return quota
+            return await self._refuse(call, quota.unwrap_err())
         try:
             if call.path.repeatable:
                 return await self._run_repeatable(call)
@@ -138,6 +139,23 @@
         finally:
             self.services.quotas.release(quota.unwrap())
 
+    async def _refuse(self, call: ServiceCall, failure: Failure) -> Result[RecordedAnswer, Failure]:
+        """Refuse a call; "not run" is only said when no earlier call with its key may have run."""
+        if call.path.repeatable:
+            return Err(failure)
+        account, key = call.template.client_account, call.idempotency_key or ""
+        found = await self.services.operations.find(account, key)
+        if found.is_err():
+            detail = f"this request was not sent: {failure}"
+            return Err(Failure(ErrorKind.JOURNAL_UNAVAILABLE, detail, None, failure.retry_after_s))
+        if found.unwrap().state in (None, OperationState.NOT_RUN, OperationState.VOIDED):
+            return Err(failure)
+
+        async def refuse() -> Result[RecordedAnswer, Failure]:
+            return Err(failure)
+
+        return await self._run_operation(call, refuse)
+
     async def _run_repeatable(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
         excluded: list[str] = []
         result = Err(Failure(ErrorKind.NO_UPSTREAM))
@@ -157,12 +175,17 @@
 
     async def _run_once(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
         async def dispatch() -> Result[RecordedAnswer, Failure]:
-            send_before_s = time.monotonic() + DISPATCH_WINDOW_S
+            send_before_s = min(time.monotonic() + DISPATCH_WINDOW_S, call.deadline_s)
             granted = await self._acquire(call, 1, [])
             if granted.is_err():
                 return granted
             return await self._call_upstream(call, granted.unwrap(), send_before_s)
 
+        return await self._run_operation(call, dispatch)
+
+    async def _run_operation(
+        self, call: ServiceCall, dispatch: Dispatch
+    ) -> Result[RecordedAnswer, Failure]:
         return await self.services.operations.run(
             call.template.client_account,
             call.idempotency_key or "",
--- a/laburnumrock/journal/__init__.py
+++ b/laburnumrock/journal/__init__.py
@@ -15,7 +15,12 @@
     StartDispatch,
     VoidClaim,
 )
-from laburnumrock.journal._part import OPERATION_RETENTION_S, JournalPart, Operation
+from laburnumrock.journal._part import (
+    OPERATION_RETENTION_S,
+    RECONCILE_GRACE_S,
+    JournalPart,
+    Operation,
+)
 from laburnumrock.journal._run import (
     DispatchStep,
     OperationEnd,
@@ -29,6 +34,7 @@
 __all__ = [
     "MAX_RECORDED_BODY_BYTES",
     "OPERATION_RETENTION_S",
+    "RECONCILE_GRACE_S",
     "AbandonOperation",
     "AbandonOwner",
     "ClaimOperation",
--- a/laburnumrock/journal/_part.py
+++ b/laburnumrock/journal/_part.py
@@ -12,6 +12,7 @@
     ClaimOperation,
     FindOperation,
     OperationAnswer,
+    OperationOutcome,
     OperationState,
     ReconcileOperation,
     RecordedAnswer,
@@ -23,6 +24,8 @@
 from laburnumrock.state import register_part
 
 OPERATION_RETENTION_S = 7 * 24 * 3600.0
+# Covers the difference between the clocks of the leaders that stamp claim and reconciliation.
+RECONCILE_GRACE_S = 2.0
 # Remembered so that a repeated claim command does not claim again after its claim ended.
 PAST_CLAIMS = 16
 
@@ -167,6 +170,13 @@
                 and operation.source == command.source != ""
             )
             return _answer(repeated, operation, command.stamped_at_s)
+        owner_age_s = command.stamped_at_s - operation.claimed_s
+        if (
+            command.outcome is OperationOutcome.NOT_RUN
+            and owner_age_s < operation.limit_s + RECONCILE_GRACE_S
+        ):
+            # A frozen owner that wakes up may send the call until the limit of its claim.
+            return _answer(False, operation, command.stamped_at_s)
         operation.source = command.source
         operation.answer = command.answer
         self._move(operation, event, command.stamped_at_s)
--- a/laburnumrock/journal/_run.py
+++ b/laburnumrock/journal/_run.py
@@ -32,6 +32,7 @@
 
 POLL_MIN_S = 0.05
 POLL_MAX_S = 1.0
+RETRY_AFTER_S = 1.0
 # Added to the limit of a claim before another instance treats its owner as dead.
 ABANDON_GRACE_S = 10.0
 # An answer in hand is worth a short wait for its record even when the deadline has passed.
@@ -134,7 +135,7 @@
         claimed = yield ProposeStep(_claim(request, claim_id), _limit(end_s - clock()))
         void = VoidClaim(request.account, request.key, claim_id)
         if claimed.is_err():
-            return OperationEnd(_not_run(ErrorKind.QUORUM_UNAVAILABLE), void)
+            return OperationEnd(_journal_unavailable(), void)
         answer = claimed.unwrap()
         if answer.accepted and answer.claim_id == claim_id:
             if clock() >= end_s:
@@ -145,7 +146,7 @@
         if end is not None:
             return end
         if clock() >= end_s:
-            return OperationEnd(_not_run(ErrorKind.DEADLINE_UNREACHABLE))
+            return OperationEnd(_journal_unavailable())
 
 
 def _dispatch(
@@ -257,6 +258,11 @@
     )
 
 
+def _journal_unavailable() -> Err[Failure]:
+    detail = "this request was not sent; whether an earlier one with the key ran is not known"
+    return Err(Failure(ErrorKind.JOURNAL_UNAVAILABLE, detail, retry_after_s=RETRY_AFTER_S))
+
+
 def _settle(
     identity: tuple[str, str, str], called: Result[RecordedAnswer, Failure]
 ) -> SettleOperation:
