--- a/laburnumrock/scenarios/_deployment.py
+++ b/laburnumrock/scenarios/_deployment.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from laburnumrock.scenarios._http import HttpAnswer, find_free_ports, request_json
+from laburnumrock.scenarios._http import HttpAnswer, claim_ports, request_json
 from laburnumrock.scenarios._plan import (
     HOST,
     DeploymentPlan,
@@ -137,7 +137,8 @@
         count = 3 + per_domain * len(plan.failure_domains)
         total_instances = plan.instances * len(plan.failure_domains)
         links = total_instances * (total_instances - 1) if plan.has_links else 0
-        ports = iter(find_free_ports(count + links, HOST))
+        self.claim = claim_ports(count + links, HOST)
+        ports = iter(self.claim.ports)
         self.balancer_port, self.balancer_control_port = next(ports), next(ports)
         self.relay_port = next(ports)
         voters = 0
--- a/laburnumrock/scenarios/_processes.py
+++ b/laburnumrock/scenarios/_processes.py
@@ -190,11 +190,18 @@
         -------
         float
             Time waited in seconds.
+
+        Raises
+        ------
+        TimeoutError
+            If a process ends, or does not answer in time.
         """
         waiting = set(self.processes if names is None else names)
 
         def is_ready() -> bool:
             for name in list(waiting):
+                if not self.processes[name].is_running:
+                    raise TimeoutError(f"{name} ended{self._describe_ended()}")
                 if self.deployment.is_ready(name):
                     waiting.discard(name)
             return not waiting
@@ -265,6 +272,7 @@
         yield group
     finally:
         group.stop_all(graceful_stop)
+        group.deployment.claim.release()
         if log_folder is not None:
             log_folder.mkdir(parents=True, exist_ok=True)
             for process in group.processes.values():
