--- a/laburnumrock/daemon/tests/test_quotas.py
+++ b/laburnumrock/daemon/tests/test_quotas.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from laburnumrock.daemon import _quotas
 from laburnumrock.admission import (
     QuotaGrant,
     QuotaRefusal,
@@ -10,6 +9,7 @@
     QuotaRenewal,
     QuotaRequest,
 )
+from laburnumrock.daemon import _quotas
 from laburnumrock.daemon._quotas import QuotaClient
 from laburnumrock.daemon.tests.fakes import FakeHub, FakeNetwork, make_settings
 from laburnumrock.errors import ErrorKind
--- a/laburnumrock/gateway/_handler.py
+++ b/laburnumrock/gateway/_handler.py
@@ -1,52 +1,27 @@
-"""Base of the HTTP handlers."""
+"""Base of the HTTP handlers for callers and upstreams."""
 
-import math
 import uuid
 
-from eliot import log_message
 from result import Err, Ok, Result
-from tornado.web import RequestHandler, stream_request_body
+from tornado.web import stream_request_body
 
-from laburnumrock.errors import ErrorKind, Failure, problem_document
+from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._interfaces import GatewayServices
+from laburnumrock.gateway._problem_handler import ProblemHandler
 
 
-class GatewayHandler(RequestHandler):
-    """Handler with typed access to the services and problem documents for errors."""
+class GatewayHandler(ProblemHandler):
+    """Handler with typed access to the services."""
 
     def initialize(self, services: GatewayServices) -> None:
         """Store the services and name the request."""
         self.services = services
         self.request_id = uuid.uuid4().hex
 
-    def set_default_headers(self) -> None:
-        """Remove the server's name and version."""
-        self.clear_header("Server")
-
     def finish_with_failure(self, failure: Failure) -> None:
-        """Answer with the problem document of a failure."""
-        log_message(
-            "request_failed",
-            request_id=self.request_id,
-            kind=str(failure.kind),
-            detail=failure.detail,
-        )
+        """Count a failure and answer with its problem document."""
         self.services.counters.count(f"errors.{failure.kind}")
-        self.set_status(failure.answer.status)
-        self.set_header("Content-Type", "application/problem+json")
-        if failure.retry_after_s is not None:
-            self.set_header("Retry-After", str(math.ceil(failure.retry_after_s)))
-        self.finish(problem_document(failure, self.request_id))
-
-    def write_error(self, status_code: int, **kwargs) -> None:
-        """Turn an unexpected exception, or an unknown path, into a problem document."""
-        if status_code == 404:
-            failure = Failure(ErrorKind.NOT_FOUND, f"no resource at {self.request.path}")
-        elif status_code in (400, 405):
-            failure = Failure(ErrorKind.INVALID_REQUEST, f"{self.request.method} is not possible")
-        else:
-            failure = Failure(ErrorKind.INTERNAL)
-        self.finish_with_failure(failure)
+        super().finish_with_failure(failure)
 
 
 @stream_request_body
--- a/laburnumrock/gateway/_operator.py
+++ b/laburnumrock/gateway/_operator.py
@@ -98,17 +98,17 @@
         """Apply a change."""
         if len(self.request.body) > MAX_CHANGES_BYTES:
             detail = f"at most {MAX_CHANGES_BYTES} bytes are allowed; split the change"
-            self.write_failure(Failure(ErrorKind.BODY_TOO_LARGE, detail))
+            self.finish_with_failure(Failure(ErrorKind.BODY_TOO_LARGE, detail))
             return
         body = self.read_body(ChangesBody)
         if body.is_err():
-            self.write_failure(body.unwrap_err())
+            self.finish_with_failure(body.unwrap_err())
             return
         request = body.unwrap()
         self.request_id = request.request_id
         changes = parse_changes(request.changes)
         if changes.is_err():
-            self.write_failure(changes.unwrap_err())
+            self.finish_with_failure(changes.unwrap_err())
             return
         command = ApplyChange(
             request.request_id,
@@ -133,7 +133,7 @@
             return
         revision = self.read_number("revision", None)
         if revision.is_err():
-            self.write_failure(revision.unwrap_err())
+            self.finish_with_failure(revision.unwrap_err())
             return
         lagging = await self.services.declarations.find_lagging(revision.unwrap())
         self.write_result(Ok({"in_force": not lagging, "lagging": lagging}))
@@ -146,7 +146,7 @@
         """Return the last changes, newest last."""
         limit = self.read_number("limit", DEFAULT_HISTORY_ENTRIES)
         if limit.is_err():
-            self.write_failure(limit.unwrap_err())
+            self.finish_with_failure(limit.unwrap_err())
             return
         entries = await self.services.declarations.read_history(limit.unwrap())
         self.write_result(entries.map(lambda found: {"entries": to_plain(found)}))
@@ -159,7 +159,7 @@
         """Hold the failure domain of this instance."""
         body = self.read_body(HoldBody)
         if body.is_err():
-            self.write_failure(body.unwrap_err())
+            self.finish_with_failure(body.unwrap_err())
             return
         domain = body.unwrap().failure_domain
         self.write_result(self.services.declarations.add_hold(domain, self.operator).map(to_plain))
@@ -189,7 +189,7 @@
         """Record the outcome of an unknown operation."""
         body = self.read_body(ReconcileBody)
         if body.is_err():
-            self.write_failure(body.unwrap_err())
+            self.finish_with_failure(body.unwrap_err())
             return
         request = body.unwrap()
         self.request_id = request.request_id or self.request_id
@@ -206,7 +206,7 @@
         """Add or remove a voter."""
         body = self.read_body(VoterBody)
         if body.is_err():
-            self.write_failure(body.unwrap_err())
+            self.finish_with_failure(body.unwrap_err())
             return
         request = body.unwrap()
         result = await self.services.voters.change_voter(request.action, request.instance_id)
@@ -220,7 +220,9 @@
         """Check the key, then refuse."""
         super().prepare()
         if not self._finished:
-            self.write_failure(Failure(ErrorKind.NOT_FOUND, f"{self.request.path} does not exist"))
+            self.finish_with_failure(
+                Failure(ErrorKind.NOT_FOUND, f"{self.request.path} does not exist")
+            )
 
 
 def operator_routes(services: OperatorServices) -> list[tuple]:
--- a/laburnumrock/gateway/_operator_base.py
+++ b/laburnumrock/gateway/_operator_base.py
@@ -2,22 +2,20 @@
 
 import hmac
 import json
-import math
 import uuid
 from typing import Any
 
-from eliot import log_message
 from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
-from tornado.web import RequestHandler
 
 from laburnumrock.declarations import describe_declaration_error
-from laburnumrock.errors import ErrorKind, Failure, problem_document
+from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._operator_services import OperatorServices
+from laburnumrock.gateway._problem_handler import ProblemHandler
 
 
-class OperatorHandler(RequestHandler):
-    """Base of the operator handlers: checks the key and writes problem documents."""
+class OperatorHandler(ProblemHandler):
+    """Base of the operator handlers: checks the operator key."""
 
     def initialize(self, services: OperatorServices) -> None:
         """Store the services."""
@@ -30,43 +28,21 @@
         known = hmac.compare_digest(key.strip().encode(), self.services.operator_key)
         if scheme.lower() != "bearer" or not known:
             detail = "the operator key is missing or wrong"
-            self.write_failure(Failure(ErrorKind.UNAUTHENTICATED, detail))
+            self.finish_with_failure(Failure(ErrorKind.UNAUTHENTICATED, detail))
 
     @property
     def operator(self) -> str:
         """Name that the operator gave, for the history."""
         return self.request.headers.get("X-Operator", "operator")[:200]
 
-    def write_failure(self, failure: Failure) -> None:
-        """Finish with the problem document of a failure."""
-        self.set_status(failure.answer.status)
-        if failure.kind is ErrorKind.UNAUTHENTICATED:
-            self.set_header("WWW-Authenticate", "Bearer")
-        if failure.retry_after_s is not None:
-            self.set_header("Retry-After", str(max(1, math.ceil(failure.retry_after_s))))
-        self.set_header("Content-Type", "application/problem+json")
-        self.finish(json.dumps(problem_document(failure, self.request_id)))
-
     def write_result(self, result: Result[object, Failure]) -> None:
         """Finish with a value as JSON, or with the problem document of a failure."""
         if result.is_err():
-            self.write_failure(result.unwrap_err())
+            self.finish_with_failure(result.unwrap_err())
             return
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(result.unwrap(), default=_decode_bytes))
 
-    def write_error(self, status_code: int, **context) -> None:
-        """Write a problem document for what no handler expected."""
-        error = context.get("exc_info", (None, None, None))[1]
-        log_message("operator_request_failed", status=status_code, error=repr(error))
-        if status_code in (404, 405):
-            detail = f"{self.request.method} {self.request.path} does not exist"
-            self.write_failure(Failure(ErrorKind.NOT_FOUND, detail))
-        elif status_code == 400:
-            self.write_failure(Failure(ErrorKind.INVALID_REQUEST, "malformed request"))
-        else:
-            self.write_failure(Failure(ErrorKind.INTERNAL))
-
     def read_body(self, model: type[BaseModel]) -> Result[Any, Failure]:
         """Validate the JSON body.
 
--- /dev/null
+++ b/laburnumrock/gateway/_problem_handler.py
@@ -0,0 +1,53 @@
+"""Base of all HTTP handlers: errors as problem documents."""
+
+import json
+import math
+
+from eliot import log_message
+from tornado.web import RequestHandler
+
+from laburnumrock.errors import ErrorKind, Failure, problem_document
+
+# A client that comes back within the same second meets the same refusal.
+MIN_RETRY_AFTER_S = 1
+
+
+class ProblemHandler(RequestHandler):
+    """Handler that answers every error with a problem document (RFC 9457)."""
+
+    request_id = ""
+
+    def set_default_headers(self) -> None:
+        """Remove the server's name and version."""
+        self.clear_header("Server")
+
+    def finish_with_failure(self, failure: Failure) -> None:
+        """Answer with the problem document of a failure."""
+        log_message(
+            "request_failed",
+            request_id=self.request_id,
+            kind=str(failure.kind),
+            detail=failure.detail,
+        )
+        self.set_status(failure.answer.status)
+        if failure.kind is ErrorKind.UNAUTHENTICATED:
+            self.set_header("WWW-Authenticate", "Bearer")
+        if failure.retry_after_s is not None:
+            retry_after_s = max(MIN_RETRY_AFTER_S, math.ceil(failure.retry_after_s))
+            self.set_header("Retry-After", str(retry_after_s))
+        self.set_header("Content-Type", "application/problem+json")
+        self.finish(json.dumps(problem_document(failure, self.request_id)))
+
+    def write_error(self, status_code: int, **context) -> None:
+        """Turn an unexpected exception, or an unsupported method, into a problem document."""
+        error = context.get("exc_info", (None, None, None))[1]
+        log_message(
+            "request_raised", request_id=self.request_id, status=status_code, error=repr(error)
+        )
+        if status_code in (404, 405):
+            detail = f"{self.request.method} {self.request.path} does not exist"
+            self.finish_with_failure(Failure(ErrorKind.NOT_FOUND, detail))
+        elif status_code == 400:
+            self.finish_with_failure(Failure(ErrorKind.INVALID_REQUEST, "malformed request"))
+        else:
+            self.finish_with_failure(Failure(ErrorKind.INTERNAL))
--- a/laburnumrock/scenarios/tests/test_deployment.py
+++ b/laburnumrock/scenarios/tests/test_deployment.py
@@ -110,7 +110,7 @@
             assert all(is_whole(answer, f"cut {i}", 20) for i, answer in enumerate(answers))
             refused = place_order(url, "cut-1")
             assert refused.status == 503
-            # Without the journal nothing proves that the order did not run through another instance.
+            # Nothing proves that the order did not run through another instance.
             assert refused.json()["kind"] == "journal_unavailable"
             assert refused.json()["outcome"] == "unknown"
             assert count_executions(deployment, "cut-") == {}
