Update only the changed keys of an upstream in the table of a pool

Cause: every decision removed and added all five index entries of an upstream, of which mostly the wait and the free memory differ; plans of spanning prompts looked at 64 upstreams, twice the size of a shard. Change: `UpstreamTable.reindex` compares keys first; MAX_SPAN_CANDIDATES 32.

--- a/laburnumrock/placement/_spanning.py
+++ b/laburnumrock/placement/_spanning.py
@@ -16,7 +16,8 @@
 from laburnumrock.placement._table import UpstreamTable
 
 MAX_SPAN = 8
-MAX_SPAN_CANDIDATES = 64
+# The size of a shard; larger pools offer enough choice among these.
+MAX_SPAN_CANDIDATES = 32
 
 
 class EarmarkHolder:
--- a/laburnumrock/placement/_table.py
+++ b/laburnumrock/placement/_table.py
@@ -64,29 +64,49 @@
 
     def reindex(self, ledger: UpstreamLedger, now_s: float) -> None:
         """Bring the indices in line with a changed ledger."""
-        self._unindex(ledger)
-        capacity_key = None
-        if ledger.is_usable:
-            capacity_key = (ledger.kv_capacity, ledger.upstream_id)
-            self.capacities.add(capacity_key)
-            self.usable[ledger.signature] = self.usable.get(ledger.signature, 0) + 1
-        group_key = None
+        keys = self._make_keys(ledger, now_s)
+        known = ledger.index_keys
+        if known is None or known[:3] != keys[:3] or keys[2] is None:
+            self._unindex(ledger)
+            self._index(ledger, keys)
+            return
+        # After most decisions only the wait and the free memory differ.
+        group = self.groups[keys[2]]
+        if known[3] != keys[3]:
+            _remove_wait(group, known[3])
+            _add_wait(group, keys[3])
+        if known[4] != keys[4]:
+            group.by_free.remove(known[4])
+            group.by_free.add(keys[4])
+        ledger.index_keys = keys
+
+    def _make_keys(self, ledger: UpstreamLedger, now_s: float) -> tuple:
+        """Return the keys of capacity, signature, group, wait and free memory."""
+        capacity_key = (ledger.kv_capacity, ledger.upstream_id) if ledger.is_usable else None
+        if not ledger.is_open:
+            return (capacity_key, ledger.signature, None, None, None)
         wait_key = None
-        free_key = None
-        if ledger.is_open:
-            group_key = ledger.signature
+        free_kv = ledger.free_kv
+        if not ledger.kv_capacity or free_kv >= MIN_READY_KV_TOKENS:
+            busy = ledger.prefill_free_s > now_s
+            order = ledger.prefill_free_s if busy else len(ledger.permits)
+            wait_key = (busy, (order, ledger.upstream_id))
+        free_key = (free_kv + ledger.earmarked_kv, ledger.upstream_id)
+        return (capacity_key, ledger.signature, ledger.signature, wait_key, free_key)
+
+    def _index(self, ledger: UpstreamLedger, keys: tuple) -> None:
+        capacity_key, signature, group_key, wait_key, free_key = keys
+        if capacity_key:
+            self.capacities.add(capacity_key)
+            self.usable[signature] = self.usable.get(signature, 0) + 1
+        if group_key is not None:
             group = self.groups.get(group_key)
             if group is None:
                 group = self.groups[group_key] = UpstreamGroup()
-            if not ledger.kv_capacity or ledger.free_kv >= MIN_READY_KV_TOKENS:
-                busy = ledger.prefill_free_s > now_s
-                order = ledger.prefill_free_s if busy else len(ledger.permits)
-                wait_key = (busy, (order, ledger.upstream_id))
-                (group.busy if busy else group.idle).add(wait_key[1])
-            free_key = (ledger.free_kv + ledger.earmarked_kv, ledger.upstream_id)
+            _add_wait(group, wait_key)
             group.by_free.add(free_key)
             group.by_id.add(ledger.upstream_id)
-        ledger.index_keys = (capacity_key, ledger.signature, group_key, wait_key, free_key)
+        ledger.index_keys = keys
 
     def count_usable(self, request: PermitRequest) -> int:
         """Return how many usable upstreams serve a request and are not excluded by it."""
@@ -155,9 +175,18 @@
         if group_key is None:
             return
         group = self.groups[group_key]
-        if wait_key is not None:
-            (group.busy if wait_key[0] else group.idle).remove(wait_key[1])
+        _remove_wait(group, wait_key)
         group.by_free.remove(free_key)
         group.by_id.remove(ledger.upstream_id)
         if not group.by_id:
             del self.groups[group_key]
+
+
+def _add_wait(group: UpstreamGroup, wait_key: tuple | None) -> None:
+    if wait_key is not None:
+        (group.busy if wait_key[0] else group.idle).add(wait_key[1])
+
+
+def _remove_wait(group: UpstreamGroup, wait_key: tuple | None) -> None:
+    if wait_key is not None:
+        (group.busy if wait_key[0] else group.idle).remove(wait_key[1])
