--- a/laburnumrock/cli/_control.py
+++ b/laburnumrock/cli/_control.py
@@ -5,7 +5,7 @@
 import click
 
 from laburnumrock.cli._client import OperatorClient
-from laburnumrock.cli._exit import ExitCode
+from laburnumrock.cli._exit import ExitCode, Problem, fail
 from laburnumrock.cli._options import (
     json_option,
     make_request_id,
@@ -14,6 +14,8 @@
     wait_options,
 )
 from laburnumrock.cli._registry import register_command
+from laburnumrock.cli._render import describe_operation, describe_status
+from laburnumrock.errors import ErrorKind, Failure
 
 
 @register_command
@@ -23,7 +25,7 @@
 def status(client: OperatorClient, as_json: bool) -> None:
     """Show the status of the first server that answers."""
     document = unwrap(client.get("status"))
-    show(document, as_json, _describe(document))
+    show(document, as_json, describe_status(document))
 
 
 @register_command
@@ -40,7 +42,8 @@
 def show_operation(client: OperatorClient, account: str, key: str, as_json: bool) -> None:
     """Show the operation of ACCOUNT with the idempotency key KEY."""
     document = unwrap(client.get(_operation_path(account, key)))
-    show(document, as_json, _describe(document))
+    _check_exists(account, key, document)
+    show(document, as_json, describe_operation(account, key, document))
 
 
 @operations.command("reconcile")
@@ -69,8 +72,15 @@
     request_id = request_id or make_request_id()
     body = {"outcome": outcome, "source": source, "request_id": request_id}
     path = f"{_operation_path(account, key)}/reconcile"
-    unwrap(client.call("POST", path, body), request_id)
-    click.echo(f"operation {key} of {account} is recorded as {outcome}")
+    document = unwrap(client.call("POST", path, body), request_id)
+    _check_exists(account, key, document)
+    # A repeated attempt is not accepted either, but finds the outcome that it wanted.
+    if not document["accepted"] and document["state"] != outcome:
+        detail = f"operation {key} of {account} is {document['state']}; nothing was recorded"
+        fail(Problem(Failure(ErrorKind.INVALID_REQUEST, detail)))
+    click.echo(f"operation {key} of {account} is recorded as {document['state']}")
+    if document.get("source"):
+        click.echo(f"source: {document['source']}")
 
 
 @register_command
@@ -115,5 +125,7 @@
     return f"operations/{urllib.parse.quote(account, safe='')}/{urllib.parse.quote(key, safe='')}"
 
 
-def _describe(document: dict) -> list[str]:
-    return [f"{name}: {value}" for name, value in sorted(document.items())]
+def _check_exists(account: str, key: str, document: dict) -> None:
+    if document["state"] is None:
+        detail = f"no operation {key} of {account} is recorded"
+        fail(Problem(Failure(ErrorKind.NOT_FOUND, detail)))
--- a/laburnumrock/cli/_declarations.py
+++ b/laburnumrock/cli/_declarations.py
@@ -69,7 +69,7 @@
         "base_revision": declared.revision,
         "changes": changes_to_plain(plan_changes(declared.declarations, wanted)),
     }
-    summary = f"{len(differences)} changes against revision {declared.revision}"
+    summary = f"{_count(differences)} against revision {declared.revision}"
     show(document, as_json, [*lines, summary])
     _exit_with_differences(exit_code, differences)
 
@@ -129,7 +129,7 @@
         "changes": changes_to_plain(changes),
     }
     answer = unwrap(client.call("POST", "changes", body), request_id)
-    click.echo(f"{len(changes)} changes applied as revision {answer['revision']}")
+    click.echo(f"{_count(changes)} applied as revision {answer['revision']}")
     wait_if(client, wait, wait_timeout, revision=answer["revision"])
 
 
@@ -144,6 +144,10 @@
     show(document, as_json, [_describe_entry(entry) for entry in document["entries"]])
 
 
+def _count(changes: list) -> str:
+    return f"{len(changes)} change{'' if len(changes) == 1 else 's'}"
+
+
 def _describe_entry(entry: dict) -> str:
     command = entry["command"]
     time = datetime.fromtimestamp(command["stamped_at_s"], UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/laburnumrock/cli/_exit.py
+++ b/laburnumrock/cli/_exit.py
@@ -24,6 +24,7 @@
     NOT_FOUND = 8
     OUTCOME_UNKNOWN = 9
     DIFFERENCES = 10
+    REFUSED = 11
 
 
 MEANINGS = {
@@ -38,6 +39,7 @@
     ExitCode.NOT_FOUND: "the named object does not exist",
     ExitCode.OUTCOME_UNKNOWN: "the request may have run; resend a change with its request id",
     ExitCode.DIFFERENCES: "differences exist (plan and diff with --exit-code)",
+    ExitCode.REFUSED: "refused for now and not run; send it again after the time shown",
 }
 
 _CODES = {
@@ -45,11 +47,24 @@
     ErrorKind.INVALID_SETTINGS: ExitCode.INVALID,
     ErrorKind.INVALID_DECLARATION: ExitCode.INVALID,
     ErrorKind.IDEMPOTENCY_MISMATCH: ExitCode.INVALID,
+    ErrorKind.IDEMPOTENCY_KEY_MISSING: ExitCode.INVALID,
+    ErrorKind.BODY_TOO_LARGE: ExitCode.INVALID,
+    ErrorKind.PROMPT_TOO_LONG: ExitCode.INVALID,
     ErrorKind.STALE_REVISION: ExitCode.STALE_REVISION,
     ErrorKind.PEER_UNREACHABLE: ExitCode.UNAVAILABLE,
     ErrorKind.QUORUM_UNAVAILABLE: ExitCode.UNAVAILABLE,
     ErrorKind.UNAUTHENTICATED: ExitCode.UNAUTHENTICATED,
     ErrorKind.NOT_FOUND: ExitCode.NOT_FOUND,
+    ErrorKind.UNKNOWN_CLIENT_ACCOUNT: ExitCode.NOT_FOUND,
+    ErrorKind.UNKNOWN_MODEL: ExitCode.NOT_FOUND,
+    ErrorKind.RATE_LIMITED: ExitCode.REFUSED,
+    ErrorKind.CONCURRENCY_LIMITED: ExitCode.REFUSED,
+    ErrorKind.DEADLINE_UNREACHABLE: ExitCode.REFUSED,
+    ErrorKind.NO_UPSTREAM: ExitCode.REFUSED,
+    ErrorKind.OWNER_UNAVAILABLE: ExitCode.REFUSED,
+    ErrorKind.STOPPING: ExitCode.REFUSED,
+    ErrorKind.CONNECTION_FAILED: ExitCode.REFUSED,
+    ErrorKind.OPERATION_IN_PROGRESS: ExitCode.OUTCOME_UNKNOWN,
     ErrorKind.OUTCOME_UNKNOWN: ExitCode.OUTCOME_UNKNOWN,
     ErrorKind.DEADLINE_EXCEEDED: ExitCode.OUTCOME_UNKNOWN,
     ErrorKind.UPSTREAM_FAILED: ExitCode.OUTCOME_UNKNOWN,
@@ -85,6 +100,8 @@
 def fail(problem: Problem) -> NoReturn:
     """Write a failure to standard error and end the program."""
     click.echo(f"error: {problem.failure}", err=True)
+    if problem.failure.retry_after_s is not None:
+        click.echo(f"retry after: {problem.failure.retry_after_s:g} s", err=True)
     if problem.request_id is not None:
         click.echo(f"request id: {problem.request_id}", err=True)
     raise SystemExit(find_exit_code(problem.failure.kind))
--- /dev/null
+++ b/laburnumrock/cli/_render.py
@@ -0,0 +1,79 @@
+"""Text of the status and of operations for people."""
+
+from datetime import timedelta
+
+POOL_LINE = "  {:<44} {:<10} {:<6} {:>9} {:>8} {:>14} {:>12}"
+
+
+def describe_status(document: dict) -> list[str]:
+    """Return the lines of a status document.
+
+    Parameters
+    ----------
+    document : dict
+        Answer to ``GET status``.
+
+    Returns
+    -------
+    list of str
+        Facts of the instance and of the log, then one line per pool.
+    """
+    holds = (str(hold["failure_domain"]) for hold in document.get("holds", []))
+    lines = [
+        f"instance:         {document.get('instance')} in {document.get('failure_domain')}",
+        f"state:            {document.get('state')}",
+        f"running requests: {document.get('running_requests')}",
+        f"declarations:     revision {document.get('revision')}, {_describe_age(document)}",
+        f"holds:            {_join(holds)}",
+        f"coordinator:      {document.get('coordinator') or 'none'}",
+        f"log:              {_describe_log(document)}",
+        f"voters:           {_join(document.get('voters') or [])}",
+    ]
+    pools = document.get("pools", {})
+    if not pools:
+        return [*lines, "pools:            none"]
+    header = ("pool", "owner", "in use", "upstreams", "queued", "free KV tokens", "wait (short)")
+    lines.append(POOL_LINE.format(*header).rstrip())
+    return lines + [_describe_pool(name, pool) for name, pool in sorted(pools.items())]
+
+
+def describe_operation(account: str, key: str, document: dict) -> list[str]:
+    """Return the lines of an operation that may not be repeated."""
+    lines = [
+        f"operation: {key} of {account}",
+        f"state:     {document.get('state')}",
+        f"age:       {timedelta(seconds=round(document.get('age_s', 0.0)))}",
+    ]
+    if document.get("source"):
+        lines.append(f"source:    {document['source']}")
+    answer = document.get("answer")
+    if answer is not None:
+        lines.append(f"answer:    status {answer['status']}")
+        lines.append("(body not recorded)" if answer.get("body_omitted") else answer["body"])
+    return lines
+
+
+def _describe_age(document: dict) -> str:
+    age_s = document.get("confirmed_age_s")
+    confirmed = "never confirmed" if age_s is None else f"confirmed {age_s:.1f} s ago"
+    return f"stale, {confirmed}" if document.get("stale") else confirmed
+
+
+def _describe_log(document: dict) -> str:
+    role = "leader" if document.get("log_leader") else "not leader"
+    return f"{role}, term {document.get('log_term')}"
+
+
+def _describe_pool(name: str, pool: dict) -> str:
+    load = pool.get("load")
+    owner = pool.get("owner") or "none"
+    if load is None:
+        return POOL_LINE.format(name, owner, "?", "?", "?", "?", "?")
+    wait = f"{load['expected_wait_s'].get('short', 0.0):.1f} s"
+    in_use = "yes" if load["in_service"] else "no"
+    numbers = load["upstreams"], load["queued"], f"{load['free_kv_tokens']:,}", wait
+    return POOL_LINE.format(name, owner, in_use, *numbers)
+
+
+def _join(names) -> str:
+    return ", ".join(names) or "none"
--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -9,9 +9,9 @@
 
 from laburnumrock.cli import build_program
 from laburnumrock.cli._caller import EventParser, StreamReader
-from laburnumrock.cli._exit import MEANINGS, ExitCode, describe_exit_codes
+from laburnumrock.cli._exit import MEANINGS, ExitCode, describe_exit_codes, find_exit_code
 from laburnumrock.declarations.tests._builders import plain_template
-from laburnumrock.errors import ErrorKind
+from laburnumrock.errors import ANSWERS, ErrorKind, Outcome, RetryAdvice
 from laburnumrock.gateway.tests._operator_fakes import KEY, make_services, run_server
 
 DOCS = Path(__file__).parents[3] / "docs" / "cli.md"
@@ -54,7 +54,7 @@
         assert shell.run("plan", shell.folder, "--exit-code")[0] == ExitCode.DIFFERENCES
         assert shell.run("apply", shell.folder, "--wait") == (
             0,
-            "1 changes applied as revision 1\nin force everywhere\n",
+            "1 change applied as revision 1\nin force everywhere\n",
         )
         assert shell.run("apply", shell.folder) == (0, "no changes at revision 1\n")
         assert shell.run("diff", shell.folder, "--exit-code") == (0, "no differences\n")
@@ -153,6 +153,18 @@
         assert code == ExitCode.NOT_IN_FORCE
         assert "lagging: a1" in output
 
+    def test_reconcile_reports_what_the_journal_holds(self, shell):
+        """Guards against "recorded as not_run" for an operation that is settled as done."""
+        arguments = ["--source", "ledger", "--outcome"]
+        code, output = shell.run(
+            "operations", "reconcile", "acme", "settled", *arguments, "not_run"
+        )
+        assert (code, "is done; nothing was recorded" in output) == (ExitCode.INVALID, True)
+        assert shell.run("operations", "reconcile", "acme", "settled", *arguments, "done")[0] == 0
+        command = ("operations", "reconcile", "acme", "unrecorded", *arguments, "done")
+        assert shell.run(*command)[0] == ExitCode.NOT_FOUND
+        assert shell.run("operations", "show", "acme", "unrecorded")[0] == ExitCode.NOT_FOUND
+
     def test_wrong_key_and_no_server(self, shell, tmp_path):
         """Guards against exit codes that a pipeline cannot tell apart."""
         (tmp_path / "key").write_text("another key of enough bytes")
@@ -171,6 +183,17 @@
         for code, meaning in MEANINGS.items():
             assert f"| {int(code)} | {meaning} |" in page
 
+    @pytest.mark.parametrize("kind", ErrorKind)
+    def test_code_agrees_with_the_outcome(self, kind):
+        """Guards against a pipeline that resends what may have run, or a code that hides it."""
+        may_have_run = ANSWERS[kind].outcome is Outcome.UNKNOWN and kind is not ErrorKind.INTERNAL
+        assert (find_exit_code(kind) is ExitCode.OUTCOME_UNKNOWN) is may_have_run
+        if find_exit_code(kind) is ExitCode.REFUSED:
+            assert (ANSWERS[kind].outcome, ANSWERS[kind].retry) == (
+                Outcome.NOT_RUN,
+                RetryAdvice.BACKOFF,
+            )
+
 
 class TestStream:
     def _read(self, data):
--- a/laburnumrock/gateway/tests/_operator_fakes.py
+++ b/laburnumrock/gateway/tests/_operator_fakes.py
@@ -65,12 +65,15 @@
     async def find_operation(self, account, key):
         if key == "absent":
             return Err(Failure(ErrorKind.NOT_FOUND, "no such operation"))
-        found = {"client_account": account, "key": key, "state": "done"}
+        state = None if key == "unrecorded" else "done"
+        found = {"client_account": account, "key": key, "state": state}
         return Ok(found | {"answer": {"status": 200, "body": b"order 7 \xff"}})
 
     async def reconcile(self, account, key, outcome, source, operator, request_id):
         self.calls.append((account, key, outcome, source))
-        return Ok({"client_account": account, "key": key, "state": outcome})
+        state = {"settled": "done", "unrecorded": None}.get(key, outcome)
+        accepted = key not in ("settled", "unrecorded")
+        return Ok({"accepted": accepted, "key": key, "state": state, "source": source})
 
     async def change_voter(self, action, instance_id):
         self.calls.append((action, instance_id))
