Warn about a drain of an unknown failure domain, show only holds in force

drain failure_domain fd-9 succeeded without a hint although no such domain exists, so that a misspelt name left the domain in service. It now prints a warning with the known names and exits with 0 as before, because all pools of a domain can be gone while it is drained. The status listed a hold after the log took it over and after restore; the text now lists local holds only.

--- a/laburnumrock/cli/_render.py
+++ b/laburnumrock/cli/_render.py
@@ -18,7 +18,9 @@
     list of str
         Facts of the instance and of the log, then one line per pool.
     """
-    holds = (str(hold["failure_domain"]) for hold in document.get("holds", []))
+    # A hold that the log has taken over is listed on, but no longer decides anything.
+    local = [hold for hold in document.get("holds", []) if hold["entered_revision"] is None]
+    holds = [str(hold["failure_domain"]) for hold in local]
     lines = [
         f"instance:         {document.get('instance')} in {document.get('failure_domain')}",
         f"state:            {document.get('state')}",
--- a/laburnumrock/cli/_service_states.py
+++ b/laburnumrock/cli/_service_states.py
@@ -85,6 +85,8 @@
 def _set_state(client: OperatorClient, kind: str, name: str, state: InService) -> int:
     plain = {"type": "service_state", "kind": kind, "name": name, "state": str(state)}
     unwrap(parse_changes([{"action": "put", "declaration": plain}]))
+    if kind == ServiceKind.FAILURE_DOMAIN:
+        _warn_about_unknown(client, name)
     declaration = ServiceState(kind=ServiceKind(kind), name=name, state=state)
     changes = changes_to_plain([PutChange(declaration=declaration)])
     for attempt in range(1, MAX_ATTEMPTS + 1):
@@ -106,3 +108,20 @@
         click.echo(f"{kind} {name} is {state} as of revision {revision}")
         return revision
     raise AssertionError("the last attempt returns or ends the program")
+
+
+def _warn_about_unknown(client: OperatorClient, failure_domain: str) -> None:
+    """Warn about a name that no pool has, since a drain with a wrong name drains nothing.
+
+    It is not refused: all pools of a failure domain can be gone while it is taken out of service.
+    """
+    answer = client.get("status")
+    if answer.is_err():
+        return
+    document = answer.unwrap()
+    known = {pool.partition("/")[0] for pool in document.get("pools", {})}
+    known.add(document.get("failure_domain"))
+    if failure_domain not in known:
+        names = ", ".join(sorted(filter(None, known))) or "none"
+        text = f"warning: no pool in failure domain {failure_domain} is known (known: {names})"
+        click.echo(text, err=True)
--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -115,6 +115,11 @@
         assert shell.declarations.store.revision == 2
         assert shell.run("drain", "upstream", "a b")[0] == ExitCode.INVALID
 
+    def test_unknown_failure_domain_is_named(self, shell):
+        """Guards against a misspelt name that drains nothing and looks like a success."""
+        code, output = shell.run("drain", "failure_domain", "fd-l")
+        assert (code, "no pool in failure domain fd-l is known" in output) == (0, True)
+
     def test_wait_names_who_lags(self, shell):
         """Guards against a wait that reports success too early or does not say who lags."""
         shell.declarations.lagging = [["b2"], ["b2"]]
--- a/laburnumrock/cli/tests/test_render.py
+++ b/laburnumrock/cli/tests/test_render.py
@@ -13,10 +13,11 @@
 
 class TestStatus:
     def test_pools_are_lines(self):
-        """Guards against a status that prints nested data on one line."""
+        """Guards against nested data on one line, and a hold shown after the log took it over."""
         pools = {"fd-1/model/m": {"owner": "fd-1-3", "load": LOAD}}
         pools["fd-2/model/m"] = {"owner": None, "load": None}
-        holds = [{"failure_domain": "fd-1"}]
+        holds = [{"failure_domain": "fd-1", "entered_revision": None}]
+        holds.append({"failure_domain": "fd-2", "entered_revision": 14})
         lines = describe_status({"pools": pools, "holds": holds, "stale": True, "voters": None})
         assert "stale, never confirmed" in "\n".join(lines)
         assert "holds:            fd-1" in lines
