--- a/laburnumrock/daemon/tests/test_quotas.py
+++ b/laburnumrock/daemon/tests/test_quotas.py
@@ -2,14 +2,14 @@
 
 import asyncio
 
-from laburnumrock.daemon import _quotas
-from laburnumrock.daemon._quota_messages import (
+from laburnumrock.admission import (
     QuotaGrant,
     QuotaRefusal,
     QuotaRelease,
     QuotaRenewal,
     QuotaRequest,
 )
+from laburnumrock.daemon import _quotas
 from laburnumrock.daemon._quotas import QuotaClient
 from laburnumrock.daemon.tests.fakes import FakeHub, FakeNetwork, make_settings
 from laburnumrock.errors import ErrorKind
