--- a/laburnumrock/cli/_render.py
+++ b/laburnumrock/cli/_render.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-POOL_LINE = "  {:<44} {:<10} {:<6} {:>9} {:>8} {:>14} {:>12}"
+POOL_LINE = "  {:<{width}} {:<10} {:<6} {:>9} {:>8} {:>14} {:>12}"
 
 
 def describe_status(document: dict) -> list[str]:
@@ -35,8 +35,9 @@
     if not pools:
         return [*lines, "pools:            none"]
     header = ("pool", "owner", "in use", "upstreams", "queued", "free KV tokens", "wait (short)")
-    lines.append(POOL_LINE.format(*header).rstrip())
-    return lines + [_describe_pool(name, pool) for name, pool in sorted(pools.items())]
+    width = max(map(len, pools))
+    lines.append(POOL_LINE.format(*header, width=width).rstrip())
+    return lines + [_describe_pool(name, pools[name], width) for name in sorted(pools)]
 
 
 def describe_operation(account: str, key: str, document: dict) -> list[str]:
@@ -66,15 +67,15 @@
     return f"{role}, term {document.get('log_term')}"
 
 
-def _describe_pool(name: str, pool: dict) -> str:
+def _describe_pool(name: str, pool: dict, width: int) -> str:
     load = pool.get("load")
     owner = pool.get("owner") or "none"
     if load is None:
-        return POOL_LINE.format(name, owner, "?", "?", "?", "?", "?")
+        return POOL_LINE.format(name, owner, "?", "?", "?", "?", "?", width=width)
     wait = f"{load['expected_wait_s'].get('short', 0.0):.1f} s"
     in_use = "yes" if load["in_service"] else "no"
     numbers = load["upstreams"], load["queued"], f"{load['free_kv_tokens']:,}", wait
-    return POOL_LINE.format(name, owner, in_use, *numbers)
+    return POOL_LINE.format(name, owner, in_use, *numbers, width=width)
 
 
 def _join(names) -> str:
