Wait longer than an instance for the log, drop an option without effect

voters add of an unknown instance ended after 5 s with "Timeout during request", because the instance gives up after 5 s as well. The option is gone until they honour it.

--- a/laburnumrock/cli/_app.py
+++ b/laburnumrock/cli/_app.py
@@ -17,6 +17,8 @@
     "laburnumrock.cli._control",
     "laburnumrock.cli._request",
 )
+# An instance answers after 5 s that the log cannot take a change; a shorter wait loses its reason.
+DEFAULT_TIMEOUT_S = 8.0
 
 _HELP = f"""Operate laburnumrock and send requests to it.
 
@@ -60,7 +62,7 @@
         click.Option(
             ["--timeout"],
             type=click.FloatRange(min=0.1),
-            default=5.0,
+            default=DEFAULT_TIMEOUT_S,
             show_default=True,
             help="Longest wait for one answer, in seconds.",
         ),
--- a/laburnumrock/cli/_request.py
+++ b/laburnumrock/cli/_request.py
@@ -61,7 +61,6 @@
 @click.option("--method", type=click.Choice(["GET", "POST"]), default="GET", show_default=True)
 @click.option("--body-file", type=click.File("rb"), help="Body to send.")
 @click.option("--idempotency-key", help="Required for calls that may not be repeated.")
-@click.option("--deadline", type=click.FloatRange(min=0.01), help="X-Timeout-S, in seconds.")
 @click.argument("service")
 @click.argument("path")
 @click.pass_obj
@@ -72,12 +71,11 @@
     method: str,
     body_file: BinaryIO | None,
     idempotency_key: str | None,
-    deadline: float | None,
     service: str,
     path: str,
 ) -> None:
     """Call PATH of the plain service SERVICE."""
-    headers = _make_headers(account, account_key_file, deadline)
+    headers = _make_headers(account, account_key_file)
     if idempotency_key is not None:
         headers["Idempotency-Key"] = idempotency_key
     body = body_file.read() if body_file is not None else None
@@ -89,7 +87,9 @@
     click.echo(answer.decode("utf-8", "replace"))
 
 
-def _make_headers(account: str, key_file: Path | None, deadline_s: float | None) -> dict[str, str]:
+def _make_headers(
+    account: str, key_file: Path | None, deadline_s: float | None = None
+) -> dict[str, str]:
     headers = {"X-Client-Account": account, "Content-Type": "application/json"}
     if key_file is not None:
         headers["Authorization"] = f"Bearer {key_file.read_text(encoding='utf-8').strip()}"
--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -8,8 +8,10 @@
 from click.testing import CliRunner
 
 from laburnumrock.cli import build_program
+from laburnumrock.cli._app import DEFAULT_TIMEOUT_S
 from laburnumrock.cli._caller import EventParser, StreamReader
 from laburnumrock.cli._exit import MEANINGS, ExitCode, describe_exit_codes, find_exit_code
+from laburnumrock.daemon._log_task import PROPOSE_TIMEOUT_S
 from laburnumrock.declarations.tests._builders import plain_template
 from laburnumrock.errors import ANSWERS, ErrorKind, Outcome, RetryAdvice
 from laburnumrock.gateway.tests._operator_fakes import KEY, make_services, run_server
@@ -170,6 +172,10 @@
         assert shell.run(*command)[0] == ExitCode.NOT_FOUND
         assert shell.run("operations", "show", "acme", "unrecorded")[0] == ExitCode.NOT_FOUND
 
+    def test_default_timeout_exceeds_the_servers(self):
+        """Guards against "Timeout during request" in place of the reason of a refused voter."""
+        assert DEFAULT_TIMEOUT_S > PROPOSE_TIMEOUT_S + 1
+
     def test_wrong_key_and_no_server(self, shell, tmp_path):
         """Guards against exit codes that a pipeline cannot tell apart."""
         (tmp_path / "key").write_text("another key of enough bytes")
