Refuse to run the example beside another deployment on its ports

A second run found the first one's instances ready and failed with a wrong key; its own processes had ended unnoticed.

--- a/examples/run_deployment.py
+++ b/examples/run_deployment.py
@@ -8,6 +8,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -142,6 +143,24 @@
     return f"http://{HOST}:{port}"
 
 
+def check_ports(base_port: int) -> None:
+    """Refuse to start beside something else; its answers would be taken for the deployment's.
+
+    Raises
+    ------
+    click.ClickException
+        If a port of the range is in use.
+    """
+    for port in range(base_port, base_port + LAST_PORT_OFFSET + 1):
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError as error:
+                detail = f"port {port}: {error.strerror}; choose another --base-port"
+                raise click.ClickException(detail) from error
+
+
 @contextmanager
 def run_processes(
     commands: list[Command], work_folder: Path
@@ -181,18 +200,24 @@
     return {**os.environ, "PYTHONPATH": str(SOURCE_FOLDER)}
 
 
-def wait_until_ready(commands: list[Command], timeout_s: float) -> None:
+def wait_until_ready(
+    commands: list[Command], running: dict[str, subprocess.Popen], timeout_s: float
+) -> None:
     """Wait until every instance accepts new work.
 
     Raises
     ------
     click.ClickException
-        If an instance is not ready in time.
+        If a process ends, for example because its port is in use, or an instance is not ready in
+        time.
     """
     waiting = [command for command in commands if command.arguments[:2] == DAEMON]
     end_s = time.monotonic() + timeout_s
     while waiting:
         waiting = [command for command in waiting if not _answers(f"{command.url}/ready")]
+        ended = sorted(name for name, process in running.items() if process.poll() is not None)
+        if ended:
+            raise click.ClickException(f"ended, see their .out files: {', '.join(ended)}")
         if waiting and time.monotonic() > end_s:
             names = ", ".join(command.name for command in waiting)
             raise click.ClickException(f"not ready within {timeout_s:g} s: {names}")
@@ -246,13 +271,14 @@
     declared = read_folder(folder)
     if declared.is_err():
         raise click.ClickException(str(declared.unwrap_err()))
+    check_ports(base_port)
     write_settings(work_folder, base_port, int(voters))
     commands = make_commands(work_folder, declared.unwrap(), base_port, time_factor)
     # The default action of SIGTERM would leave the processes running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
-        with run_processes(commands, work_folder):
-            wait_until_ready(commands, READY_TIMEOUT_S)
+        with run_processes(commands, work_folder) as running:
+            wait_until_ready(commands, running, READY_TIMEOUT_S)
             apply_declarations(folder, work_folder, commands[0].url)
             for command in commands:
                 click.echo(f"{command.name:<20} {command.url}")
--- a/laburnumrock/cli/tests/test_run_deployment.py
+++ b/laburnumrock/cli/tests/test_run_deployment.py
@@ -1,8 +1,10 @@
 """Tests of the example that runs a whole deployment."""
 
-import sys
+import importlib
+import socket
 from pathlib import Path
 
+import click
 import pytest
 
 from laburnumrock.declarations import read_folder
@@ -10,14 +12,23 @@
 EXAMPLES = Path(__file__).parents[3] / "examples"
 
 
+@pytest.fixture
+def run_deployment(monkeypatch):
+    monkeypatch.syspath_prepend(str(EXAMPLES))
+    return importlib.import_module("run_deployment")
+
+
 class TestRunDeployment:
+    def test_port_in_use(self, run_deployment):
+        """Guards against a start beside another deployment, whose answers would hide it."""
+        with socket.create_server(("127.0.0.1", 0)) as other:
+            port = other.getsockname()[1]
+            with pytest.raises(click.ClickException, match=f"port {port}: "):
+                run_deployment.check_ports(port)
+
     @pytest.mark.parametrize("user", ["tianguang", "agencia"])
-    def test_commands(self, user, tmp_path, monkeypatch):
+    def test_commands(self, user, tmp_path, run_deployment):
         """Guards against ports that two processes share, and a model that no engine serves."""
-        monkeypatch.syspath_prepend(str(EXAMPLES))
-        sys.modules.pop("run_deployment", None)
-        import run_deployment
-
         declared = read_folder(EXAMPLES / user).unwrap()
         commands = run_deployment.make_commands(tmp_path, declared, 21_000, 1.0)
         kinds = ["daemon", "engine", "application", "balancer"]
