--- /dev/null
+++ b/laburnumrock/daemon/_announcement_port.py
@@ -0,0 +1,78 @@
+"""Way of announcements from the entry instances to the pools of their owner."""
+
+import time
+import typing
+
+from laburnumrock.daemon._pool_runner import find_pool_id
+from laburnumrock.upstreams import (
+    AnnouncementFetch,
+    AnnouncementRelay,
+    UpstreamAnnouncement,
+    UpstreamBeat,
+    apply_beat,
+)
+
+if typing.TYPE_CHECKING:
+    from laburnumrock.daemon._pool_task import PoolTask
+
+
+class AnnouncementPort:
+    """Relays announcements as an entry instance and takes them as a pool owner.
+
+    Parameters
+    ----------
+    pools : PoolTask
+        Pools of this instance.
+    """
+
+    def __init__(self, pools: "PoolTask") -> None:
+        self.pools = pools
+        self.relay = AnnouncementRelay()
+
+    def register_handlers(self) -> None:
+        """Receive announcements of other instances."""
+        network = self.pools.network
+        network.handle(UpstreamAnnouncement, self._receive_announcement)
+        network.handle(UpstreamBeat, self._receive_beat)
+        network.handle(AnnouncementFetch, self._receive_fetch)
+
+    def announce(self, announcement: UpstreamAnnouncement) -> None:
+        """Relay the announcement of an upstream to the owner of its pool.
+
+        Parameters
+        ----------
+        announcement : UpstreamAnnouncement
+            As received from an upstream of the own failure domain.
+        """
+        pool_id = find_pool_id(announcement)
+        self.pools.directory.note_announced(pool_id, time.monotonic())
+        owner = self.pools.ownership.find_owner(pool_id)
+        if owner is None:
+            self.pools.timer.wake()
+        else:
+            self.pools.network.send(owner.instance_id, self.relay.shorten(announcement, owner))
+
+    def _receive_announcement(self, sender: str, message: UpstreamAnnouncement) -> None:
+        now_s = time.monotonic()
+        runner = self.pools.find_runner(find_pool_id(message), now_s)
+        if runner is not None:
+            if message.upstream_id not in runner.upstreams:
+                # The list of requests that a new engine holds is read at once.
+                self.pools.timer.wake()
+            self.pools.carry_out(runner, runner.observe(message, self.pools.view, now_s))
+
+    def _receive_beat(self, sender: str, message: UpstreamBeat) -> None:
+        now_s = time.monotonic()
+        for pool_id, runner in list(self.pools.runners.items()):
+            seen = runner.upstreams.get(message.upstream_id)
+            if seen is None or seen.checksum != message.checksum:
+                continue
+            if self.pools.find_runner(pool_id, now_s) is runner:
+                announcement = apply_beat(seen.announcement, message)
+                self.pools.carry_out(runner, runner.observe(announcement, self.pools.view, now_s))
+                return
+        # The whole announcement was lost, or another owner took the pool over.
+        self.pools.network.send(sender, AnnouncementFetch(message.upstream_id))
+
+    def _receive_fetch(self, sender: str, message: AnnouncementFetch) -> None:
+        self.relay.forget(message.upstream_id)
--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from laburnumrock.daemon._declaration_history import HistoryReader
+from laburnumrock.daemon._due_timer import DueTimer
 from laburnumrock.daemon._hold_file import HoldFile
 from laburnumrock.daemon._in_force import INSTANCE_TIMEOUT_S, InForceFinder
 from laburnumrock.daemon._log_access import LogAccess, ReplicaAccess
@@ -34,7 +35,6 @@
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
-TICK_S = 0.05
 ENTER_HOLDS_PERIOD_S = 1.0
 
 
@@ -79,6 +79,7 @@
         self.listeners: list[Callable[[], None]] = []
         self.running: set[asyncio.Task] = set()
         self.reading = False
+        self.timer = DueTimer(self._tick, self.sync.next_tick_s, clock)
 
     async def start(self) -> None:
         """Read the stored holds, register the message handlers and start to fetch."""
@@ -88,11 +89,12 @@
         self.network.handle(HoldExchange, self._exchange_holds)
         self.in_force.register_handlers()
         self.history.register_handlers()
-        self._spawn(self._run())
+        self.timer.start()
         self._spawn(self._enter_holds())
 
     async def stop(self) -> None:
         """Stop fetching."""
+        self.timer.stop()
         running = list(self.running)
         for task in running:
             task.cancel()
@@ -195,10 +197,12 @@
             return
         self._execute(self.sync.merge_holds(holds))
 
-    async def _run(self) -> None:
-        while True:
-            self._execute(self.sync.tick(self.clock()))
-            await asyncio.sleep(TICK_S)
+    def observe_store(self) -> None:
+        """Take over what the replicated state has applied; to be called after every command."""
+        self.timer.wake()
+
+    def _tick(self) -> None:
+        self._execute(self.sync.tick(self.clock()))
 
     def _receive(self, sender: str, message: object) -> None:
         if isinstance(message, DeclarationFetch):
--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -75,6 +75,8 @@
         self.log = LogTask(settings, self.network)
         replica = Replica(self.log.state) if self.log.runner is not None else None
         self.declarations = DeclarationTask(settings, self.network, self.log, replica)
+        self.log.on_applied(lambda *_: self.declarations.observe_store())
+        self.log.on_restored(self.declarations.observe_store)
         view = self.declarations.view
         self.membership = MembershipTask(settings, self.network)
         self.ownership = OwnershipTask(settings, self.network)
@@ -87,6 +89,8 @@
             view,
             make_scheduler_factory(settings, PLACEMENT_POLICY),
         )
+        self.ownership.add_listener(self.pools.wake)
+        self.declarations.add_listener(self.pools.wake)
         self.membership.facts_sources.append(self.declarations.provide_facts)
         self.membership.facts_handlers.append(self.declarations.receive_facts)
         self.membership.report_sources.append(self.pools.collect_reports)
@@ -113,7 +117,13 @@
             operations=OperationDesk(self.operations),
             voters=VoterDesk(self.log),
             status=StatusDesk(
-                settings, self.lifecycle, self.log, self.ownership, self.directory, view
+                settings,
+                self.lifecycle,
+                self.log,
+                self.ownership,
+                self.directory,
+                view,
+                self.network.traffic,
             ),
             operator_key=operator_key,
         )
--- a/laburnumrock/daemon/_log_runner.py
+++ b/laburnumrock/daemon/_log_runner.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
+from laburnumrock.daemon._due_timer import DueTimer
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.messages import Effect, Send
 from laburnumrock.replication import (
@@ -31,7 +32,6 @@
 from laburnumrock.state import ReplicatedState, decode_message
 
 IDENTITY_BYTES = 8
-TICKS_PER_HEARTBEAT = 4
 COMPACT_ENTRIES = 10_000
 
 _SAVES = (SaveEntries, SaveHardState, SaveSnapshot)
@@ -73,6 +73,7 @@
         self.role_listeners: list[Callable[[], None]] = []
         self.executor = ThreadPoolExecutor(1, thread_name_prefix="log-disk")
         self.tasks: list[asyncio.Task] = []
+        self.timer = DueTimer(self._tick, self._find_due_s)
 
     async def start(self) -> Result[None, Failure]:
         """Load the log and start to take part.
@@ -96,14 +97,13 @@
         self.state.restore(stored.snapshot.data)
         self.applied_index = stored.snapshot.index
         self.state.applied_index = self.applied_index
-        self.tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._run_queue()),
-        ]
+        self.tasks = [asyncio.create_task(self._run_queue())]
+        self.timer.start()
         return Ok(None)
 
     async def stop(self) -> None:
         """Stop at once; whoever still waits gets a failure."""
+        self.timer.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -114,6 +114,7 @@
         """Handle a message of another voter."""
         if self.node is not None and not self.failed:
             self.enqueue(self.node.receive(sender, message, time.monotonic()))
+            self.timer.update()
 
     def propose(self, data: bytes) -> asyncio.Future | None:
         """Append a command.
@@ -150,12 +151,12 @@
             self.queue.extend(effects)
             self.queue_filled.set()
 
-    async def _tick(self) -> None:
-        interval_s = self.settings.timing.heartbeat_s / TICKS_PER_HEARTBEAT
-        while True:
-            if not self.failed:
-                self.enqueue(self.node.tick(time.monotonic()))
-            await asyncio.sleep(interval_s)
+    def _find_due_s(self) -> float:
+        return float("inf") if self.failed else self.node.next_tick_s(time.monotonic())
+
+    def _tick(self) -> None:
+        if not self.failed:
+            self.enqueue(self.node.tick(time.monotonic()))
 
     async def _run_queue(self) -> None:
         try:
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -127,6 +127,7 @@
     async def _hand_over(self) -> None:
         node = self.runner.node
         self.runner.enqueue(node.transfer(time.monotonic()))
+        self.runner.timer.update()
         if node.leadership.transfer_target is None:
             return
         ends_s = time.monotonic() + TRANSFER_TIMEOUT_S
--- a/laburnumrock/daemon/_membership_task.py
+++ b/laburnumrock/daemon/_membership_task.py
@@ -1,6 +1,5 @@
 """Task of the membership inside the failure domain and of the digests between domains."""
 
-import asyncio
 import random
 import time
 from collections.abc import Callable
@@ -9,6 +8,7 @@
 
 from eliot import log_message
 
+from laburnumrock.daemon._due_timer import DueTimer
 from laburnumrock.membership import (
     Ack,
     DomainDigest,
@@ -22,7 +22,6 @@
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
-TICK_S = 0.05
 DIGEST_PERIOD_S = 1.0
 MAX_DIGESTS = 2
 """Digests per period; with more failure domains they take turns, so that the cost stays fixed."""
@@ -84,21 +83,19 @@
         self.digest_turn = self._own_position()
         self.next_domain = self.digest_turn
         self.next_digest_s = 0.0
-        self.task: asyncio.Task | None = None
+        self.timer = DueTimer(self._tick, self._find_due_s)
 
     async def start(self) -> None:
         """Answer probes and start to probe."""
         for message_type in (Ping, PingRequest, Ack):
             self.network.handle(message_type, self._receive)
         self.network.handle(DomainDigest, self._receive_digest)
-        self.task = asyncio.create_task(self._run())
+        self.timer.start()
 
     async def stop(self) -> None:
         """Announce the planned stop and end."""
         self._carry_out(self.table.leave())
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        self.timer.stop()
 
     def live_members(self, failure_domain: str) -> list[str]:
         """Return the instances of a failure domain that are probably live.
@@ -113,17 +110,21 @@
             return [peer.instance_id for peer in self.settings.peers_in(failure_domain)]
         return list(received.digest.live)
 
-    async def _run(self) -> None:
-        while True:
-            now_s = time.monotonic()
-            self.table.facts = {
-                key: value for source in self.facts_sources for key, value in source().items()
-            }
-            self._carry_out(self.table.tick(now_s))
-            if now_s >= self.next_digest_s:
-                self.next_digest_s = now_s + DIGEST_PERIOD_S
-                self._send_digests()
-            await asyncio.sleep(TICK_S)
+    def _find_due_s(self) -> float:
+        return min(self.table.next_tick_s(), self.next_digest_s)
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        self._update_facts()
+        self._carry_out(self.table.tick(now_s))
+        if now_s >= self.next_digest_s:
+            self.next_digest_s = now_s + DIGEST_PERIOD_S
+            self._send_digests()
+
+    def _update_facts(self) -> None:
+        self.table.facts = {
+            key: value for source in self.facts_sources for key, value in source().items()
+        }
 
     def _send_digests(self) -> None:
         """Send one digest to one instance of each of the next other domains.
@@ -148,7 +149,9 @@
                 self.network.send(targets[self.digest_turn % len(targets)], digest)
 
     def _receive(self, sender: str, message: object) -> None:
+        self._update_facts()
         self._carry_out(self.table.receive(sender, message, time.monotonic()))
+        self.timer.update()
 
     def _receive_digest(self, sender: str, message: DomainDigest) -> None:
         peer = self.network.peers.get(sender)
--- a/laburnumrock/daemon/_operator_access.py
+++ b/laburnumrock/daemon/_operator_access.py
@@ -14,6 +14,7 @@
 from laburnumrock.journal import OperationAnswer, OperationOutcome
 from laburnumrock.messages import to_plain
 from laburnumrock.settings import InstanceSettings
+from laburnumrock.transport import TrafficCounts
 
 
 class OperationDesk:
@@ -86,6 +87,8 @@
         Known pools.
     view : DeclarationView
         Declarations in force here.
+    traffic : TrafficCounts
+        Messages between the instances.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         ownership: OwnershipTask,
         directory: PoolDirectory,
         view: DeclarationView,
+        traffic: TrafficCounts,
     ) -> None:
         self.settings = settings
         self.lifecycle = lifecycle
@@ -103,6 +107,7 @@
         self.ownership = ownership
         self.directory = directory
         self.view = view
+        self.traffic = traffic
 
     def describe_status(self) -> dict[str, object]:
         """Return plain data about this instance, without credentials."""
@@ -120,6 +125,7 @@
             "coordinator": self.ownership.find_coordinator(),
             "owned_pools": sorted(self.ownership.owned_pools()),
             "pools": self._describe_pools(),
+            "traffic": self.traffic.describe(),
         }
 
     def _describe_pools(self) -> dict[str, object]:
--- a/laburnumrock/daemon/_ownership_task.py
+++ b/laburnumrock/daemon/_ownership_task.py
@@ -3,9 +3,11 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
+from laburnumrock.daemon._due_timer import DueTimer
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.messages import Effect, Send
 from laburnumrock.ownership import (
@@ -15,6 +17,7 @@
     LeaseRefusal,
     LeaseRelease,
     LeaseRequest,
+    OwnersChanged,
     PoolAssigner,
     PoolAssignments,
     PoolHoldings,
@@ -23,7 +26,8 @@
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
-TICK_S = 0.05
+SELF_DELIVERY_S = 0.05
+"""A request to itself is handled by the event loop within this time."""
 ASSIGNMENT_PART = 0.5
 """Validity of an assignment as a part of the coordinator's lease."""
 MS_PER_S = 1_000
@@ -43,7 +47,9 @@
     def __init__(self, settings: InstanceSettings, network: PeerNetwork) -> None:
         self.settings = settings
         self.network = network
-        self.task: asyncio.Task | None = None
+        self.timer = DueTimer(self._tick, self._find_due_s)
+        self.announced_version = 0
+        self.listeners: list[Callable[[], None]] = []
         assignment_s = settings.timing.lease_s * ASSIGNMENT_PART
         # The clock of the day only has to grow from start to start of one instance.
         self.incarnation = int(time.time() * MS_PER_S)
@@ -63,21 +69,19 @@
         for message_type in (LeaseRequest, LeaseGrant, LeaseRefusal, LeaseRelease):
             self.network.handle(message_type, self._receive_lease)
         self.network.handle(AssignmentRequest, self._receive_request)
+        self.network.handle(OwnersChanged, self._receive_change)
         self.network.handle(PoolAssignments, self._receive_assignments)
-        self.task = asyncio.create_task(self._run())
+        self.timer.start()
 
     async def stop(self) -> None:
         """Give back all pools, and the lease once everything granted under it has ended."""
         self.holdings.release_all()
         self.holdings.next_request_s = float("-inf")
         self._send(self.holdings.tick(time.monotonic(), self.find_coordinator()))
-        # A request to itself is handled by the event loop.
-        await asyncio.sleep(TICK_S)
+        await asyncio.sleep(SELF_DELIVERY_S)
         await asyncio.sleep(max(0.0, self.assigner.stop() - time.monotonic()))
         self._send(self.elector.release(time.monotonic()))
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        self.timer.stop()
 
     def find_coordinator(self) -> str | None:
         """Return the instance that is probably the coordinator of the failure domain."""
@@ -108,26 +112,55 @@
 
     def want(self, pool_ids: set[str]) -> None:
         """Set the pools that need an owner, as far as this instance knows."""
-        self.holdings.wanted = {pool for pool in pool_ids if pool not in self.holdings.owners}
+        wanted = {pool for pool in pool_ids if pool not in self.holdings.owners}
+        if wanted - self.holdings.wanted:
+            self.holdings.ask_now()
+        self.holdings.wanted = wanted
+        self.timer.update()
 
-    async def _run(self) -> None:
-        while True:
-            now_s = time.monotonic()
-            self._send(self.elector.tick(now_s))
-            self._send(self.holdings.tick(now_s, self.elector.find_coordinator(now_s)))
-            await asyncio.sleep(TICK_S)
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when the pools of this instance or the owner map may have changed."""
+        self.listeners.append(listener)
+
+    def _find_due_s(self) -> float:
+        coordinator = self.find_coordinator()
+        return min(self.elector.next_tick_s(), self.holdings.next_tick_s(coordinator))
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        self._send(self.elector.tick(now_s))
+        self._send(self.holdings.tick(now_s, self.elector.find_coordinator(now_s)))
 
     def _receive_lease(self, sender: str, message: object) -> None:
         self._send(self.elector.receive(sender, message, time.monotonic()))
+        self.timer.update()
 
     def _receive_request(self, sender: str, message: AssignmentRequest) -> None:
         now_s = time.monotonic()
         lease = self.elector.lease(now_s)
         if lease is not None:
             self.network.send(sender, self.assigner.receive(sender, message, now_s, lease))
+            self._announce_owners()
+
+    def _announce_owners(self) -> None:
+        """Tell the other instances to fetch a new owner map."""
+        if self.announced_version == self.assigner.version:
+            return
+        self.announced_version = self.assigner.version
+        for peer in self.settings.peers_in(self.settings.failure_domain):
+            self.network.send(peer.instance_id, OwnersChanged(self.announced_version))
+
+    def _receive_change(self, sender: str, message: OwnersChanged) -> None:
+        if sender == self.find_coordinator():
+            self.holdings.observe_version(message.version)
+            self.timer.update()
 
     def _receive_assignments(self, sender: str, message: PoolAssignments) -> None:
+        known = self.holdings.version
         self._send(self.holdings.receive(sender, message, time.monotonic()))
+        if self.holdings.version != known:
+            for listener in self.listeners:
+                listener()
 
     def _send(self, effects: list[Effect]) -> None:
         for effect in effects:
--- a/laburnumrock/daemon/_pool_runner.py
+++ b/laburnumrock/daemon/_pool_runner.py
@@ -9,7 +9,7 @@
 from laburnumrock.ownership import MODEL_POOL, SERVICE_POOL, PoolName, parse_pool_id
 from laburnumrock.placement import PoolScheduler, PoolSettings, PoolSummary
 from laburnumrock.settings import InstanceSettings
-from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
+from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind, compute_checksum
 
 
 class ServiceStateView(Protocol):
@@ -31,6 +31,9 @@
     def tick(self, now_s: float) -> list[Effect]:
         """Handle time limits."""
 
+    def next_tick_s(self, now_s: float) -> float:
+        """Return the clock reading at which a tick is needed next."""
+
     def observe_upstream(self, announcement: UpstreamAnnouncement, now_s: float) -> list[Effect]:
         """Take over an announcement."""
 
@@ -92,12 +95,15 @@
         What the scheduler was told.
     next_read_s : float
         When the list of held requests is read next; at once after a new incarnation.
+    checksum : int
+        Checksum of the announcement without its load.
     """
 
     announcement: UpstreamAnnouncement
     seen_s: float
     in_service: bool
     next_read_s: float = float("-inf")
+    checksum: int = 0
 
 
 @dataclass(slots=True)
@@ -141,7 +147,8 @@
         if seen is None or seen.in_service != in_service:
             # Set before the announcement, which can make the scheduler grant on the upstream.
             effects += self.scheduler.set_in_service(name, in_service, now_s)
-        fresh = SeenUpstream(announcement, now_s, in_service)
+        checksum = compute_checksum(announcement)
+        fresh = SeenUpstream(announcement, now_s, in_service, checksum=checksum)
         if seen is not None and seen.announcement.incarnation == announcement.incarnation:
             fresh.next_read_s = seen.next_read_s
         self.upstreams[name] = fresh
@@ -179,6 +186,15 @@
                 effects += self.scheduler.set_in_service(name, in_service, now_s)
         return effects
 
+    def next_tick_s(self, expiry_s: float, now_s: float) -> float:
+        """Return the clock reading at which the pool needs attention next, in seconds."""
+        due_s = self.scheduler.next_tick_s(now_s)
+        for seen in self.upstreams.values():
+            due_s = min(due_s, seen.seen_s + expiry_s)
+            if seen.announcement.kind is UpstreamKind.MODEL_ENGINE:
+                due_s = min(due_s, seen.next_read_s)
+        return due_s
+
     def due_reads(self, interval_s: float, now_s: float) -> list[UpstreamAnnouncement]:
         """Return the engines whose list of held requests is due to be read."""
         due = []
--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -1,10 +1,11 @@
 """Task that runs the schedulers of the pools which this instance owns."""
 
-import asyncio
 import time
 
 from eliot import log_message
 
+from laburnumrock.daemon._announcement_port import AnnouncementPort
+from laburnumrock.daemon._due_timer import DueTimer
 from laburnumrock.daemon._engine_calls import EngineCalls
 from laburnumrock.daemon._ownership_task import OwnershipTask
 from laburnumrock.daemon._pool_directory import PoolDirectory
@@ -13,7 +14,6 @@
     PoolRunner,
     SchedulerFactory,
     ServiceStateView,
-    find_pool_id,
 )
 from laburnumrock.errors import ErrorKind
 from laburnumrock.membership import DomainDigest
@@ -30,9 +30,11 @@
 )
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
-from laburnumrock.upstreams import UpstreamAnnouncement
+from laburnumrock.upstreams import (
+    UpstreamAnnouncement,
+)
 
-TICK_S = 0.05
+IDLE_TICK_S = 0.5
 SUMMARY_S = 1.0
 EMPTY_POOL_S = 10.0
 """A pool without announcements is given back after this time."""
@@ -77,38 +79,28 @@
         self.runners: dict[str, PoolRunner] = {}
         self.engines = EngineCalls(settings.timing.connect_timeout_s)
         self.next_summary_s = 0.0
-        self.task: asyncio.Task | None = None
+        self.announcements = AnnouncementPort(self)
+        self.announce = self.announcements.announce
+        self.timer = DueTimer(lambda: self._tick(time.monotonic()), self._find_due_s)
 
     async def start(self) -> None:
         """Receive messages and run the schedulers."""
-        self.network.handle(UpstreamAnnouncement, self._receive_announcement)
+        self.announcements.register_handlers()
         self.network.handle(PoolSummary, self._receive_summary)
         self.network.handle(PermitRequest, self._receive_request)
         self.network.handle(PermitRenewal, self._receive_addressed)
         self.network.handle(PermitCancel, self._receive_addressed)
         self.network.handle(PermitRelease, self._receive_release)
-        self.task = asyncio.create_task(self._run())
+        self.timer.start()
 
     async def stop(self) -> None:
         """Stop the schedulers."""
+        self.timer.stop()
         await self.engines.stop()
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
-
-    def announce(self, announcement: UpstreamAnnouncement) -> None:
-        """Relay the announcement of an upstream to the owner of its pool.
 
-        Parameters
-        ----------
-        announcement : UpstreamAnnouncement
-            As received from an upstream of the own failure domain.
-        """
-        pool_id = find_pool_id(announcement)
-        self.directory.note_announced(pool_id, time.monotonic())
-        owner = self.ownership.find_owner(pool_id)
-        if owner is not None:
-            self.network.send(owner.instance_id, announcement)
+    def wake(self) -> None:
+        """Take note of changed ownership or service states soon."""
+        self.timer.wake()
 
     def collect_reports(self) -> list[list[object]]:
         """Return the load of the own domain's pools as plain data for a digest."""
@@ -131,22 +123,25 @@
             if domain == digest.failure_domain:
                 self.directory.note_summary(report.owner, report.summary, now_s - report.age_s)
 
-    async def _run(self) -> None:
-        while True:
-            self._tick(time.monotonic())
-            await asyncio.sleep(TICK_S)
+    def _find_due_s(self) -> float:
+        now_s = time.monotonic()
+        due_s = min(self.next_summary_s, now_s + IDLE_TICK_S)
+        expiry_s = self.settings.timing.announcement_expiry_s
+        for runner in self.runners.values():
+            due_s = min(due_s, runner.next_tick_s(expiry_s, now_s))
+        return due_s
 
     def _tick(self, now_s: float) -> None:
         timing = self.settings.timing
         self.directory.tick(now_s, timing.announcement_expiry_s)
         self._update_runners(now_s)
         for pool_id in list(self.runners):
-            runner = self._find_runner(pool_id, now_s)
+            runner = self.find_runner(pool_id, now_s)
             if runner is None:
                 continue
-            self._carry_out(runner, runner.expire(timing.announcement_expiry_s, now_s))
-            self._carry_out(runner, runner.apply_service_states(self.view, now_s))
-            self._carry_out(runner, runner.scheduler.tick(now_s))
+            self.carry_out(runner, runner.expire(timing.announcement_expiry_s, now_s))
+            self.carry_out(runner, runner.apply_service_states(self.view, now_s))
+            self.carry_out(runner, runner.scheduler.tick(now_s))
             for engine in runner.due_reads(READ_LOAD_S, now_s):
                 self.engines.start(("load", engine.upstream_id), self._read_load(pool_id, engine))
         if now_s >= self.next_summary_s:
@@ -162,7 +157,7 @@
                 scheduler = self.make_scheduler(pool_id, epoch, now_s)
                 runner = PoolRunner(pool_id, epoch, scheduler, now_s, now_s)
                 self.runners[pool_id] = runner
-                self._carry_out(runner, runner.apply_service_states(self.view, now_s))
+                self.carry_out(runner, runner.apply_service_states(self.view, now_s))
                 log_message("pool_taken_over", pool=pool_id, epoch=epoch)
         for pool_id, runner in list(self.runners.items()):
             if pool_id in owned:
@@ -179,7 +174,7 @@
             del self.runners[runner.pool_id]
             self.ownership.holdings.release(runner.pool_id)
 
-    def _find_runner(self, pool_id: str, now_s: float) -> PoolRunner | None:
+    def find_runner(self, pool_id: str, now_s: float) -> PoolRunner | None:
         """Return the runner of a pool only while this instance owns it."""
         runner = self.runners.get(pool_id)
         epoch = self.ownership.epoch(pool_id)
@@ -192,7 +187,7 @@
 
     def _publish_summaries(self, now_s: float) -> None:
         for pool_id in list(self.runners):
-            runner = self._find_runner(pool_id, now_s)
+            runner = self.find_runner(pool_id, now_s)
             if runner is None:
                 continue
             summary = runner.scheduler.summarize(now_s)
@@ -202,12 +197,6 @@
     def _receive_summary(self, sender: str, message: PoolSummary) -> None:
         self.directory.note_summary(sender, message, time.monotonic())
 
-    def _receive_announcement(self, sender: str, message: UpstreamAnnouncement) -> None:
-        now_s = time.monotonic()
-        runner = self._find_runner(find_pool_id(message), now_s)
-        if runner is not None:
-            self._carry_out(runner, runner.observe(message, self.view, now_s))
-
     def _receive_request(self, sender: str, message: PermitRequest) -> None:
         now_s = time.monotonic()
         runner = self._find_requested(message, now_s)
@@ -218,32 +207,35 @@
             )
             self.network.send(sender, refusal)
             return
-        self._carry_out(runner, runner.scheduler.receive(sender, message, now_s))
+        self.carry_out(runner, runner.scheduler.receive(sender, message, now_s))
+        self.timer.run_before(runner.scheduler.next_tick_s(now_s))
 
     def _find_requested(self, message: PermitRequest, now_s: float) -> PoolRunner | None:
         pool_id = message.pool_id
         if pool_id:
-            return self._find_runner(pool_id, now_s)
+            return self.find_runner(pool_id, now_s)
         for name in list(self.runners):
             if message.model in parse_pool_id(name).served:
-                return self._find_runner(name, now_s)
+                return self.find_runner(name, now_s)
         return None
 
     def _receive_addressed(self, sender: str, message: PermitRenewal | PermitCancel) -> None:
         now_s = time.monotonic()
-        runner = self._find_runner(message.pool_id, now_s)
+        runner = self.find_runner(message.pool_id, now_s)
         if runner is not None:
-            self._carry_out(runner, runner.scheduler.receive(sender, message, now_s))
+            self.carry_out(runner, runner.scheduler.receive(sender, message, now_s))
+            self.timer.run_before(runner.scheduler.next_tick_s(now_s))
 
     def _receive_release(self, sender: str, message: PermitRelease) -> None:
         # A release does not name its pool; schedulers ignore permits that they do not know.
         now_s = time.monotonic()
         for pool_id in list(self.runners):
-            runner = self._find_runner(pool_id, now_s)
+            runner = self.find_runner(pool_id, now_s)
             if runner is not None:
-                self._carry_out(runner, runner.scheduler.receive(sender, message, now_s))
+                self.carry_out(runner, runner.scheduler.receive(sender, message, now_s))
 
-    def _carry_out(self, runner: PoolRunner, effects: list[Effect] | None) -> None:
+    def carry_out(self, runner: PoolRunner, effects: list[Effect] | None) -> None:
+        """Send the messages and start the calls that a scheduler asks for."""
         for effect in effects or []:
             if isinstance(effect, Send):
                 self.network.send(effect.destination, effect.message)
@@ -256,18 +248,18 @@
         if not await self.engines.cancel(effect.base_url, effect.request_id):
             return
         now_s = time.monotonic()
-        runner = self._find_runner(pool_id, now_s)
+        runner = self.find_runner(pool_id, now_s)
         if runner is not None:
             confirm = runner.scheduler.confirm_cancel
-            self._carry_out(runner, confirm(effect.upstream_id, effect.request_id, now_s))
+            self.carry_out(runner, confirm(effect.upstream_id, effect.request_id, now_s))
 
     async def _read_load(self, pool_id: str, engine: UpstreamAnnouncement) -> None:
         """Reconcile the scheduler's ledger with what an engine holds."""
         read_at_s = time.monotonic()
         held = await self.engines.read_held_tokens(engine.base_url)
         now_s = time.monotonic()
-        runner = self._find_runner(pool_id, now_s)
+        runner = self.find_runner(pool_id, now_s)
         if runner is None or held.is_err() or read_at_s < runner.started_s:
             return
         observe = runner.scheduler.observe_held_requests
-        self._carry_out(runner, observe(engine.upstream_id, held.unwrap(), read_at_s, now_s))
+        self.carry_out(runner, observe(engine.upstream_id, held.unwrap(), read_at_s, now_s))
--- a/laburnumrock/daemon/tests/fakes.py
+++ b/laburnumrock/daemon/tests/fakes.py
@@ -128,6 +128,9 @@
             effects.append(Send(sender, grant))
         return effects
 
+    def next_tick_s(self, now_s):
+        return now_s + 0.05
+
     def observe_upstream(self, announcement, now_s):
         self.upstreams[announcement.upstream_id] = announcement
         return self.tick(now_s)
--- a/laburnumrock/daemon/tests/test_permit_path.py
+++ b/laburnumrock/daemon/tests/test_permit_path.py
@@ -52,7 +52,7 @@
     def kill(self):
         """End the tasks without any message."""
         for task in self.tasks:
-            task.task.cancel()
+            cancel(task)
         del self.network.hub.networks[self.name]
 
 
@@ -92,6 +92,14 @@
         return self.owners()[0]
 
 
+def cancel(task):
+    """End a task without any message."""
+    if hasattr(task, "timer"):
+        task.timer.stop()
+    else:
+        task.task.cancel()
+
+
 async def wait_until(condition, limit_s=5.0):
     end_s = time.monotonic() + limit_s
     while not condition():
@@ -112,7 +120,7 @@
         announcing.cancel()
         for node in cluster.nodes.values():
             for task in node.tasks:
-                task.task.cancel()
+                cancel(task)
 
 
 class TestPermitPath:
--- a/laburnumrock/declarations/_sync.py
+++ b/laburnumrock/declarations/_sync.py
@@ -121,6 +121,13 @@
             return effects + self._fetch_as_voter(now_s)
         return effects + self._fetch_from_source(now_s)
 
+    def next_tick_s(self) -> float:
+        """Return the clock reading at which a tick is needed next, in seconds.
+
+        A change of the store needs a tick at once.
+        """
+        return float("-inf") if self.next_fetch_s is None else self.next_fetch_s
+
     def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
         """Handle a fetch, an answer or a push."""
         if isinstance(message, DeclarationFetch):
--- a/laburnumrock/membership/_members.py
+++ b/laburnumrock/membership/_members.py
@@ -1,5 +1,6 @@
 """What is believed of single members."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from laburnumrock.membership._messages import MemberState, MemberUpdate
@@ -10,6 +11,7 @@
     MemberState.DEAD: 2,
     MemberState.LEFT: 3,
 }
+MAX_RELAYS = 64
 GONE = (MemberState.DEAD, MemberState.LEFT)
 
 
@@ -74,3 +76,29 @@
     asker: str
     sequence: int
     target: str
+
+
+class RelayBook:
+    """The probes that run on behalf of other members, oldest first."""
+
+    def __init__(self) -> None:
+        self.relays: dict[int, Relay] = {}
+
+    def add(self, sequence: int, relay: Relay) -> None:
+        """Record a relayed probe by the number of the own ping."""
+        self.relays[sequence] = relay
+        if len(self.relays) > MAX_RELAYS:
+            del self.relays[next(iter(self.relays))]
+
+    def take(self, sequence: int, sender: str) -> Relay | None:
+        """Remove and return the relay that an answer of its target ends."""
+        relay = self.relays.get(sequence)
+        if relay is None or relay.target != sender:
+            return None
+        return self.relays.pop(sequence)
+
+
+def next_death_s(members: Iterable[Member], suspicion_s: float) -> float:
+    """Return the clock reading at which the first suspect is declared dead."""
+    suspects = (member for member in members if member.state is MemberState.SUSPECT)
+    return min((member.suspected_s + suspicion_s for member in suspects), default=float("inf"))
--- a/laburnumrock/membership/_table.py
+++ b/laburnumrock/membership/_table.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from laburnumrock.membership._effects import FactsReceived, MemberChanged
-from laburnumrock.membership._members import Member, Probe, Relay
+from laburnumrock.membership._members import Member, Probe, Relay, RelayBook, next_death_s
 from laburnumrock.membership._messages import Ack, MemberState, MemberUpdate, Ping, PingRequest
 from laburnumrock.membership._updates import UpdateQueue
 from laburnumrock.messages import Effect, Send
@@ -14,7 +14,6 @@
 HELPERS = 2
 """Members that are asked for an indirect probe."""
 LEAVE_TARGETS = 3
-MAX_RELAYS = 64
 WARNING_TIMEOUTS = 2
 """A suspect is pinged a last time this many probe timeouts before its death."""
 
@@ -69,7 +68,7 @@
         self.probe: Probe | None = None
         self.order: list[str] = []
         self.sequence = 0
-        self.relays: dict[int, Relay] = {}
+        self.relays = RelayBook()
         self.left = False
 
     def live_members(self) -> list[str]:
@@ -114,6 +113,15 @@
             self.next_period_s = now_s + self.timing.probe_period_s
         return effects + self._bury_suspects(now_s)
 
+    def next_tick_s(self) -> float:
+        """Return the clock reading of the next tick; gaps stay below that of a freeze."""
+        if self.left:
+            return float("inf")
+        if self.last_tick_s is None:
+            return 0.0
+        due_s = min(self.next_period_s, self.last_tick_s + self.timing.probe_timeout_s / 2)
+        return min(due_s, next_death_s(self.members.values(), self.timing.suspicion_s))
+
     def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
         """Handle a membership message.
 
@@ -131,9 +139,8 @@
         list of Effect
             Answers, changes of members and received facts.
         """
-        if self.left or sender not in self.members:
-            return []
-        if not isinstance(message, (Ping, PingRequest, Ack)):
+        is_known = sender in self.members and isinstance(message, (Ping, PingRequest, Ack))
+        if self.left or not is_known:
             return []
         subject = message.member if isinstance(message, Ack) else sender
         alive = MemberUpdate(subject, MemberState.ALIVE, message.incarnation)
@@ -254,9 +261,7 @@
         if message.target not in self.members or message.target == sender:
             return []
         ping = self._make_ping(message.target)
-        self.relays[ping.message.sequence] = Relay(sender, message.sequence, message.target)
-        if len(self.relays) > MAX_RELAYS:
-            del self.relays[next(iter(self.relays))]
+        self.relays.add(ping.message.sequence, Relay(sender, message.sequence, message.target))
         return [ping]
 
     def _take_ack(self, sender: str, message: Ack) -> list[Effect]:
@@ -264,10 +269,9 @@
         if probe and probe.sequence == message.sequence and probe.target == message.member:
             probe.answered = True
             return []
-        relay = self.relays.get(message.sequence)
-        if relay is None or relay.target != sender:
+        relay = self.relays.take(message.sequence, sender)
+        if relay is None:
             return []
-        del self.relays[message.sequence]
         return [Send(relay.asker, Ack(relay.sequence, sender, message.incarnation))]
 
     def _shuffled(self, is_chosen: Callable[[Member], bool]) -> list[str]:
--- a/laburnumrock/messages/_codec.py
+++ b/laburnumrock/messages/_codec.py
@@ -1,7 +1,8 @@
 """Frames on the links between instances.
 
 A frame is a CBOR map ``{"v": version, "t": type name, "n": call number, "r": answered call
-number, "b": body}``.
+number, "b": body}``; an absent number counts as null, and the body is the list of the message's
+field values.
 """
 
 from dataclasses import dataclass
@@ -10,7 +11,8 @@
 from result import Err, Ok, Result
 
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.messages._registry import MESSAGE_TYPES, from_plain, to_plain
+from laburnumrock.messages._registry import MESSAGE_TYPES
+from laburnumrock.messages._wire import from_wire, to_wire
 
 FRAME_VERSION = 1
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -43,15 +45,13 @@
     ValueError
         If the frame exceeds `MAX_FRAME_BYTES`.
     """
-    data = cbor2.dumps(
-        {
-            "v": FRAME_VERSION,
-            "t": type(frame.message).__name__,
-            "n": frame.call_number,
-            "r": frame.answered_call,
-            "b": to_plain(frame.message),
-        }
-    )
+    document = {"v": FRAME_VERSION, "t": type(frame.message).__name__}
+    if frame.call_number is not None:
+        document["n"] = frame.call_number
+    if frame.answered_call is not None:
+        document["r"] = frame.answered_call
+    document["b"] = to_wire(frame.message)
+    data = cbor2.dumps(document)
     if len(data) > MAX_FRAME_BYTES:
         raise ValueError(f"frame of {len(data)} bytes exceeds {MAX_FRAME_BYTES}")
     return data
@@ -87,7 +87,7 @@
     if any(number is not None and type(number) is not int for number in numbers):
         return _malformed("call numbers must be integers")
     try:
-        return Ok(Frame(from_plain(cls, document.get("b")), *numbers))
+        return Ok(Frame(from_wire(cls, document.get("b")), *numbers))
     except (ValueError, TypeError) as error:
         return _malformed(f"{message_type}: {error}")
 
--- a/laburnumrock/messages/_registry.py
+++ b/laburnumrock/messages/_registry.py
@@ -17,6 +17,8 @@
 
 _SCALARS = (str, int, float, bool, bytes)
 
+Nested = Callable[[type, object, str], typing.Any]
+
 
 def register_message(cls: type) -> type:
     """Add a data class to the messages that peers may send to each other.
@@ -115,38 +117,51 @@
     converters = {}
     for field in fields(cls):
         required = field.default is MISSING and field.default_factory is MISSING
-        converters[field.name] = _FieldConverter(_make_converter(hints[field.name]), required)
+        converters[field.name] = _FieldConverter(
+            make_converter(hints[field.name], from_plain), required
+        )
     return converters
 
 
-def _make_converter(hint: typing.Any) -> Callable[[object, str], object]:
+def make_converter(hint: typing.Any, nested: Nested) -> Callable[[object, str], object]:
+    """Return the function that checks and converts the plain value of a field.
+
+    Parameters
+    ----------
+    hint : type
+        Type hint of the field.
+    nested : callable
+        Builds data classes inside the value, as `from_plain` does.
+    """
     origin = typing.get_origin(hint)
     arguments = typing.get_args(hint)
     if hint in (typing.Any, object):
         return lambda value, path: value
     if origin in (typing.Union, types.UnionType):
-        return _convert_optional(arguments)
+        return _convert_optional(arguments, nested)
     if origin in (list, tuple, set, frozenset):
-        return _convert_sequence(origin, arguments[0])
+        return _convert_sequence(origin, arguments[0], nested)
     if origin is dict:
-        return _convert_map(arguments)
+        return _convert_map(arguments, nested)
     if is_dataclass(hint):
-        return lambda value, path: from_plain(hint, value, path)
+        return lambda value, path: nested(hint, value, path)
     if isinstance(hint, type) and issubclass(hint, Enum):
         return _convert_enum(hint)
     return _convert_scalar(hint)
 
 
-def _convert_optional(arguments: tuple) -> Callable[[object, str], object]:
+def _convert_optional(arguments: tuple, nested: Nested) -> Callable[[object, str], object]:
     present = [argument for argument in arguments if argument is not type(None)]
     if len(present) != 1:
         raise TypeError("a message field may be optional but not a union of several types")
-    convert = _make_converter(present[0])
+    convert = make_converter(present[0], nested)
     return lambda value, path: None if value is None else convert(value, path)
 
 
-def _convert_sequence(origin: type, item: typing.Any) -> Callable[[object, str], object]:
-    convert = _make_converter(item)
+def _convert_sequence(
+    origin: type, item: typing.Any, nested: Nested
+) -> Callable[[object, str], object]:
+    convert = make_converter(item, nested)
 
     def convert_all(value: object, path: str) -> object:
         if not isinstance(value, list):
@@ -156,9 +171,9 @@
     return convert_all
 
 
-def _convert_map(arguments: tuple) -> Callable[[object, str], object]:
-    convert_key = _make_converter(arguments[0])
-    convert_value = _make_converter(arguments[1])
+def _convert_map(arguments: tuple, nested: Nested) -> Callable[[object, str], object]:
+    convert_key = make_converter(arguments[0], nested)
+    convert_value = make_converter(arguments[1], nested)
 
     def convert_all(value: object, path: str) -> object:
         if not isinstance(value, dict):
--- a/laburnumrock/ownership/_assigner.py
+++ b/laburnumrock/ownership/_assigner.py
@@ -16,7 +16,10 @@
 """An epoch is the term, shifted by this number of bits, plus a counter."""
 
 LIVE_PART = 0.6
-"""An instance that has not asked for this part of an assignment gets no more pools."""
+"""An owner that has not asked for this part of an assignment gets no more pools."""
+
+LIVE_PERIODS = 2.4
+"""Periods of its requests after which a silent instance gets no more pools."""
 
 SETTLE_PART = 0.2
 """A new coordinator waits this part of an assignment for the former owners to ask."""
@@ -37,7 +40,7 @@
 class _Candidate:
     """An instance that asked for pools."""
 
-    asked_s: float
+    live_until_s: float
     accepting: bool
 
 
@@ -94,7 +97,10 @@
         if lease.since_s != self.lease_since_s:
             self._begin_lease(lease, now_s)
         self.next_epoch = max(self.next_epoch, lease.term << TERM_SHIFT)
-        self.candidates[sender] = _Candidate(now_s, request.accepting)
+        live_s = self.live_s
+        if request.period_s is not None:
+            live_s = max(live_s, min(LIVE_PERIODS * request.period_s, 2 * self.assignment_s))
+        self.candidates[sender] = _Candidate(now_s + live_s, request.accepting)
         self._note_pools(sender, request, now_s)
         self.assign(now_s)
         assignments = self._renew(sender, request, now_s, lease)
@@ -194,11 +200,10 @@
         return now_s >= pool.ends_s
 
     def _live_candidates(self, now_s: float) -> list[str]:
-        oldest_s = now_s - self.live_s
         return [
             name
             for name, candidate in self.candidates.items()
-            if candidate.accepting and candidate.asked_s >= oldest_s
+            if candidate.accepting and candidate.live_until_s >= now_s
         ]
 
     def _owner_map(self) -> dict[str, PoolOwner]:
--- a/laburnumrock/ownership/_elector.py
+++ b/laburnumrock/ownership/_elector.py
@@ -147,6 +147,12 @@
             return []
         return self._start_round(now_s, is_holder=False)
 
+    def next_tick_s(self) -> float:
+        """Return the clock reading at which a tick is needed next, in seconds."""
+        if self.stopping:
+            return float("inf")
+        return max(self.next_request_s, self.started_s + self.start_wait_s)
+
     def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
         """Handle a lease message.
 
--- a/laburnumrock/ownership/_holdings.py
+++ b/laburnumrock/ownership/_holdings.py
@@ -10,6 +10,8 @@
 )
 
 REQUESTS_PER_ASSIGNMENT = 5
+IDLE_REQUESTS_PER_ASSIGNMENT = 2
+"""Requests of an instance that owns and wants nothing; `OwnersChanged` makes it ask at once."""
 MAX_PENDING_REQUESTS = 16
 
 
@@ -76,6 +78,12 @@
         for pool_id in list(self.held):
             self.release(pool_id)
 
+    def next_tick_s(self, coordinator: str | None) -> float:
+        """Return the clock reading at which a tick is needed next, in seconds."""
+        if coordinator is None:
+            return float("inf")
+        return self.next_request_s if coordinator == self.last_coordinator else float("-inf")
+
     def tick(self, now_s: float, coordinator: str | None) -> list[Effect]:
         """Ask the coordinator for pools when due.
 
@@ -97,7 +105,8 @@
         self.last_coordinator = coordinator
         # A new coordinator learns from its members which pools exist.
         wanted = self.wanted | self.owners.keys() if is_new else self.wanted
-        self.next_request_s = now_s + self.assignment_s / REQUESTS_PER_ASSIGNMENT
+        period_s = self._find_period_s(coordinator)
+        self.next_request_s = now_s + period_s
         self.sequence += 1
         self.pending[self.sequence] = (coordinator, now_s)
         self.pending.pop(self.sequence - MAX_PENDING_REQUESTS, None)
@@ -110,9 +119,26 @@
             list(self.released.values()),
             sorted(wanted),
             self.version,
+            period_s,
         )
         return [Send(coordinator, request)]
 
+    def ask_now(self) -> None:
+        """Ask the coordinator with the next tick."""
+        self.next_request_s = float("-inf")
+
+    def observe_version(self, version: int) -> None:
+        """Ask the coordinator with the next tick if its owner map is another one."""
+        if version != self.version:
+            self.ask_now()
+
+    def _find_period_s(self, coordinator: str) -> float:
+        # The coordinator asks itself, which costs no message and keeps its assignments moving.
+        is_idle = not (self.held or self.wanted or self.released)
+        if is_idle and coordinator != self.instance_id:
+            return self.assignment_s / IDLE_REQUESTS_PER_ASSIGNMENT
+        return self.assignment_s / REQUESTS_PER_ASSIGNMENT
+
     def receive(self, sender: str, message: PoolAssignments, now_s: float) -> list[Effect]:
         """Take over the assignments of an answer.
 
--- a/laburnumrock/ownership/_messages.py
+++ b/laburnumrock/ownership/_messages.py
@@ -88,6 +88,8 @@
         Pools with upstreams that the sender knows to be without an owner.
     known_version : int
         Version of the owner map that the sender has.
+    period_s : float, optional
+        Time until the sender's next request; without it, that of an owner.
     """
 
     sequence: int
@@ -97,6 +99,15 @@
     released: list[HeldPool] = field(default_factory=list)
     wanted: list[str] = field(default_factory=list)
     known_version: int = 0
+    period_s: float | None = None
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class OwnersChanged:
+    """Tells an instance to ask the coordinator at once; sent when the owner map changed."""
+
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumrock/ownership/tests/simulation.py
+++ b/laburnumrock/ownership/tests/simulation.py
@@ -241,6 +241,9 @@
     def restart(self, node):
         if not node.alive:
             node.start(self, self.now_s)
+        elif node.release_at_s is not None:
+            # A freeze delayed the planned stop beyond the restart; the process must come back.
+            self.at(self.now_s + TICK_S, self.restart, node)
 
     def freeze(self):
         node = self.pick()
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -28,6 +28,9 @@
 # Cancels on a silent upstream end after this time; should it come back with the work still in
 # memory, `observe_held_requests` finds it.
 ABSENT_DROP_S = 60.0
+BUSY_TICK_S = 0.05
+"""Granularity of expiry, ageing and predictions while requests wait or run."""
+IDLE_TICK_S = 1.0
 OVERLOAD_OUTCOMES = (PermitOutcome.OVERLOADED, PermitOutcome.COLD)
 
 
@@ -104,6 +107,14 @@
         effects += self.intake.refuse_given_up(now_s)
         return effects
 
+    def next_tick_s(self, now_s: float) -> float:
+        """Return the clock reading at which a tick is needed next, in seconds."""
+        if self.queue or self.book.permits or self.book.cancels or self.absent_since_s:
+            return now_s + BUSY_TICK_S
+        if now_s < self.take_over_until_s:
+            return self.take_over_until_s
+        return now_s + IDLE_TICK_S
+
     def observe_upstream(self, announcement: UpstreamAnnouncement, now_s: float) -> list[Effect]:
         """Take an announcement into account and grant what fits now."""
         ledger = self.table.get_or_add(announcement.upstream_id)
--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -50,6 +50,7 @@
 # The first members are a snapshot at index 1, so that an empty learner always gets a snapshot
 # with members before it gets entries.
 FIRST_INDEX = 1
+TICKS_PER_HEARTBEAT = 4
 
 
 class RaftNode(VotingMixin, FollowerMixin, LeadingMixin):
@@ -168,6 +169,18 @@
                 self._start_pre_vote(now_s)
         return self._take_effects()
 
+    def next_tick_s(self, now_s: float) -> float:
+        """Return the clock reading at which a tick is needed next, in seconds."""
+        if not self.has_log or self.election_due_s is None or self.members.learners:
+            return now_s + self.timing.heartbeat_s / TICKS_PER_HEARTBEAT
+        if self.role is not Role.LEADER:
+            return self.election_due_s
+        contact_s = self.leadership.quorum_contact_s(self.members, now_s)
+        due_s = min(self.leadership.heartbeat_due_s, contact_s + self.timing.election_min_s)
+        if self.leadership.transfer_target is not None:
+            due_s = min(due_s, self.leadership.transfer_ends_s)
+        return due_s
+
     def compact(self, index: int, data: bytes) -> list[Effect]:
         """Replace the entries up to an applied index by a snapshot of the state.
 
--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +18,7 @@
 from laburnumrock.messages import MAX_FRAME_BYTES, Frame, decode_frame, encode_frame
 from laburnumrock.settings import InstanceSettings, PeerSettings
 from laburnumrock.transport._handshake import prove_identity
+from laburnumrock.transport._traffic import TrafficCounts
 
 QUEUE_FRAMES = 1_024
 RECONNECT_MIN_S = 0.05
@@ -30,7 +32,8 @@
     """Outgoing link to one peer."""
 
     peer: PeerSettings
-    frames: asyncio.Queue[bytes] = field(default_factory=lambda: asyncio.Queue(QUEUE_FRAMES))
+    frames: deque[bytes] = field(default_factory=deque)
+    filled: asyncio.Event = field(default_factory=asyncio.Event)
     task: asyncio.Task | None = None
 
 
@@ -59,6 +62,7 @@
         self.server: Server | None = None
         self.tasks: set[asyncio.Task] = set()
         self.random = random.Random(settings.seed)
+        self.traffic = TrafficCounts()
 
     async def start(self) -> None:
         """Open the port for other instances."""
@@ -150,10 +154,12 @@
             link = _Link(self.peers[peer])
             link.task = asyncio.create_task(self._run_link(link))
             self.links[peer] = link
-        try:
-            link.frames.put_nowait(encode_frame(frame))
-        except asyncio.QueueFull:
+        if len(link.frames) >= QUEUE_FRAMES:
             return False
+        data = encode_frame(frame)
+        link.frames.append(data)
+        link.filled.set()
+        self.traffic.count_sent(frame.message, len(data))
         return True
 
     async def _run_link(self, link: _Link) -> None:
@@ -165,7 +171,7 @@
                     await self._send_frames(connection, link)
             except (OSError, TimeoutError, WebSocketException):
                 # Frames queued before the reconnection are stale: their senders have given up.
-                _drop_frames(link)
+                link.frames.clear()
                 await asyncio.sleep(delay_s * self.random.uniform(0.5, 1.0))
                 delay_s = min(delay_s * 2, RECONNECT_MAX_S)
 
@@ -188,14 +194,15 @@
 
     async def _send_frames(self, connection: Connection, link: _Link) -> None:
         closed = asyncio.create_task(connection.wait_closed())
+        closed.add_done_callback(lambda _: link.filled.set())
         try:
-            while True:
-                get = asyncio.create_task(link.frames.get())
-                await asyncio.wait([get, closed], return_when=asyncio.FIRST_COMPLETED)
-                if not get.done():
-                    get.cancel()
-                    raise OSError("link closed")
-                await connection.send(get.result())
+            while not closed.done():
+                while link.frames:
+                    await connection.send(link.frames.popleft())
+                link.filled.clear()
+                if not link.frames and not closed.done():
+                    await link.filled.wait()
+            raise OSError("link closed")
         finally:
             closed.cancel()
 
@@ -219,6 +226,7 @@
         if frame.is_err():
             log_message("malformed_message", peer=peer, failure=str(frame.unwrap_err()))
             return False
+        self.traffic.count_received(frame.unwrap().message, len(data))
         self._dispatch(peer, frame.unwrap())
         return True
 
@@ -228,29 +236,54 @@
             if waiting is not None and not waiting.done():
                 waiting.set_result(frame.message)
             return
-        task = asyncio.create_task(self._answer(peer, frame))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        if peer == self.settings.instance_id:
+            # A state machine that sends to itself must not be entered again before it returns.
+            asyncio.get_running_loop().call_soon(self._handle_frame, peer, frame)
+        else:
+            self._handle_frame(peer, frame)
+
+    def _handle_frame(self, peer: str, frame: Frame) -> None:
+        """Run a handler; only a handler that waits costs a task."""
+        try:
+            answer = self._start_handler(peer, frame.message)
+        except Exception as error:
+            # A fault in one handler must not close the link that carries all other messages.
+            _log_handler_error(peer, frame, error)
+            return
+        if asyncio.iscoroutine(answer):
+            task = asyncio.create_task(self._answer_later(peer, frame, answer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        else:
+            self._answer(peer, frame, answer)
 
-    async def _answer(self, peer: str, frame: Frame) -> None:
-        answer = await self._run_handler(peer, frame.message)
+    async def _answer_later(self, peer: str, frame: Frame, answer: Awaitable) -> None:
+        try:
+            self._answer(peer, frame, await answer)
+        except Exception as error:
+            _log_handler_error(peer, frame, error)
+
+    def _answer(self, peer: str, frame: Frame, answer: object | None) -> None:
         if answer is not None and frame.call_number is not None:
             self._enqueue(peer, Frame(answer, answered_call=frame.call_number))
 
-    async def _run_handler(self, peer: str, message: object) -> object | None:
+    def _start_handler(self, peer: str, message: object) -> object | None:
         handler = self.handlers.get(type(message))
         if handler is None:
             log_message("unhandled_message", peer=peer, type=type(message).__name__)
             return None
-        answer = handler(peer, message)
+        return handler(peer, message)
+
+    async def _run_handler(self, peer: str, message: object) -> object | None:
+        answer = self._start_handler(peer, message)
         if asyncio.iscoroutine(answer):
             return await answer
         return answer
 
 
-def _drop_frames(link: _Link) -> None:
-    while not link.frames.empty():
-        link.frames.get_nowait()
+def _log_handler_error(peer: str, frame: Frame, error: Exception) -> None:
+    name = type(frame.message).__name__
+    log_message("handler_failed", peer=peer, type=name, error=f"{type(error).__name__}: {error}")
 
 
 def _unreachable(peer: str) -> Err[Failure]:
--- a/laburnumrock/upstreams/__init__.py
+++ b/laburnumrock/upstreams/__init__.py
@@ -8,8 +8,20 @@
 )
 from laburnumrock.upstreams._cold_start import ColdStartGate
 from laburnumrock.upstreams._prefixes import PREFIX_LENGTHS, hash_prefixes
+from laburnumrock.upstreams._relay import (
+    AnnouncementFetch,
+    AnnouncementRelay,
+    UpstreamBeat,
+    apply_beat,
+    compute_checksum,
+)
 
 __all__ = [
+    "AnnouncementFetch",
+    "AnnouncementRelay",
+    "UpstreamBeat",
+    "apply_beat",
+    "compute_checksum",
     "PREFIX_LENGTHS",
     "CacheEvent",
     "ColdStartGate",
