Split large pools into shards and balance pools between instances

A pool with more than 32 upstreams is given back by its owner and replaced by 2^n shards. A shard is named by the leading bits of its upstreams' hashes, so that an upstream never changes between shards but by a split, and the coordinator assigns no pool that can share upstreams with another one. Spanning permits stay inside a shard: a split waits for their end. Entries choose between shards by their summaries, and spread requests over equal ones by free memory.

The coordinator gives new pools to instances below their part, and asks an owner with at least two more pools than a steady other instance to give one back. Splits and moves use the release that planned stops use. The seeded schedules split shards at random and check that no upstream has two owners; a variant that ignores overlapping shards is found by them.

--- a/laburnumrock/daemon/_announcement_port.py
+++ b/laburnumrock/daemon/_announcement_port.py
@@ -4,6 +4,7 @@
 import typing
 
 from laburnumrock.daemon._pool_runner import find_pool_id
+from laburnumrock.ownership import list_covering
 from laburnumrock.upstreams import (
     AnnouncementFetch,
     AnnouncementRelay,
@@ -44,8 +45,9 @@
         announcement : UpstreamAnnouncement
             As received from an upstream of the own failure domain.
         """
-        pool_id = find_pool_id(announcement)
-        self.pools.directory.note_announced(pool_id, time.monotonic())
+        pool_id = self.pools.directory.note_announced(
+            find_pool_id(announcement), announcement.upstream_id, time.monotonic()
+        )
         owner = self.pools.ownership.find_owner(pool_id)
         if owner is None:
             self.pools.timer.wake()
@@ -54,7 +56,10 @@
 
     def _receive_announcement(self, sender: str, message: UpstreamAnnouncement) -> None:
         now_s = time.monotonic()
-        runner = self.pools.find_runner(find_pool_id(message), now_s)
+        for shard in list_covering(find_pool_id(message), message.upstream_id):
+            runner = self.pools.find_runner(shard, now_s)
+            if runner is not None:
+                break
         if runner is not None:
             if message.upstream_id not in runner.upstreams:
                 # The list of requests that a new engine holds is read at once.
--- a/laburnumrock/daemon/_ownership_task.py
+++ b/laburnumrock/daemon/_ownership_task.py
@@ -110,6 +110,11 @@
         """Return the pools that this instance owns now, with their epochs."""
         return self.holdings.owned_pools(time.monotonic())
 
+    def split(self, pool_id: str, depth: int) -> None:
+        """Give a pool back so that ``2 ** depth`` shards take its place."""
+        self.holdings.split(pool_id, depth)
+        self.timer.update()
+
     def want(self, pool_ids: set[str]) -> None:
         """Set the pools that need an owner, as far as this instance knows."""
         wanted = {pool for pool in pool_ids if pool not in self.holdings.owners}
--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -141,10 +141,14 @@
         held = self.held.pop(release.permit_id, None)
         if held is None:
             return
-        owner = self.directory.find_owner(held.pool_id)
+        owner = self._find_permit_owner(held)[1]
         if owner is not None:
             self.network.send(owner.instance_id, release)
 
+    def _find_permit_owner(self, held: HeldPermit) -> tuple[str, PoolOwner | None]:
+        upstream_id = held.grant.placements[0].upstream_id
+        return self.directory.find_permit_owner(held.pool_id, upstream_id)
+
     def revocation(self, permit_id: str) -> asyncio.Event | None:
         """Return the event that is set when the owner revokes a held permit."""
         held = self.held.get(permit_id)
@@ -269,13 +273,13 @@
     async def _renew_permits(self) -> None:
         while True:
             await asyncio.sleep(self.settings.timing.permit_ttl_s / RENEWALS_PER_TTL)
-            grants: dict[str, list[PermitGrant]] = {}
+            grants: dict[tuple[str, str], list[PermitGrant]] = {}
             for held in self.held.values():
-                grants.setdefault(held.pool_id, []).append(held.grant)
-            for pool_id, pool_grants in grants.items():
-                owner = self.directory.find_owner(pool_id)
+                pool_id, owner = self._find_permit_owner(held)
                 if owner is not None:
-                    self.network.send(owner.instance_id, PermitRenewal(pool_id, pool_grants))
+                    grants.setdefault((owner.instance_id, pool_id), []).append(held.grant)
+            for (instance_id, pool_id), pool_grants in grants.items():
+                self.network.send(instance_id, PermitRenewal(pool_id, pool_grants))
 
 
 def _unavailable(may_appear: bool) -> Failure:
--- a/laburnumrock/daemon/_pool_choice.py
+++ b/laburnumrock/daemon/_pool_choice.py
@@ -1,5 +1,7 @@
 """Choice of the pool, and with it the failure domain, for a request."""
 
+import math
+import zlib
 from dataclasses import dataclass
 
 from laburnumrock.daemon._pool_directory import SUMMARY_EXPIRY_S, KnownPool, PoolDirectory
@@ -10,6 +12,11 @@
 REMOTE_ADVANTAGE_S = 0.5
 """Another failure domain must be expected to start the request this much earlier."""
 
+COST_DIGITS = 2
+"""Differences below 10 ms are less than the age of the summaries can tell."""
+
+CRC_RANGE = 2**32
+
 UNKNOWN_WAIT_S = 60.0
 """Assumed wait for a class that a pool does not serve at present; it is asked last."""
 
@@ -59,7 +66,7 @@
     """
     own_domain = directory.failure_domain
     is_stale = view.is_stale(now_s)
-    best: tuple[float, str] | None = None
+    best: tuple[float, float, str] | None = None
     may_appear = False
     for kind in (MODEL_POOL, SERVICE_POOL):
         for pool in directory.find_pools(kind, request.model):
@@ -73,9 +80,23 @@
                 may_appear = may_appear or is_own
                 continue
             cost_s = _expected_wait_s(pool, request, is_own, now_s)
-            if cost_s is not None and (best is None or (cost_s, pool_id) < best):
-                best = (cost_s, pool_id)
-    return PoolChoice(None if best is None else best[1], may_appear)
+            if cost_s is None:
+                continue
+            key = (round(cost_s, COST_DIGITS), _spread(pool, request), pool_id)
+            best = key if best is None else min(best, key)
+    return PoolChoice(None if best is None else best[2], may_appear)
+
+
+def _spread(pool: KnownPool, request: PermitRequest) -> float:
+    """Return a number that spreads requests over equal pools in proportion to free memory.
+
+    Every entry instance would otherwise send all its requests to the same shard until the next
+    summaries arrive.
+    """
+    key = f"{request.request_id}/{request.attempt}/{pool.name.pool_id}".encode()
+    draw = (zlib.crc32(key) + 1) / (CRC_RANGE + 1)
+    free = 1 if pool.summary is None else 1 + pool.summary.free_kv_tokens
+    return -math.log(draw) / free
 
 
 def _expected_wait_s(
--- a/laburnumrock/daemon/_pool_directory.py
+++ b/laburnumrock/daemon/_pool_directory.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 
 from laburnumrock.daemon._ownership_task import OwnershipTask
-from laburnumrock.ownership import PoolName, PoolOwner, parse_pool_id
+from laburnumrock.ownership import (
+    PoolName,
+    PoolOwner,
+    list_covering,
+    parse_pool_id,
+    share_upstreams,
+    whole_pool_id,
+)
 from laburnumrock.placement import PoolSummary
 
 SUMMARY_EXPIRY_S = 5.0
@@ -50,10 +57,56 @@
         self.announced_s: dict[str, float] = {}
         self.synced_version = 0
 
-    def note_announced(self, pool_id: str, now_s: float) -> None:
-        """Record that an upstream of a pool of the own domain announced itself here."""
-        self.announced_s[pool_id] = now_s
-        self._get_or_add(pool_id)
+    def note_announced(self, pool_id: str, upstream_id: str, now_s: float) -> str:
+        """Record an announcement of an upstream of the own domain; returns its shard's id."""
+        shard = self.find_shard(pool_id, upstream_id)
+        self.announced_s[shard] = now_s
+        self._get_or_add(shard)
+        return shard
+
+    def find_shard(self, pool_id: str, upstream_id: str) -> str:
+        """Return the shard of a pool that contains an upstream.
+
+        Parameters
+        ----------
+        pool_id : str
+            A pool, or one of its shards, of the own failure domain.
+        upstream_id : str
+            The upstream.
+
+        Returns
+        -------
+        str
+            The shard that has an owner, or the largest one that shares no upstreams with those
+            that have owners.
+        """
+        owners = self.ownership.holdings.owners
+        if pool_id in owners:
+            return pool_id
+        whole = whole_pool_id(pool_id)
+        covering = list_covering(whole, upstream_id)
+        for shard in covering:
+            if shard in owners:
+                return shard
+        others = [name for name in owners if whole_pool_id(name) == whole]
+        free = (x for x in covering if not any(share_upstreams(x, other) for other in others))
+        return next(free, covering[-1])
+
+    def find_permit_owner(self, pool_id: str, upstream_id: str) -> tuple[str, PoolOwner | None]:
+        """Return the pool that answers now for a permit on an upstream, and its owner.
+
+        A shard that was split since the grant gives way to its parts.
+        """
+        owner = self.find_owner(pool_id)
+        if owner is None and parse_pool_id(pool_id).failure_domain == self.failure_domain:
+            pool_id = self.find_shard(pool_id, upstream_id)
+            owner = self.find_owner(pool_id)
+        elif owner is None:
+            known = (
+                self.find_owner(name) for name in list_covering(whole_pool_id(pool_id), upstream_id)
+            )
+            owner = next((found for found in known if found is not None), None)
+        return pool_id, owner
 
     def note_summary(self, owner: str, summary: PoolSummary, now_s: float) -> None:
         """Record the load of a pool as its owner reports it.
--- a/laburnumrock/daemon/_pool_runner.py
+++ b/laburnumrock/daemon/_pool_runner.py
@@ -1,16 +1,27 @@
 """One pool that this instance owns."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from laburnumrock.messages import Effect
-from laburnumrock.ownership import MODEL_POOL, SERVICE_POOL, PoolName, parse_pool_id
+from laburnumrock.ownership import (
+    MAX_SHARD_BITS,
+    MAX_SHARD_UPSTREAMS,
+    MODEL_POOL,
+    SERVICE_POOL,
+    PoolName,
+    parse_pool_id,
+)
 from laburnumrock.placement import PoolScheduler, PoolSettings, PoolSummary
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind, compute_checksum
 
+TARGET_SHARD_UPSTREAMS = 24
+"""Mean size of new shards, below the maximum because hashes do not divide a pool evenly."""
+
 
 class ServiceStateView(Protocol):
     """The part of `DeclarationView` that pools need."""
@@ -34,6 +45,9 @@
     def next_tick_s(self, now_s: float) -> float:
         """Return the clock reading at which a tick is needed next."""
 
+    def has_spanning(self) -> bool:
+        """Return whether a permit or request needs several upstreams."""
+
     def observe_upstream(self, announcement: UpstreamAnnouncement, now_s: float) -> list[Effect]:
         """Take over an announcement."""
 
@@ -195,6 +209,18 @@
                 due_s = min(due_s, seen.next_read_s)
         return due_s
 
+    def split_depth(self) -> int:
+        """Return how often the pool must be split; 0 while it is small enough.
+
+        A permit for a spanning prompt must stay in one shard, so that a split waits for its end.
+        """
+        count = len(self.upstreams)
+        is_shardable = parse_pool_id(self.pool_id).kind == MODEL_POOL
+        if count <= MAX_SHARD_UPSTREAMS or not is_shardable or self.scheduler.has_spanning():
+            return 0
+        depth = max(1, math.ceil(math.log2(count / TARGET_SHARD_UPSTREAMS)))
+        return min(depth, MAX_SHARD_BITS - len(parse_pool_id(self.pool_id).shard))
+
     def due_reads(self, interval_s: float, now_s: float) -> list[UpstreamAnnouncement]:
         """Return the engines whose list of held requests is due to be read."""
         due = []
--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -139,6 +139,8 @@
             runner = self.find_runner(pool_id, now_s)
             if runner is None:
                 continue
+            if self._split_large(runner):
+                continue
             self.carry_out(runner, runner.expire(timing.announcement_expiry_s, now_s))
             self.carry_out(runner, runner.apply_service_states(self.view, now_s))
             self.carry_out(runner, runner.scheduler.tick(now_s))
@@ -169,6 +171,16 @@
                 self.ownership.holdings.release(pool_id)
                 log_message("pool_lost", pool=pool_id, epoch=runner.epoch)
 
+    def _split_large(self, runner: PoolRunner) -> bool:
+        """Give a pool with too many upstreams back, to be owned in parts."""
+        depth = runner.split_depth()
+        if depth == 0:
+            return False
+        del self.runners[runner.pool_id]
+        self.ownership.split(runner.pool_id, depth)
+        log_message("pool_split", pool=runner.pool_id, depth=depth)
+        return True
+
     def _release_empty(self, runner: PoolRunner, now_s: float) -> None:
         if now_s - max(runner.started_s, runner.last_seen_s) > EMPTY_POOL_S:
             del self.runners[runner.pool_id]
--- a/laburnumrock/daemon/tests/fakes.py
+++ b/laburnumrock/daemon/tests/fakes.py
@@ -131,6 +131,9 @@
     def next_tick_s(self, now_s):
         return now_s + 0.05
 
+    def has_spanning(self):
+        return False
+
     def observe_upstream(self, announcement, now_s):
         self.upstreams[announcement.upstream_id] = announcement
         return self.tick(now_s)
--- a/laburnumrock/ownership/__init__.py
+++ b/laburnumrock/ownership/__init__.py
@@ -1,6 +1,7 @@
 """Coordinator lease of a failure domain, and owners of its pools."""
 
-from laburnumrock.ownership._assigner import PoolAssigner, choose_owner
+from laburnumrock.ownership._assigner import PoolAssigner
+from laburnumrock.ownership._balance import choose_owner
 from laburnumrock.ownership._clock import MAX_CLOCK_DRIFT, holder_duration_s
 from laburnumrock.ownership._elector import CoordinatorLease, LeaseElector
 from laburnumrock.ownership._holdings import PoolHoldings
@@ -15,11 +16,26 @@
     PoolAssignment,
     PoolAssignments,
     PoolOwner,
+    PoolSplit,
+)
+from laburnumrock.ownership._pools import (
+    MAX_SHARD_BITS,
+    MAX_SHARD_UPSTREAMS,
+    MODEL_POOL,
+    SERVICE_POOL,
+    PoolName,
+    find_shard_bits,
+    list_covering,
+    parse_pool_id,
+    share_upstreams,
+    split_shard,
+    whole_pool_id,
 )
-from laburnumrock.ownership._pools import MODEL_POOL, SERVICE_POOL, PoolName, parse_pool_id
 
 __all__ = [
     "MAX_CLOCK_DRIFT",
+    "MAX_SHARD_BITS",
+    "MAX_SHARD_UPSTREAMS",
     "MODEL_POOL",
     "SERVICE_POOL",
     "AssignmentRequest",
@@ -37,7 +53,13 @@
     "PoolHoldings",
     "PoolName",
     "PoolOwner",
+    "PoolSplit",
     "choose_owner",
     "holder_duration_s",
+    "find_shard_bits",
+    "list_covering",
     "parse_pool_id",
+    "share_upstreams",
+    "split_shard",
+    "whole_pool_id",
 ]
--- a/laburnumrock/ownership/_holdings.py
+++ b/laburnumrock/ownership/_holdings.py
@@ -7,6 +7,7 @@
     HeldPool,
     PoolAssignments,
     PoolOwner,
+    PoolSplit,
 )
 
 REQUESTS_PER_ASSIGNMENT = 5
@@ -43,6 +44,7 @@
         self.ends_s: dict[str, float] = {}
         self.released: dict[str, HeldPool] = {}
         self.released_at: dict[str, int] = {}
+        self.splits: dict[str, int] = {}
         self.pending: dict[int, tuple[str, float]] = {}
 
     def epoch(self, pool_id: str, now_s: float) -> int | None:
@@ -72,6 +74,16 @@
             self.released[pool_id] = held
             self.released_at[pool_id] = self.sequence
 
+    def split(self, pool_id: str, depth: int) -> None:
+        """Give a pool back so that ``2 ** depth`` shards take its place.
+
+        The shards get owners only after the coordinator knows of the release, as in any hand-over.
+        """
+        self.release(pool_id)
+        if pool_id in self.released:
+            self.splits[pool_id] = depth
+            self.ask_now()
+
     def release_all(self) -> None:
         """Give all pools back and accept no other ones."""
         self.accepting = False
@@ -120,6 +132,7 @@
             sorted(wanted),
             self.version,
             period_s,
+            [PoolSplit(pool_id, depth) for pool_id, depth in self.splits.items()],
         )
         return [Send(coordinator, request)]
 
@@ -165,6 +178,9 @@
             self.owners = message.owners
             self.version = message.version
             self._drop_lost_pools(now_s)
+        for pool_id in message.give_back:
+            self.release(pool_id)
+            self.ask_now()
         return []
 
     def _drop_lost_pools(self, now_s: float) -> None:
@@ -181,6 +197,7 @@
             if sequence <= self.sequence - MAX_PENDING_REQUESTS:
                 del self.released_at[pool_id]
                 del self.released[pool_id]
+                self.splits.pop(pool_id, None)
 
     def _take(self, pool_id: str, epoch: int, validity_s: float, sent_s: float) -> None:
         released = self.released.get(pool_id)
@@ -188,6 +205,7 @@
             return
         self.released.pop(pool_id, None)
         self.released_at.pop(pool_id, None)
+        self.splits.pop(pool_id, None)
         held = self.held.get(pool_id)
         if held is not None and epoch < held.epoch:
             return
--- a/laburnumrock/ownership/_messages.py
+++ b/laburnumrock/ownership/_messages.py
@@ -69,6 +69,14 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class PoolSplit:
+    """A pool that shall be replaced by ``2 ** depth`` shards."""
+
+    pool_id: str
+    depth: int
+
+
 @register_message
 @dataclass(frozen=True, slots=True)
 class AssignmentRequest:
@@ -90,6 +98,8 @@
         Version of the owner map that the sender has.
     period_s : float, optional
         Time until the sender's next request; without it, that of an owner.
+    splits : list of PoolSplit
+        Released pools that have more upstreams than one owner should have.
     """
 
     sequence: int
@@ -100,6 +110,7 @@
     wanted: list[str] = field(default_factory=list)
     known_version: int = 0
     period_s: float | None = None
+    splits: list[PoolSplit] = field(default_factory=list)
 
 
 @register_message
@@ -152,6 +163,8 @@
         Version of the owner map.
     owners : dict from pool id to PoolOwner, optional
         Owner map of the failure domain; left out when the receiver has this version.
+    give_back : list of str
+        Pools that the receiver shall release, since it owns more than its part.
     """
 
     sequence: int
@@ -159,3 +172,4 @@
     assignments: list[PoolAssignment]
     version: int
     owners: dict[str, PoolOwner] | None = None
+    give_back: list[str] = field(default_factory=list)
--- a/laburnumrock/ownership/_pools.py
+++ b/laburnumrock/ownership/_pools.py
@@ -1,10 +1,14 @@
 """Names of pools."""
 
-from dataclasses import dataclass
+import hashlib
+from dataclasses import dataclass, replace
+from functools import lru_cache
 from urllib.parse import quote, unquote
 
 MODEL_POOL = "model"
 SERVICE_POOL = "service"
+MAX_SHARD_UPSTREAMS = 32
+MAX_SHARD_BITS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,22 +23,27 @@
         ``model`` or ``service``.
     served : tuple of str
         Models or services that every upstream of the pool serves, sorted.
+    shard : str
+        Leading bits of the upstreams' hashes, such as ``01``; empty for a whole pool.
 
     Notes
     -----
     An upstream with several models belongs to one pool, named after all of them, since two owners
-    must not grant the same memory.
+    must not grant the same memory. A shard that is split gives way to those whose bits begin with
+    its own. Two shards share upstreams only if the bits of one begin with those of the other.
     """
 
     failure_domain: str
     kind: str
     served: tuple[str, ...]
+    shard: str = ""
 
     @property
     def pool_id(self) -> str:
         """Text form, such as ``a/model/quote+survey``."""
         served = "+".join(quote(name, safe="") for name in sorted(self.served))
-        return f"{quote(self.failure_domain, safe='')}/{self.kind}/{served}"
+        pool_id = f"{quote(self.failure_domain, safe='')}/{self.kind}/{served}"
+        return f"{pool_id}/{self.shard}" if self.shard else pool_id
 
 
 def parse_pool_id(pool_id: str) -> PoolName:
@@ -56,7 +65,43 @@
         If the text is not a pool id.
     """
     parts = pool_id.split("/")
-    if len(parts) != 3 or parts[1] not in (MODEL_POOL, SERVICE_POOL):
+    shard = parts[3] if len(parts) == 4 else ""
+    is_shard = len(parts) == 3 or (0 < len(shard) <= MAX_SHARD_BITS and set(shard) <= {"0", "1"})
+    if len(parts) not in (3, 4) or not is_shard or parts[1] not in (MODEL_POOL, SERVICE_POOL):
         raise ValueError(f"not a pool id: {pool_id!r}")
     served = tuple(unquote(name) for name in parts[2].split("+"))
-    return PoolName(unquote(parts[0]), parts[1], served)
+    return PoolName(unquote(parts[0]), parts[1], served, shard)
+
+
+@lru_cache(maxsize=4_096)
+def find_shard_bits(upstream_id: str) -> str:
+    """Return the hash bits of an upstream, which never change."""
+    digest = hashlib.blake2b(upstream_id.encode(), digest_size=MAX_SHARD_BITS // 8).digest()
+    return f"{int.from_bytes(digest, 'big'):0{MAX_SHARD_BITS}b}"
+
+
+def list_covering(pool_id: str, upstream_id: str) -> list[str]:
+    """Return the ids of all possible shards of a pool that contain an upstream, largest first."""
+    bits = find_shard_bits(upstream_id)
+    return [pool_id, *(f"{pool_id}/{bits[:count]}" for count in range(1, MAX_SHARD_BITS + 1))]
+
+
+def split_shard(pool_id: str, depth: int) -> list[str]:
+    """Return the ids of the parts of a pool or shard that is split `depth` times."""
+    name = parse_pool_id(pool_id)
+    return [
+        replace(name, shard=f"{name.shard}{part:0{depth}b}").pool_id for part in range(2**depth)
+    ]
+
+
+def whole_pool_id(pool_id: str) -> str:
+    """Return the id of the pool to which a shard belongs."""
+    return "/".join(pool_id.split("/", 3)[:3])
+
+
+def share_upstreams(first: str, second: str) -> bool:
+    """Return whether two different pool ids can contain the same upstream."""
+    if first == second or whole_pool_id(first) != whole_pool_id(second):
+        return False
+    shards = first[len(whole_pool_id(first)) + 1 :], second[len(whole_pool_id(second)) + 1 :]
+    return shards[0].startswith(shards[1]) or shards[1].startswith(shards[0])
--- a/laburnumrock/ownership/tests/simulation.py
+++ b/laburnumrock/ownership/tests/simulation.py
@@ -13,14 +13,30 @@
     PoolAssigner,
     PoolAssignments,
     PoolHoldings,
+    list_covering,
+    parse_pool_id,
+    share_upstreams,
 )
 
 LEASE_S = 2.0
 ASSIGNMENT_S = 1.0
 TICK_S = 0.05
+UPSTREAMS = ("e1", "e2", "e3", "e4")
+"""Must be in exactly one owned shard of each pool."""
 POOLS = ("a/model/x", "a/model/y", "a/model/z")
 
 
+def find_wanted(owners):
+    """Return the largest ownerless shards that contain the upstreams, as entries want them."""
+    wanted = set()
+    for pool_id, upstream_id in itertools.product(POOLS, UPSTREAMS):
+        covering = list_covering(pool_id, upstream_id)
+        if not owners.keys() & covering:
+            free = (x for x in covering if not any(share_upstreams(x, y) for y in owners))
+            wanted.add(next(free))
+    return wanted
+
+
 class OwnershipViolatedError(AssertionError):
     """Two owners, two coordinators, or an epoch that does not grow."""
 
@@ -90,6 +106,7 @@
         self.epochs = {}
         self.terms = 0
         self.handovers = 0
+        self.splits = 0
         self.nodes = {
             name: Node(name, self._rate(), self.rng.uniform(0, 100)) for name in self.names
         }
@@ -115,7 +132,7 @@
         if not node.alive or self.now_s < node.frozen_until_s:
             return
         now_s = node.local(self.now_s)
-        node.holdings.wanted = {pool for pool in POOLS if pool not in node.holdings.owners}
+        node.holdings.wanted = find_wanted(node.holdings.owners)
         self.send(node, node.elector.tick(now_s))
         self.send(node, node.holdings.tick(now_s, node.elector.find_coordinator(now_s)))
         if node.release_at_s is not None and now_s >= node.release_at_s:
@@ -178,6 +195,12 @@
             for other in running:
                 if other is not node and other.owned_until_s(pool_id) > self.now_s:
                     self.fail(f"owners {node.name} and {other.name} of {pool_id}")
+                for second in other.holdings.held:
+                    if (
+                        share_upstreams(pool_id, second)
+                        and other.owned_until_s(second) > self.now_s
+                    ):
+                        self.fail(f"{node.name} owns {pool_id} and {other.name} {second}")
             self._check_epoch(node, pool_id)
 
     def _check_epoch(self, node, pool_id):
@@ -192,12 +215,13 @@
     def fail(self, text):
         raise OwnershipViolatedError(f"seed {self.seed}, {self.now_s:.3f} s: {text}")
 
-    def owners(self, pool_id):
-        """Return the live processes that own a pool now."""
+    def owners(self, pool_id, upstream_id=UPSTREAMS[0]):
+        """Return the live processes that own an upstream of a pool now."""
         return [
             node
             for node in self.nodes.values()
-            if node.alive and node.owned_until_s(pool_id) > self.now_s
+            for covering in list_covering(pool_id, upstream_id)
+            if node.alive and node.owned_until_s(covering) > self.now_s
         ]
 
     def coordinator(self):
@@ -217,7 +241,9 @@
             if when_s >= until_s:
                 break
             self.run(when_s)
-            self.rng.choice([self.kill, self.kill, self.freeze, self.partition, self.stop])()
+            self.rng.choice(
+                [self.kill, self.kill, self.freeze, self.partition, self.stop, self.split]
+            )()
         self.run(until_s)
         self.slow = 0.0
         self.cut.clear()
@@ -260,6 +286,20 @@
                     if not one_way:
                         self.cut[receiver, sender] = until_s
 
+    def split(self):
+        """Split a shard, as the pool task does it when the shard has too many upstreams."""
+        running = [
+            (node.name, pool_id)
+            for node in self.nodes.values()
+            if node.alive and self.now_s >= node.frozen_until_s
+            for pool_id in node.holdings.owned_pools(node.local(self.now_s))
+            if len(parse_pool_id(pool_id).shard) < 3
+        ]
+        if running:
+            name, pool_id = self.rng.choice(sorted(running))
+            self.nodes[name].holdings.split(pool_id, self.rng.randint(1, 2))
+            self.splits += 1
+
     def stop(self):
         """Begin a planned stop, as the ownership task does it."""
         node = self.pick()
--- a/laburnumrock/ownership/tests/test_ownership.py
+++ b/laburnumrock/ownership/tests/test_ownership.py
@@ -1,10 +1,13 @@
 """Proof by seeded failure schedules that a pool has at most one owner."""
 
+import itertools
+
 import pytest
 
 from laburnumrock.ownership import PoolName, _elector, _holdings, choose_owner, parse_pool_id
 from laburnumrock.ownership.tests.simulation import (
     POOLS,
+    UPSTREAMS,
     OwnershipViolatedError,
     Simulation,
 )
@@ -47,24 +50,37 @@
     node.assigner.stop = stop_without_wait
 
 
-FAULTY = [_grant_after_restart, _move_without_wait, _count_from_receipt, _release_lease_early]
+def _ignore_overlaps(node):
+    node.assigner._find_overlaps = lambda pool_id: []
+
+
+FAULTY = [
+    _ignore_overlaps,
+    _grant_after_restart,
+    _move_without_wait,
+    _count_from_receipt,
+    _release_lease_early,
+]
 
 
 class TestOwnership:
     @pytest.mark.parametrize("batch", range(BATCHES))
     def test_one_owner_under_faults_and_recovery_after_them(self, batch):
         """Guards against two owners or coordinators, and pools that stay without an owner."""
-        handovers = 0
+        handovers = splits = 0
         for seed in range(batch * SCHEDULES_PER_BATCH, (batch + 1) * SCHEDULES_PER_BATCH):
             simulation = Simulation(seed, count=3 if seed % 4 == 0 else 5)
             simulation.run(4.0)
             simulation.run_faults(4.0 + FAULTS_S)
             simulation.run(4.0 + FAULTS_S + QUIET_S)
-            owners = [len(simulation.owners(pool_id)) for pool_id in POOLS]
-            assert owners == [1, 1, 1], f"seed {seed}"
+            for pool_id, upstream_id in itertools.product(POOLS, UPSTREAMS):
+                owners = [node.name for node in simulation.owners(pool_id, upstream_id)]
+                assert len(owners) == 1, f"seed {seed}: {upstream_id} of {pool_id}: {owners}"
             handovers += simulation.handovers
-        # Schedules in which pools never move would prove nothing.
+            splits += simulation.splits
+        # Schedules in which pools never move or split would prove nothing.
         assert handovers > SCHEDULES_PER_BATCH
+        assert splits > SCHEDULES_PER_BATCH / 2
 
     @pytest.mark.parametrize("prepare", FAULTY)
     def test_schedules_find_a_missing_wait(self, prepare):
@@ -100,6 +116,25 @@
                 for node in simulation.nodes.values()
             ), f"seed {seed}"
 
+    def test_pools_move_to_an_instance_that_joins(self):
+        """Guards against owners that keep clearly more than their part, and endless moves."""
+        simulation = Simulation(5, count=3)
+        simulation.nodes["a2"].alive = False
+        simulation.run(6.0)
+        owners = {pool_id: simulation.owners(pool_id)[0].name for pool_id in POOLS}
+        crowded = max(owners.values(), key=list(owners.values()).count)
+        for pool_id, owner in owners.items():
+            if owner == crowded:
+                simulation.nodes[owner].holdings.split(pool_id, 1)
+        simulation.restart(simulation.nodes["a2"])
+        simulation.run(20.0)
+        names = {name: node.holdings.held for name, node in simulation.nodes.items()}
+        counts = [len(held) for held in names.values()]
+        assert max(counts) - min(counts) < 2
+        moved = simulation.handovers
+        simulation.run(30.0)
+        assert simulation.handovers == moved
+
     def test_pool_has_a_new_owner_within_three_seconds(self):
         """Guards against a wait after the death of owner and coordinator that exceeds 3 s."""
         for seed in range(40):
@@ -118,8 +153,12 @@
         """Guards against model names that collide with the separators of a pool id."""
         name = PoolName("a/1", "model", ("x+y", "z/ü"))
         assert parse_pool_id(name.pool_id) == name
+        shard = PoolName("a/1", "model", ("x+y", "z/ü"), "01")
+        assert parse_pool_id(shard.pool_id) == shard
 
-    @pytest.mark.parametrize("text", ["", "a/b", "a/other/x", "a/model/x/y"])
+    @pytest.mark.parametrize(
+        "text", ["", "a/b", "a/other/x", "a/model/x/y", "a/model/x/", "a/model/x/0/1"]
+    )
     def test_other_text_is_refused(self, text):
         """Guards against a pool id from another process that is taken as valid."""
         with pytest.raises(ValueError, match="not a pool id"):
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -115,6 +115,10 @@
             return self.take_over_until_s
         return now_s + IDLE_TICK_S
 
+    def has_spanning(self) -> bool:
+        """Return whether a permit needs several upstreams."""
+        return any(len(one.grant.placements) > 1 for one in self.book.permits.values())
+
     def observe_upstream(self, announcement: UpstreamAnnouncement, now_s: float) -> list[Effect]:
         """Take an announcement into account and grant what fits now."""
         ledger = self.table.get_or_add(announcement.upstream_id)
