--- a/laburnumrock/cli/_app.py
+++ b/laburnumrock/cli/_app.py
@@ -16,6 +16,7 @@
     "laburnumrock.cli._service_states",
     "laburnumrock.cli._control",
     "laburnumrock.cli._request",
+    "laburnumrock.standins._load",
 )
 # An instance answers after 5 s that the log cannot take a change; a shorter wait loses its reason.
 DEFAULT_TIMEOUT_S = 8.0
