--- a/laburnumrock/daemon/_pool_runner.py
+++ b/laburnumrock/daemon/_pool_runner.py
@@ -1,15 +1,26 @@
 """One pool that this instance owns."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from laburnumrock.messages import Effect
-from laburnumrock.ownership import MODEL_POOL, SERVICE_POOL, PoolName, parse_pool_id
+from laburnumrock.ownership import (
+    MAX_SHARD_BITS,
+    MAX_SHARD_UPSTREAMS,
+    MODEL_POOL,
+    SERVICE_POOL,
+    PoolName,
+    parse_pool_id,
+)
 from laburnumrock.placement import PoolScheduler, PoolSettings, PoolSummary
 from laburnumrock.settings import InstanceSettings
-from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
+from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind, compute_checksum
+
+TARGET_SHARD_UPSTREAMS = 24
+"""Mean size of new shards, below the maximum because hashes do not divide a pool evenly."""
 
 
 class ServiceStateView(Protocol):
@@ -31,6 +42,12 @@
     def tick(self, now_s: float) -> list[Effect]:
         """Handle time limits."""
 
+    def next_tick_s(self, now_s: float) -> float:
+        """Return the clock reading at which a tick is needed next."""
+
+    def has_spanning(self) -> bool:
+        """Return whether a permit or request needs several upstreams."""
+
     def observe_upstream(self, announcement: UpstreamAnnouncement, now_s: float) -> list[Effect]:
         """Take over an announcement."""
 
@@ -90,12 +107,15 @@
         What the scheduler was told.
     next_read_s : float
         When the list of held requests is read next; at once after a new incarnation.
+    checksum : int
+        Checksum of the announcement without its load.
     """
 
     announcement: UpstreamAnnouncement
     seen_s: float
     in_service: bool
     next_read_s: float = float("-inf")
+    checksum: int = 0
 
 
 @dataclass(slots=True)
@@ -139,7 +159,8 @@
         if seen is None or seen.in_service != in_service:
             # Set before the announcement, which can make the scheduler grant on the upstream.
             effects += self.scheduler.set_in_service(name, in_service, now_s)
-        fresh = SeenUpstream(announcement, now_s, in_service)
+        checksum = compute_checksum(announcement)
+        fresh = SeenUpstream(announcement, now_s, in_service, checksum=checksum)
         if seen is not None and seen.announcement.incarnation == announcement.incarnation:
             fresh.next_read_s = seen.next_read_s
         self.upstreams[name] = fresh
@@ -177,6 +198,27 @@
                 effects += self.scheduler.set_in_service(name, in_service, now_s)
         return effects
 
+    def next_tick_s(self, expiry_s: float, now_s: float) -> float:
+        """Return the clock reading at which the pool needs attention next, in seconds."""
+        due_s = self.scheduler.next_tick_s(now_s)
+        for seen in self.upstreams.values():
+            due_s = min(due_s, seen.seen_s + expiry_s)
+            if seen.announcement.kind is UpstreamKind.MODEL_ENGINE:
+                due_s = min(due_s, seen.next_read_s)
+        return due_s
+
+    def split_depth(self) -> int:
+        """Return how often the pool must be split; 0 while it is small enough.
+
+        A permit for a spanning prompt must stay in one shard, so that a split waits for its end.
+        """
+        count = len(self.upstreams)
+        is_shardable = parse_pool_id(self.pool_id).kind == MODEL_POOL
+        if count <= MAX_SHARD_UPSTREAMS or not is_shardable or self.scheduler.has_spanning():
+            return 0
+        depth = max(1, math.ceil(math.log2(count / TARGET_SHARD_UPSTREAMS)))
+        return min(depth, MAX_SHARD_BITS - len(parse_pool_id(self.pool_id).shard))
+
     def due_reads(self, interval_s: float, now_s: float) -> list[UpstreamAnnouncement]:
         """Return the engines whose list of held requests is due to be read."""
         due = []
