--- a/examples/run_deployment.py
+++ b/examples/run_deployment.py
@@ -274,8 +274,10 @@
     check_ports(base_port)
     write_settings(work_folder, base_port, int(voters))
     commands = make_commands(work_folder, declared.unwrap(), base_port, time_factor)
-    # The default action of SIGTERM would leave the processes running.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # The default action of SIGTERM would leave the processes running, and a shell starts background
+    # jobs with SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     try:
         with run_processes(commands, work_folder) as running:
             wait_until_ready(commands, running, READY_TIMEOUT_S)
