Name the request in refusals that the command line prints

laburnumrock request printed the kind and the detail of a refusal, but not the id under which the logs have it.

--- a/laburnumrock/cli/_caller.py
+++ b/laburnumrock/cli/_caller.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
@@ -70,7 +70,7 @@
         try:
             document = json.loads(data)
             if name == "error":
-                self.failure = read_problem(document)
+                self.failure = _read_refusal(document)
             else:
                 self.on_text("".join(choice["text"] for choice in document["choices"]))
         except (ValueError, KeyError, TypeError, AttributeError):
@@ -177,7 +177,7 @@
     body = response.body if reader is None else b"".join(reader.body)
     if response.code >= 400:
         try:
-            return Err(read_problem(json.loads(body)))
+            return Err(_read_refusal(json.loads(body)))
         except (ValueError, AttributeError):
             return Err(Failure(ErrorKind.INTERNAL, f"status {response.code}"))
     if reader is None:
@@ -187,3 +187,12 @@
     if not reader.finished:
         return Err(Failure(ErrorKind.UPSTREAM_FAILED, "the stream ended without [DONE]"))
     return Ok(b"")
+
+
+def _read_refusal(document: dict) -> Failure:
+    """Build the failure of a problem document, with the id that the instances' logs have."""
+    failure = read_problem(document)
+    request_id = document.get("request_id")
+    if request_id is None:
+        return failure
+    return replace(failure, detail=f"{failure.detail} (request {request_id})")
--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -222,7 +222,9 @@
         assert (texts, reader.finished, reader.failure) == (["天光 "], True, None)
 
     def test_error_event_is_a_failure(self):
-        """Guards against a broken stream that counts as a complete answer."""
-        reader, _ = self._read(b'event: error\ndata: {"kind": "deadline_exceeded"}\n\n')
+        """Guards against a broken stream that counts as complete or is not found in the logs."""
+        document = b'{"kind": "deadline_exceeded", "detail": "late", "request_id": "r7"}'
+        reader, _ = self._read(b"event: error\ndata: " + document + b"\n\n")
         assert reader.failure.kind is ErrorKind.DEADLINE_EXCEEDED
+        assert reader.failure.detail == "late (request r7)"
         assert not reader.finished
