--- /dev/null
+++ b/benchmarks/slope_relay.py
@@ -0,0 +1,203 @@
+"""Slopes of the HTTP side of an entry process: announcements and relay of tokens."""
+
+import asyncio
+import http.client
+import itertools
+import json
+import socket
+import statistics
+import time
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+from control_cost import read_cpu_s
+from slope_fit import Slope, fit_slope
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from laburnumrock.gateway._announcements import AnnouncementsHandler
+from laburnumrock.messages import to_plain
+from laburnumrock.scenarios import DeploymentPlan, ProcessGroup, run_deployment
+
+ANNOUNCEMENTS = (200, 400, 600, 800)
+TOKENS = (50, 100, 200, 400)
+STREAMS = (4, 8, 16, 32)
+FIT_STREAMS = 16
+STREAM_TOKENS = 200
+PROMPT = "word " * 200
+PERCENTILE = 95
+ACCOUNT = "bench"
+READ_BYTES = 65_536
+CHUNK = b"data: "
+
+
+def measure_http() -> list[Slope]:
+    """Return the processor time of announcements over HTTP, each on a new connection."""
+    values = [asyncio.run(serve_announcements(count)) for count in ANNOUNCEMENTS]
+    return [fit_slope("announcement over HTTP", "us/announcement", ANNOUNCEMENTS, values)]
+
+
+async def serve_announcements(count: int) -> float:
+    settings = SimpleNamespace(failure_domain="a", max_body_bytes=1 << 20)
+    services = SimpleNamespace(settings=settings, announce=lambda announcement: None)
+    app = Application(
+        [("/u", AnnouncementsHandler, {"services": services})], log_function=lambda handler: None
+    )
+    server = HTTPServer(app)
+    listening = socket.create_server(("127.0.0.1", 0))
+    listening.setblocking(False)
+    server.add_sockets([listening])
+    port = listening.getsockname()[1]
+    started_ns = time.thread_time_ns()
+    await asyncio.to_thread(post_announcements, port, count)
+    spent_us = (time.thread_time_ns() - started_ns) / 1e3
+    server.stop()
+    return spent_us
+
+
+def post_announcements(port: int, count: int) -> None:
+    from slope_control import make_announcement
+
+    body = json.dumps(to_plain(make_announcement()))
+    for _ in range(count):
+        connection = http.client.HTTPConnection("127.0.0.1", port)
+        connection.request("POST", "/u", body)
+        answer = connection.getresponse()
+        if answer.status != 202:
+            raise RuntimeError(f"announcement refused: {answer.status} {answer.read()!r}")
+        connection.close()
+
+
+@dataclass(slots=True)
+class StreamTimes:
+    """What one stream delivered, by the client's clock."""
+
+    chunks: int
+    first_s: float
+    gaps_s: list[float]
+
+
+class RelayBench:
+    """Streams of tokens through an entry process, or straight from the engines."""
+
+    def __init__(self, group: ProcessGroup) -> None:
+        self.group = group
+        self.entry = next(iter(group.deployment.instances.values()))
+        self.engines = [one for one in group.deployment.upstreams.values() if one.is_engine]
+        self.numbers = itertools.count()
+
+    def declare(self) -> None:
+        """Declare the client account of the benchmark."""
+        template = {
+            "type": "template",
+            "client_account": ACCOUNT,
+            "model": "quote",
+            "limits": {"requests_per_s": 1e4, "tokens_per_s": 1e9, "concurrency": 10_000},
+            "deadlines": {"short_s": 60, "medium_s": 60, "long_s": 60},
+            "max_output_tokens": 10_000,
+        }
+        change = {"action": "put", "declaration": template}
+        body = {"request_id": "bench", "base_revision": 0, "changes": [change]}
+        answer = self.group.deployment.operate("changes", body)
+        if answer.status != 200:
+            raise RuntimeError(answer.body.decode())
+
+    async def run_streams(self, streams: int, tokens: int, direct: bool) -> list[StreamTimes]:
+        """Run streams at the same time."""
+        return await asyncio.gather(*(self.stream(tokens, direct) for _ in range(streams)))
+
+    async def stream(self, tokens: int, direct: bool) -> StreamTimes:
+        """Run one request and time its chunks."""
+        number = next(self.numbers)
+        prompt = f"call-{number} {PROMPT}"
+        headers = f"X-Client-Account: {ACCOUNT}\r\n"
+        body = {"prompt": prompt, "max_tokens": tokens, "stream": True}
+        port = self.entry.caller_port
+        if direct:
+            port = self.engines[number % len(self.engines)].port
+            body |= {"request_id": f"bench-{number}", "attempt": 1, "model": "quote"}
+        data = json.dumps(body).encode()
+        head = (
+            f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{headers}"
+            f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
+        )
+        started_s = time.monotonic()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head.encode() + data)
+        times = StreamTimes(0, 0.0, [])
+        last_s = started_s
+        received = b""
+        while part := await reader.read(READ_BYTES):
+            now_s = time.monotonic()
+            received = (received + part)[-4_000:]
+            count = part.count(CHUNK)
+            if count and not times.chunks:
+                times.first_s = now_s - started_s
+            elif count:
+                times.gaps_s += [(now_s - last_s) / count] * count
+            if count:
+                last_s = now_s
+            times.chunks += count
+        writer.close()
+        if b"[DONE]" not in received:
+            raise RuntimeError(f"stream of {times.chunks} chunks broke: {received[-300:]!r}")
+        return times
+
+    def read_entry_cpu_s(self) -> float:
+        """Return the processor time of the entry process."""
+        return read_cpu_s(self.group.processes[self.entry.name].process.pid)
+
+
+def find_p95_ms(values: list[float]) -> float:
+    return 1e3 * statistics.quantiles(values, n=100)[PERCENTILE - 1]
+
+
+def measure_relay() -> list[Slope]:
+    """Return the processor time per chunk, and delay and rate by number of streams."""
+    plan = DeploymentPlan(
+        ("a",), instances=1, voters=1, engines=8, application_engines=0, has_balancer=False
+    )
+    with run_deployment(plan, ready_timeout_s=60.0) as group:
+        bench = RelayBench(group)
+        bench.declare()
+        # The gates of the engines open with finished requests.
+        for _ in range(6):
+            asyncio.run(bench.run_streams(FIT_STREAMS, 10, direct=False))
+        return [fit_chunks(bench), *fit_streams(bench)]
+
+
+def fit_chunks(bench: RelayBench) -> Slope:
+    """Fit the time of the entry over the chunks of a request; at 0 is the rest of a request."""
+    values = []
+    for tokens in TOKENS:
+        before_s = bench.read_entry_cpu_s()
+        for _ in range(2):
+            asyncio.run(bench.run_streams(FIT_STREAMS, tokens, direct=False))
+        values.append((bench.read_entry_cpu_s() - before_s) * 1e6 / (2 * FIT_STREAMS))
+    return fit_slope("relayed request by chunks", "us/chunk", TOKENS, values)
+
+
+def fit_streams(bench: RelayBench) -> list[Slope]:
+    """Fit added delays and the use of the entry's core over the concurrent streams."""
+    first_ms, gap_ms, rates, cores = [], [], [], []
+    for streams in STREAMS:
+        direct = asyncio.run(bench.run_streams(streams, STREAM_TOKENS, direct=True))
+        started_s, before_s = time.monotonic(), bench.read_entry_cpu_s()
+        relayed = asyncio.run(bench.run_streams(streams, STREAM_TOKENS, direct=False))
+        elapsed_s = time.monotonic() - started_s
+        cores.append((bench.read_entry_cpu_s() - before_s) / elapsed_s * 100)
+        rates.append(sum(one.chunks for one in relayed) / elapsed_s)
+        first_ms.append(
+            find_p95_ms([one.first_s for one in relayed])
+            - find_p95_ms([one.first_s for one in direct])
+        )
+        gap_ms.append(
+            find_p95_ms([gap for one in relayed for gap in one.gaps_s])
+            - find_p95_ms([gap for one in direct for gap in one.gaps_s])
+        )
+    return [
+        fit_slope("added first token p95 by streams", "ms/stream", STREAMS, first_ms),
+        fit_slope("added gap p95 by streams", "ms/stream", STREAMS, gap_ms),
+        fit_slope("chunks a second by streams", "chunks/s/stream", STREAMS, rates),
+        fit_slope("core of the entry by streams", "%/stream", STREAMS, cores),
+    ]
