Answer at the deadline, honour drained instances and name start-up errors

Change: clean-up of an attempt goes on after the answer and counts as a running request, so that a planned stop waits for it; readiness follows the declarations; the other errors are reported as what they are. The gateway tests wait for the clean-up before they check it.

--- a/laburnumrock/daemon/__main__.py
+++ b/laburnumrock/daemon/__main__.py
@@ -6,10 +6,10 @@
 from pathlib import Path
 
 import click
-from result import Result
+from result import Err, Result
 
 from laburnumrock.daemon._instance import Instance
-from laburnumrock.errors import Failure
+from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.metrics import open_counters, open_log
 from laburnumrock.settings import InstanceSettings, load_settings, read_key
 
@@ -54,7 +54,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.request_stop)
-    return await instance.run()
+    try:
+        return await instance.run()
+    except OSError as error:
+        return Err(Failure(ErrorKind.INVALID_SETTINGS, f"cannot listen: {error.strerror}"))
 
 
 if __name__ == "__main__":
--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -22,6 +22,7 @@
 from laburnumrock.daemon._quota_task import QuotaTask
 from laburnumrock.daemon._quotas import QuotaClient
 from laburnumrock.daemon._replica import Replica
+from laburnumrock.declarations import ServiceKind
 from laburnumrock.errors import Failure
 from laburnumrock.gateway import (
     GatewayServices,
@@ -68,7 +69,7 @@
         counters: Counters,
     ) -> None:
         self.settings = settings
-        self.lifecycle = Lifecycle(settings.instance_id)
+        self.lifecycle = Lifecycle(settings.instance_id, self.is_in_service)
         self.stop_requested = asyncio.Event()
         self.network = PeerNetwork(settings, shared_key)
         self.log = LogTask(settings, self.network)
@@ -127,6 +128,11 @@
             operator_key=operator_key,
         )
 
+    def is_in_service(self) -> bool:
+        """Tell whether the declarations leave this instance in service."""
+        view = self.declarations.view
+        return view.is_in_service(ServiceKind.INSTANCE, self.settings.instance_id)
+
     def request_stop(self) -> None:
         """Begin the planned stop."""
         self.stop_requested.set()
--- a/laburnumrock/daemon/_lifecycle.py
+++ b/laburnumrock/daemon/_lifecycle.py
@@ -1,6 +1,7 @@
 """Life cycle of an instance as the chart ``instance.json`` describes it."""
 
 import asyncio
+from collections.abc import Callable
 
 from eliot import log_message
 
@@ -16,10 +17,13 @@
     ----------
     instance_id : str
         Name of the instance, for log lines.
+    is_in_service : callable
+        Tells whether operators want the instance in service.
     """
 
-    def __init__(self, instance_id: str) -> None:
+    def __init__(self, instance_id: str, is_in_service: Callable[[], bool]) -> None:
         self.instance_id = instance_id
+        self.is_in_service = is_in_service
         self.chart = load_chart("instance")
         self.running_requests = 0
 
@@ -35,7 +39,7 @@
 
     def is_ready(self) -> bool:
         """Whether the balancer may send new work."""
-        return self.state == "ready"
+        return self.state == "ready" and self.is_in_service()
 
     def accepts_work(self) -> bool:
         """Whether new work is accepted.
--- a/laburnumrock/daemon/_operator_access.py
+++ b/laburnumrock/daemon/_operator_access.py
@@ -71,6 +71,10 @@
 
     async def change_voter(self, action: str, instance_id: str) -> Result[dict, Failure]:
         """Add or remove a voter."""
+        known = [peer.instance_id for peer in self.log.settings.peers]
+        if instance_id not in known:
+            detail = f"no instance {instance_id!r} in the settings"
+            return Err(Failure(ErrorKind.NOT_FOUND, detail, field_path="instance_id"))
         changed = await self.log.change_voters(action, instance_id)
         return changed.map(lambda _: {"action": action, "instance_id": instance_id})
 
--- a/laburnumrock/errors/_kinds.py
+++ b/laburnumrock/errors/_kinds.py
@@ -130,8 +130,13 @@
     ErrorKind.IDEMPOTENCY_KEY_MISSING: _refuse(
         400, _VALIDATION, _CORRECT, "Idempotency-Key is required"
     ),
-    ErrorKind.IDEMPOTENCY_MISMATCH: _refuse(
-        422, _VALIDATION, RetryAdvice.NEVER, "Idempotency-Key was used with another request"
+    # The request was refused, but the other request with its key may have run.
+    ErrorKind.IDEMPOTENCY_MISMATCH: ErrorAnswer(
+        422,
+        _VALIDATION,
+        Outcome.REJECTED,
+        RetryAdvice.NEVER,
+        "Idempotency-Key was used with another request",
     ),
     ErrorKind.OPERATION_IN_PROGRESS: ErrorAnswer(
         409,
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -158,17 +158,22 @@
             async with asyncio.timeout(self._remaining_s()):
                 result = await self._call_unless_revoked(grant)
         except TimeoutError:
-            await self._abandon(grant, PermitOutcome.CANCELLED)
+            self._start_abandoning(grant, PermitOutcome.CANCELLED)
             return Err(Failure(ErrorKind.DEADLINE_EXCEEDED, retry_after_s=RETRY_AFTER_FAILURE_S))
         except asyncio.CancelledError:
-            await asyncio.shield(self._abandon(grant, PermitOutcome.CANCELLED))
+            self._start_abandoning(grant, PermitOutcome.CANCELLED)
             raise
         if result.is_ok():
             await release_segments(grant)
-            self._release(grant, PermitOutcome.FINISHED)
+            self._release(grant, PermitOutcome.FINISHED, self.attempt_first_token_s)
             return result
         self.excluded += [placement.upstream_id for placement in grant.placements]
-        await self._abandon(grant, _permit_outcome(result.unwrap_err()))
+        failure = result.unwrap_err()
+        if failure.kind is ErrorKind.UPSTREAM_REJECTED and len(grant.placements) == 1:
+            # The engine refused before any work; the owner must know before the next attempt.
+            self._release(grant, _permit_outcome(failure), None)
+        else:
+            self._start_abandoning(grant, _permit_outcome(failure))
         return result
 
     async def _call_unless_revoked(self, grant: PermitGrant) -> Result[None, Failure]:
@@ -208,19 +213,35 @@
         self.last_token_s = now_s
         await self.on_text(text)
 
+    def _start_abandoning(self, grant: PermitGrant, outcome: PermitOutcome) -> None:
+        """Abandon an attempt in the background, since a frozen engine must not delay the answer."""
+        task = asyncio.create_task(self._abandon(grant, outcome))
+        self.services.background.add(task)
+        task.add_done_callback(self.services.background.discard)
+
     async def _abandon(self, grant: PermitGrant, outcome: PermitOutcome) -> None:
-        """Free what the engines hold, then the permit."""
-        await asyncio.gather(
-            *(cancel_on_engine(item.base_url, grant.request_id) for item in grant.placements)
-        )
-        self._release(grant, outcome)
+        """Free what the engines hold, then the permit.
+
+        It counts as a running request, so that a planned stop waits for it.
+        """
+        first_token_s = self.attempt_first_token_s
+        self.services.lifecycle.count_request(1)
+        try:
+            await asyncio.gather(
+                *(cancel_on_engine(item.base_url, grant.request_id) for item in grant.placements)
+            )
+        finally:
+            self.services.lifecycle.count_request(-1)
+            self._release(grant, outcome, first_token_s)
 
-    def _release(self, grant: PermitGrant, outcome: PermitOutcome) -> None:
+    def _release(
+        self, grant: PermitGrant, outcome: PermitOutcome, first_token_s: float | None
+    ) -> None:
         self.services.permits.release(
             PermitRelease(
                 permit_id=grant.permit_id,
                 outcome=outcome,
-                first_token_s=self.attempt_first_token_s,
+                first_token_s=first_token_s,
                 output_tokens=self.assembler.next_index,
             )
         )
--- a/laburnumrock/gateway/_interfaces.py
+++ b/laburnumrock/gateway/_interfaces.py
@@ -93,6 +93,8 @@
         statsd counters.
     retries : RetryBudget
         Limit on the retries of this instance.
+    background : set of asyncio.Task
+        Clean-up that goes on after the answer.
     """
 
     settings: InstanceSettings
@@ -105,3 +107,4 @@
     histograms: HistogramRegistry
     counters: Counters
     retries: RetryBudget = field(default_factory=RetryBudget)
+    background: set[asyncio.Task] = field(default_factory=set)
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -89,8 +89,6 @@
             self._write_answer(result.unwrap())
 
     def _read_call(self, service_name: str, path_name: str) -> Result[ServiceCall, Failure]:
-        if not self.services.lifecycle.accepts_work():
-            return Err(Failure(ErrorKind.STOPPING, retry_after_s=1.0))
         template = identify_account(self.request.headers, self.services.declarations)
         if template.is_err():
             return template
@@ -128,6 +126,8 @@
         return Ok(key)
 
     async def _run(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
+        if not self.services.lifecycle.accepts_work():
+            return await self._refuse(call, Failure(ErrorKind.STOPPING, retry_after_s=1.0))
         account = call.template.client_account
         quota = await self.services.quotas.acquire(account, "", 0)
         if quota.is_err():
--- a/laburnumrock/gateway/tests/fakes.py
+++ b/laburnumrock/gateway/tests/fakes.py
@@ -220,6 +220,10 @@
             url, method="POST", body=data, headers=known, raise_error=False
         )
 
+    async def finish_clean_up(self):
+        """Wait for the clean-up that goes on after an answer."""
+        await asyncio.gather(*self.services.background)
+
     async def complete(self, prompt="a b", max_tokens=4, stream=True, **headers):
         body = {"prompt": prompt, "max_tokens": max_tokens, "stream": stream}
         return await self.post("/v1/completions", body, **headers)
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -42,6 +42,7 @@
                 assert read_text(answer) == WHOLE
                 assert engines[1].bodies[0]["resume_from"] == 2
                 assert gateway.permits.requests[1].excluded_upstreams == ["u1"]
+                await gateway.finish_clean_up()
                 assert engines[0].cancelled.is_set()
 
         asyncio.run(run())
@@ -89,6 +90,7 @@
             async with serving(engine) as gateway:
                 answer = await gateway.complete(X_Timeout_S="0.3")
                 assert b"deadline_exceeded" in answer.body
+                await gateway.finish_clean_up()
                 assert engine.cancelled.is_set()
                 assert gateway.permits.releases == [PermitOutcome.CANCELLED]
 
@@ -103,6 +105,7 @@
                 asyncio.get_running_loop().call_later(0.2, gateway.permits.revoked.set)
                 answer = await gateway.complete()
                 assert b"[DONE]" not in answer.body
+                await gateway.finish_clean_up()
                 assert engine.cancelled.is_set()
 
         asyncio.run(run())
