Add the book of engine orders and its cluster for seeded schedules

Cause: orders to engines had no durable owner, so a new controller could not know what was ordered. Measured: nothing on its own; the schedules run with the controller.

--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -22,7 +22,7 @@
 from laburnumrock.state import ReplicatedState, decode_message, discover_parts, encode_message
 
 # Every voter must have the same parts.
-PART_PACKAGES = ("laburnumrock.declarations", "laburnumrock.journal")
+PART_PACKAGES = ("laburnumrock.declarations", "laburnumrock.journal", "laburnumrock.orders")
 LOG_FOLDER = "log"
 PROPOSE_TIMEOUT_S = 5.0
 READ_TIMEOUT_S = 2.0
--- /dev/null
+++ b/laburnumrock/scenarios/_order_engine.py
@@ -0,0 +1,113 @@
+"""Engines that take orders under a virtual clock."""
+
+import random
+from dataclasses import dataclass, field
+
+from laburnumrock.orders import EngineListing, Order, OrderKind, ReplyStatus, SendReply
+from laburnumrock.scenarios._virtual import VirtualClock
+
+LOAD_S = (0.05, 0.6)
+
+
+@dataclass(slots=True)
+class OrderChecks:
+    """What must hold over all engines; raises AssertionError as soon as it does not.
+
+    Parameters
+    ----------
+    max_loads : int
+        Loads that may run at once.
+    positions : dict of str to int
+        Position of every recorded order in the log's order.
+    loads : set of (str, str)
+        Engine and order of the loads that run.
+    carried_out : int
+        Orders that engines began to carry out.
+    """
+
+    max_loads: int
+    positions: dict[str, int] = field(default_factory=dict)
+    loads: set[tuple[str, str]] = field(default_factory=set)
+    carried_out: int = 0
+
+    def begin(self, engine: "VirtualEngine", order: Order) -> None:
+        """Check that an order is neither older than the last one nor repeated."""
+        self.carried_out += 1
+        position = self.positions[order.order_id]
+        if position < engine.newest_position:
+            raise AssertionError(f"{engine.name} carries out {order.order_id} after a newer order")
+        engine.newest_position = position
+        if order.order_id in engine.accepted:
+            raise AssertionError(f"{engine.name} carries out {order.order_id} twice")
+        if order.kind.is_load:
+            self.loads.add((engine.name, order.order_id))
+            if len(self.loads) > self.max_loads:
+                raise AssertionError(f"{len(self.loads)} loads at once")
+
+
+class VirtualEngine:
+    """Engine that carries out whatever reaches it, unless it obeys fencing numbers.
+
+    Parameters
+    ----------
+    name : str
+        Upstream id.
+    obeys_fencing : bool
+        Whether it refuses old fencing numbers and repeated order ids.
+    clock, checks, source
+        Virtual surroundings.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        obeys_fencing: bool,
+        clock: VirtualClock,
+        checks: OrderChecks,
+        source: random.Random,
+    ) -> None:
+        self.name = name
+        self.obeys_fencing = obeys_fencing
+        self.clock = clock
+        self.checks = checks
+        self.source = source
+        self.incarnation = 0
+        self.newest_position = -1
+        self.restart()
+
+    def restart(self) -> None:
+        """Start a new process that remembers nothing."""
+        self.incarnation += 1
+        self.highest_fencing_number = 0
+        self.accepted: dict[str, Order] = {}
+        self.loaded: dict[str, list[str]] = {kind: [] for kind in OrderKind}
+        self.checks.loads = {load for load in self.checks.loads if load[0] != self.name}
+
+    def list_orders(self) -> EngineListing:
+        """Answer ``GET /v1/orders``."""
+        loaded = {kind: list(names) for kind, names in self.loaded.items()}
+        return EngineListing(self.name, True, loaded, list(self.accepted))
+
+    def receive(self, order: Order, fencing_number: int) -> SendReply:
+        """Answer ``POST /v1/orders``."""
+        if self.obeys_fencing:
+            if fencing_number < self.highest_fencing_number:
+                return SendReply(self.name, order.order_id, ReplyStatus.FENCED)
+            self.highest_fencing_number = fencing_number
+            if order.order_id in self.accepted:
+                return SendReply(self.name, order.order_id, ReplyStatus.ACCEPTED)
+        self.checks.begin(self, order)
+        self.accepted[order.order_id] = order
+        incarnation = self.incarnation
+        self.clock.after(self.source.uniform(*LOAD_S), lambda: self._finish(order, incarnation))
+        return SendReply(self.name, order.order_id, ReplyStatus.ACCEPTED)
+
+    def _finish(self, order: Order, incarnation: int) -> None:
+        if incarnation != self.incarnation:
+            return
+        self.checks.loads.discard((self.name, order.order_id))
+        names = self.loaded[order.kind]
+        if order.kind is OrderKind.CHANGE_ROLE:
+            names.clear()
+        if order.target not in names:
+            names.append(order.target)
--- a/laburnumrock/settings/__init__.py
+++ b/laburnumrock/settings/__init__.py
@@ -3,6 +3,7 @@
 from laburnumrock.settings._instance import (
     InstanceSettings,
     ListenSettings,
+    OrderSettings,
     PeerSettings,
     StatsdSettings,
     TimingSettings,
@@ -12,6 +13,7 @@
 __all__ = [
     "InstanceSettings",
     "ListenSettings",
+    "OrderSettings",
     "PeerSettings",
     "StatsdSettings",
     "TimingSettings",
--- a/laburnumrock/settings/_instance.py
+++ b/laburnumrock/settings/_instance.py
@@ -131,6 +131,28 @@
         return self
 
 
+class OrderSettings(StrictModel):
+    """Limits and knowledge of the controller of engine orders.
+
+    Parameters
+    ----------
+    max_loads : int, > 0
+        Loads that may read from the weight store at once.
+    loads_per_s : float, > 0
+        Mean rate of loads from the weight store.
+    load_burst : float, >= 1
+        Loads that may start at once after a pause.
+    fencing_upstreams : list of str
+        Engines that are known to refuse an order with an old fencing number. A new controller
+        waits before it orders any other engine.
+    """
+
+    max_loads: int = Field(default=2, gt=0)
+    loads_per_s: float = Field(default=0.5, gt=0)
+    load_burst: float = Field(default=2.0, ge=1)
+    fencing_upstreams: list[str] = []
+
+
 class InstanceSettings(StrictModel):
     """Settings of one instance.
 
@@ -158,6 +180,8 @@
         File for eliot log lines; standard error when absent.
     max_body_bytes : int, > 0
         Largest accepted HTTP body.
+    orders : OrderSettings
+        Limits of the controller of engine orders; the same on all voters.
     """
 
     instance_id: str = Field(min_length=1)
@@ -173,6 +197,7 @@
     statsd: StatsdSettings | None = None
     log_file: Path | None = None
     max_body_bytes: int = Field(default=16 * 1024 * 1024, gt=0)
+    orders: OrderSettings = OrderSettings()
 
     @model_validator(mode="after")
     def _check_peers(self) -> "InstanceSettings":
