--- a/laburnumrock/cli/_app.py
+++ b/laburnumrock/cli/_app.py
@@ -16,6 +16,7 @@
     "laburnumrock.cli._service_states",
     "laburnumrock.cli._control",
     "laburnumrock.cli._request",
+    "laburnumrock.cli._orders",
 )
 
 _HELP = f"""Operate laburnumrock and send requests to it.
--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -104,6 +104,15 @@
         assert json.loads(shell.run("validate", shell.folder, "--json")[1])["templates"] == 1
 
 
+class TestOrderCommands:
+    def test_add_and_list(self, shell):
+        """Guards against an order that names another engine, kind or target than was typed."""
+        add = ("orders", "add", "e1", "load_model", "review", "--request-id", "o1")
+        assert shell.run(*add) == (0, "order o1 is recorded\n")
+        assert shell.run("orders", "list") == (0, "o1 e1 load_model review: recorded\n")
+        assert shell.run("orders", "list", "--upstream", "e2") == (0, "")
+
+
 class TestServiceStateCommands:
     def test_drain_and_restore(self, shell):
         """Guards against a drain that is lost, or repeated as a new revision."""
--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -14,6 +14,7 @@
 from laburnumrock.daemon._membership_task import MembershipTask
 from laburnumrock.daemon._operations import OperationClient
 from laburnumrock.daemon._operator_access import OperationDesk, StatusDesk, VoterDesk
+from laburnumrock.daemon._order_task import OrderTask
 from laburnumrock.daemon._ownership_task import OwnershipTask
 from laburnumrock.daemon._permits import PermitClient
 from laburnumrock.daemon._pool_directory import PoolDirectory
@@ -97,6 +98,8 @@
         self.membership.digest_handlers.append(self.quota_keeping.receive_digest)
         self.quotas = QuotaClient(settings, self.network, self.ownership)
         self.operations = OperationClient(settings, self.log)
+        self.orders = OrderTask(settings, self.network, self.log)
+        self.pools.announcement_listeners.append(self.orders.observe)
         self.services = GatewayServices(
             settings=settings,
             declarations=view,
@@ -112,6 +115,7 @@
             declarations=self.declarations,
             operations=OperationDesk(self.operations),
             voters=VoterDesk(self.log),
+            orders=self.orders,
             status=StatusDesk(
                 settings, self.lifecycle, self.log, self.ownership, self.directory, view
             ),
@@ -145,6 +149,7 @@
                 self.quota_keeping,
                 self.quotas,
                 self.operations,
+                self.orders,
             ):
                 await stack.enter_async_context(run_task(task))
             server = self._serve()
--- /dev/null
+++ b/laburnumrock/daemon/_order_task.py
@@ -0,0 +1,145 @@
+"""Task of the orders to engines."""
+
+import asyncio
+import time
+from collections.abc import Awaitable
+
+from eliot import log_message
+from result import Err, Ok, Result
+
+from laburnumrock.daemon._log_task import LogTask
+from laburnumrock.daemon._order_calls import OrderCalls
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.messages import Effect, to_plain
+from laburnumrock.orders import (
+    AddOrder,
+    EngineSighting,
+    ListOrders,
+    OrderAnswer,
+    OrderController,
+    OrderKind,
+    ProposeMark,
+    ReadEngine,
+    SendOrder,
+)
+from laburnumrock.orders._controller import CALL_TIMEOUT_S
+from laburnumrock.settings import InstanceSettings
+from laburnumrock.transport import PeerNetwork
+from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
+
+TICK_S = 0.1
+# A voter that missed a sighting, or started later, learns of an engine after this time at most.
+SIGHTING_PERIOD_S = 10.0
+PROPOSE_TIMEOUT_S = 2.0
+PART = "orders"
+
+
+class OrderTask:
+    """Reports engines to the voters, and orders them while this instance leads the log.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+    network : PeerNetwork
+        Links to the other instances.
+    log : LogTask
+        Replicated log with the order book.
+    """
+
+    def __init__(self, settings: InstanceSettings, network: PeerNetwork, log: LogTask) -> None:
+        self.settings = settings
+        self.network = network
+        self.log = log
+        self.controller = OrderController(settings.orders, log.state.parts[PART])
+        self.calls = OrderCalls(CALL_TIMEOUT_S)
+        self.reported: dict[str, tuple[EngineSighting, float]] = {}
+        self.running: set[asyncio.Task] = set()
+        self.task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Take sightings, and order engines on the leader."""
+        if self.log.runner is not None:
+            self.network.handle(EngineSighting, self._receive)
+            self.task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop; the next leader goes on."""
+        tasks = [*self.running, *([self.task] if self.task is not None else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.calls.close()
+
+    def observe(self, announcement: UpstreamAnnouncement) -> None:
+        """Tell the voters where an engine of an owned pool listens."""
+        if announcement.kind is not UpstreamKind.MODEL_ENGINE:
+            return
+        name = announcement.upstream_id
+        sighting = EngineSighting(name, announcement.incarnation, announcement.base_url)
+        now_s = time.monotonic()
+        known, reported_s = self.reported.get(name, (None, 0.0))
+        if known == sighting and now_s < reported_s + SIGHTING_PERIOD_S:
+            return
+        self.reported[name] = (sighting, now_s)
+        for voter in self.settings.voters():
+            self.network.send(voter.instance_id, sighting)
+
+    async def add_order(
+        self, order_id: str, upstream_id: str, kind: str, arguments: dict[str, str]
+    ) -> Result[dict[str, object], Failure]:
+        """Record an order; a resend with the same id returns the recorded order."""
+        command = AddOrder(order_id, upstream_id, OrderKind(kind), arguments)
+        answer = await self.log.propose(command)
+        return answer.and_then(_describe)
+
+    async def list_orders(self, upstream_id: str | None) -> Result[dict[str, object], Failure]:
+        """Return the newest orders, oldest first."""
+        found = await self.log.read_part(PART, ListOrders(upstream_id))
+        return found.map(to_plain)
+
+    def certain_term(self) -> int | None:
+        """Return the term in which this instance certainly leads now."""
+        return self.log.term if self.log.is_leader else None
+
+    async def _run(self) -> None:
+        while True:
+            now_s = time.monotonic()
+            self.controller.lead(self.certain_term(), now_s)
+            for effect in self.controller.tick(now_s):
+                self._spawn(self._carry_out(effect))
+            await asyncio.sleep(TICK_S)
+
+    async def _carry_out(self, effect: Effect) -> None:
+        if isinstance(effect, ProposeMark):
+            await self.log.propose(effect.command, PROPOSE_TIMEOUT_S)
+            self.controller.finish_proposal(effect.upstream_id)
+            return
+        if isinstance(effect, ReadEngine):
+            answer = await self.calls.read(effect)
+        elif isinstance(effect, SendOrder):
+            answer = await self.calls.send(
+                effect, lambda: self.certain_term() == effect.fencing_number
+            )
+            log_message(
+                "engine_order_sent",
+                order=effect.order.order_id,
+                upstream=effect.upstream_id,
+                status=answer.status,
+                detail=answer.detail,
+            )
+        self._receive(effect.upstream_id, answer)
+
+    def _receive(self, sender: str, message: object) -> None:
+        self.controller.receive(sender, message, time.monotonic())
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.create_task(work)
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+
+
+def _describe(answer: OrderAnswer) -> Result[dict[str, object], Failure]:
+    if not answer.accepted:
+        return Err(Failure(ErrorKind.INVALID_REQUEST, answer.detail))
+    return Ok(to_plain(answer.order))
--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from eliot import log_message
 
@@ -76,6 +77,7 @@
         self.make_scheduler = make_scheduler
         self.runners: dict[str, PoolRunner] = {}
         self.engines = EngineCalls(settings.timing.connect_timeout_s)
+        self.announcement_listeners: list[Callable[[UpstreamAnnouncement], None]] = []
         self.next_summary_s = 0.0
         self.task: asyncio.Task | None = None
 
@@ -206,6 +208,8 @@
         now_s = time.monotonic()
         runner = self._find_runner(find_pool_id(message), now_s)
         if runner is not None:
+            for listener in self.announcement_listeners:
+                listener(message)
             self._carry_out(runner, runner.observe(message, self.view, now_s))
 
     def _receive_request(self, sender: str, message: PermitRequest) -> None:
--- a/laburnumrock/gateway/_operator.py
+++ b/laburnumrock/gateway/_operator.py
@@ -14,6 +14,7 @@
 )
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._operator_base import OperatorHandler
+from laburnumrock.gateway._operator_orders import OrdersHandler
 from laburnumrock.gateway._operator_services import OperatorServices
 from laburnumrock.messages import to_plain
 
@@ -249,6 +250,7 @@
         (operation, OperationHandler),
         (operation + "/reconcile", ReconcileHandler),
         ("/voters", VotersHandler),
+        ("/orders", OrdersHandler),
         ("/.*", UnknownPathHandler),
     ]
     return [(PREFIX + path, handler, arguments) for path, handler in table]
--- a/laburnumrock/gateway/_operator_services.py
+++ b/laburnumrock/gateway/_operator_services.py
@@ -58,6 +58,18 @@
         """Add or remove a voter; `action` is ``add`` or ``remove``."""
 
 
+class OrderAccess(Protocol):
+    """Orders to engines."""
+
+    async def add_order(
+        self, order_id: str, upstream_id: str, kind: str, arguments: dict[str, str]
+    ) -> Result[dict[str, object], Failure]:
+        """Record an order; a resend with the same id returns the recorded order."""
+
+    async def list_orders(self, upstream_id: str | None) -> Result[dict[str, object], Failure]:
+        """Return the newest orders, oldest first, under ``orders``."""
+
+
 class StatusAccess(Protocol):
     """Status of the instance."""
 
@@ -83,6 +95,8 @@
         Operations that may not be repeated.
     voters : VoterAccess
         Membership of the log.
+    orders : OrderAccess
+        Orders to engines.
     status : StatusAccess
         Status of the instance.
     operator_key : bytes
@@ -92,5 +106,6 @@
     declarations: DeclarationAccess
     operations: OperationAccess
     voters: VoterAccess
+    orders: OrderAccess
     status: StatusAccess
     operator_key: bytes
--- a/laburnumrock/scenarios/_log_cluster.py
+++ b/laburnumrock/scenarios/_log_cluster.py
@@ -51,6 +51,8 @@
         Class of the voters; tests pass faulty ones to prove that the checks notice.
     """
 
+    fault_phase_s = FAULT_PHASE_S
+
     def __init__(self, seed: int, host_type: type[LogHost] = LogHost) -> None:
         self.source = random.Random(seed)
         self.clock = VirtualClock()
@@ -86,7 +88,7 @@
         for host in self.hosts.values():
             host.start()
         self.clock.run_until(self.clock.now_s + 2.0)
-        end_s = self.clock.now_s + FAULT_PHASE_S
+        end_s = self.clock.now_s + self.fault_phase_s
         self._schedule_work(end_s)
         while self.clock.now_s < end_s:
             self.clock.run_until(self.clock.now_s + self.source.uniform(0.1, 0.8))
