--- a/laburnumrock/daemon/__main__.py
+++ b/laburnumrock/daemon/__main__.py
@@ -15,6 +15,7 @@
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_CANNOT_START = 3
+EXIT_LOG_FAILED = 4
 
 
 @click.command()
@@ -28,16 +29,18 @@
 def main(settings_path: Path) -> None:
     """Run one instance of laburnumrock until SIGTERM or SIGINT.
 
-    Exit status: 0 after a planned stop, 2 for invalid settings, 3 when the instance cannot start.
+    Exit status: 0 after a planned stop, 2 for invalid settings, 3 when the instance cannot start,
+    4 when its replicated log failed while it ran. After status 4 a new start reads the log from
+    the disk again and goes on if it is intact.
     """
     settings = _unwrap(load_settings(settings_path))
     shared_key = _unwrap(read_key(settings.shared_key_file))
     operator_key = _unwrap(read_key(settings.operator_key_file))
     with open_log(settings), open_counters(settings) as counters:
-        result = asyncio.run(_run(settings, shared_key, operator_key, counters))
+        result, has_started = asyncio.run(_run(settings, shared_key, operator_key, counters))
     if result.is_err():
         click.echo(f"laburnumrockd: {result.unwrap_err()}", err=True)
-        sys.exit(EXIT_CANNOT_START)
+        sys.exit(EXIT_LOG_FAILED if has_started else EXIT_CANNOT_START)
 
 
 def _unwrap(result: Result):
@@ -49,12 +52,12 @@
 
 async def _run(
     settings: InstanceSettings, shared_key: bytes, operator_key: bytes, counters
-) -> Result[None, Failure]:
+) -> tuple[Result[None, Failure], bool]:
     instance = Instance(settings, shared_key, operator_key, counters)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.request_stop)
-    return await instance.run()
+    return await instance.run(), instance.has_started
 
 
 if __name__ == "__main__":
--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -5,7 +5,8 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
-from result import Result
+from eliot import log_message
+from result import Err, Result
 from tornado.httpserver import HTTPServer
 
 from laburnumrock.daemon._declaration_task import DeclarationTask
@@ -72,6 +73,7 @@
         self.settings = settings
         self.lifecycle = Lifecycle(settings.instance_id)
         self.stop_requested = asyncio.Event()
+        self.has_started = False
         self.network = PeerNetwork(settings, shared_key)
         self.log = LogTask(settings, self.network)
         replica = Replica(self.log.state) if self.log.runner is not None else None
@@ -132,7 +134,8 @@
         Returns
         -------
         Result
-            Nothing after a planned stop, or the failure that keeps the instance from starting.
+            Nothing after a planned stop, or the failure that keeps the instance from starting or
+            from going on. After a failure `has_started` tells which of the two.
         """
         async with contextlib.AsyncExitStack() as stack:
             await stack.enter_async_context(run_task(self.network))
@@ -153,11 +156,20 @@
             ):
                 await stack.enter_async_context(run_task(task))
             server = self._serve()
+            self.has_started = True
+            watch = asyncio.create_task(self._stop_after_log_failure())
             await self._wait_until_ready()
             await self.stop_requested.wait()
             await self._finish_requests(server)
+            watch.cancel()
         self.lifecycle.fire("handed_over")
-        return started
+        return started if self.log.failure is None else Err(self.log.failure)
+
+    async def _stop_after_log_failure(self) -> None:
+        """Stop when the log fails: running requests do not depend on it and may finish."""
+        failure = await self.log.wait_failed()
+        log_message("instance_stops", reason=str(failure))
+        self.request_stop()
 
     def _serve(self) -> HTTPServer:
         app = make_app(self.services, operator_routes(self.operator_services))
--- a/laburnumrock/daemon/_log_runner.py
+++ b/laburnumrock/daemon/_log_runner.py
@@ -63,6 +63,8 @@
         self.node: RaftNode | None = None
         self.applied_index = 0
         self.failed = False
+        self.failure: Failure | None = None
+        self.failed_event = asyncio.Event()
         self.queue: list[Effect] = []
         self.queue_filled = asyncio.Event()
         self.commits: dict[int, tuple[int, asyncio.Future]] = {}
@@ -168,8 +170,11 @@
             # What reached the disk is unknown after a failed write, and a command that cannot be
             # applied leaves the state behind the log. This process may not go on in either case.
             self.failed = True
-            log_message("log_failed", error=f"{type(error).__name__}: {error}")
-            self._fail_waiting("the log of this instance failed")
+            detail = f"the log of this instance failed: {type(error).__name__}: {error}"
+            self.failure = Failure(ErrorKind.STORAGE_CORRUPT, detail)
+            log_message("log_failed", error=detail)
+            self._fail_waiting(detail)
+            self.failed_event.set()
 
     async def _run(self, effects: list[Effect]) -> None:
         saves = [effect for effect in effects if isinstance(effect, _SAVES)]
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -92,7 +92,19 @@
     @property
     def has_failed(self) -> bool:
         """Whether the log of this instance stopped for good; the process must be restarted."""
-        return self.runner is not None and self.runner.failed
+        return self.failure is not None
+
+    @property
+    def failure(self) -> Failure | None:
+        """Why the log of this instance stopped for good."""
+        return self.runner.failure if self.runner is not None else None
+
+    async def wait_failed(self) -> Failure:
+        """Return why the log of this instance stopped for good; wait for ever without a log."""
+        if self.runner is None:
+            await asyncio.Event().wait()
+        await self.runner.failed_event.wait()
+        return self.runner.failure
 
     @property
     def members(self) -> Members:
