Close the operations of dead owners from the log leader

Cause: a resend to a dead owner's operation waited for the limit of the claim plus 10 s. Change: the leader closes the open operations of an instance that nobody reported live for 3 s; for another failure domain three recent digests must agree. 'Not run' cannot be reconciled while an owner that was only presumed dead may still send.

--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -16,6 +16,7 @@
 from laburnumrock.daemon._operations import OperationClient
 from laburnumrock.daemon._operator_access import OperationDesk, StatusDesk, VoterDesk
 from laburnumrock.daemon._order_task import OrderTask
+from laburnumrock.daemon._owner_watch import OwnerWatch
 from laburnumrock.daemon._ownership_task import OwnershipTask
 from laburnumrock.daemon._permits import PermitClient
 from laburnumrock.daemon._pool_directory import PoolDirectory
@@ -100,6 +101,10 @@
         self.membership.digest_handlers.append(self.quota_keeping.receive_digest)
         self.quotas = QuotaClient(settings, self.network, self.ownership)
         self.operations = OperationClient(settings, self.log)
+        self.owner_watch = OwnerWatch(
+            settings, self.log, self.operations, self.membership.live_members
+        )
+        self.membership.digest_handlers.append(self.owner_watch.receive_digest)
         self.orders = OrderTask(settings, self.network, self.log)
         self.pools.announcement_listeners.append(self.orders.observe)
         self.services = GatewayServices(
@@ -152,6 +157,7 @@
                 self.quota_keeping,
                 self.quotas,
                 self.operations,
+                self.owner_watch,
                 self.orders,
             ):
                 await stack.enter_async_context(run_task(task))
--- a/laburnumrock/daemon/_operator_access.py
+++ b/laburnumrock/daemon/_operator_access.py
@@ -11,7 +11,12 @@
 from laburnumrock.daemon._pool_directory import PoolDirectory
 from laburnumrock.declarations import DeclarationView
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.journal import OperationAnswer, OperationOutcome
+from laburnumrock.journal import (
+    ABANDON_GRACE_S,
+    OperationAnswer,
+    OperationOutcome,
+    OperationState,
+)
 from laburnumrock.messages import to_plain
 from laburnumrock.settings import InstanceSettings
 
@@ -48,7 +53,7 @@
             detail = f"{outcome!r} is not one of {', '.join(OperationOutcome)}"
             return Err(Failure(ErrorKind.INVALID_REQUEST, detail, field_path="outcome"))
         settled = await self.operations.reconcile(account, key, known, f"{operator}: {source}")
-        return settled.and_then(_describe_operation)
+        return settled.and_then(_check_reconciled)
 
 
 class VoterDesk:
@@ -134,6 +139,15 @@
         return pools
 
 
+def _check_reconciled(answer: OperationAnswer) -> Result[dict[str, object], Failure]:
+    if not answer.accepted and answer.state is OperationState.UNKNOWN:
+        left_s = max(1.0, answer.limit_s + ABANDON_GRACE_S - answer.age_s)
+        detail = "the owner was declared dead, but it may still send the call until its deadline"
+        failure = Failure(ErrorKind.OPERATION_IN_PROGRESS, detail, retry_after_s=left_s)
+        return Err(failure)
+    return _describe_operation(answer)
+
+
 def _describe_operation(answer: OperationAnswer) -> Result[dict[str, object], Failure]:
     document = to_plain(answer)
     if answer.answer is not None:
--- a/laburnumrock/journal/__init__.py
+++ b/laburnumrock/journal/__init__.py
@@ -17,6 +17,7 @@
 )
 from laburnumrock.journal._part import OPERATION_RETENTION_S, JournalPart, Operation
 from laburnumrock.journal._run import (
+    ABANDON_GRACE_S,
     DispatchStep,
     OperationEnd,
     OperationRequest,
@@ -27,6 +28,7 @@
 )
 
 __all__ = [
+    "ABANDON_GRACE_S",
     "MAX_RECORDED_BODY_BYTES",
     "OPERATION_RETENTION_S",
     "AbandonOperation",
--- a/laburnumrock/journal/_part.py
+++ b/laburnumrock/journal/_part.py
@@ -12,6 +12,7 @@
     ClaimOperation,
     FindOperation,
     OperationAnswer,
+    OperationOutcome,
     OperationState,
     ReconcileOperation,
     RecordedAnswer,
@@ -19,6 +20,7 @@
     StartDispatch,
     VoidClaim,
 )
+from laburnumrock.journal._run import ABANDON_GRACE_S
 from laburnumrock.messages import from_plain, to_plain
 from laburnumrock.state import register_part
 
@@ -48,6 +50,7 @@
     answer: RecordedAnswer | None = None
     source: str = ""
     past_claims: list[str] = field(default_factory=list)
+    is_abandoned: bool = False
 
 
 @register_part("journal")
@@ -160,6 +163,8 @@
     def _reconcile(self, command: ReconcileOperation) -> OperationAnswer:
         operation = self.operations.get((command.account, command.key))
         event = f"reconcile_{command.outcome}"
+        if operation is not None and _may_still_run(operation, command):
+            return _answer(False, operation, command.stamped_at_s)
         if operation is None or event not in _CHART[operation.state]:
             repeated = (
                 operation is not None
@@ -193,6 +198,7 @@
     def _move(self, operation: Operation, event: str, now_s: float) -> None:
         operation.state = OperationState(_CHART[operation.state][event])
         operation.changed_s = now_s
+        operation.is_abandoned = event == "abandon"
         key = (operation.account, operation.key)
         if not _is_open(operation):
             self.open_keys.pop(key, None)
@@ -231,6 +237,15 @@
     return operation.state in _OPEN_STATES
 
 
+def _may_still_run(operation: Operation, command: ReconcileOperation) -> bool:
+    """Whether a presumed dead owner that is frozen may yet send what an operator calls not run."""
+    if command.outcome is not OperationOutcome.NOT_RUN or not operation.is_abandoned:
+        return False
+    if operation.state is not OperationState.UNKNOWN:
+        return False
+    return command.stamped_at_s < operation.claimed_s + operation.limit_s + ABANDON_GRACE_S
+
+
 def _limit_body(answer: RecordedAnswer) -> RecordedAnswer:
     if len(answer.body) <= MAX_RECORDED_BODY_BYTES:
         return answer
--- a/laburnumrock/membership/__init__.py
+++ b/laburnumrock/membership/__init__.py
@@ -1,5 +1,6 @@
 """Which instances live: probes inside a failure domain, digests between them."""
 
+from laburnumrock.membership._deaths import DEAD_FOR_S, DIGESTS_NEEDED, DeathWatch
 from laburnumrock.membership._effects import FactsReceived, MemberChanged
 from laburnumrock.membership._members import Member
 from laburnumrock.membership._messages import (
@@ -14,8 +15,11 @@
 from laburnumrock.membership._updates import MAX_UPDATES, UpdateQueue
 
 __all__ = [
+    "DEAD_FOR_S",
+    "DIGESTS_NEEDED",
     "MAX_UPDATES",
     "Ack",
+    "DeathWatch",
     "DomainDigest",
     "FactsReceived",
     "Member",
