--- a/laburnumrock/daemon/_operator_access.py
+++ b/laburnumrock/daemon/_operator_access.py
@@ -12,7 +12,7 @@
 from laburnumrock.declarations import DeclarationView
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.journal import (
-    ABANDON_GRACE_S,
+    RECONCILE_GRACE_S,
     OperationAnswer,
     OperationOutcome,
     OperationState,
@@ -53,7 +53,7 @@
             detail = f"{outcome!r} is not one of {', '.join(OperationOutcome)}"
             return Err(Failure(ErrorKind.INVALID_REQUEST, detail, field_path="outcome"))
         settled = await self.operations.reconcile(account, key, known, f"{operator}: {source}")
-        return settled.and_then(_check_reconciled)
+        return settled.and_then(_check_reconciled).and_then(_describe_operation)
 
 
 class VoterDesk:
@@ -139,13 +139,17 @@
         return pools
 
 
-def _check_reconciled(answer: OperationAnswer) -> Result[dict[str, object], Failure]:
-    if not answer.accepted and answer.state is OperationState.UNKNOWN:
-        left_s = max(1.0, answer.limit_s + ABANDON_GRACE_S - answer.age_s)
-        detail = "the owner was declared dead, but it may still send the call until its deadline"
-        failure = Failure(ErrorKind.OPERATION_IN_PROGRESS, detail, retry_after_s=left_s)
-        return Err(failure)
-    return _describe_operation(answer)
+def _check_reconciled(answer: OperationAnswer) -> Result[OperationAnswer, Failure]:
+    if answer.accepted:
+        return Ok(answer)
+    if answer.state is None:
+        return Err(Failure(ErrorKind.NOT_FOUND, "no operation with this key"))
+    if answer.state is OperationState.UNKNOWN:
+        detail = "the owner may still send the call until the limit of its claim has passed"
+        wait_s = max(0.0, answer.limit_s + RECONCILE_GRACE_S - answer.age_s)
+        return Err(Failure(ErrorKind.OPERATION_IN_PROGRESS, detail, retry_after_s=wait_s))
+    detail = f"the operation is {answer.state}, only an unknown outcome can be reconciled"
+    return Err(Failure(ErrorKind.INVALID_REQUEST, detail))
 
 
 def _describe_operation(answer: OperationAnswer) -> Result[dict[str, object], Failure]:
--- a/laburnumrock/journal/__init__.py
+++ b/laburnumrock/journal/__init__.py
@@ -15,9 +15,13 @@
     StartDispatch,
     VoidClaim,
 )
-from laburnumrock.journal._part import OPERATION_RETENTION_S, JournalPart, Operation
+from laburnumrock.journal._part import (
+    OPERATION_RETENTION_S,
+    RECONCILE_GRACE_S,
+    JournalPart,
+    Operation,
+)
 from laburnumrock.journal._run import (
-    ABANDON_GRACE_S,
     DispatchStep,
     OperationEnd,
     OperationRequest,
@@ -28,9 +32,9 @@
 )
 
 __all__ = [
-    "ABANDON_GRACE_S",
     "MAX_RECORDED_BODY_BYTES",
     "OPERATION_RETENTION_S",
+    "RECONCILE_GRACE_S",
     "AbandonOperation",
     "AbandonOwner",
     "ClaimOperation",
--- a/laburnumrock/journal/_part.py
+++ b/laburnumrock/journal/_part.py
@@ -22,11 +22,12 @@
     StartDispatch,
     VoidClaim,
 )
-from laburnumrock.journal._run import ABANDON_GRACE_S
 from laburnumrock.messages import from_plain, to_plain
 from laburnumrock.state import encode_list_start, encode_map_start, register_part
 
 OPERATION_RETENTION_S = 7 * 24 * 3600.0
+# Covers the difference between the clocks of the leaders that stamp claim and reconciliation.
+RECONCILE_GRACE_S = 2.0
 # Remembered so that a repeated claim command does not claim again after its claim ended.
 PAST_CLAIMS = 16
 
@@ -52,7 +53,6 @@
     answer: RecordedAnswer | None = None
     source: str = ""
     past_claims: list[str] = field(default_factory=list)
-    is_abandoned: bool = False
 
 
 @register_part("journal")
@@ -181,8 +181,6 @@
     def _reconcile(self, command: ReconcileOperation) -> OperationAnswer:
         operation = self.operations.get((command.account, command.key))
         event = f"reconcile_{command.outcome}"
-        if operation is not None and _may_still_run(operation, command):
-            return _answer(False, operation, command.stamped_at_s)
         if operation is None or event not in _CHART[operation.state]:
             repeated = (
                 operation is not None
@@ -190,6 +188,13 @@
                 and operation.source == command.source != ""
             )
             return _answer(repeated, operation, command.stamped_at_s)
+        owner_age_s = command.stamped_at_s - operation.claimed_s
+        if (
+            command.outcome is OperationOutcome.NOT_RUN
+            and owner_age_s < operation.limit_s + RECONCILE_GRACE_S
+        ):
+            # A frozen owner that wakes up may send the call until the limit of its claim.
+            return _answer(False, operation, command.stamped_at_s)
         operation.source = command.source
         operation.answer = command.answer
         self._move(operation, event, command.stamped_at_s)
@@ -216,7 +221,6 @@
     def _move(self, operation: Operation, event: str, now_s: float) -> None:
         operation.state = OperationState(_CHART[operation.state][event])
         operation.changed_s = now_s
-        operation.is_abandoned = event == "abandon"
         key = (operation.account, operation.key)
         self.encoded[key] = _encode(operation)
         if not _is_open(operation):
@@ -261,15 +265,6 @@
     return operation.state in _OPEN_STATES
 
 
-def _may_still_run(operation: Operation, command: ReconcileOperation) -> bool:
-    """Whether a presumed dead owner that is frozen may yet send what an operator calls not run."""
-    if command.outcome is not OperationOutcome.NOT_RUN or not operation.is_abandoned:
-        return False
-    if operation.state is not OperationState.UNKNOWN:
-        return False
-    return command.stamped_at_s < operation.claimed_s + operation.limit_s + ABANDON_GRACE_S
-
-
 def _limit_body(answer: RecordedAnswer) -> RecordedAnswer:
     if len(answer.body) <= MAX_RECORDED_BODY_BYTES:
         return answer
