End the queue reader of a cancelled link

Cause: a cancelled link left the task that waits for the next frame, 'Task was destroyed but it is pending'. The exit status test waited for a third sync that an idle log may never make. Change: the link cancels and awaits both of its tasks; the test fails the disk and then commits. Checked: the new transport test fails on the previous code with one pending Queue.get.

--- a/laburnumrock/daemon/tests/test_exit_status.py
+++ b/laburnumrock/daemon/tests/test_exit_status.py
@@ -1,15 +1,27 @@
 """Tests of the exit status of the daemon."""
 
+import asyncio
 import json
 
 from click.testing import CliRunner
 
 from laburnumrock.daemon.__main__ import EXIT_LOG_FAILED, main
-from laburnumrock.replication import LogStore
+from laburnumrock.daemon._instance import Instance
 from laburnumrock.scenarios import make_loopback_settings
 
-# The first syncs store the identity, the first members and the first term.
-SYNCS_BEFORE_FAILURE = 2
+GIVE_UP_S = 15.0
+
+
+def _fail():
+    raise OSError("no space left on device")
+
+
+async def _break_disk(instance):
+    """Stand-in of the wait for readiness: the disk fails, and then a command is committed."""
+    instance.lifecycle.fire("started")
+    instance.log.runner.store.sync = _fail
+    asyncio.get_running_loop().call_later(GIVE_UP_S, instance.request_stop)
+    await instance.orders.add_order("o1", "e", "change_role", {"role": "long"})
 
 
 class TestExitStatus:
@@ -22,14 +34,7 @@
         document |= {name: str(tmp_path / "key") for name in document if name.endswith("key_file")}
         file = tmp_path / "a1.json"
         file.write_text(json.dumps(document))
-        syncs = []
-
-        def sync(store):
-            syncs.append(store)
-            if len(syncs) > SYNCS_BEFORE_FAILURE:
-                raise OSError("no space left on device")
-
-        monkeypatch.setattr(LogStore, "sync", sync)
+        monkeypatch.setattr(Instance, "_wait_until_ready", _break_disk)
         result = CliRunner().invoke(main, ["--settings", str(file)])
-        assert result.exit_code == EXIT_LOG_FAILED
         assert "the log of this instance failed: OSError: no space left on device" in result.output
+        assert result.exit_code == EXIT_LOG_FAILED
--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -188,16 +188,19 @@
 
     async def _send_frames(self, connection: Connection, link: _Link) -> None:
         closed = asyncio.create_task(connection.wait_closed())
+        get: asyncio.Task | None = None
         try:
             while True:
                 get = asyncio.create_task(link.frames.get())
                 await asyncio.wait([get, closed], return_when=asyncio.FIRST_COMPLETED)
                 if not get.done():
-                    get.cancel()
                     raise OSError("link closed")
                 await connection.send(get.result())
         finally:
-            closed.cancel()
+            tasks = [task for task in (get, closed) if task is not None]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _receive_frames(self, connection: ServerConnection) -> None:
         try:
--- a/laburnumrock/transport/tests/test_network.py
+++ b/laburnumrock/transport/tests/test_network.py
@@ -67,3 +67,19 @@
         """Guards against messages from a process that does not know the shared key."""
         failure = asyncio.run(_exchange(KEY, b"x" * 32)).unwrap_err()
         assert failure.kind is ErrorKind.PEER_UNREACHABLE
+
+    def test_stopped_network_leaves_no_task(self):
+        """Guards against a pending task of a cancelled link, which the loop reports as an error."""
+
+        async def scenario():
+            first, second = (PeerNetwork(settings, KEY) for settings in _make_settings())
+            second.handle(PeerHello, lambda sender, message: PeerHello(sender, message.nonce, 2))
+            await first.start()
+            await second.start()
+            assert (await first.call("a2", PeerHello("a1", b"n", 1), 1.0)).is_ok()
+            await first.stop()
+            await second.stop()
+            names = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
+            return [name for name in names if name == "Queue.get"]
+
+        assert asyncio.run(scenario()) == []
