--- a/benchmarks/fuzz_log.py
+++ b/benchmarks/fuzz_log.py
@@ -1,32 +1,38 @@
-"""Runs seeded failure schedules of the replicated log and the operation journal.
+"""Runs seeded failure schedules of the replicated log with the operation journal or engine orders.
 
 Usage: ``python -m benchmarks.fuzz_log --seeds 1000``.
 """
 
 import time
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 
 import click
 
-from laburnumrock.scenarios import LogCluster
+from laburnumrock.scenarios import LogCluster, OrderCluster
 
+CLUSTERS = {"log": LogCluster, "orders": OrderCluster}
 
-def run_seed(seed: int):
+
+def run_seed(cluster: str, seed: int):
     try:
-        return seed, LogCluster(seed).run(), None
+        return seed, CLUSTERS[cluster](seed).run(), None
     except Exception as error:
         return seed, None, f"{type(error).__name__}: {error}"
 
 
 @click.command()
+@click.option("--cluster", type=click.Choice(list(CLUSTERS)), default="log", show_default=True)
 @click.option("--seeds", default=1000, show_default=True, help="Number of schedules.")
 @click.option("--first", default=0, show_default=True, help="First seed.")
 @click.option("--workers", default=4, show_default=True, help="Processes.")
-def main(seeds: int, first: int, workers: int) -> None:
+def main(cluster: str, seeds: int, first: int, workers: int) -> None:
     """Print totals and every failed seed; exit with status 1 if there is one."""
     started_s = time.monotonic()
     with ProcessPoolExecutor(workers) as pool:
-        outcomes = list(pool.map(run_seed, range(first, first + seeds), chunksize=4))
+        outcomes = list(
+            pool.map(partial(run_seed, cluster), range(first, first + seeds), chunksize=4)
+        )
     reports = [report for _, report, _ in outcomes if report is not None]
     failures = [(seed, error) for seed, _, error in outcomes if error is not None]
     click.echo(f"schedules        {seeds}")
--- a/laburnumrock/orders/tests/test_orders.py
+++ b/laburnumrock/orders/tests/test_orders.py
@@ -14,8 +14,7 @@
     ReloadOrder,
 )
 from laburnumrock.orders._part import KEPT_FINISHED
-from laburnumrock.scenarios._order_cluster import OrderCluster
-from laburnumrock.scenarios._order_host import OrderHost
+from laburnumrock.scenarios import OrderCluster, OrderHost
 
 SEEDS = 24
 SEEDS_PER_TEST = 8
--- a/laburnumrock/scenarios/__init__.py
+++ b/laburnumrock/scenarios/__init__.py
@@ -7,6 +7,8 @@
 from laburnumrock.scenarios._log_host import LogHost
 from laburnumrock.scenarios._log_owner import OperationOwner
 from laburnumrock.scenarios._loopback import make_loopback_settings
+from laburnumrock.scenarios._order_cluster import OrderCluster
+from laburnumrock.scenarios._order_host import OrderHost
 from laburnumrock.scenarios._plan import DeploymentPlan
 from laburnumrock.scenarios._processes import ManagedProcess, ProcessGroup, run_deployment
 from laburnumrock.scenarios._virtual import FaultRates, VirtualClock, VirtualNetwork
@@ -22,6 +24,8 @@
     "LogReport",
     "ManagedProcess",
     "OperationOwner",
+    "OrderCluster",
+    "OrderHost",
     "ProcessGroup",
     "VirtualClock",
     "VirtualNetwork",
