--- a/laburnumrock/ownership/_holdings.py
+++ b/laburnumrock/ownership/_holdings.py
@@ -7,9 +7,12 @@
     HeldPool,
     PoolAssignments,
     PoolOwner,
+    PoolSplit,
 )
 
 REQUESTS_PER_ASSIGNMENT = 5
+IDLE_REQUESTS_PER_ASSIGNMENT = 2
+"""Requests of an instance that owns and wants nothing; `OwnersChanged` makes it ask at once."""
 MAX_PENDING_REQUESTS = 16
 
 
@@ -41,6 +44,7 @@
         self.ends_s: dict[str, float] = {}
         self.released: dict[str, HeldPool] = {}
         self.released_at: dict[str, int] = {}
+        self.splits: dict[str, int] = {}
         self.pending: dict[int, tuple[str, float]] = {}
 
     def epoch(self, pool_id: str, now_s: float) -> int | None:
@@ -70,12 +74,28 @@
             self.released[pool_id] = held
             self.released_at[pool_id] = self.sequence
 
+    def split(self, pool_id: str, depth: int) -> None:
+        """Give a pool back so that ``2 ** depth`` shards take its place.
+
+        The shards get owners only after the coordinator knows of the release, as in any hand-over.
+        """
+        self.release(pool_id)
+        if pool_id in self.released:
+            self.splits[pool_id] = depth
+            self.ask_now()
+
     def release_all(self) -> None:
         """Give all pools back and accept no other ones."""
         self.accepting = False
         for pool_id in list(self.held):
             self.release(pool_id)
 
+    def next_tick_s(self, coordinator: str | None) -> float:
+        """Return the clock reading at which a tick is needed next, in seconds."""
+        if coordinator is None:
+            return float("inf")
+        return self.next_request_s if coordinator == self.last_coordinator else float("-inf")
+
     def tick(self, now_s: float, coordinator: str | None) -> list[Effect]:
         """Ask the coordinator for pools when due.
 
@@ -97,7 +117,8 @@
         self.last_coordinator = coordinator
         # A new coordinator learns from its members which pools exist.
         wanted = self.wanted | self.owners.keys() if is_new else self.wanted
-        self.next_request_s = now_s + self.assignment_s / REQUESTS_PER_ASSIGNMENT
+        period_s = self._find_period_s(coordinator)
+        self.next_request_s = now_s + period_s
         self.sequence += 1
         self.pending[self.sequence] = (coordinator, now_s)
         self.pending.pop(self.sequence - MAX_PENDING_REQUESTS, None)
@@ -110,9 +131,27 @@
             list(self.released.values()),
             sorted(wanted),
             self.version,
+            period_s,
+            [PoolSplit(pool_id, depth) for pool_id, depth in self.splits.items()],
         )
         return [Send(coordinator, request)]
 
+    def ask_now(self) -> None:
+        """Ask the coordinator with the next tick."""
+        self.next_request_s = float("-inf")
+
+    def observe_version(self, version: int) -> None:
+        """Ask the coordinator with the next tick if its owner map is another one."""
+        if version != self.version:
+            self.ask_now()
+
+    def _find_period_s(self, coordinator: str) -> float:
+        # The coordinator asks itself, which costs no message and keeps its assignments moving.
+        is_idle = not (self.held or self.wanted or self.released)
+        if is_idle and coordinator != self.instance_id:
+            return self.assignment_s / IDLE_REQUESTS_PER_ASSIGNMENT
+        return self.assignment_s / REQUESTS_PER_ASSIGNMENT
+
     def receive(self, sender: str, message: PoolAssignments, now_s: float) -> list[Effect]:
         """Take over the assignments of an answer.
 
@@ -139,6 +178,9 @@
             self.owners = message.owners
             self.version = message.version
             self._drop_lost_pools(now_s)
+        for pool_id in message.give_back:
+            self.release(pool_id)
+            self.ask_now()
         return []
 
     def _drop_lost_pools(self, now_s: float) -> None:
@@ -155,6 +197,7 @@
             if sequence <= self.sequence - MAX_PENDING_REQUESTS:
                 del self.released_at[pool_id]
                 del self.released[pool_id]
+                self.splits.pop(pool_id, None)
 
     def _take(self, pool_id: str, epoch: int, validity_s: float, sent_s: float) -> None:
         released = self.released.get(pool_id)
@@ -162,6 +205,7 @@
             return
         self.released.pop(pool_id, None)
         self.released_at.pop(pool_id, None)
+        self.splits.pop(pool_id, None)
         held = self.held.get(pool_id)
         if held is not None and epoch < held.epoch:
             return
--- a/laburnumrock/settings/_instance.py
+++ b/laburnumrock/settings/_instance.py
@@ -2,7 +2,9 @@
 
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import BaseModel, ConfigDict, Field, field_validator, model_validator
+
+from laburnumrock.placement import POLICIES
 
 MAX_PORT = 65_535
 
@@ -182,6 +184,8 @@
         Largest accepted HTTP body.
     orders : OrderSettings
         Limits of the controller of engine orders; the same on all voters.
+    placement_policy : str
+        Registered name of the placement policy of the pools that this instance owns.
     """
 
     instance_id: str = Field(min_length=1)
@@ -198,6 +202,14 @@
     log_file: Path | None = None
     max_body_bytes: int = Field(default=16 * 1024 * 1024, gt=0)
     orders: OrderSettings = OrderSettings()
+    placement_policy: str = "length_aware"
+
+    @field_validator("placement_policy")
+    @classmethod
+    def _check_policy(cls, name: str) -> str:
+        if name not in POLICIES:
+            raise ValueError(f"placement_policy must be one of {', '.join(sorted(POLICIES))}")
+        return name
 
     @model_validator(mode="after")
     def _check_peers(self) -> "InstanceSettings":
--- a/laburnumrock/transport/tests/test_network.py
+++ b/laburnumrock/transport/tests/test_network.py
@@ -80,6 +80,7 @@
             await first.stop()
             await second.stop()
             names = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
-            return [name for name in names if name == "Queue.get"]
+            waits = ("Queue.get", "Event.wait", "Connection.wait_closed", "PeerNetwork._run_link")
+            return [name for name in names if name in waits]
 
         assert asyncio.run(scenario()) == []
