--- a/laburnumrock/daemon/_log_runner.py
+++ b/laburnumrock/daemon/_log_runner.py
@@ -63,6 +63,8 @@
         self.node: RaftNode | None = None
         self.applied_index = 0
         self.failed = False
+        self.failure: Failure | None = None
+        self.failed_event = asyncio.Event()
         self.queue: list[Effect] = []
         self.queue_filled = asyncio.Event()
         self.commits: dict[int, tuple[int, asyncio.Future]] = {}
@@ -169,8 +171,11 @@
             # What reached the disk is unknown after a failed write, and a command that cannot be
             # applied leaves the state behind the log. This process may not go on in either case.
             self.failed = True
-            log_message("log_failed", error=f"{type(error).__name__}: {error}")
-            self._fail_waiting("the log of this instance failed")
+            detail = f"the log of this instance failed: {type(error).__name__}: {error}"
+            self.failure = Failure(ErrorKind.STORAGE_CORRUPT, detail)
+            log_message("log_failed", error=detail)
+            self._fail_waiting(detail)
+            self.failed_event.set()
 
     async def _run(self, effects: list[Effect]) -> None:
         saves = [effect for effect in effects if isinstance(effect, _SAVES)]
@@ -179,7 +184,14 @@
         for effect in effects:
             self._run_one(effect)
         if self.applied_index >= self.node.log.snapshot.index + COMPACT_ENTRIES:
-            self.enqueue(self.node.compact(self.applied_index, self.state.snapshot()))
+            await self._compact()
+
+    async def _compact(self) -> None:
+        index = self.applied_index
+        pieces = self.state.encode()
+        # Large pieces are joined without the interpreter lock, so that heartbeats go on meanwhile.
+        join = asyncio.get_running_loop().run_in_executor(self.executor, b"".join, pieces)
+        self.enqueue(self.node.compact(index, await join))
 
     def _save(self, saves: list[Effect]) -> None:
         for effect in saves:
