--- a/laburnumrock/admission/tests/test_admission.py
+++ b/laburnumrock/admission/tests/test_admission.py
@@ -141,6 +141,26 @@
             total = sum(allocator.share("acme", now_s) for allocator in allocators.values())
             assert total <= 1 + 1e-9
 
+    def test_lent_concurrency_counts_until_it_is_returned(self):
+        """Guards against two domains that run the same part of the concurrency limit."""
+        lender = ShareAllocator("a", DOMAINS)
+        borrower = ShareAllocator("b", DOMAINS)
+
+        def report(fraction, concurrency, now_s):
+            demand = [AccountDemand("acme", fraction, concurrency)]
+            message = borrower.make_reports({"a": "a"}, demand, now_s)[0].message
+            for effect in lender.lend("b", message, {}, now_s):
+                borrower.accept(effect.message, now_s)
+
+        report(0.5, 0.1, 0.0)
+        assert borrower.concurrency_share("acme", 0.0) > 0.5
+        low = lender.concurrency_share("acme", 0.0)
+        report(0.1, 0.5, 4.0)
+        assert lender.share("acme", 4.0) > low
+        assert lender.concurrency_share("acme", 4.0) == low
+        report(0.1, 0.2, 5.0)
+        assert abs(lender.concurrency_share("acme", 5.0) - 1 / 3) < 1e-9
+
     def test_new_coordinator_does_not_use_what_was_lent(self):
         """Guards against a share that is used by lender and borrower after a restart."""
         allocator = ShareAllocator("a", DOMAINS, started_s=10.0)
@@ -167,9 +187,20 @@
             PoolSummary("b/m", 1, True, 7, 500, 0, {"short": 0.0}, 450_000, 60_000.0, 0.015),
             PoolSummary("c/m", 1, False, 0, 0, 0),
         ]
-        names = [pool.pool_id for pool in order_pools(pools, 2_000, 100, 30.0)]
+        rng = random.Random(1)
+        names = [pool.pool_id for pool in order_pools(pools, 2_000, 100, 30.0, rng)]
         assert names == ["b/m", "a/m"]
-        assert [pool.pool_id for pool in order_pools(pools, 2_000, 100, 3.0)] == ["b/m"]
+        assert [pool.pool_id for pool in order_pools(pools, 2_000, 100, 3.0, rng)] == ["b/m"]
+
+    def test_equal_pools_are_drawn_by_free_memory(self):
+        """Guards against all instances that send to one pool until the next summary."""
+        pools = [
+            PoolSummary(name, 1, True, 7, free, 0, {"short": 0.0}, 450_000, 60_000.0, 0.015)
+            for name, free in (("a/m", 1_000_000), ("b/m", 3_000_000))
+        ]
+        rng = random.Random(1)
+        first = [order_pools(pools, 2_000, 100, 30.0, rng)[0].pool_id for _ in range(1_000)]
+        assert 700 <= first.count("b/m") <= 800
 
 
 def test_refusals_name_a_retry_time():
