Refuse no caller for unfairness when an account's share has only grown

Cause: a new coordinator starts with a fifth of its base share. When the share grows, at the next request, the bucket holds less than half of its new burst, so the account counted as contended and its most active caller was refused as rate_limited. Change: an account counts as contended only when it has also used half of a burst recently. The new test fails without the change.

--- a/laburnumrock/admission/_account.py
+++ b/laburnumrock/admission/_account.py
@@ -151,6 +151,9 @@
         self.demand_s = now_s
 
     def _is_contended(self) -> bool:
+        # A share that grows raises the burst above the level without any use of the account.
+        if self.demand < CONTENDED_LEVEL * self.limits.burst_s * self.fraction:
+            return False
         buckets = (self.requests, self.tokens)
         return any(bucket.level < CONTENDED_LEVEL * bucket.burst for bucket in buckets)
 
--- a/laburnumrock/admission/tests/test_admission.py
+++ b/laburnumrock/admission/tests/test_admission.py
@@ -86,6 +86,22 @@
         assert granted["calm"] >= 80
         assert granted["flood"] >= 200
 
+    def test_grown_share_does_not_count_as_use(self):
+        """Guards against refusals of an idle account after its domain's share has grown.
+
+        A new coordinator starts with a small share; its most active caller was refused when the
+        share grew, since the bucket was then below half of its new size.
+        """
+        allocator = ShareAllocator("a", DOMAINS, started_s=0.0)
+        keeper = QuotaKeeper(allocator)
+        keeper.set_limits({"acme": LIMITS}, 0.0)
+        keeper.receive("x", QuotaRequest("probe", "acme", "other", 1), 1.0)
+        for index in range(6):
+            request = QuotaRequest(f"q{index}", "acme", "clerk", 1)
+            (answer,) = keeper.receive("x", request, 5.0 + index / 5)
+            assert isinstance(answer.message, QuotaGrant)
+            keeper.receive("x", QuotaRelease(request.quota_id), 5.1 + index / 5)
+
 
 class TestShares:
     def exchange(self, keepers, now_s):
