--- a/laburnumrock/scenarios/_expectations.py
+++ b/laburnumrock/scenarios/_expectations.py
@@ -137,7 +137,7 @@
     answer = world.deployment.operate("history?limit=1000", instance=world.live_instances()[0])
     if answer.status != 200:
         return False, f"history status {answer.status}"
-    found = sum(one["request_id"] == request_id for one in answer.json()["entries"])
+    found = sum(one["command"]["request_id"] == request_id for one in answer.json()["entries"])
     return found == int(count), f"{found} entries"
 
 
--- a/laburnumrock/scenarios/_steps.py
+++ b/laburnumrock/scenarios/_steps.py
@@ -18,6 +18,8 @@
 ROUTES_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 15.0
 ROLE_TIMEOUT_S = 5.0
+# A resend waits for a running operation for half of this time.
+SERVICE_TIMEOUT_S = 6.0
 
 # A statement returns what the report shows beside it, and raises StepError when it fails.
 Step = Callable[[World, Tree], str | None]
@@ -47,7 +49,7 @@
 def make_service() -> dict[str, object]:
     """Return a change that declares the application engines' service."""
     paths = [{"path": "place", "repeatable": False}, {"path": "stock", "repeatable": True}]
-    service = {"type": "service", "name": "orders", "paths": paths, "timeout_s": 10.0}
+    service = {"type": "service", "name": "orders", "paths": paths, "timeout_s": SERVICE_TIMEOUT_S}
     return {"action": "put", "declaration": service}
 
 
