--- a/laburnumrock/scenarios/_script.py
+++ b/laburnumrock/scenarios/_script.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
+from string import ascii_lowercase
 
 from lark import Lark, Token, Tree
 from lark.exceptions import UnexpectedCharacters, UnexpectedInput, UnexpectedToken
@@ -125,6 +126,8 @@
         value = read_options(option)[str(name)]
         if name in SIZES:
             members[SIZES[name]] = value
+        elif name == "domains":
+            members["failure_domains"] = tuple(ascii_lowercase[: int(value)])
         elif name in SWITCHES:
             members[SWITCHES[name]] = value == "yes"
         elif name.startswith(TIMING_PREFIX):
