Claim an operation again when it is proved that nothing was sent

Cause: the 2 s in which a call may be sent after its durable dispatch record include the wait for a permit. While a pool changes its owner in a planned stop, the wait can be longer, and the caller got connection_failed (not_run) although time was left. Change: the gateway claims the operation again within the deadline, the retry budget and three attempts, only for connection_failed, which proves that no byte was sent. The new test fails without the change.

--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -1,6 +1,7 @@
 """Handler of plain services."""
 
 import asyncio
+import functools
 import hashlib
 import time
 from dataclasses import dataclass
@@ -156,20 +157,38 @@
         return result
 
     async def _run_once(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
-        async def dispatch() -> Result[RecordedAnswer, Failure]:
-            send_before_s = time.monotonic() + DISPATCH_WINDOW_S
-            granted = await self._acquire(call, 1, [])
-            if granted.is_err():
-                return granted
-            return await self._call_upstream(call, granted.unwrap(), send_before_s)
-
-        return await self.services.operations.run(
-            call.template.client_account,
-            call.idempotency_key or "",
-            self._fingerprint(call.body),
-            call.remaining_s(),
-            dispatch,
-        )
+        """Run an operation, and claim it again while it is proved that nothing was sent."""
+        excluded: list[str] = []
+        self.services.retries.record_first_attempt(time.monotonic())
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            result = await self.services.operations.run(
+                call.template.client_account,
+                call.idempotency_key or "",
+                self._fingerprint(call.body),
+                call.remaining_s(),
+                functools.partial(self._dispatch, call, attempt, excluded),
+            )
+            # The wait for a permit, as while a pool changes its owner, can outlast the time for
+            # sending; the operation is then settled as not run and may be claimed again.
+            unsent = result.is_err() and result.unwrap_err().kind is ErrorKind.CONNECTION_FAILED
+            if not unsent or attempt == MAX_ATTEMPTS or call.remaining_s() <= 0:
+                return result
+            if not self.services.retries.try_retry(time.monotonic()):
+                return result
+            self.services.counters.count("retries")
+        return result
+
+    async def _dispatch(
+        self, call: ServiceCall, attempt: int, excluded: list[str]
+    ) -> Result[RecordedAnswer, Failure]:
+        send_before_s = time.monotonic() + DISPATCH_WINDOW_S
+        granted = await self._acquire(call, attempt, excluded)
+        if granted.is_err():
+            return granted
+        result = await self._call_upstream(call, granted.unwrap(), send_before_s)
+        if result.is_err() and time.monotonic() < send_before_s:
+            excluded.append(granted.unwrap().placements[0].upstream_id)
+        return result
 
     def _fingerprint(self, body: bytes) -> str:
         request = self.request
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -68,6 +68,16 @@
         return await dispatch()
 
 
+class FailingOnce(FakeOperations):
+    """Fails the first run of an operation without a dispatch."""
+
+    def __init__(self, kind):
+        self.failures = [Err(Failure(kind))]
+
+    async def run(self, account, key, fingerprint, deadline_s, dispatch):
+        return self.failures.pop() if self.failures else await dispatch()
+
+
 class FakeLifecycle:
     """Instance that accepts work."""
 
@@ -411,6 +421,22 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize(
+        ("kind", "status", "dispatches"),
+        [(ErrorKind.CONNECTION_FAILED, 503, 1), (ErrorKind.OUTCOME_UNKNOWN, 502, 0)],
+    )
+    def test_only_an_unsent_operation_is_claimed_again(self, kind, status, dispatches):
+        """Guards against refusals while a pool changes its owner, and against a second run."""
+
+        async def run():
+            async with serving(ScriptedEngine(0, "refuse")) as gateway:
+                gateway.services.operations.run = FailingOnce(kind).run
+                answer = await gateway.post("/v1/services/orders/place", {}, Idempotency_Key="k")
+                assert answer.code == status
+                assert len(gateway.permits.requests) == dispatches
+
+        asyncio.run(run())
+
 
 class TestStopping:
     def test_new_work_is_refused(self):
