--- a/laburnumrock/scenarios/_steps.py
+++ b/laburnumrock/scenarios/_steps.py
@@ -18,6 +18,8 @@
 ROUTES_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 15.0
 ROLE_TIMEOUT_S = 5.0
+# Time for the operator to see the present revision at the instance, if it has that at all.
+PLANNING_S = 0.5
 # A resend waits for a running operation for half of this time.
 SERVICE_TIMEOUT_S = 6.0
 
@@ -186,9 +188,9 @@
     """Submit a change with a given request id; ``lost_change`` does not read the answer."""
     action, request_id, name, at = tree.children
     instance = world.choose(at)[0]
+    poll(lambda: not world.in_force_at(world.revision, [instance]), PLANNING_S)
     # A resend has the same base revision as the first one.
-    known = max(world.revision, world.base_revision(instance))
-    base = world.bases.setdefault(str(request_id), known)
+    base = world.bases.setdefault(str(request_id), world.base_revision(instance))
     changes = [make_template(priority=7)]
     if action == "lost_change":
         body = {"request_id": request_id, "base_revision": base, "changes": changes}
