--- a/laburnumrock/scenarios/_expectations.py
+++ b/laburnumrock/scenarios/_expectations.py
@@ -162,3 +162,11 @@
     state, *names = tree.children
     found = {name: world.status(name).get("state") for name in world.resolve(names)}
     return all(one == state for one in found.values()), f"states {found}"
+
+
+@register_condition
+def service_is(world: World, tree: Tree) -> tuple[bool, str]:
+    """Compare the declared service state of a failure domain, instance or upstream."""
+    name, state, at = tree.children
+    found = {one: world.service_state(one, str(name)) for one in world.resolve(at.children)}
+    return all(one == state for one in found.values()), f"service states {found}"
--- a/laburnumrock/scenarios/_script.py
+++ b/laburnumrock/scenarios/_script.py
@@ -186,6 +186,8 @@
     direct = _direct_names(condition)
     if condition.data == "operation":
         return [_batch_of(direct[0])]
+    if condition.data == "service_is":
+        return direct[:1]
     return direct[1:] if condition.data == "state_of" else direct
 
 
--- a/laburnumrock/scenarios/_steps.py
+++ b/laburnumrock/scenarios/_steps.py
@@ -159,11 +159,12 @@
     kind = "failure_domain" if name in domains else "upstream"
     kind = "instance" if name in world.deployment.instances else kind
     state = "drained" if action == "drain" else "in_service"
-    declaration = {"type": "service_state", "kind": kind, "name": str(name), "state": state}
-    change_ = {"action": "put", "declaration": declaration}
+    declared = {"type": "service_state", "kind": kind, "name": str(name), "state": state}
     instance = world.choose(at)[0]
+    # A hold that entered the log has raised the revision without an answer to an operator.
+    world.revision = max(world.revision, world.base_revision(instance))
     started_s = time.monotonic()
-    apply_changes(world, instance, [change_])
+    apply_changes(world, instance, [{"action": "put", "declaration": declared}])
     live = world.live_instances()
     poll(lambda: not world.in_force_at(world.revision, live), IN_FORCE_TIMEOUT_S)
     lagging = world.in_force_at(world.revision, live)
@@ -285,7 +286,7 @@
     check = CONDITIONS[condition.data]
     limit_s = float(bound.children[0])
     is_never = bound.data == "never"
-    held_s = time.monotonic()
+    started_s = time.monotonic()
     detail = ""
 
     def holds() -> bool:
@@ -295,6 +296,7 @@
 
     result = poll(holds, limit_s)
     if result == is_never:
-        held_s = time.monotonic() - held_s
-        raise StepError(f"{'held' if is_never else 'did not hold'} after {held_s:.1f} s: {detail}")
+        elapsed_s = time.monotonic() - started_s
+        verdict = "held" if is_never else "did not hold"
+        raise StepError(f"{verdict} after {elapsed_s:.1f} s: {detail}")
     return detail
--- a/laburnumrock/scenarios/_world.py
+++ b/laburnumrock/scenarios/_world.py
@@ -198,6 +198,14 @@
         revisions = {name: int(self.status(name).get("revision", -1)) for name in names}
         return {name: one for name, one in revisions.items() if one < revision}
 
+    def service_state(self, instance: str, name: str) -> str | None:
+        """Return the declared state of a name as an instance applies it; None without one."""
+        answer = self.deployment.operate("declarations", instance=instance)
+        declared = answer.json()["declarations"] if answer.status == 200 else []
+        states = [one["state"] for one in declared if one["type"] == "service_state"]
+        names = [one["name"] for one in declared if one["type"] == "service_state"]
+        return dict(zip(names, states, strict=True)).get(name)
+
     def can_route(self, instance: str) -> bool:
         """Whether an instance answers a completion and a look-up."""
         url = self.deployment.instances[instance].url
