--- a/laburnumrock/scenarios/_calls.py
+++ b/laburnumrock/scenarios/_calls.py
@@ -1,4 +1,4 @@
-"""Calls of a scenario, sent in the background."""
+"""Calls of a scenario, sent in the background, and what is declared for them."""
 
 import asyncio
 import threading
@@ -21,6 +21,8 @@
 ORDER_PATH = "place"
 LOOKUP_PATH = "stock"
 PROMPT_TOKENS = {"short": 2_000, "medium": 20_000, "long": 150_000}
+# A resend waits for a running operation for half of this time.
+SERVICE_TIMEOUT_S = 6.0
 DEFAULT_TIMEOUT_S = 10.0
 DEFAULT_OUTPUT_TOKENS = 24
 
@@ -125,6 +127,27 @@
         return await client.run(call, delay_s)
 
 
+def make_template(priority: int = 0) -> dict[str, object]:
+    """Return a change of the template of the scenarios' client account."""
+    template = {
+        "type": "template",
+        "client_account": ACCOUNT.name,
+        "model": "quote",
+        "priority": priority,
+        "limits": {"requests_per_s": 500.0, "tokens_per_s": 5e7, "concurrency": 500},
+        "deadlines": {"short_s": 20.0, "medium_s": 30.0, "long_s": 60.0},
+        "max_output_tokens": 2_000,
+    }
+    return {"action": "put", "declaration": template}
+
+
+def make_service() -> dict[str, object]:
+    """Return a change that declares the application engines' service."""
+    paths = [{"path": "place", "repeatable": False}, {"path": "stock", "repeatable": True}]
+    service = {"type": "service", "name": "orders", "paths": paths, "timeout_s": SERVICE_TIMEOUT_S}
+    return {"action": "put", "declaration": service}
+
+
 @contextmanager
 def run_sender():
     """Run a `CallSender` until the end of the block; calls that still run are dropped."""
--- a/laburnumrock/scenarios/_steps.py
+++ b/laburnumrock/scenarios/_steps.py
@@ -7,7 +7,7 @@
 
 from lark import Tree
 
-from laburnumrock.scenarios._calls import ACCOUNT
+from laburnumrock.scenarios._calls import ACCOUNT, make_service, make_template
 from laburnumrock.scenarios._expectations import CONDITIONS
 from laburnumrock.scenarios._http import request_json
 from laburnumrock.scenarios._script import read_options
@@ -20,8 +20,6 @@
 ROLE_TIMEOUT_S = 5.0
 # Time for the operator to see the present revision at the instance, if it has that at all.
 PLANNING_S = 0.5
-# A resend waits for a running operation for half of this time.
-SERVICE_TIMEOUT_S = 6.0
 
 # A statement returns what the report shows beside it, and raises StepError when it fails.
 Step = Callable[[World, Tree], str | None]
@@ -34,27 +32,6 @@
     return function
 
 
-def make_template(priority: int = 0) -> dict[str, object]:
-    """Return a change of the template of the scenarios' client account."""
-    template = {
-        "type": "template",
-        "client_account": ACCOUNT.name,
-        "model": "quote",
-        "priority": priority,
-        "limits": {"requests_per_s": 500.0, "tokens_per_s": 5e7, "concurrency": 500},
-        "deadlines": {"short_s": 20.0, "medium_s": 30.0, "long_s": 60.0},
-        "max_output_tokens": 2_000,
-    }
-    return {"action": "put", "declaration": template}
-
-
-def make_service() -> dict[str, object]:
-    """Return a change that declares the application engines' service."""
-    paths = [{"path": "place", "repeatable": False}, {"path": "stock", "repeatable": True}]
-    service = {"type": "service", "name": "orders", "paths": paths, "timeout_s": SERVICE_TIMEOUT_S}
-    return {"action": "put", "declaration": service}
-
-
 def apply_changes(world: World, instance: str, changes: list) -> None:
     """Apply a change that no other operator competes with."""
     base = world.revision or world.base_revision(instance)
