--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -35,7 +35,6 @@
 from laburnumrock.transport import PeerNetwork
 
 READY_POLL_S = 0.05
-PLACEMENT_POLICY = "length_aware"
 
 
 class Task(Protocol):
@@ -75,6 +74,8 @@
         self.log = LogTask(settings, self.network)
         replica = Replica(self.log.state) if self.log.runner is not None else None
         self.declarations = DeclarationTask(settings, self.network, self.log, replica)
+        self.log.on_applied(lambda *_: self.declarations.observe_store())
+        self.log.on_restored(self.declarations.observe_store)
         view = self.declarations.view
         self.membership = MembershipTask(settings, self.network)
         self.ownership = OwnershipTask(settings, self.network)
@@ -85,8 +86,10 @@
             self.ownership,
             self.directory,
             view,
-            make_scheduler_factory(settings, PLACEMENT_POLICY),
+            make_scheduler_factory(settings),
         )
+        self.ownership.add_listener(self.pools.wake)
+        self.declarations.add_listener(self.pools.wake)
         self.membership.facts_sources.append(self.declarations.provide_facts)
         self.membership.facts_handlers.append(self.declarations.receive_facts)
         self.membership.report_sources.append(self.pools.collect_reports)
@@ -113,7 +116,13 @@
             operations=OperationDesk(self.operations),
             voters=VoterDesk(self.log),
             status=StatusDesk(
-                settings, self.lifecycle, self.log, self.ownership, self.directory, view
+                settings,
+                self.lifecycle,
+                self.log,
+                self.ownership,
+                self.directory,
+                view,
+                self.network.traffic,
             ),
             operator_key=operator_key,
         )
--- a/laburnumrock/daemon/_operator_access.py
+++ b/laburnumrock/daemon/_operator_access.py
@@ -19,6 +19,7 @@
 )
 from laburnumrock.messages import to_plain
 from laburnumrock.settings import InstanceSettings
+from laburnumrock.transport import TrafficCounts
 
 
 class OperationDesk:
@@ -91,6 +92,8 @@
         Known pools.
     view : DeclarationView
         Declarations in force here.
+    traffic : TrafficCounts
+        Messages between the instances.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         ownership: OwnershipTask,
         directory: PoolDirectory,
         view: DeclarationView,
+        traffic: TrafficCounts,
     ) -> None:
         self.settings = settings
         self.lifecycle = lifecycle
@@ -108,6 +112,7 @@
         self.ownership = ownership
         self.directory = directory
         self.view = view
+        self.traffic = traffic
 
     def describe_status(self) -> dict[str, object]:
         """Return plain data about this instance, without credentials."""
@@ -125,6 +130,7 @@
             "coordinator": self.ownership.find_coordinator(),
             "owned_pools": sorted(self.ownership.owned_pools()),
             "pools": self._describe_pools(),
+            "traffic": self.traffic.describe(),
         }
 
     def _describe_pools(self) -> dict[str, object]:
--- a/laburnumrock/ownership/_messages.py
+++ b/laburnumrock/ownership/_messages.py
@@ -69,6 +69,14 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class PoolSplit:
+    """A pool that shall be replaced by ``2 ** depth`` shards."""
+
+    pool_id: str
+    depth: int
+
+
 @register_message
 @dataclass(frozen=True, slots=True)
 class AssignmentRequest:
@@ -88,6 +96,10 @@
         Pools with upstreams that the sender knows to be without an owner.
     known_version : int
         Version of the owner map that the sender has.
+    period_s : float, optional
+        Time until the sender's next request; without it, that of an owner.
+    splits : list of PoolSplit
+        Released pools that have more upstreams than one owner should have.
     """
 
     sequence: int
@@ -97,6 +109,16 @@
     released: list[HeldPool] = field(default_factory=list)
     wanted: list[str] = field(default_factory=list)
     known_version: int = 0
+    period_s: float | None = None
+    splits: list[PoolSplit] = field(default_factory=list)
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class OwnersChanged:
+    """Tells an instance to ask the coordinator at once; sent when the owner map changed."""
+
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +163,8 @@
         Version of the owner map.
     owners : dict from pool id to PoolOwner, optional
         Owner map of the failure domain; left out when the receiver has this version.
+    give_back : list of str
+        Pools that the receiver shall release, since it owns more than its part.
     """
 
     sequence: int
@@ -148,3 +172,4 @@
     assignments: list[PoolAssignment]
     version: int
     owners: dict[str, PoolOwner] | None = None
+    give_back: list[str] = field(default_factory=list)
