--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -8,11 +8,28 @@
 from result import Err, Ok
 
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.gateway.tests.fakes import LIMIT_BYTES, WHOLE, ScriptedEngine, read_text, serving
+from laburnumrock.gateway.tests.fakes import (
+    LIMIT_BYTES,
+    WHOLE,
+    FakeOperations,
+    ScriptedEngine,
+    read_text,
+    serving,
+)
 from laburnumrock.journal import OperationState, RecordedAnswer
 from laburnumrock.placement import PermitOutcome
 
 
+class FailingOnce(FakeOperations):
+    """Fails the first run of an operation without a dispatch."""
+
+    def __init__(self, kind):
+        self.failures = [Err(Failure(kind))]
+
+    async def run(self, account, key, fingerprint, deadline_s, dispatch):
+        return self.failures.pop() if self.failures else await dispatch()
+
+
 class TestCompletions:
     @pytest.mark.parametrize("stream", [True, False])
     def test_whole_answer(self, stream):
@@ -224,6 +241,22 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize(
+        ("kind", "status", "dispatches"),
+        [(ErrorKind.CONNECTION_FAILED, 503, 1), (ErrorKind.OUTCOME_UNKNOWN, 502, 0)],
+    )
+    def test_only_an_unsent_operation_is_claimed_again(self, kind, status, dispatches):
+        """Guards against refusals while a pool changes its owner, and against a second run."""
+
+        async def run():
+            async with serving(ScriptedEngine(0, "refuse")) as gateway:
+                gateway.services.operations.run = FailingOnce(kind).run
+                answer = await gateway.post("/v1/services/orders/place", {}, Idempotency_Key="k")
+                assert answer.code == status
+                assert len(gateway.permits.requests) == dispatches
+
+        asyncio.run(run())
+
 
 class TestStopping:
     def test_new_work_is_refused(self):
--- a/laburnumrock/scenarios/__init__.py
+++ b/laburnumrock/scenarios/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumrock.scenarios._deployment import Deployment
 from laburnumrock.scenarios._http import HttpAnswer, request_json
+from laburnumrock.scenarios._interpreter import ScenarioReport, run_script
 from laburnumrock.scenarios._log_checks import LogChecks
 from laburnumrock.scenarios._log_cluster import LogCluster, LogReport
 from laburnumrock.scenarios._log_host import LogHost
@@ -11,9 +12,17 @@
 from laburnumrock.scenarios._order_host import OrderHost
 from laburnumrock.scenarios._plan import DeploymentPlan
 from laburnumrock.scenarios._processes import ManagedProcess, ProcessGroup, run_deployment
+from laburnumrock.scenarios._script import CASES, ScenarioError, Script, parse_script, read_script
 from laburnumrock.scenarios._virtual import FaultRates, VirtualClock, VirtualNetwork
 
 __all__ = [
+    "CASES",
+    "ScenarioError",
+    "ScenarioReport",
+    "Script",
+    "parse_script",
+    "read_script",
+    "run_script",
     "Deployment",
     "DeploymentPlan",
     "FaultRates",
