--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -5,7 +5,8 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
-from result import Result
+from eliot import log_message
+from result import Err, Result
 from tornado.httpserver import HTTPServer
 
 from laburnumrock.daemon._declaration_task import DeclarationTask
@@ -14,6 +15,8 @@
 from laburnumrock.daemon._membership_task import MembershipTask
 from laburnumrock.daemon._operations import OperationClient
 from laburnumrock.daemon._operator_access import OperationDesk, StatusDesk, VoterDesk
+from laburnumrock.daemon._order_task import OrderTask
+from laburnumrock.daemon._owner_watch import OwnerWatch
 from laburnumrock.daemon._ownership_task import OwnershipTask
 from laburnumrock.daemon._permits import PermitClient
 from laburnumrock.daemon._pool_directory import PoolDirectory
@@ -22,6 +25,7 @@
 from laburnumrock.daemon._quota_task import QuotaTask
 from laburnumrock.daemon._quotas import QuotaClient
 from laburnumrock.daemon._replica import Replica
+from laburnumrock.declarations import ServiceKind
 from laburnumrock.errors import Failure
 from laburnumrock.gateway import (
     GatewayServices,
@@ -68,8 +72,9 @@
         counters: Counters,
     ) -> None:
         self.settings = settings
-        self.lifecycle = Lifecycle(settings.instance_id)
+        self.lifecycle = Lifecycle(settings.instance_id, self.is_in_service)
         self.stop_requested = asyncio.Event()
+        self.has_started = False
         self.network = PeerNetwork(settings, shared_key)
         self.log = LogTask(settings, self.network)
         replica = Replica(self.log.state) if self.log.runner is not None else None
@@ -100,6 +105,12 @@
         self.membership.digest_handlers.append(self.quota_keeping.receive_digest)
         self.quotas = QuotaClient(settings, self.network, self.ownership)
         self.operations = OperationClient(settings, self.log)
+        self.owner_watch = OwnerWatch(
+            settings, self.log, self.operations, self.membership.live_members
+        )
+        self.membership.digest_handlers.append(self.owner_watch.receive_digest)
+        self.orders = OrderTask(settings, self.network, self.log)
+        self.pools.announcement_listeners.append(self.orders.observe)
         self.services = GatewayServices(
             settings=settings,
             declarations=view,
@@ -115,6 +126,7 @@
             declarations=self.declarations,
             operations=OperationDesk(self.operations),
             voters=VoterDesk(self.log),
+            orders=self.orders,
             status=StatusDesk(
                 settings,
                 self.lifecycle,
@@ -127,6 +139,11 @@
             operator_key=operator_key,
         )
 
+    def is_in_service(self) -> bool:
+        """Tell whether the declarations leave this instance in service."""
+        view = self.declarations.view
+        return view.is_in_service(ServiceKind.INSTANCE, self.settings.instance_id)
+
     def request_stop(self) -> None:
         """Begin the planned stop."""
         self.stop_requested.set()
@@ -137,7 +154,8 @@
         Returns
         -------
         Result
-            Nothing after a planned stop, or the failure that keeps the instance from starting.
+            Nothing after a planned stop, or the failure that keeps the instance from starting or
+            from going on. After a failure `has_started` tells which of the two.
         """
         async with contextlib.AsyncExitStack() as stack:
             await stack.enter_async_context(run_task(self.network))
@@ -154,14 +172,25 @@
                 self.quota_keeping,
                 self.quotas,
                 self.operations,
+                self.owner_watch,
+                self.orders,
             ):
                 await stack.enter_async_context(run_task(task))
             server = self._serve()
+            self.has_started = True
+            watch = asyncio.create_task(self._stop_after_log_failure())
             await self._wait_until_ready()
             await self.stop_requested.wait()
             await self._finish_requests(server)
+            watch.cancel()
         self.lifecycle.fire("handed_over")
-        return started
+        return started if self.log.failure is None else Err(self.log.failure)
+
+    async def _stop_after_log_failure(self) -> None:
+        """Stop when the log fails: running requests do not depend on it and may finish."""
+        failure = await self.log.wait_failed()
+        log_message("instance_stops", reason=str(failure))
+        self.request_stop()
 
     def _serve(self) -> HTTPServer:
         app = make_app(self.services, operator_routes(self.operator_services))
