Renew permits by number

Cause: an entry instance renewed each permit every 0.67 s with the whole grant, so that an owner that took the pool over could adopt it. At 325 running requests that is 60 KB/s.

Change: a renewal names the permits that its owner granted by number and carries whole grants only of earlier owners. An owner ignores numbers of another epoch: it neither adopts nor revokes them, and the entry instance sends whole grants once it knows the new owner.

--- a/benchmarks/slope_control.py
+++ b/benchmarks/slope_control.py
@@ -34,9 +34,9 @@
     PermitGrant,
     PermitOutcome,
     PermitRelease,
-    PermitRenewal,
     Placement,
     PoolSummary,
+    make_renewal,
 )
 from laburnumrock.replication import Append, AppendAnswer, Entry, EntryKind
 from laburnumrock.settings import TimingSettings
@@ -120,8 +120,11 @@
     "PoolAssignments per owner": lambda n: PoolAssignments(
         9, 1 << 40, [], 9, {f"a/model/m{k:02}/0101": PoolOwner(f"a-{k}", 1 << 45) for k in range(n)}
     ),
-    "PermitRenewal per permit": lambda n: PermitRenewal(
-        "a/model/m/01", [make_grant(k) for k in range(n)]
+    "PermitRenewal per permit": lambda n: make_renewal(
+        "a/model/m/01", 1 << 45, [make_grant(1_000 + k) for k in range(n)]
+    ),
+    "PermitRenewal after a take-over": lambda n: make_renewal(
+        "a/model/m/01", 2 << 45, [make_grant(1_000 + k) for k in range(n)]
     ),
     "DeclarationUpdate per change": lambda n: DeclarationUpdate(
         2_400,
--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -19,9 +19,9 @@
     PermitOutcome,
     PermitRefusal,
     PermitRelease,
-    PermitRenewal,
     PermitRenewalAnswer,
     PermitRequest,
+    make_renewal,
 )
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
@@ -273,13 +273,14 @@
     async def _renew_permits(self) -> None:
         while True:
             await asyncio.sleep(self.settings.timing.permit_ttl_s / RENEWALS_PER_TTL)
-            grants: dict[tuple[str, str], list[PermitGrant]] = {}
+            grants: dict[tuple[PoolOwner, str], list[PermitGrant]] = {}
             for held in self.held.values():
                 pool_id, owner = self._find_permit_owner(held)
                 if owner is not None:
-                    grants.setdefault((owner.instance_id, pool_id), []).append(held.grant)
-            for (instance_id, pool_id), pool_grants in grants.items():
-                self.network.send(instance_id, PermitRenewal(pool_id, pool_grants))
+                    grants.setdefault((owner, pool_id), []).append(held.grant)
+            for (owner, pool_id), pool_grants in grants.items():
+                renewal = make_renewal(pool_id, owner.epoch, pool_grants)
+                self.network.send(owner.instance_id, renewal)
 
 
 def _unavailable(may_appear: bool) -> Failure:
--- a/laburnumrock/daemon/tests/fakes.py
+++ b/laburnumrock/daemon/tests/fakes.py
@@ -109,6 +109,7 @@
             self.permits.pop(message.permit_id, None)
         elif isinstance(message, PermitRenewal):
             self.renewed += [grant.permit_id for grant in message.grants]
+            self.renewed += [f"{self.pool_id}/{self.epoch}/{one}" for one in message.numbers]
             revoked = [name for name in self.renewed if name in self.revoke]
             return [Send(sender, PermitRenewalAnswer(revoked))]
         return self.tick(now_s)
--- a/laburnumrock/placement/__init__.py
+++ b/laburnumrock/placement/__init__.py
@@ -13,6 +13,7 @@
     PermitRequest,
     Placement,
     PoolSummary,
+    make_renewal,
 )
 from laburnumrock.placement._policies import POLICIES, PlacementPolicy, register_policy
 from laburnumrock.placement._scheduler import PoolScheduler
@@ -35,6 +36,7 @@
     "PoolScheduler",
     "PoolSettings",
     "PoolSummary",
+    "make_renewal",
     "classify_length",
     "register_policy",
 ]
--- a/laburnumrock/placement/_messages.py
+++ b/laburnumrock/placement/_messages.py
@@ -149,11 +149,51 @@
     pool_id : str
         Pool of the permits.
     grants : list of PermitGrant
-        Permits in use.
+        Permits in use that another owner granted.
+    owner_epoch : int
+        Epoch of the owner as the entry instance knows it.
+    numbers : list of int
+        Numbers of the permits in use that were granted under this epoch.
+
+    Notes
+    -----
+    A number takes 3 bytes and a grant 124. At 325 running requests an entry instance sent 60 KB/s
+    of whole grants.
     """
 
     pool_id: str
     grants: list[PermitGrant]
+    owner_epoch: int = 0
+    numbers: list[int] = field(default_factory=list)
+
+
+def make_permit_id(pool_id: str, owner_epoch: int, number: int) -> str:
+    """Return the id of a permit from its place among those of an owner."""
+    return f"{pool_id}/{owner_epoch}/{number}"
+
+
+def make_renewal(pool_id: str, owner_epoch: int, grants: list[PermitGrant]) -> PermitRenewal:
+    """Return the shortest renewal of permits for an owner.
+
+    Parameters
+    ----------
+    pool_id : str
+        Pool that answers for the permits now.
+    owner_epoch : int
+        Epoch of its owner.
+    grants : list of PermitGrant
+        Permits in use, also those of earlier owners.
+    """
+    others = []
+    numbers = []
+    for grant in grants:
+        last = grant.permit_id.rpartition("/")[2]
+        number = int(last) if last.isdecimal() else 0
+        if grant.permit_id == make_permit_id(pool_id, owner_epoch, number):
+            numbers.append(number)
+        else:
+            others.append(grant)
+    return PermitRenewal(pool_id, others, owner_epoch, numbers)
 
 
 @register_message
--- a/laburnumrock/placement/_permits.py
+++ b/laburnumrock/placement/_permits.py
@@ -6,7 +6,13 @@
 from laburnumrock.messages import Effect
 from laburnumrock.placement._effects import CancelOnUpstream
 from laburnumrock.placement._ledger import Permit, UpstreamLedger, WaitingRequest
-from laburnumrock.placement._messages import PermitGrant, PermitRelease, PermitRenewal, Placement
+from laburnumrock.placement._messages import (
+    PermitGrant,
+    PermitRelease,
+    PermitRenewal,
+    Placement,
+    make_permit_id,
+)
 from laburnumrock.placement._settings import LengthClass, PoolSettings, classify_length
 from laburnumrock.placement._table import UpstreamTable
 
@@ -41,7 +47,7 @@
         self._sequence += 1
         settings = self.settings
         grant = PermitGrant(
-            permit_id=f"{settings.pool_id}/{settings.owner_epoch}/{self._sequence}",
+            permit_id=make_permit_id(settings.pool_id, settings.owner_epoch, self._sequence),
             request_id=waiting.request.request_id,
             attempt=waiting.request.attempt,
             owner_epoch=settings.owner_epoch,
@@ -82,18 +88,37 @@
         now_s : float
             Clock reading in seconds.
         """
-        revoked = []
+        revoked = self._renew_own(sender, message, now_s)
         for grant in message.grants:
             permit = self.permits.get(grant.permit_id)
             if permit is not None and not permit.ended:
-                permit.expires_s = now_s + self.settings.permit_ttl_s
-                permit.holder = sender
+                self._extend(permit, sender, now_s)
             elif permit is None and accepts_unknown and self._is_earlier(grant):
                 self._adopt(sender, grant, now_s)
             else:
                 revoked.append(grant.permit_id)
         return revoked
 
+    def _renew_own(self, sender: str, message: PermitRenewal, now_s: float) -> list[str]:
+        settings = self.settings
+        if message.owner_epoch != settings.owner_epoch:
+            # Meant for an earlier owner. The entry instance sends whole grants once it knows this
+            # one, so that nothing is revoked here.
+            return []
+        revoked = []
+        for number in message.numbers:
+            permit_id = make_permit_id(settings.pool_id, settings.owner_epoch, number)
+            permit = self.permits.get(permit_id)
+            if permit is None or permit.ended:
+                revoked.append(permit_id)
+            else:
+                self._extend(permit, sender, now_s)
+        return revoked
+
+    def _extend(self, permit: Permit, sender: str, now_s: float) -> None:
+        permit.expires_s = now_s + self.settings.permit_ttl_s
+        permit.holder = sender
+
     def end(self, permit: Permit, now_s: float) -> None:
         """End a permit whose work may still run; its memory stays in use until confirmed."""
         if permit.ended:
--- a/laburnumrock/placement/tests/test_scheduler.py
+++ b/laburnumrock/placement/tests/test_scheduler.py
@@ -1,6 +1,7 @@
 """Tests of the pool scheduler."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -17,6 +18,7 @@
     PermitRequest,
     PoolScheduler,
     PoolSettings,
+    make_renewal,
 )
 from laburnumrock.upstreams import CacheEvent, UpstreamAnnouncement, UpstreamKind, UpstreamState
 
@@ -179,6 +181,23 @@
         answer = scheduler.receive("entry", renewal, 4.1)[0].message
         assert answer.revoked_permits == [grant.permit_id]
 
+    def test_renewal_by_number_keeps_and_revokes(self):
+        """Guards against a renewal by number that a wrong owner takes, or that renews too much."""
+        scheduler = make_scheduler(("e1",))
+        grant = messages(ask(scheduler), PermitGrant)[0]
+        epoch = grant.owner_epoch
+        renewal = make_renewal("a/m", epoch, [grant])
+        assert renewal == PermitRenewal("a/m", [], epoch, [1])
+        assert make_renewal("a/m", epoch + 1, [grant]).grants == [grant]
+        assert make_renewal("a/m/0", epoch, [grant]).grants == [grant]
+        assert scheduler.receive("entry", renewal, 1.5)[0].message.revoked_permits == []
+        assert scheduler.tick(3.0) == []
+        early = replace(renewal, owner_epoch=epoch - 1)
+        assert scheduler.receive("entry", early, 3.2)[0].message.revoked_permits == []
+        scheduler.tick(4.0)
+        answer = scheduler.receive("entry", renewal, 4.1)[0].message
+        assert answer.revoked_permits == [grant.permit_id]
+
     def test_resend_gets_the_same_permit(self):
         """Guards against two permits for one attempt after a lost answer."""
         scheduler = make_scheduler()
