--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -106,6 +106,15 @@
         assert json.loads(shell.run("validate", shell.folder, "--json")[1])["templates"] == 1
 
 
+class TestOrderCommands:
+    def test_add_and_list(self, shell):
+        """Guards against an order that names another engine, kind or target than was typed."""
+        add = ("orders", "add", "e1", "load_model", "review", "--request-id", "o1")
+        assert shell.run(*add) == (0, "order o1 is recorded\n")
+        assert shell.run("orders", "list") == (0, "o1 e1 load_model review: recorded\n")
+        assert shell.run("orders", "list", "--upstream", "e2") == (0, "")
+
+
 class TestServiceStateCommands:
     def test_drain_and_restore(self, shell):
         """Guards against a drain that is lost, or repeated as a new revision."""
@@ -222,7 +231,9 @@
         assert (texts, reader.finished, reader.failure) == (["天光 "], True, None)
 
     def test_error_event_is_a_failure(self):
-        """Guards against a broken stream that counts as a complete answer."""
-        reader, _ = self._read(b'event: error\ndata: {"kind": "deadline_exceeded"}\n\n')
+        """Guards against a broken stream that counts as complete or is not found in the logs."""
+        document = b'{"kind": "deadline_exceeded", "detail": "late", "request_id": "r7"}'
+        reader, _ = self._read(b"event: error\ndata: " + document + b"\n\n")
         assert reader.failure.kind is ErrorKind.DEADLINE_EXCEEDED
+        assert reader.failure.detail == "late (request r7)"
         assert not reader.finished
--- a/laburnumrock/daemon/_announcement_port.py
+++ b/laburnumrock/daemon/_announcement_port.py
@@ -3,7 +3,7 @@
 import time
 import typing
 
-from laburnumrock.daemon._pool_runner import find_pool_id
+from laburnumrock.daemon._pool_runner import PoolRunner, find_pool_id
 from laburnumrock.ownership import list_covering
 from laburnumrock.upstreams import (
     AnnouncementFetch,
@@ -64,7 +64,7 @@
             if message.upstream_id not in runner.upstreams:
                 # The list of requests that a new engine holds is read at once.
                 self.pools.timer.wake()
-            self.pools.carry_out(runner, runner.observe(message, self.pools.view, now_s))
+            self._observe(runner, message, now_s)
 
     def _receive_beat(self, sender: str, message: UpstreamBeat) -> None:
         now_s = time.monotonic()
@@ -74,10 +74,17 @@
                 continue
             if self.pools.find_runner(pool_id, now_s) is runner:
                 announcement = apply_beat(seen.announcement, message)
-                self.pools.carry_out(runner, runner.observe(announcement, self.pools.view, now_s))
+                self._observe(runner, announcement, now_s)
                 return
         # The whole announcement was lost, or another owner took the pool over.
         self.pools.network.send(sender, AnnouncementFetch(message.upstream_id))
 
+    def _observe(
+        self, runner: PoolRunner, announcement: UpstreamAnnouncement, now_s: float
+    ) -> None:
+        for listener in self.pools.announcement_listeners:
+            listener(announcement)
+        self.pools.carry_out(runner, runner.observe(announcement, self.pools.view, now_s))
+
     def _receive_fetch(self, sender: str, message: AnnouncementFetch) -> None:
         self.relay.forget(message.upstream_id)
--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -1,6 +1,7 @@
 """Task that runs the schedulers of the pools which this instance owns."""
 
 import time
+from collections.abc import Callable
 
 from eliot import log_message
 
@@ -78,6 +79,7 @@
         self.make_scheduler = make_scheduler
         self.runners: dict[str, PoolRunner] = {}
         self.engines = EngineCalls(settings.timing.connect_timeout_s)
+        self.announcement_listeners: list[Callable[[UpstreamAnnouncement], None]] = []
         self.next_summary_s = 0.0
         self.announcements = AnnouncementPort(self)
         self.announce = self.announcements.announce
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -8,11 +8,28 @@
 from result import Err, Ok
 
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.gateway.tests.fakes import LIMIT_BYTES, WHOLE, ScriptedEngine, read_text, serving
+from laburnumrock.gateway.tests.fakes import (
+    LIMIT_BYTES,
+    WHOLE,
+    FakeOperations,
+    ScriptedEngine,
+    read_text,
+    serving,
+)
 from laburnumrock.journal import OperationState, RecordedAnswer
 from laburnumrock.placement import PermitOutcome
 
 
+class FailingOnce(FakeOperations):
+    """Fails the first run of an operation without a dispatch."""
+
+    def __init__(self, kind):
+        self.failures = [Err(Failure(kind))]
+
+    async def run(self, account, key, fingerprint, deadline_s, dispatch):
+        return self.failures.pop() if self.failures else await dispatch()
+
+
 class TestCompletions:
     @pytest.mark.parametrize("stream", [True, False])
     def test_whole_answer(self, stream):
@@ -42,6 +59,7 @@
                 assert read_text(answer) == WHOLE
                 assert engines[1].bodies[0]["resume_from"] == 2
                 assert gateway.permits.requests[1].excluded_upstreams == ["u1"]
+                await gateway.finish_clean_up()
                 assert engines[0].cancelled.is_set()
 
         asyncio.run(run())
@@ -89,6 +107,7 @@
             async with serving(engine) as gateway:
                 answer = await gateway.complete(X_Timeout_S="0.3")
                 assert b"deadline_exceeded" in answer.body
+                await gateway.finish_clean_up()
                 assert engine.cancelled.is_set()
                 assert gateway.permits.releases == [PermitOutcome.CANCELLED]
 
@@ -103,6 +122,7 @@
                 asyncio.get_running_loop().call_later(0.2, gateway.permits.revoked.set)
                 answer = await gateway.complete()
                 assert b"[DONE]" not in answer.body
+                await gateway.finish_clean_up()
                 assert engine.cancelled.is_set()
 
         asyncio.run(run())
@@ -221,6 +241,22 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize(
+        ("kind", "status", "dispatches"),
+        [(ErrorKind.CONNECTION_FAILED, 503, 1), (ErrorKind.OUTCOME_UNKNOWN, 502, 0)],
+    )
+    def test_only_an_unsent_operation_is_claimed_again(self, kind, status, dispatches):
+        """Guards against refusals while a pool changes its owner, and against a second run."""
+
+        async def run():
+            async with serving(ScriptedEngine(0, "refuse")) as gateway:
+                gateway.services.operations.run = FailingOnce(kind).run
+                answer = await gateway.post("/v1/services/orders/place", {}, Idempotency_Key="k")
+                assert answer.code == status
+                assert len(gateway.permits.requests) == dispatches
+
+        asyncio.run(run())
+
 
 class TestStopping:
     def test_new_work_is_refused(self):
