Ask for the rest of the answer when an attempt is resumed

Cause: a resumed attempt asked for a permit for the whole answer, so that the deadline prediction refused it 5 ms after the engine had died although 14 s were left; refusals were not logged. Change: the delivered tokens count as prompt, only the rest as output; refused permits and failed attempts are logged with the request id. Ruled out: the retry budget (full) and a dead pool owner (the refusal is deadline_unreachable).

--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -108,6 +108,12 @@
                 self._record(Measure.TOTAL, time.monotonic() - self.started_s)
                 return result
             failure = result.unwrap_err()
+            log_message(
+                "attempt_failed",
+                request_id=self.order.work.request_id,
+                attempt=attempt,
+                failure=str(failure),
+            )
             if failure.kind not in _RETRIED_KINDS or self._remaining_s() <= 0:
                 return result
             self.services.counters.count("retries")
@@ -115,6 +121,8 @@
 
     async def _acquire(self, attempt: int) -> Result[PermitGrant, Failure]:
         work = self.order.work
+        # A resumed attempt computes the delivered tokens as part of the prompt.
+        delivered = self.assembler.next_index
         asked_s = time.monotonic()
         granted = await self.services.permits.acquire(
             PermitRequest(
@@ -123,8 +131,8 @@
                 client_account=self.order.client_account,
                 caller=self.order.caller,
                 model=work.model,
-                prompt_tokens=self.order.prompt_tokens,
-                max_output_tokens=work.max_tokens,
+                prompt_tokens=self.order.prompt_tokens + delivered,
+                max_output_tokens=work.max_tokens - delivered,
                 remaining_s=max(self._remaining_s(), 0.0),
                 priority=work.priority,
                 adapter=work.adapter,
@@ -134,6 +142,13 @@
             )
         )
         self._record(Measure.QUEUE_WAIT, time.monotonic() - asked_s)
+        if granted.is_err():
+            log_message(
+                "permit_refused",
+                request_id=work.request_id,
+                attempt=attempt,
+                failure=str(granted.unwrap_err()),
+            )
         return granted
 
     def _judge_refusal(self, failure: Failure) -> Failure:
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -58,7 +58,9 @@
                 answer = await gateway.complete()
                 assert read_text(answer) == WHOLE
                 assert engines[1].bodies[0]["resume_from"] == 2
-                assert gateway.permits.requests[1].excluded_upstreams == ["u1"]
+                resumed = gateway.permits.requests[1]
+                assert resumed.excluded_upstreams == ["u1"]
+                assert (resumed.prompt_tokens, resumed.max_output_tokens) == (4, 2)
                 await gateway.finish_clean_up()
                 assert engines[0].cancelled.is_set()
 
