--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -23,10 +23,6 @@
 MAX_ATTEMPTS = 3
 RETRY_AFTER_FAILURE_S = 1.0
 
-# A process that was frozen for longer than this during its dispatch sends nothing. No call is sent
-# after its deadline, so that an operator may settle it as not run some time later.
-DISPATCH_WINDOW_S = 2.0
-
 # Headers of an upstream's answer that are passed on and recorded.
 PASSED_HEADERS = ("Content-Type", "Location", "ETag")
 
@@ -181,8 +177,7 @@
         for attempt in range(1, MAX_ATTEMPTS + 1):
             dispatch = functools.partial(self._dispatch, call, attempt, excluded)
             result = await self._run_operation(call, dispatch)
-            # The wait for a permit, as while a pool changes its owner, can outlast the time for
-            # sending; the operation is then settled as not run and may be claimed again.
+            # The operation is settled as not run and may be claimed again.
             unsent = result.is_err() and result.unwrap_err().kind is ErrorKind.CONNECTION_FAILED
             if not unsent or attempt == MAX_ATTEMPTS or call.remaining_s() <= 0:
                 return result
@@ -194,12 +189,13 @@
     async def _dispatch(
         self, call: ServiceCall, attempt: int, excluded: list[str]
     ) -> Result[RecordedAnswer, Failure]:
-        send_before_s = min(time.monotonic() + DISPATCH_WINDOW_S, call.deadline_s)
         granted = await self._acquire(call, attempt, excluded)
         if granted.is_err():
             return granted
-        result = await self._call_upstream(call, granted.unwrap(), send_before_s)
-        if result.is_err() and time.monotonic() < send_before_s:
+        # An operator may settle the operation as not run some time after its deadline, so that a
+        # process that was frozen until then must not send it.
+        result = await self._call_upstream(call, granted.unwrap(), call.deadline_s)
+        if result.is_err():
             excluded.append(granted.unwrap().placements[0].upstream_id)
         return result
 
--- a/laburnumrock/metrics/_logging.py
+++ b/laburnumrock/metrics/_logging.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 
 from eliot import FileDestination, add_destinations, remove_destination
-from eliot.json import EliotJSONEncoder
 
 from laburnumrock.settings import InstanceSettings
 
@@ -28,7 +27,7 @@
         stream = sys.stderr
         if path is not None:
             stream = stack.enter_context(path.open("a", encoding="utf-8", buffering=1))
-        write = FileDestination(stream, encoder=EliotJSONEncoder)
+        write = FileDestination(stream)
 
         def write_with_place(message: dict) -> None:
             write({**message, **place})
