Send the key that engines ask of whoever orders them

Cause: some engines check who gives orders, and the controller sent no key, so that it repeated a refused order for ever. Followers looked at the order book ten times a second. Change: orders.key_file names the key; all key files are read in one place and hidden in text forms; followers look twice a second. Measured: the new test sends an order without, with a wrong and with the right key: before, no way to be accepted; after, refused, refused, accepted.

--- a/laburnumrock/daemon/__main__.py
+++ b/laburnumrock/daemon/__main__.py
@@ -10,8 +10,8 @@
 
 from laburnumrock.daemon._instance import Instance
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.metrics import open_counters, open_log
-from laburnumrock.settings import InstanceSettings, load_settings, read_key
+from laburnumrock.metrics import Counters, open_counters, open_log
+from laburnumrock.settings import InstanceKeys, InstanceSettings, load_settings, read_keys
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_CANNOT_START = 3
@@ -34,10 +34,9 @@
     the disk again and goes on if it is intact.
     """
     settings = _unwrap(load_settings(settings_path))
-    shared_key = _unwrap(read_key(settings.shared_key_file))
-    operator_key = _unwrap(read_key(settings.operator_key_file))
+    keys = _unwrap(read_keys(settings))
     with open_log(settings), open_counters(settings) as counters:
-        result, has_started = asyncio.run(_run(settings, shared_key, operator_key, counters))
+        result, has_started = asyncio.run(_run(settings, keys, counters))
     if result.is_err():
         click.echo(f"laburnumrockd: {result.unwrap_err()}", err=True)
         sys.exit(EXIT_LOG_FAILED if has_started else EXIT_CANNOT_START)
@@ -51,9 +50,9 @@
 
 
 async def _run(
-    settings: InstanceSettings, shared_key: bytes, operator_key: bytes, counters
+    settings: InstanceSettings, keys: InstanceKeys, counters: Counters
 ) -> tuple[Result[None, Failure], bool]:
-    instance = Instance(settings, shared_key, operator_key, counters)
+    instance = Instance(settings, keys, counters)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.request_stop)
--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -35,7 +35,7 @@
     serve_app,
 )
 from laburnumrock.metrics import Counters, HistogramRegistry
-from laburnumrock.settings import InstanceSettings
+from laburnumrock.settings import InstanceKeys, InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
 READY_POLL_S = 0.05
@@ -58,24 +58,18 @@
     ----------
     settings : InstanceSettings
         Settings of the instance.
-    shared_key, operator_key : bytes
-        Keys that peers and operators prove.
+    keys : InstanceKeys
+        Keys towards peers, operators and engines.
     counters : Counters
         statsd counters.
     """
 
-    def __init__(
-        self,
-        settings: InstanceSettings,
-        shared_key: bytes,
-        operator_key: bytes,
-        counters: Counters,
-    ) -> None:
+    def __init__(self, settings: InstanceSettings, keys: InstanceKeys, counters: Counters) -> None:
         self.settings = settings
         self.lifecycle = Lifecycle(settings.instance_id, self.is_in_service)
         self.stop_requested = asyncio.Event()
         self.has_started = False
-        self.network = PeerNetwork(settings, shared_key)
+        self.network = PeerNetwork(settings, keys.shared)
         self.log = LogTask(settings, self.network)
         replica = Replica(self.log.state) if self.log.runner is not None else None
         self.declarations = DeclarationTask(settings, self.network, self.log, replica)
@@ -109,7 +103,7 @@
             settings, self.log, self.operations, self.membership.live_members
         )
         self.membership.digest_handlers.append(self.owner_watch.receive_digest)
-        self.orders = OrderTask(settings, self.network, self.log)
+        self.orders = OrderTask(settings, self.network, self.log, keys.orders)
         self.pools.announcement_listeners.append(self.orders.observe)
         self.services = GatewayServices(
             settings=settings,
@@ -136,7 +130,7 @@
                 view,
                 self.network.traffic,
             ),
-            operator_key=operator_key,
+            operator_key=keys.operator,
         )
 
     def is_in_service(self) -> bool:
--- a/laburnumrock/daemon/_order_calls.py
+++ b/laburnumrock/daemon/_order_calls.py
@@ -34,10 +34,15 @@
     ----------
     timeout_s : float, > 0
         Longest duration of a call in seconds.
+    key : bytes, optional
+        Key that engines ask of whoever gives them orders.
     """
 
-    def __init__(self, timeout_s: float) -> None:
+    def __init__(self, timeout_s: float, key: bytes | None = None) -> None:
         self.timeout_s = timeout_s
+        self.headers = {"Content-Type": "application/json"}
+        if key is not None:
+            self.headers["Authorization"] = f"Bearer {key.decode()}"
         self.client: AsyncHTTPClient | None = None
 
     def close(self) -> None:
@@ -107,7 +112,7 @@
         return HTTPRequest(
             f"{base_url}/v1/orders",
             method=method,
-            headers={"Content-Type": "application/json"},
+            headers=dict(self.headers),
             connect_timeout=self.timeout_s,
             request_timeout=self.timeout_s,
             follow_redirects=False,
--- a/laburnumrock/daemon/_order_task.py
+++ b/laburnumrock/daemon/_order_task.py
@@ -28,6 +28,8 @@
 from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
 
 TICK_S = 0.1
+# A new leader waits longer than this before it orders, so that followers need not look often.
+FOLLOWER_TICK_S = 0.5
 # A voter that missed a sighting, or started later, learns of an engine after this time at most.
 SIGHTING_PERIOD_S = 10.0
 PROPOSE_TIMEOUT_S = 2.0
@@ -45,14 +47,22 @@
         Links to the other instances.
     log : LogTask
         Replicated log with the order book.
+    key : bytes, optional
+        Key that engines ask of whoever gives them orders.
     """
 
-    def __init__(self, settings: InstanceSettings, network: PeerNetwork, log: LogTask) -> None:
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        network: PeerNetwork,
+        log: LogTask,
+        key: bytes | None = None,
+    ) -> None:
         self.settings = settings
         self.network = network
         self.log = log
         self.controller = OrderController(settings.orders, log.state.parts[PART])
-        self.calls = OrderCalls(CALL_TIMEOUT_S)
+        self.calls = OrderCalls(CALL_TIMEOUT_S, key)
         self.reported: dict[str, tuple[EngineSighting, float]] = {}
         self.running: set[asyncio.Task] = set()
         self.task: asyncio.Task | None = None
@@ -108,7 +118,7 @@
             self.controller.lead(self.certain_term(), now_s)
             for effect in self.controller.tick(now_s):
                 self._spawn(self._carry_out(effect))
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if self.log.is_leader else FOLLOWER_TICK_S)
 
     async def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, ProposeMark):
--- a/laburnumrock/daemon/tests/test_order_task.py
+++ b/laburnumrock/daemon/tests/test_order_task.py
@@ -95,3 +95,21 @@
         refused, before, accepted, after = asyncio.run(scenario())
         assert (refused, before) == (ReplyStatus.NOT_SENT, {})
         assert (accepted, after) == (ReplyStatus.ACCEPTED, ["o1"])
+
+    def test_engine_that_checks_orders_gets_the_key(self):
+        """Guards against engines that refuse every order because no key is sent."""
+
+        async def scenario():
+            engine = await start_engine(order_key=KEY.decode())
+            order = Order("o1", "e", OrderKind.CHANGE_ROLE, {"role": "long"})
+            effect = SendOrder("e", engine.options.base_url, order, 3)
+            accepted = []
+            for key in (None, b"x" * 32, KEY):
+                calls = OrderCalls(1.0, key)
+                answer = await calls.send(effect, lambda: True)
+                accepted.append(answer.status is ReplyStatus.ACCEPTED)
+                calls.close()
+            await engine.stop()
+            return accepted
+
+        assert asyncio.run(scenario()) == [False, False, True]
--- a/laburnumrock/settings/__init__.py
+++ b/laburnumrock/settings/__init__.py
@@ -8,9 +8,16 @@
     StatsdSettings,
     TimingSettings,
 )
-from laburnumrock.settings._load import describe_validation_error, load_settings, read_key
+from laburnumrock.settings._load import (
+    InstanceKeys,
+    describe_validation_error,
+    load_settings,
+    read_key,
+    read_keys,
+)
 
 __all__ = [
+    "InstanceKeys",
     "InstanceSettings",
     "ListenSettings",
     "OrderSettings",
@@ -20,4 +27,5 @@
     "describe_validation_error",
     "load_settings",
     "read_key",
+    "read_keys",
 ]
--- a/laburnumrock/settings/_instance.py
+++ b/laburnumrock/settings/_instance.py
@@ -147,12 +147,15 @@
     fencing_upstreams : list of str
         Engines that are known to refuse an order with an old fencing number. A new controller
         waits before it orders any other engine.
+    key_file : Path, optional
+        File with the key that engines ask of whoever gives them orders; never logged.
     """
 
     max_loads: int = Field(default=2, gt=0)
     loads_per_s: float = Field(default=0.5, gt=0)
     load_burst: float = Field(default=2.0, ge=1)
     fencing_upstreams: list[str] = []
+    key_file: Path | None = None
 
 
 class InstanceSettings(StrictModel):
--- a/laburnumrock/settings/_load.py
+++ b/laburnumrock/settings/_load.py
@@ -1,6 +1,7 @@
 """Reading of settings and key files."""
 
 import json
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from pydantic import ValidationError
@@ -12,6 +13,25 @@
 MIN_KEY_BYTES = 16
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceKeys:
+    """Keys of one instance; hidden in its text form, so that they cannot reach a log.
+
+    Parameters
+    ----------
+    shared : bytes
+        Key that instances prove to each other.
+    operator : bytes
+        Key of operators.
+    orders : bytes, optional
+        Key that engines ask of whoever gives them orders.
+    """
+
+    shared: bytes = field(repr=False)
+    operator: bytes = field(repr=False)
+    orders: bytes | None = field(default=None, repr=False)
+
+
 def describe_validation_error(error: ValidationError, kind: ErrorKind) -> Failure:
     """Turn the first problem of a pydantic error into a failure with its field path.
 
@@ -83,3 +103,28 @@
         detail = f"the key in {path} must have at least {MIN_KEY_BYTES} bytes"
         return Err(Failure(ErrorKind.INVALID_SETTINGS, detail))
     return Ok(key)
+
+
+def read_keys(settings: InstanceSettings) -> Result[InstanceKeys, Failure]:
+    """Read all key files that the settings name.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Settings of the instance.
+
+    Returns
+    -------
+    Result
+        The keys, or the failure of the first file that cannot be used.
+    """
+    paths = [settings.shared_key_file, settings.operator_key_file]
+    if settings.orders.key_file is not None:
+        paths.append(settings.orders.key_file)
+    keys = []
+    for path in paths:
+        key = read_key(path)
+        if key.is_err():
+            return key
+        keys.append(key.unwrap())
+    return Ok(InstanceKeys(*keys))
