Log the decisions of pool owners and finished calls; measure quota and orders

Cause: a request could be followed only at its entry instance, and the capacity page lacked the quota of the coordinator and the order controller.

--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import click
+from slope_admission import measure_admission
 from slope_control import measure_decision_costs, measure_messages, measure_state
 from slope_fit import Slope
 from slope_log import measure_log, measure_spreading
@@ -20,6 +21,7 @@
     "messages": measure_messages,
     "memory": measure_state,
     "decisions": measure_decision_costs,
+    "admission": measure_admission,
     "log": measure_log,
     "declarations": measure_spreading,
     "http": measure_http,
--- /dev/null
+++ b/benchmarks/slope_admission.py
@@ -0,0 +1,82 @@
+"""Slopes of the quota at the coordinator and of the controller of engine orders."""
+
+from slope_fit import Slope, fit_slope, measure_cpu_us
+
+from laburnumrock.admission import (
+    AccountLimits,
+    QuotaKeeper,
+    QuotaRelease,
+    QuotaRequest,
+    ShareAllocator,
+)
+from laburnumrock.messages import Frame, encode_frame
+from laburnumrock.orders import EngineSighting, OrderBookPart, OrderController
+from laburnumrock.settings import OrderSettings
+
+REQUESTS = (1_000, 2_000, 4_000, 8_000)
+ACCOUNTS = (50, 100, 200, 330)
+ENGINES = (100, 300, 1_000, 2_900)
+DOMAINS = [f"domain-{number}" for number in range(10)]
+WIDE_LIMITS = AccountLimits(1e6, 1e12, 1_000_000)
+# One request is a reported demand under these limits.
+NARROW_LIMITS = AccountLimits(30.0, 1e6, 30)
+
+
+def make_keeper(accounts: int, limits: AccountLimits) -> QuotaKeeper:
+    """Return a keeper of some accounts with equal limits."""
+    keeper = QuotaKeeper(ShareAllocator(DOMAINS[0], DOMAINS))
+    keeper.set_limits({f"account-{number}": limits for number in range(accounts)}, 0.0)
+    keeper.set_coordinators({domain: f"{domain}-1" for domain in DOMAINS})
+    return keeper
+
+
+def make_request(number: int, accounts: int) -> QuotaRequest:
+    """Return one request of one of the accounts."""
+    return QuotaRequest(f"fd-1-1-{number:x}", f"account-{number % accounts}", "clerk-7", 4_500)
+
+
+def run_requests(count: int) -> None:
+    """Admit and release requests of 330 accounts."""
+    keeper = make_keeper(ACCOUNTS[-1], WIDE_LIMITS)
+    for number in range(count):
+        request = make_request(number, ACCOUNTS[-1])
+        keeper.receive("fd-1-1", request, number / 1_000)
+        keeper.receive("fd-1-1", QuotaRelease(request.quota_id), number / 1_000)
+
+
+def run_report(accounts: int) -> int:
+    """Make one round of reports; returns the bytes of one report."""
+    keeper = make_keeper(accounts, NARROW_LIMITS)
+    for number in range(accounts):
+        keeper.receive("fd-1-1", make_request(number, accounts), 0.0)
+    reports = keeper.tick(1.5)
+    return len(encode_frame(Frame(reports[0].message)))
+
+
+def make_controller(engines: int) -> OrderController:
+    """Return a leading controller that has sighted engines without open orders."""
+    controller = OrderController(OrderSettings(), OrderBookPart())
+    controller.lead(3, 0.0)
+    for number in range(engines):
+        sighting = EngineSighting(f"engine-{number}", 1, "http://127.0.0.1:20000")
+        controller.receive("fd-1-1", sighting, 0.0)
+    return controller
+
+
+def measure_admission() -> list[Slope]:
+    """Return processor time and bytes of quota, reports and order ticks."""
+    requests = [measure_cpu_us(lambda n=n: run_requests(n)) for n in REQUESTS]
+    sizes = [run_report(count) for count in ACCOUNTS]
+    controllers = [make_controller(count) for count in ENGINES]
+    for one in controllers:
+        one.tick(10.0)
+    ticks = [measure_cpu_us(lambda one=one: one.tick(20.0)) for one in controllers]
+    sighting = EngineSighting("engine-1000", 1, "http://127.0.0.1:20000")
+    sighting_bytes = len(encode_frame(Frame(sighting)))
+    sightings = [count * sighting_bytes for count in ENGINES]
+    return [
+        fit_slope("quota request and its release", "us/request", REQUESTS, requests),
+        fit_slope("share report by accounts", "B/account", ACCOUNTS, sizes),
+        fit_slope("tick of the order controller", "us/engine", ENGINES, ticks),
+        fit_slope("sightings by engines", "B/engine", ENGINES, sightings),
+    ]
--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -23,6 +23,7 @@
 from laburnumrock.placement import (
     CancelOnUpstream,
     PermitCancel,
+    PermitGrant,
     PermitRefusal,
     PermitRelease,
     PermitRenewal,
@@ -253,6 +254,7 @@
         for effect in effects or []:
             if isinstance(effect, Send):
                 self.network.send(effect.destination, effect.message)
+                _log_decision(runner.pool_id, effect.message)
             elif isinstance(effect, CancelOnUpstream):
                 key = ("cancel", effect.upstream_id, effect.request_id)
                 self.engines.start(key, self._cancel(runner.pool_id, effect))
@@ -277,3 +279,23 @@
             return
         observe = runner.scheduler.observe_held_requests
         self.carry_out(runner, observe(engine.upstream_id, held.unwrap(), read_at_s, now_s))
+
+
+def _log_decision(pool_id: str, message: object) -> None:
+    """Log a grant or refusal, so that a request can be followed over all instances."""
+    if isinstance(message, PermitGrant):
+        log_message(
+            "permit_granted",
+            request_id=message.request_id,
+            attempt=message.attempt,
+            pool=pool_id,
+            permit=message.permit_id,
+        )
+    elif isinstance(message, PermitRefusal):
+        log_message(
+            "permit_denied",
+            request_id=message.request_id,
+            attempt=message.attempt,
+            pool=pool_id,
+            kind=str(message.kind),
+        )
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -106,6 +106,12 @@
             result = await self._run_attempt(granted.unwrap(), attempt)
             if result.is_ok():
                 self._record(Measure.TOTAL, time.monotonic() - self.started_s)
+                log_message(
+                    "completion_finished",
+                    request_id=self.order.work.request_id,
+                    attempts=attempt,
+                    tokens=self.assembler.next_index,
+                )
                 return result
             failure = result.unwrap_err()
             log_message(
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass
 
+from eliot import log_message
 from result import Err, Ok, Result
 
 from laburnumrock.declarations import Service, ServicePath, Template
@@ -82,8 +83,16 @@
             self.services.lifecycle.count_request(-1)
         if result.is_err():
             self.finish_with_failure(result.unwrap_err())
-        else:
-            self._write_answer(result.unwrap())
+            return
+        answer = result.unwrap()
+        log_message(
+            "service_answered",
+            request_id=self.request_id,
+            service=service,
+            status=answer.status,
+            replayed=answer.replayed,
+        )
+        self._write_answer(answer)
 
     def _read_call(self, service_name: str, path_name: str) -> Result[ServiceCall, Failure]:
         template = identify_account(self.request.headers, self.services.declarations)
