Echo faulty values of declarations as they are

Cause: a number was shown in quotes, as if it were text. Change: the error shows the value itself, cut short as before.

--- a/laburnumrock/declarations/_set.py
+++ b/laburnumrock/declarations/_set.py
@@ -54,7 +54,7 @@
     echoed = problem["type"] not in ("missing", "extra_forbidden", "value_error")
     # A key pasted in place of its hash must not appear in messages and logs.
     if echoed and "api_key_sha256" not in problem["loc"]:
-        message = f"{message}, got {str(problem['input'])[:80]!r}"
+        message = f"{message}, got {repr(problem['input'])[:80]}"
     return Failure(kind, message, field_path=path.lstrip(".") or None)
 
 
