--- a/laburnumrock/daemon/_log_runner.py
+++ b/laburnumrock/daemon/_log_runner.py
@@ -50,11 +50,19 @@
         Receives committed commands.
     disk : Disk
         Where the log lives.
+    may_form : bool
+        Whether this instance may form a new log with the other first voters.
     """
 
     def __init__(
-        self, settings: InstanceSettings, network, state: ReplicatedState, disk: Disk
+        self,
+        settings: InstanceSettings,
+        network,
+        state: ReplicatedState,
+        disk: Disk,
+        may_form: bool = True,
     ) -> None:
+        self.may_form = may_form
         self.settings = settings
         self.network = network
         self.state = state
@@ -95,7 +103,9 @@
         settings = self.settings
         voters = [peer.instance_id for peer in settings.voters()]
         source = random.Random(f"{settings.seed}-{settings.instance_id}-{stored.voter_id}")
-        self.node = RaftNode(settings.instance_id, voters, settings.timing, stored, source)
+        self.node = RaftNode(
+            settings.instance_id, voters, settings.timing, stored, source, self.may_form
+        )
         self.state.restore(stored.snapshot.data)
         self.applied_index = stored.snapshot.index
         self.state.applied_index = self.applied_index
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -50,6 +50,10 @@
         State of this instance; all registered parts by default.
     disk : Disk, optional
         Replaces the data folder.
+    part_packages : tuple of str
+        Packages whose parts the state has.
+    may_form : bool
+        Whether this instance may form a new log with the other first voters.
     """
 
     def __init__(
@@ -58,16 +62,18 @@
         network,
         state: ReplicatedState | None = None,
         disk: Disk | None = None,
+        part_packages: tuple[str, ...] = PART_PACKAGES,
+        may_form: bool = True,
     ) -> None:
         self.settings = settings
         self.network = network
-        discover_parts(PART_PACKAGES)
+        discover_parts(part_packages)
         self.state = state if state is not None else ReplicatedState()
         if disk is None and settings.data_folder is not None:
             disk = FolderDisk(settings.data_folder / LOG_FOLDER)
         self.runner: LogRunner | None = None
         if disk is not None:
-            self.runner = LogRunner(settings, network, self.state, disk)
+            self.runner = LogRunner(settings, network, self.state, disk, may_form)
         self.known_leader: str | None = None
         self.next_voter = 0
         self.unanswered_s: dict[str, float] = {}
@@ -281,7 +287,7 @@
         node = self.runner.node if self.runner is not None else None
         if node is not None and node.role is Role.LEADER:
             return own
-        voters = [peer.instance_id for peer in self.settings.voters()]
+        voters = self.voters() or [peer.instance_id for peer in self.settings.voters()]
         first = self.next_voter % len(voters)
         candidates = [*voters[first:], *voters[:first]]
         if self.known_leader is not None:
--- /dev/null
+++ b/laburnumrock/dispatch/__init__.py
@@ -0,0 +1,43 @@
+"""Choice of the upstream for each request, from the published cost model of the engines.
+
+Everything here is free of I/O. One dispatcher at a time decides for all instances; an instance
+that reaches none decides alone with `LocalDispatcher`.
+"""
+
+from laburnumrock.dispatch._budget import RepeatBudget
+from laburnumrock.dispatch._directory import UpstreamDirectory
+from laburnumrock.dispatch._dispatcher import Dispatcher, DispatchSettings
+from laburnumrock.dispatch._engine_model import EngineModel
+from laburnumrock.dispatch._load import ActiveSend, UpstreamLoad
+from laburnumrock.dispatch._local import LocalDispatcher
+from laburnumrock.dispatch._messages import (
+    ActiveSendReport,
+    DispatchAnswer,
+    DispatchCall,
+    Helper,
+    SendEnded,
+    SendOutcome,
+    SendStarted,
+    UpstreamReport,
+    UpstreamState,
+)
+
+__all__ = [
+    "ActiveSend",
+    "ActiveSendReport",
+    "DispatchAnswer",
+    "DispatchCall",
+    "DispatchSettings",
+    "Dispatcher",
+    "EngineModel",
+    "Helper",
+    "LocalDispatcher",
+    "RepeatBudget",
+    "SendEnded",
+    "SendOutcome",
+    "SendStarted",
+    "UpstreamDirectory",
+    "UpstreamLoad",
+    "UpstreamReport",
+    "UpstreamState",
+]
--- /dev/null
+++ b/laburnumrock/dispatch/_budget.py
@@ -0,0 +1,43 @@
+"""Budget of second sends, shared by all instances."""
+
+from collections import deque
+
+
+class RepeatBudget:
+    """Bounds the repeated sends to one service in a sliding window.
+
+    Parameters
+    ----------
+    ratio : float, >= 0
+        Repeats allowed for each request in the window.
+    slack : float, >= 0
+        Repeats allowed besides.
+    window_s : float, > 0
+        Length of the window.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self.requests: deque[float] = deque()
+        self.repeats: deque[float] = deque()
+
+    def note_request(self, now_s: float) -> None:
+        """Count the first send of a request."""
+        self.requests.append(now_s)
+        self._forget(now_s)
+
+    def take_repeat(self, now_s: float) -> bool:
+        """Count a repeated send if the budget allows it."""
+        self._forget(now_s)
+        if len(self.repeats) + 1 > self.ratio * len(self.requests) + self.slack:
+            return False
+        self.repeats.append(now_s)
+        return True
+
+    def _forget(self, now_s: float) -> None:
+        oldest_s = now_s - self.window_s
+        for times in (self.requests, self.repeats):
+            while times and times[0] < oldest_s:
+                times.popleft()
--- /dev/null
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -0,0 +1,576 @@
+"""The one place that decides for all instances where requests go.
+
+Notes
+-----
+The load pattern that this answers: bursts of short prompts alternate with bursts of prompts of
+200,000 tokens and more, on engines whose streams stall while they read a long prompt. So the cost
+of a placement is the worth that the request and all streams beside it are expected to lose.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from laburnumrock.dispatch._budget import RepeatBudget
+from laburnumrock.dispatch._directory import UpstreamDirectory, UpstreamEntry
+from laburnumrock.dispatch._engine_model import MS_PER_S, EngineModel
+from laburnumrock.dispatch._load import ActiveSend, UpstreamLoad
+from laburnumrock.dispatch._messages import (
+    ActiveSendReport,
+    DispatchAnswer,
+    DispatchCall,
+    Helper,
+    SendEnded,
+    SendOutcome,
+    SendStarted,
+    UpstreamReport,
+)
+from laburnumrock.errors import ErrorKind
+from laburnumrock.routing import RouteSet, Service
+
+LATE_LOSS = 0.75
+"""Share of its worth that a late answer loses; both users give a late answer a quarter."""
+FAIL_LOSS = 1.0
+"""Share of its worth that a failed send is expected to lose."""
+RAMP_START, RAMP_END = 0.75, 1.1
+"""A prediction at this share of the goal begins to count as late, and certainly is."""
+DELAY_WEIGHT = 0.05
+"""Weight of a delay within the goal; only breaks ties between placements that are on time."""
+IDLE_ENGINE_WEIGHT = 0.03
+"""Weight of the use of an idle engine, which long prompts may soon need."""
+DISTANCE_WEIGHT = 0.002
+"""Weight of another failure domain; traffic between domains is priced."""
+HELPED_GOAL_SHARE = 0.6
+"""A long prompt is split until its predicted first event is within this share of its goal."""
+MAX_ENGINES_PER_PROMPT = 16
+"""Largest number of engines that read one prompt; the engines' protocol allows 16 helpers."""
+MEMORY_SHARE = 0.97
+"""Share of an engine's memory that is planned with; blocks round each request up."""
+OUTPUT_TOKENS_WEIGHT = 10.0
+"""An output token costs about as much as ten prompt tokens."""
+PERMIT_MARGIN_S = 1.0
+"""A send that its entry no longer lists is dropped after this time; reports may cross."""
+RECENT_S = 0.25
+"""Time for the ledger of a new dispatcher to fill before cold upstreams get requests."""
+COLD_RATE_SHARE = 0.8
+"""Share of the rate that a cold upstream bears which is used."""
+EXPECTED_PLAIN_S = 0.05
+"""Predicted time of a request on an idle upstream that is not a model engine."""
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchSettings:
+    """Bounds that hold over all instances.
+
+    Parameters
+    ----------
+    repeat_ratio, repeat_slack, repeat_window_s : float
+        Budget of repeated sends for each service.
+    expiry_s, forget_s : float, > 0
+        As in `UpstreamDirectory`.
+    hold_share : float
+        Part of its goal for which a request may wait for a free upstream.
+    """
+
+    repeat_ratio: float = 0.2
+    repeat_slack: float = 50.0
+    repeat_window_s: float = 10.0
+    expiry_s: float = 4.0
+    forget_s: float = 30.0
+    hold_share: float = 0.5
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """Request that waits for a free upstream."""
+
+    entry: str
+    call: DispatchCall
+    arrived_s: float
+    gives_up_s: float
+
+
+@dataclass(slots=True)
+class _Choice:
+    """Placement that is being considered."""
+
+    entry: UpstreamEntry
+    load: UpstreamLoad
+    first_s: float
+    loss: float
+    read_ms: float = 0.0
+    helpers: list[tuple[UpstreamEntry, UpstreamLoad, int]] = field(default_factory=list)
+
+
+class Dispatcher:
+    """Ledger of all sends, and the choice of upstreams.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+        Bounds.
+    directory : UpstreamDirectory
+        Upstreams; shared with whoever receives their reports.
+    source : random.Random
+        Breaks ties and spreads returns.
+    """
+
+    def __init__(
+        self, settings: DispatchSettings, directory: UpstreamDirectory, source: random.Random
+    ) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.source = source
+        self.services: dict[str, Service] = {}
+        self.models: dict[str, EngineModel] = {}
+        self.drained: set[str] = set()
+        self.loads: dict[str, UpstreamLoad] = {}
+        self.sends: dict[int, ActiveSend] = {}
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.waiting: dict[int, _Waiting] = {}
+        self.next_permit = 1
+        self.next_ticket = 1
+        self.started_s = 0.0
+
+    def start(self, first_permit: int, now_s: float) -> None:
+        """Begin to decide, with an empty ledger.
+
+        Parameters
+        ----------
+        first_permit : int
+            Larger than all permits of earlier dispatchers.
+        now_s : float
+            Monotonic clock in seconds.
+        """
+        self.loads.clear()
+        self.sends.clear()
+        self.budgets.clear()
+        self.waiting.clear()
+        self.next_permit = first_permit
+        self.started_s = now_s
+
+    def set_routes(self, routes: RouteSet) -> None:
+        """Take over the declared services."""
+        services = {service.name: service for service in routes.services}
+        for name, service in services.items():
+            if service.engine is None:
+                self.models.pop(name, None)
+            elif self.services.get(name) != service or name not in self.models:
+                self.models[name] = EngineModel(service.engine)
+        self.services = services
+
+    def set_drained(self, failure_domains: set[str]) -> None:
+        """Take failure domains out of service, or back."""
+        self.drained = set(failure_domains)
+
+    def place(
+        self, entry: str, domain: str, call: DispatchCall, now_s: float
+    ) -> DispatchAnswer | int:
+        """Choose an upstream for a request.
+
+        Parameters
+        ----------
+        entry : str
+            Instance that asks.
+        domain : str
+            Its failure domain.
+        call : DispatchCall
+            The request.
+        now_s : float
+            Monotonic clock in seconds.
+
+        Returns
+        -------
+        DispatchAnswer or int
+            The answer, or the number under which the request waits for a free upstream.
+        """
+        budget = self._budget(call.service)
+        if call.attempt <= 1:
+            budget.note_request(now_s)
+        elif not budget.take_repeat(now_s):
+            return _refuse(ErrorKind.RATE_LIMITED, self._spread(1.0))
+        choice = self._choose(domain, call, now_s)
+        if choice is not None:
+            return self._grant(entry, choice, call, now_s)
+        if not self._has_upstream(call, now_s):
+            return _refuse(ErrorKind.NO_UPSTREAM, self._spread(1.0))
+        hold_s = min(self.settings.hold_share * call.goal_s, call.remaining_s / 4)
+        if hold_s <= 0 or self._wait_is_hopeless(call):
+            return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._spread(max(0.5, call.goal_s)))
+        ticket = self.next_ticket
+        self.next_ticket += 1
+        self.waiting[ticket] = _Waiting(entry, call, now_s, now_s + hold_s)
+        return ticket
+
+    def retry_waiting(
+        self, domains: dict[str, str], now_s: float
+    ) -> list[tuple[int, DispatchAnswer]]:
+        """Place waiting requests that fit now, and refuse those that waited long enough.
+
+        Parameters
+        ----------
+        domains : dict of str to str
+            Failure domain of each entry.
+        """
+        decided = []
+        order = sorted(
+            self.waiting.items(), key=lambda item: (item[1].call.priority, item[1].gives_up_s)
+        )
+        for ticket, waiting in order:
+            call = waiting.call
+            choice = self._choose(domains.get(waiting.entry, ""), call, now_s)
+            if choice is not None:
+                decided.append((ticket, self._grant(waiting.entry, choice, call, now_s)))
+            elif now_s >= waiting.gives_up_s:
+                retry_s = self._spread(max(0.5, call.goal_s))
+                decided.append((ticket, _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)))
+        for ticket, _ in decided:
+            del self.waiting[ticket]
+        return decided
+
+    def forget_waiting(self, ticket: int) -> None:
+        """Drop a waiting request whose caller left."""
+        self.waiting.pop(ticket, None)
+
+    def note_started(self, message: SendStarted, now_s: float) -> None:
+        """Take over that a send writes."""
+        send = self.sends.get(message.permit)
+        if send is None:
+            return
+        for name in (send.upstream_id, *send.helped_by):
+            load = self.loads.get(name)
+            if load is not None:
+                load.note_first_event(message.permit, message.first_s, now_s)
+        self.directory.note_alive(send.upstream_id, now_s)
+
+    def note_ended(self, message: SendEnded, now_s: float) -> None:
+        """Take over that a send ended."""
+        send = self._drop(message.permit, now_s)
+        if send is None:
+            return
+        load = self.loads.get(send.upstream_id)
+        if load is None:
+            return
+        outcome = message.outcome
+        if outcome is SendOutcome.DONE:
+            load.note_outcome(False, now_s)
+            self.directory.note_alive(send.upstream_id, now_s)
+        elif outcome is not SendOutcome.CANCELLED:
+            load.note_outcome(True, now_s)
+            if outcome in (SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN):
+                load.note_unresponsive(now_s)
+
+    def keep_only(self, entry: str, permits: set[int], now_s: float) -> None:
+        """Drop the sends of an entry that it no longer lists."""
+        lost = [
+            send.permit
+            for send in self.sends.values()
+            if send.entry == entry
+            and send.permit not in permits
+            and now_s - send.started_s > PERMIT_MARGIN_S
+        ]
+        for permit in lost:
+            self._drop(permit, now_s)
+
+    def adopt(self, entry: str, report: ActiveSendReport, now_s: float) -> None:
+        """Take over a send that an earlier dispatcher or the entry itself placed."""
+        known = self.directory.entries.get(report.upstream_id)
+        if report.permit in self.sends or known is None:
+            return
+        load = self._load(known)
+        read_ms = 0.0
+        if load.model is not None:
+            read_ms = load.model.read_ms(0, report.prompt_tokens)
+        left_ms = 0.0 if report.writing else max(1.0, read_ms - report.age_s * MS_PER_S)
+        send = ActiveSend(
+            report.permit,
+            entry,
+            report.upstream_id,
+            report.prompt_tokens,
+            report.output_tokens,
+            report.prompt_tokens + report.output_tokens,
+            report.gap_goal_s,
+            self._value(known.report.service, report.prompt_tokens, report.output_tokens),
+            now_s - report.age_s,
+            left_ms,
+            read_ms,
+        )
+        self.sends[report.permit] = send
+        load.add(send, now_s)
+
+    def observe(self, report: UpstreamReport, now_s: float) -> bool:
+        """Take over the report of an upstream; a new incarnation starts with nothing."""
+        known = self.directory.entries.get(report.upstream_id)
+        changed = self.directory.observe(report, now_s)
+        if changed and known is not None and known.report.incarnation != report.incarnation:
+            self.loads.pop(report.upstream_id, None)
+        return changed
+
+    def _grant(
+        self, entry: str, choice: _Choice, call: DispatchCall, now_s: float
+    ) -> DispatchAnswer:
+        permit = self.next_permit
+        self.next_permit += 1
+        report = choice.entry.report
+        memory = call.prompt_tokens + call.output_tokens
+        memory -= sum(tokens for _, _, tokens in choice.helpers)
+        send = ActiveSend(
+            permit,
+            entry,
+            report.upstream_id,
+            call.prompt_tokens,
+            call.output_tokens,
+            memory,
+            call.gap_goal_s,
+            self._value(call.service, call.prompt_tokens, call.output_tokens),
+            now_s,
+            choice.read_ms,
+            choice.read_ms,
+            choice.first_s,
+            tuple(helper.report.upstream_id for helper, _, _ in choice.helpers),
+        )
+        self.sends[permit] = send
+        choice.load.add(send, now_s)
+        self._count_cold(choice.entry, choice.load, now_s)
+        helpers = []
+        for helper, load, tokens in choice.helpers:
+            part = ActiveSend(
+                permit,
+                entry,
+                helper.report.upstream_id,
+                0,
+                0,
+                tokens,
+                0.0,
+                0.0,
+                now_s,
+                choice.read_ms,
+                choice.read_ms,
+                is_part=True,
+            )
+            load.add(part, now_s)
+            self._count_cold(helper, load, now_s)
+            target = helper.report
+            helpers.append(Helper(target.upstream_id, target.host, target.port, tokens))
+        return DispatchAnswer(
+            permit, report.upstream_id, report.host, report.port, choice.first_s, helpers
+        )
+
+    def _drop(self, permit: int, now_s: float) -> ActiveSend | None:
+        send = self.sends.pop(permit, None)
+        if send is None:
+            return None
+        for name in (send.upstream_id, *send.helped_by):
+            load = self.loads.get(name)
+            if load is not None:
+                load.remove(permit, now_s)
+        return send
+
+    def _choose(self, domain: str, call: DispatchCall, now_s: float) -> _Choice | None:
+        candidates = self._candidates(call, now_s)
+        if not candidates:
+            return None
+        model = self.models.get(call.service)
+        if model is None:
+            return min(
+                (self._weigh_plain(domain, call, *pair, now_s) for pair in candidates),
+                key=lambda choice: choice.loss,
+            )
+        read_ms = model.read_ms(0, call.prompt_tokens)
+        memory = call.prompt_tokens + call.output_tokens
+        capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
+        best = None
+        for entry, load in candidates:
+            if load.memory_tokens + memory > capacity:
+                continue
+            choice = self._weigh(domain, call, entry, load, read_ms, now_s)
+            if best is None or choice.loss < best.loss:
+                best = choice
+        if best is not None and best.first_s <= RAMP_START * call.goal_s:
+            return best
+        split = self._split(domain, call, candidates, model, now_s)
+        if split is not None and (best is None or split.loss < best.loss):
+            return split
+        return best
+
+    def _candidates(
+        self, call: DispatchCall, now_s: float
+    ) -> list[tuple[UpstreamEntry, UpstreamLoad]]:
+        usable = []
+        suspects = []
+        for entry in self.directory.usable(call.service, now_s):
+            name = entry.report.upstream_id
+            if entry.report.failure_domain in self.drained or name in call.excluded:
+                continue
+            load = self._load(entry)
+            if load.free_slots <= 0 or not self._bears_cold(entry, load, now_s):
+                continue
+            load.advance(now_s)
+            if load.is_suspect(now_s):
+                suspects.append((entry, load))
+            else:
+                usable.append((entry, load))
+        return usable or suspects
+
+    def _weigh_plain(
+        self,
+        domain: str,
+        call: DispatchCall,
+        entry: UpstreamEntry,
+        load: UpstreamLoad,
+        now_s: float,
+    ) -> _Choice:
+        loss = len(load.sends) / load.slots + FAIL_LOSS * load.current_failure_rate(now_s)
+        loss += self._distance(domain, entry) + self.source.random() * 1e-3
+        return _Choice(entry, load, EXPECTED_PLAIN_S * (1 + len(load.sends)), loss)
+
+    def _weigh(
+        self,
+        domain: str,
+        call: DispatchCall,
+        entry: UpstreamEntry,
+        load: UpstreamLoad,
+        read_ms: float,
+        now_s: float,
+    ) -> _Choice:
+        value = self._value(call.service, call.prompt_tokens, call.output_tokens)
+        pass_before_ms = load.pass_ms()
+        pass_after_ms = load.pass_ms(read_ms)
+        own_pass_ms = load.model.write_pass_ms(len(load.sends) + 1, call.prompt_tokens)
+        first_ms = pass_before_ms + load.reading_ms() + read_ms + own_pass_ms
+        first_s = load.pace * first_ms / MS_PER_S
+        loss = value * _late_loss(first_s, call.goal_s)
+        loss += value * DELAY_WEIGHT * first_s / call.goal_s
+        loss += value * FAIL_LOSS * load.current_failure_rate(now_s)
+        if call.gap_goal_s > 0:
+            gap_s = load.pace * max(pass_after_ms - read_ms, own_pass_ms) / MS_PER_S
+            loss += value * _late_loss(gap_s, call.gap_goal_s)
+        before_s = load.pace * pass_before_ms / MS_PER_S
+        after_s = load.pace * pass_after_ms / MS_PER_S
+        for writer in load.writers():
+            if writer.gap_goal_s > 0:
+                added = _late_loss(after_s, writer.gap_goal_s)
+                loss += writer.value * (added - _late_loss(before_s, writer.gap_goal_s))
+        if not load.sends:
+            loss += IDLE_ENGINE_WEIGHT
+        loss += self._distance(domain, entry) + self.source.random() * 1e-4
+        return _Choice(entry, load, first_s, loss, read_ms)
+
+    def _split(
+        self,
+        domain: str,
+        call: DispatchCall,
+        candidates: list[tuple[UpstreamEntry, UpstreamLoad]],
+        model: EngineModel,
+        now_s: float,
+    ) -> _Choice | None:
+        """Split a long prompt over engines on which it disturbs nobody."""
+        quiet = [
+            (entry, load)
+            for entry, load in candidates
+            if not load.writers() and load.reading_ms() <= 0 and not entry.is_cold(now_s)
+        ]
+        quiet.sort(key=lambda pair: (pair[1].pace, self._distance(domain, pair[0])))
+        whole_ms = model.read_ms(0, call.prompt_tokens)
+        memory = call.prompt_tokens + call.output_tokens
+        capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
+        engines = max(2, -int(-memory // capacity))
+        if engines > min(len(quiet), MAX_ENGINES_PER_PROMPT):
+            return None
+        most = min(len(quiet), MAX_ENGINES_PER_PROMPT)
+        while engines < most:
+            first_s = (whole_ms / engines + model.write_pass_ms(1, call.prompt_tokens)) / MS_PER_S
+            if first_s <= HELPED_GOAL_SHARE * call.goal_s:
+                break
+            engines += 1
+        (entry, load), *helping = quiet[:engines]
+        choice = self._weigh(domain, call, entry, load, whole_ms / engines, now_s)
+        choice.loss += IDLE_ENGINE_WEIGHT * (engines - 1)
+        reserved = 0
+        if memory > capacity:
+            reserved = -int(-memory // engines)
+        choice.helpers = [(*pair, reserved) for pair in helping]
+        return choice
+
+    def _load(self, entry: UpstreamEntry) -> UpstreamLoad:
+        report = entry.report
+        load = self.loads.get(report.upstream_id)
+        if load is None:
+            load = UpstreamLoad(self.models.get(report.service), report.slots)
+            self.loads[report.upstream_id] = load
+        load.slots = report.slots
+        load.model = self.models.get(report.service)
+        return load
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            settings = self.settings
+            budget = RepeatBudget(
+                settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_s
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def _has_upstream(self, call: DispatchCall, now_s: float) -> bool:
+        return any(
+            entry.report.failure_domain not in self.drained
+            and entry.report.upstream_id not in call.excluded
+            for entry in self.directory.usable(call.service, now_s)
+        )
+
+    def _wait_is_hopeless(self, call: DispatchCall) -> bool:
+        """Whether more requests wait than upstreams can take up within the goal."""
+        slots = sum(
+            load.slots for name, load in self.loads.items() if self._serves(name, call.service)
+        )
+        waiting = sum(1 for other in self.waiting.values() if other.call.service == call.service)
+        return waiting >= max(1, slots // 2)
+
+    def _serves(self, upstream_id: str, service: str) -> bool:
+        entry = self.directory.entries.get(upstream_id)
+        return entry is not None and entry.report.service == service
+
+    def _bears_cold(self, entry: UpstreamEntry, load: UpstreamLoad, now_s: float) -> bool:
+        if not entry.is_cold(now_s):
+            return True
+        service = self.services.get(entry.report.service)
+        if service is None or service.cold_requests_per_s <= 0:
+            return True
+        if now_s - self.started_s < RECENT_S + 1.0:
+            return False
+        limit = max(1, int(COLD_RATE_SHARE * service.cold_requests_per_s))
+        return load.cold_sends_in(1.0, now_s) < limit
+
+    def _count_cold(self, entry: UpstreamEntry, load: UpstreamLoad, now_s: float) -> None:
+        # Every send counts, so that an upstream that turns cold starts with what it just got.
+        load.cold_sends_in(1.0, now_s)
+        load.cold_sends.append(now_s)
+
+    def _value(self, service: str, prompt_tokens: int, output_tokens: int) -> float:
+        model = self.models.get(service)
+        if model is None or prompt_tokens <= 0:
+            return 1.0
+        usual = model.parameters
+        mean = usual.usual_prompt_tokens + OUTPUT_TOKENS_WEIGHT * usual.usual_output_tokens
+        size = prompt_tokens + OUTPUT_TOKENS_WEIGHT * output_tokens
+        return max(0.3, size / max(mean, 1.0))
+
+    def _distance(self, domain: str, entry: UpstreamEntry) -> float:
+        return 0.0 if entry.report.failure_domain == domain else DISTANCE_WEIGHT
+
+    def _spread(self, base_s: float) -> float:
+        """Spread the returns of refused callers, so that they do not come back together."""
+        return round(base_s * self.source.uniform(0.7, 1.5), 2)
+
+
+def _late_loss(time_s: float, goal_s: float) -> float:
+    if goal_s <= 0:
+        return 0.0
+    share = time_s / goal_s
+    if share <= RAMP_START:
+        return 0.0
+    return LATE_LOSS * min(1.0, (share - RAMP_START) / (RAMP_END - RAMP_START))
+
+
+def _refuse(kind: ErrorKind, retry_after_s: float) -> DispatchAnswer:
+    return DispatchAnswer(refusal=kind.value, retry_after_s=retry_after_s)
--- /dev/null
+++ b/laburnumrock/dispatch/_load.py
@@ -0,0 +1,197 @@
+"""Work that an upstream has, as the dispatcher predicts it between reports."""
+
+from dataclasses import dataclass
+
+from laburnumrock.dispatch._engine_model import MS_PER_S, EngineModel
+
+PACE_WEIGHT = 0.3
+"""Weight of the newest observation in the moving average of an upstream's pace."""
+PACE_MIN, PACE_MAX = 0.8, 12.0
+"""Bounds of the pace; an engine that is slower than that fails by its time limits."""
+FAILURE_WEIGHT = 0.25
+"""Weight of the newest outcome in the moving average of an upstream's failures."""
+FAILURE_HALF_LIFE_S = 4.0
+"""An upstream that failed is tried again as this memory fades."""
+SUSPICION_FIRST_S = 0.5
+"""Time without new work after a first broken or silent send; doubles with each further one."""
+SUSPICION_MAX_S = 4.0
+"""Longest time without new work; reports of an upstream arrive about every second."""
+
+
+@dataclass(slots=True)
+class ActiveSend:
+    """One request on an upstream.
+
+    Parameters
+    ----------
+    permit : int
+        Number of the send.
+    entry : str
+        Instance that sends it.
+    upstream_id : str
+        Upstream that gets the request.
+    prompt_tokens, output_tokens : int
+        Size of the request.
+    memory_tokens : int
+        KV memory that it takes on this upstream.
+    gap_goal_s : float
+        Longest pause between events that counts in full; 0 for none.
+    value : float
+        Worth of the request, in means of its service.
+    started_s : float
+        When the permit was given.
+    read_left_ms : float
+        Predicted time that reading the rest of the prompt takes; 0 once it writes.
+    read_ms : float
+        Predicted time for the whole prompt or part.
+    expected_first_s : float
+        Predicted time to the first event.
+    helped_by : tuple of str
+        Upstreams that read parts of the prompt.
+    is_part : bool
+        Whether this upstream only reads a part for another one.
+    """
+
+    permit: int
+    entry: str
+    upstream_id: str
+    prompt_tokens: int
+    output_tokens: int
+    memory_tokens: int
+    gap_goal_s: float
+    value: float
+    started_s: float
+    read_left_ms: float
+    read_ms: float
+    expected_first_s: float = 0.0
+    helped_by: tuple[str, ...] = ()
+    is_part: bool = False
+
+    @property
+    def is_writing(self) -> bool:
+        """Whether the prompt is read."""
+        return self.read_left_ms <= 0.0
+
+
+class UpstreamLoad:
+    """Sends under way on one upstream, and how it behaved lately.
+
+    Parameters
+    ----------
+    model : EngineModel, optional
+        Cost model; None for upstreams that are not model engines.
+    slots : int
+        Requests that the upstream runs at once.
+    """
+
+    def __init__(self, model: EngineModel | None, slots: int) -> None:
+        self.model = model
+        self.slots = slots
+        self.sends: dict[int, ActiveSend] = {}
+        self.advanced_s = float("-inf")
+        self.pace = 1.0
+        self.failure_rate = 0.0
+        self.failure_noted_s = 0.0
+        self.suspicion_s = 0.0
+        self.suspect_until_s = float("-inf")
+        self.cold_sends: list[float] = []
+
+    @property
+    def free_slots(self) -> int:
+        """Requests that fit beside those under way."""
+        return self.slots - len(self.sends)
+
+    @property
+    def memory_tokens(self) -> int:
+        """KV memory that the sends take."""
+        return sum(send.memory_tokens for send in self.sends.values())
+
+    def add(self, send: ActiveSend, now_s: float) -> None:
+        """Add a send."""
+        self.advance(now_s)
+        self.sends[send.permit] = send
+
+    def remove(self, permit: int, now_s: float) -> ActiveSend | None:
+        """Remove a send that ended."""
+        self.advance(now_s)
+        return self.sends.pop(permit, None)
+
+    def advance(self, now_s: float) -> None:
+        """Let the predicted reading go on until `now_s`; prompts are read one after the other."""
+        left_ms = (now_s - self.advanced_s) * MS_PER_S / self.pace
+        self.advanced_s = now_s
+        if self.model is None:
+            return
+        for send in self.sends.values():
+            if left_ms <= 0.0:
+                return
+            if send.read_left_ms > 0.0:
+                used_ms = min(left_ms, send.read_left_ms)
+                send.read_left_ms -= used_ms
+                left_ms -= used_ms
+
+    def reading_ms(self) -> float:
+        """Predicted time for all prompts that wait or are being read, at the normal pace."""
+        return sum(send.read_left_ms for send in self.sends.values())
+
+    def writers(self) -> list[ActiveSend]:
+        """Return the sends whose prompts are read."""
+        return [send for send in self.sends.values() if send.is_writing and not send.is_part]
+
+    def pass_ms(self, more_reading_ms: float = 0.0) -> float:
+        """Predicted duration of the next pass, at the normal pace.
+
+        Parameters
+        ----------
+        more_reading_ms : float
+            Reading besides that of the sends under way.
+        """
+        writers = self.writers()
+        context = sum(send.prompt_tokens for send in writers)
+        write_ms = self.model.write_pass_ms(len(writers), context)
+        if not writers:
+            return 0.0
+        position = max(
+            (s.prompt_tokens for s in self.sends.values() if not s.is_writing), default=0
+        )
+        limit_ms = self.model.pass_read_limit_ms(position / 2)
+        return write_ms + min(self.reading_ms() + more_reading_ms, max(limit_ms, 0.0))
+
+    def note_first_event(self, permit: int, first_s: float, now_s: float) -> None:
+        """Take over how long a send took to its first event."""
+        self.advance(now_s)
+        send = self.sends.get(permit)
+        if send is None:
+            return
+        send.read_left_ms = 0.0
+        if self.model is not None and send.expected_first_s > 0.0:
+            ratio = min(max(first_s / send.expected_first_s, PACE_MIN), PACE_MAX)
+            self.pace = max(PACE_MIN, (1 - PACE_WEIGHT) * self.pace + PACE_WEIGHT * ratio)
+        self.suspicion_s = 0.0
+
+    def note_outcome(self, failed: bool, now_s: float) -> None:
+        """Count a finished send in the moving average of failures."""
+        rate = self.current_failure_rate(now_s)
+        self.failure_rate = (1 - FAILURE_WEIGHT) * rate + FAILURE_WEIGHT * failed
+        self.failure_noted_s = now_s
+        if not failed:
+            self.suspicion_s = 0.0
+
+    def note_unresponsive(self, now_s: float) -> None:
+        """Give the upstream no new work for a while, longer with each repetition."""
+        self.suspicion_s = min(max(SUSPICION_FIRST_S, 2 * self.suspicion_s), SUSPICION_MAX_S)
+        self.suspect_until_s = now_s + self.suspicion_s
+
+    def current_failure_rate(self, now_s: float) -> float:
+        """Share of failed sends, fading with time."""
+        age_s = max(0.0, now_s - self.failure_noted_s)
+        return self.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def is_suspect(self, now_s: float) -> bool:
+        """Whether the upstream failed to respond a short time ago."""
+        return now_s < self.suspect_until_s
+
+    def cold_sends_in(self, window_s: float, now_s: float) -> int:
+        """Count the sends of the cold phase in the last `window_s` seconds."""
+        self.cold_sends = [sent_s for sent_s in self.cold_sends if now_s - sent_s < window_s]
+        return len(self.cold_sends)
--- /dev/null
+++ b/laburnumrock/dispatch/_local.py
@@ -0,0 +1,86 @@
+"""Choice of an upstream by an entry that reaches no dispatcher."""
+
+import random
+
+from laburnumrock.dispatch._budget import RepeatBudget
+from laburnumrock.dispatch._directory import UpstreamEntry
+from laburnumrock.dispatch._messages import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
+from laburnumrock.errors import ErrorKind
+
+LOCAL_REPEAT_SLACK = 3.0
+"""Repeats that one entry may make on its own in a window; the budget is shared by all entries."""
+LONG_PROMPT_TOKENS = 30_000
+"""A longer prompt counts as several requests when entries balance on their own."""
+SUSPECT_S = 2.0
+"""Time for which an entry avoids an upstream that did not respond."""
+
+
+class LocalDispatcher:
+    """Balances the requests of one entry over the upstreams of its last view.
+
+    Parameters
+    ----------
+    repeat_window_s : float, > 0
+        Window of the budget of repeated sends.
+    source : random.Random
+        Breaks ties, so that entries do not choose alike.
+
+    Notes
+    -----
+    It answers the pattern of an instance that is cut off from every dispatcher while callers and
+    upstreams still reach it. Cold upstreams get nothing, since other instances cannot be asked.
+    """
+
+    def __init__(self, repeat_window_s: float, source: random.Random) -> None:
+        self.source = source
+        self.repeat_window_s = repeat_window_s
+        self.budget = RepeatBudget(0.0, LOCAL_REPEAT_SLACK, repeat_window_s)
+        self.sends: dict[int, tuple[str, int]] = {}
+        self.suspect_until_s: dict[str, float] = {}
+        # Entries draw from a wide range, so that a dispatcher can adopt the sends of all of them.
+        self.next_permit = -source.getrandbits(48) - 1
+
+    def place(
+        self, domain: str, upstreams: list[UpstreamEntry], call: DispatchCall, now_s: float
+    ) -> DispatchAnswer:
+        """Choose an upstream; permits have negative numbers.
+
+        Parameters
+        ----------
+        domain : str
+            Failure domain of this entry.
+        upstreams : list of UpstreamEntry
+            Usable upstreams of the service, without those of drained failure domains.
+        call : DispatchCall
+            The request.
+        now_s : float
+            Monotonic clock in seconds.
+        """
+        if call.attempt > 1 and not self.budget.take_repeat(now_s):
+            return DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value, retry_after_s=1.0)
+        loads: dict[str, int] = {}
+        for name, tokens in self.sends.values():
+            loads[name] = loads.get(name, 0) + 1 + tokens // LONG_PROMPT_TOKENS
+        best = None
+        for entry in upstreams:
+            name = entry.report.upstream_id
+            if name in call.excluded or entry.is_cold(now_s):
+                continue
+            suspect = now_s < self.suspect_until_s.get(name, 0.0)
+            far = entry.report.failure_domain != domain
+            key = (suspect, loads.get(name, 0), far, self.source.random())
+            if best is None or key < best[0]:
+                best = (key, entry.report)
+        if best is None:
+            return DispatchAnswer(refusal=ErrorKind.NO_UPSTREAM.value, retry_after_s=1.0)
+        report = best[1]
+        permit = self.next_permit
+        self.next_permit -= 1
+        self.sends[permit] = (report.upstream_id, call.prompt_tokens)
+        return DispatchAnswer(permit, report.upstream_id, report.host, report.port, call.goal_s)
+
+    def note_ended(self, message: SendEnded, now_s: float) -> None:
+        """Take over that a send ended."""
+        name, _ = self.sends.pop(message.permit, ("", 0))
+        if message.outcome in (SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN):
+            self.suspect_until_s[name] = now_s + SUSPECT_S
--- /dev/null
+++ b/laburnumrock/nodes/_core.py
@@ -0,0 +1,381 @@
+"""Core node: replicated routes, upstream reports, and the dispatcher while it leads."""
+
+import asyncio
+import contextlib
+import random
+import time
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from eliot import log_message
+from result import Err, Ok, Result
+
+from laburnumrock.daemon import LogTask
+from laburnumrock.dispatch import (
+    DispatchAnswer,
+    DispatchCall,
+    Dispatcher,
+    SendEnded,
+    SendStarted,
+    UpstreamDirectory,
+    UpstreamReport,
+)
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.nodes._messages import EntryHello, EntryWelcome, UpstreamNews, View
+from laburnumrock.nodes._settings import NodeSettings, make_peer
+from laburnumrock.replication import VoterPlan
+from laburnumrock.routing import RouteDocument, RouteSet, SetDrain, StoreAnswer, StoreRoutes
+from laburnumrock.transport import PeerNetwork
+
+ENTRY_EXPIRY_S = 3.0
+"""An entry that was not heard for this long gets no views; it says hello twice a second."""
+RETRY_INTERVAL_S = 0.05
+"""Interval at which waiting requests are placed or refused."""
+NEWS_INTERVAL_S = 0.1
+"""Reports of upstreams are sent to the other cores in groups; a second is their own interval."""
+HOUSEKEEPING_S = 0.5
+PERMITS_PER_TERM = 1 << 32
+"""Permits of different leaders never have the same number."""
+PROPOSE_TIMEOUT_S = 2.5
+"""Below the 4 s in which an operator expects an acknowledgement."""
+READ_TIMEOUT_S = 0.9
+"""An operator waits one second before it asks another core."""
+
+RouteDecoder = Callable[[bytes], Result[RouteSet, Failure]]
+
+
+@dataclass(slots=True)
+class _EntryState:
+    """What a core knows of an entry."""
+
+    failure_domain: str
+    heard_s: float
+    routes_version: int
+    term: int
+
+
+class CoreNode:
+    """One of the nodes with a disk.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    key : bytes
+        Shared key of the nodes.
+    decode_routes : callable
+        Reads a document of routes.
+    """
+
+    def __init__(self, settings: NodeSettings, key: bytes, decode_routes: RouteDecoder) -> None:
+        self.settings = settings
+        self.decode_routes = decode_routes
+        self.network = PeerNetwork(settings, key, lambda name: make_peer(name, settings.listen))
+        self.log = LogTask(
+            settings,
+            self.network,
+            part_packages=("laburnumrock.routing",),
+            may_form=settings.first_start,
+        )
+        source = random.Random(f"{settings.seed}-{settings.instance_id}")
+        dispatch = settings.dispatch
+        self.directory = UpstreamDirectory(dispatch.expiry_s, dispatch.forget_s)
+        self.dispatcher = Dispatcher(dispatch, self.directory, source)
+        self.voter_plan = VoterPlan(settings.instance_id)
+        self.entries: dict[str, _EntryState] = {}
+        self.waiting: dict[int, asyncio.Future] = {}
+        self.news: list[UpstreamReport] = []
+        self.leading_term = 0
+        self.revision = 0
+        self.pushed_revision = 0
+        self.directory_revision = -1
+        self.applied_version = -1
+        self.applied_drained: list[str] = []
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self) -> Result[None, Failure]:
+        """Load the log and take part."""
+        network = self.network
+        network.handle(EntryHello, self._receive_hello)
+        network.handle(DispatchCall, self._receive_call)
+        network.handle(SendStarted, self._receive_started)
+        network.handle(SendEnded, self._receive_ended)
+        network.handle(UpstreamNews, self._receive_news)
+        self.log.on_applied(lambda *_: self._follow_state())
+        self.log.on_restored(self._follow_state)
+        self.log.on_role_changed(self._follow_role)
+        await network.start()
+        started = await self.log.start()
+        if started.is_err():
+            return started
+        self._follow_state()
+        self.tasks = [
+            asyncio.create_task(self._run_every(RETRY_INTERVAL_S, self._serve_waiting)),
+            asyncio.create_task(self._run_every(NEWS_INTERVAL_S, self._send_news)),
+            asyncio.create_task(self._run_every(HOUSEKEEPING_S, self._keep_house)),
+        ]
+        log_message("core_started", cores=list(self.settings.cores))
+        return Ok(None)
+
+    async def stop(self) -> None:
+        """Hand over leadership and stop."""
+        self._send_news()
+        await self.log.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.network.stop()
+        log_message("core_stopped")
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this core decides for all instances."""
+        return self.log.is_leader and self.leading_term == self.log.term
+
+    async def store_routes(self, routes: RouteSet, document: bytes) -> Result[int, Failure]:
+        """Commit a version of the routes.
+
+        Parameters
+        ----------
+        routes : RouteSet
+            The version, already checked.
+        document : bytes
+            The document as the operator sent it.
+
+        Returns
+        -------
+        Result
+            The version in force afterwards.
+        """
+        packed = zlib.compress(document)
+        answer = await self.log.propose(StoreRoutes(routes.version, packed), PROPOSE_TIMEOUT_S)
+        return self._log_change("routes_stored", answer, version=routes.version)
+
+    async def set_drain(self, failure_domain: str, drained: bool) -> Result[int, Failure]:
+        """Commit that a failure domain is taken out of service, or back."""
+        answer = await self.log.propose(SetDrain(failure_domain, drained), PROPOSE_TIMEOUT_S)
+        return self._log_change(
+            "drain_stored", answer, failure_domain=failure_domain, drained=drained
+        )
+
+    async def read_routes(self) -> Result[RouteDocument, Failure]:
+        """Return the version in force, confirmed by a quorum."""
+        confirmed = await self.log.read_confirmed(READ_TIMEOUT_S)
+        if confirmed.is_err():
+            return confirmed
+        current = self._document()
+        if not current.document:
+            return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE, "no routes are stored yet"))
+        return Ok(RouteDocument(current.version, zlib.decompress(current.document)))
+
+    def observe_upstream(self, report: UpstreamReport) -> None:
+        """Take over a report that an upstream sent to this core."""
+        now_s = time.monotonic()
+        changed = self.dispatcher.observe(report, now_s)
+        self.news.append(report)
+        if changed:
+            self._log_upstream(report)
+            self._send_news()
+            self._push_views()
+
+    def remove_upstream(self, upstream_id: str) -> None:
+        """Take over that an upstream says it leaves."""
+        report = self.directory.remove(upstream_id, time.monotonic())
+        if report is None:
+            log_message("upstream_unknown", upstream=upstream_id)
+            return
+        self.news.append(report)
+        self._log_upstream(report)
+        self._send_news()
+        self._push_views()
+
+    def _log_change(
+        self, event: str, answer: Result[StoreAnswer, Failure], **values: object
+    ) -> Result[int, Failure]:
+        if answer.is_err():
+            log_message(f"{event}_failed", failure=str(answer.unwrap_err()), **values)
+            return answer
+        state = answer.unwrap()
+        log_message(event, in_force=state.version, changed=state.changed, **values)
+        return Ok(state.version)
+
+    def _log_upstream(self, report: UpstreamReport) -> None:
+        log_message(
+            "upstream_changed",
+            upstream=report.upstream_id,
+            state=report.state,
+            service=report.service,
+            address=f"{report.host}:{report.port}",
+            incarnation=report.incarnation,
+            sequence=report.sequence,
+            cold_left_s=report.cold_left_s,
+        )
+
+    def _document(self) -> RouteDocument:
+        return self.log.state.parts["routes"].current
+
+    def _cores(self) -> list[str]:
+        members = self.log.members.everyone
+        return sorted(set(members.values()) | set(self.settings.cores))
+
+    def _follow_state(self) -> None:
+        """Take over the replicated state after it changed."""
+        current = self._document()
+        if current.version != self.applied_version and current.document:
+            self.applied_version = current.version
+            decoded = self.decode_routes(zlib.decompress(current.document))
+            if decoded.is_err():
+                # Only checked documents are proposed, so another release must have stored it.
+                log_message("routes_unreadable", failure=str(decoded.unwrap_err()))
+            else:
+                self.dispatcher.set_routes(decoded.unwrap())
+            self.revision += 1
+        if current.drained != self.applied_drained:
+            self.applied_drained = list(current.drained)
+            self.dispatcher.set_drained(set(current.drained))
+            self.revision += 1
+        self._push_views()
+
+    def _follow_role(self) -> None:
+        if not self.log.is_leader:
+            self._refuse_waiting()
+            return
+        if self.leading_term != self.log.term:
+            self.leading_term = self.log.term
+            self.dispatcher.start(self.leading_term * PERMITS_PER_TERM, time.monotonic())
+            self.revision += 1
+            log_message("leading", term=self.leading_term)
+
+    def _refuse_waiting(self) -> None:
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_result(DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value))
+        self.waiting.clear()
+
+    def _push_views(self) -> None:
+        """Send the view to all entries if it changed."""
+        if not self.is_leading:
+            self._follow_role()
+            if not self.is_leading:
+                return
+        if self.directory.revision != self.directory_revision:
+            self.directory_revision = self.directory.revision
+            self.revision += 1
+        if self.revision == self.pushed_revision:
+            return
+        self.pushed_revision = self.revision
+        for name, entry in self.entries.items():
+            self._push_view(name, entry)
+
+    def _push_view(self, name: str, entry: _EntryState) -> None:
+        current = self._document()
+        fresh = entry.routes_version < current.version
+        view = View(
+            self.leading_term,
+            self.revision,
+            current.version,
+            current.document if fresh else b"",
+            list(current.drained),
+            self._cores(),
+            self.directory.reports(time.monotonic()),
+        )
+        self.network.send(name, view)
+
+    def _receive_hello(self, sender: str, message: EntryHello) -> EntryWelcome:
+        now_s = time.monotonic()
+        known = self.entries.get(sender)
+        self.entries[sender] = entry = _EntryState(
+            message.failure_domain, now_s, message.routes_version, message.term
+        )
+        if known is None:
+            log_message("entry_seen", entry=sender, failure_domain=message.failure_domain)
+        node = self.log.runner.node
+        leader = node.leader if node is not None else None
+        if not self.is_leading:
+            self._follow_role()
+        if not self.is_leading:
+            return EntryWelcome(False, leader, self.log.term)
+        for report in message.sends:
+            self.dispatcher.adopt(sender, report, now_s)
+        self.dispatcher.keep_only(sender, set(message.permits), now_s)
+        if (message.term, message.revision) != (self.leading_term, self.revision):
+            self._push_view(sender, entry)
+        return EntryWelcome(True, leader, self.leading_term)
+
+    async def _receive_call(self, sender: str, message: DispatchCall) -> DispatchAnswer:
+        if not self.is_leading:
+            return DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value)
+        entry = self.entries.get(sender)
+        domain = entry.failure_domain if entry is not None else ""
+        decided = self.dispatcher.place(sender, domain, message, time.monotonic())
+        if isinstance(decided, DispatchAnswer):
+            return decided
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[decided] = future
+        return await future
+
+    def _receive_started(self, sender: str, message: SendStarted) -> None:
+        self.dispatcher.note_started(message, time.monotonic())
+
+    def _receive_ended(self, sender: str, message: SendEnded) -> None:
+        self.dispatcher.note_ended(message, time.monotonic())
+        if self.waiting:
+            self._serve_waiting()
+
+    def _receive_news(self, sender: str, message: UpstreamNews) -> None:
+        now_s = time.monotonic()
+        changed = False
+        for report in message.reports:
+            if self.dispatcher.observe(report, now_s):
+                changed = True
+                self._log_upstream(report)
+        if changed:
+            self._push_views()
+
+    def _serve_waiting(self) -> None:
+        if not self.waiting:
+            return
+        domains = {name: entry.failure_domain for name, entry in self.entries.items()}
+        for ticket, answer in self.dispatcher.retry_waiting(domains, time.monotonic()):
+            future = self.waiting.pop(ticket, None)
+            if future is not None and not future.done():
+                future.set_result(answer)
+
+    def _send_news(self) -> None:
+        if not self.news:
+            return
+        news, self.news = UpstreamNews(self.news), []
+        for core in self._cores():
+            if core != self.settings.instance_id:
+                self.network.send(core, news)
+
+    def _keep_house(self) -> None:
+        now_s = time.monotonic()
+        for name in self.directory.expire(now_s):
+            log_message("upstream_expired", upstream=name)
+        silent = [
+            name for name, entry in self.entries.items() if now_s - entry.heard_s > ENTRY_EXPIRY_S
+        ]
+        for name in silent:
+            del self.entries[name]
+            self.dispatcher.keep_only(name, set(), now_s)
+            log_message("entry_lost", entry=name)
+        self._push_views()
+        self._plan_voters(now_s)
+
+    def _plan_voters(self, now_s: float) -> None:
+        runner = self.log.runner
+        change = self.voter_plan.next_change(runner.node, now_s) if runner.node else None
+        if change is None:
+            return
+        effects = change.start(runner.node, now_s)
+        log_message("voter_change", action=change.action, instance=change.instance_id)
+        if effects is not None:
+            runner.enqueue(effects)
+
+    async def _run_every(self, interval_s: float, work: Callable[[], None]) -> None:
+        while True:
+            await asyncio.sleep(interval_s)
+            with contextlib.suppress(asyncio.InvalidStateError):
+                work()
--- /dev/null
+++ b/laburnumrock/nodes/_entry.py
@@ -0,0 +1,289 @@
+"""Entry node: takes callers' requests and forwards them where the dispatcher says."""
+
+import asyncio
+import random
+import time
+import zlib
+from dataclasses import dataclass
+
+from eliot import log_message
+from result import Result
+
+from laburnumrock.dispatch import (
+    ActiveSendReport,
+    DispatchAnswer,
+    DispatchCall,
+    LocalDispatcher,
+    SendEnded,
+    SendStarted,
+    UpstreamDirectory,
+    UpstreamState,
+)
+from laburnumrock.errors import ErrorKind
+from laburnumrock.forwarding import ChannelPool, FrontServer, Reservations, RunContext, WireFormat
+from laburnumrock.nodes._core import RouteDecoder
+from laburnumrock.nodes._messages import EntryHello, EntryWelcome, View
+from laburnumrock.nodes._settings import NodeSettings, make_peer
+from laburnumrock.routing import RouteTable
+from laburnumrock.transport import PeerNetwork
+
+HELLO_INTERVAL_S = 0.5
+HELLO_TIMEOUT_S = 0.4
+"""Longer than a round trip to a core under load, shorter than the interval."""
+PLACE_MARGIN_S = 0.25
+"""Longest wait for a placement beyond the time for which the dispatcher may hold a request."""
+CHANNEL_CHECK_S = 1.0
+BALANCER_GRACE_S = 2.6
+"""The balancer asks once a second and takes an instance out after two misses."""
+STOP_MARGIN_S = 0.8
+"""Time that remains for closing before the process is ended by force."""
+
+
+@dataclass(slots=True)
+class _Sent:
+    """A send under way."""
+
+    call: DispatchCall
+    answer: DispatchAnswer
+    sent_s: float
+    writing: bool = False
+
+
+class EntryNode:
+    """One of the nodes that callers reach.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    key : bytes
+        Shared key of the nodes.
+    decode_routes : callable
+        Reads a document of routes.
+    wire : WireFormat
+        Names on the wire.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, key: bytes, decode_routes: RouteDecoder, wire: WireFormat
+    ) -> None:
+        self.settings = settings
+        self.decode_routes = decode_routes
+        self.network = PeerNetwork(settings, key, lambda name: make_peer(name, settings.listen))
+        source = random.Random(f"{settings.seed}-{settings.instance_id}")
+        self.source = source
+        dispatch = settings.dispatch
+        self.directory = UpstreamDirectory(dispatch.forget_s, dispatch.forget_s)
+        self.local = LocalDispatcher(dispatch.repeat_window_s, source)
+        self.pool = ChannelPool(settings.channels)
+        reservations = Reservations(self.pool, wire)
+        self.context = RunContext(settings.forward, wire, self, self.pool, reservations, source)
+        self.front = FrontServer(self.context)
+        self.cores = list(settings.cores)
+        self.leader: str | None = None
+        self.leader_term = 0
+        self.view_order = (0, 0)
+        self.routes_version = 0
+        self.drained: set[str] = set()
+        self.sends: dict[int, _Sent] = {}
+        self.tasks: list[asyncio.Task] = []
+        self.hello_due = asyncio.Event()
+        self.stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this entry takes new connections."""
+        return self.context.table is not None and not self.stopping
+
+    async def start(self) -> None:
+        """Open the ports and look for the leader."""
+        self.network.handle(View, self._receive_view)
+        await self.network.start()
+        listen = self.settings.listen
+        self.front.listen(listen.host, listen.caller_port)
+        self.tasks = [
+            asyncio.create_task(self._run_hellos()),
+            asyncio.create_task(self._check_channels()),
+        ]
+        log_message("entry_started", cores=self.cores)
+
+    async def stop(self) -> None:
+        """Stop without cutting a request."""
+        self.stopping = True
+        self.context.stopping = True
+        log_message("entry_stopping", runs=len(self.front.runs))
+        began_s = time.monotonic()
+        await asyncio.sleep(BALANCER_GRACE_S)
+        self.front.stop_listening()
+        self.front.close_idle()
+        left_s = self.settings.stop_s - STOP_MARGIN_S - (time.monotonic() - began_s)
+        await self.front.finish(max(0.0, left_s))
+        self.front.close_idle()
+        await self.context.reservations.finish(0.3)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.pool.close()
+        await self.network.stop()
+        log_message("entry_stopped", runs=len(self.front.runs))
+
+    async def place(self, call: DispatchCall) -> DispatchAnswer:
+        """Choose an upstream: the leader does, or this entry alone if it reaches none."""
+        leader = self.leader
+        if leader is not None:
+            hold_s = min(self.settings.dispatch.hold_share * call.goal_s, call.remaining_s / 4)
+            timeout_s = min(PLACE_MARGIN_S + hold_s, call.remaining_s)
+            answered = await self.network.call(leader, call, timeout_s)
+            if answered.is_ok():
+                answer = answered.unwrap()
+                if answer.refusal != ErrorKind.OWNER_UNAVAILABLE.value:
+                    return answer
+            self._lose_leader(leader, "no placement")
+        return self._place_alone(call)
+
+    def note_sent(self, call: DispatchCall, answer: DispatchAnswer) -> None:
+        """Record a send under way."""
+        self.sends[answer.permit] = _Sent(call, answer, time.monotonic())
+
+    def note_started(self, message: SendStarted) -> None:
+        """Tell the leader that a send was answered."""
+        sent = self.sends.get(message.permit)
+        if sent is not None:
+            sent.writing = True
+        self._tell_leader(message)
+
+    def note_ended(self, message: SendEnded) -> None:
+        """Tell the leader that a send ended."""
+        self.sends.pop(message.permit, None)
+        if message.permit < 0:
+            self.local.note_ended(message, time.monotonic())
+        self._tell_leader(message)
+
+    def _tell_leader(self, message: SendStarted | SendEnded) -> None:
+        if self.leader is not None:
+            self.network.send(self.leader, message)
+
+    def _place_alone(self, call: DispatchCall) -> DispatchAnswer:
+        now_s = time.monotonic()
+        upstreams = [
+            entry
+            for entry in self.directory.usable(call.service, now_s)
+            if entry.report.failure_domain not in self.drained
+        ]
+        answer = self.local.place(self.settings.failure_domain, upstreams, call, now_s)
+        log_message(
+            "placed_alone",
+            request_id=call.request_id,
+            upstreams=len(upstreams),
+            view=list(self.view_order),
+            upstream=answer.upstream_id,
+            refusal=answer.refusal,
+        )
+        return answer
+
+    def _lose_leader(self, leader: str, reason: str) -> None:
+        if self.leader == leader:
+            self.leader = None
+            self.hello_due.set()
+            log_message("leader_lost", leader=leader, reason=reason)
+
+    async def _run_hellos(self) -> None:
+        while True:
+            if self.leader is not None:
+                await self._greet(self.leader)
+            if self.leader is None:
+                await self._find_leader()
+            self.hello_due.clear()
+            interval_s = HELLO_INTERVAL_S if self.leader is not None else HELLO_INTERVAL_S / 5
+            try:
+                async with asyncio.timeout(interval_s):
+                    await self.hello_due.wait()
+            except TimeoutError:
+                continue
+
+    async def _find_leader(self) -> None:
+        cores = list(self.cores)
+        await asyncio.gather(*(self._greet(core) for core in cores))
+
+    async def _greet(self, core: str) -> None:
+        known = self.leader == core
+        hello = self._make_hello(with_sends=not known)
+        answered: Result = await self.network.call(core, hello, HELLO_TIMEOUT_S)
+        if answered.is_err():
+            if known:
+                self._lose_leader(core, "no answer to hello")
+            return
+        welcome: EntryWelcome = answered.unwrap()
+        if welcome.leading and welcome.term >= self.leader_term:
+            if self.leader != core:
+                log_message("leader_found", leader=core, term=welcome.term)
+            self.leader = core
+            self.leader_term = welcome.term
+        elif known:
+            self._lose_leader(core, "it does not lead")
+        if welcome.leader is not None and welcome.leader not in self.cores:
+            self.cores.append(welcome.leader)
+
+    def _make_hello(self, with_sends: bool) -> EntryHello:
+        reports = []
+        if with_sends:
+            now_s = time.monotonic()
+            reports = [_report(sent, now_s) for sent in self.sends.values()]
+        term, revision = self.view_order
+        return EntryHello(
+            self.settings.failure_domain,
+            term,
+            revision,
+            self.routes_version,
+            list(self.sends),
+            reports,
+        )
+
+    def _receive_view(self, sender: str, view: View) -> None:
+        order = (view.term, view.revision)
+        if order < self.view_order:
+            return
+        self.view_order = order
+        self.drained = set(view.drained)
+        self.cores = view.cores or self.cores
+        now_s = time.monotonic()
+        names = set()
+        for report in view.upstreams:
+            names.add(report.upstream_id)
+            self.directory.observe(report, now_s)
+            self.directory.note_alive(report.upstream_id, now_s)
+            if report.state is UpstreamState.GONE:
+                self.pool.close_address(report.host, report.port)
+        for name in self.directory.entries.keys() - names:
+            self.directory.remove(name, now_s)
+        if view.routes_version > self.routes_version and view.document:
+            self._apply_routes(view)
+        if view.routes_version > self.routes_version:
+            self.hello_due.set()
+
+    def _apply_routes(self, view: View) -> None:
+        decoded = self.decode_routes(zlib.decompress(view.document))
+        if decoded.is_err():
+            log_message("routes_unreadable", failure=str(decoded.unwrap_err()))
+            return
+        self.context.table = RouteTable(decoded.unwrap())
+        self.routes_version = view.routes_version
+        log_message("routes_in_force", version=view.routes_version, term=view.term)
+
+    async def _check_channels(self) -> None:
+        while True:
+            await asyncio.sleep(CHANNEL_CHECK_S)
+            self.pool.close_idle()
+
+
+def _report(sent: _Sent, now_s: float) -> ActiveSendReport:
+    call = sent.call
+    return ActiveSendReport(
+        sent.answer.permit,
+        sent.answer.upstream_id,
+        call.prompt_tokens,
+        call.output_tokens,
+        call.gap_goal_s,
+        now_s - sent.sent_s,
+        sent.writing,
+    )
--- /dev/null
+++ b/laburnumrock/platform/_reports.py
@@ -0,0 +1,61 @@
+"""Registrations of the platform's engines."""
+
+import json
+
+from result import Err, Ok, Result
+
+from laburnumrock.dispatch import UpstreamReport, UpstreamState
+from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.platform._settings import split_address
+
+_STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
+
+
+def decode_report(upstream_id: str, body: bytes) -> Result[UpstreamReport, Failure]:
+    """Read a heartbeat.
+
+    Parameters
+    ----------
+    upstream_id : str
+        Name from the path of the call.
+    body : bytes
+        JSON text.
+
+    Returns
+    -------
+    Result
+        The report, or a failure of kind ``invalid_request`` that names the field.
+    """
+    try:
+        return Ok(_decode(upstream_id, json.loads(body)))
+    except KeyError as error:
+        return Err(Failure(ErrorKind.INVALID_REQUEST, f"{error} is missing or unknown"))
+    except (ValueError, TypeError, AttributeError) as error:
+        return Err(Failure(ErrorKind.INVALID_REQUEST, str(error)))
+
+
+def _decode(upstream_id: str, heartbeat: dict) -> UpstreamReport:
+    host, port = split_address(_typed(heartbeat, "address", str))
+    born = heartbeat.get("born", 0)
+    if type(born) is not int:
+        raise ValueError(f"born: expected a whole number, got {born!r}")
+    return UpstreamReport(
+        upstream_id=upstream_id,
+        service=_typed(heartbeat, "service", str),
+        host=host,
+        port=port,
+        failure_domain=_typed(heartbeat, "zone", str),
+        # Unix time of the engine's start in ms; its counts begin anew with each start.
+        incarnation=born,
+        sequence=_typed(heartbeat, "sequence", int),
+        slots=_typed(heartbeat, "slots", int),
+        state=_STATES[_typed(heartbeat, "state", str)],
+        cold_left_s=float(heartbeat.get("cold_left_ms") or 0) / 1000,
+    )
+
+
+def _typed(heartbeat: dict, name: str, expected: type) -> object:
+    value = heartbeat[name]
+    if type(value) is not expected:
+        raise ValueError(f"{name}: expected {expected.__name__}, got {value!r}")
+    return value
--- a/laburnumrock/replication/__init__.py
+++ b/laburnumrock/replication/__init__.py
@@ -33,6 +33,7 @@
     Snapshot,
     StoredState,
 )
+from laburnumrock.replication._voter_plan import VoterChange, VoterPlan
 
 RAFT_MESSAGES = (
     Append,
@@ -81,4 +82,6 @@
     "TransferLeadership",
     "Vote",
     "VoteAnswer",
+    "VoterChange",
+    "VoterPlan",
 ]
--- a/laburnumrock/replication/_bootstrap.py
+++ b/laburnumrock/replication/_bootstrap.py
@@ -26,11 +26,19 @@
         Instances that form the log at first start.
     timing : TimingSettings
         Interval of the queries.
+    may_form : bool
+        Whether this instance may form a new log.
     """
 
     def __init__(
-        self, instance_id: str, voter_id: str, first_voters: list[str], timing: TimingSettings
+        self,
+        instance_id: str,
+        voter_id: str,
+        first_voters: list[str],
+        timing: TimingSettings,
+        may_form: bool = True,
     ) -> None:
+        self.may_form = may_form
         self.instance_id = instance_id
         self.voter_id = voter_id
         self.first_voters = first_voters
@@ -73,6 +81,6 @@
         if first is not None:
             return first if self.voter_id in first.voters else None
         is_founder = self.first_voters[:1] == [self.instance_id]
-        if not is_founder or not self.fresh.issuperset(self.first_voters):
+        if not self.may_form or not is_founder or not self.fresh.issuperset(self.first_voters):
             return None
         return Members({self.identities[name]: name for name in self.first_voters})
--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -68,6 +68,8 @@
         What the data folder holds.
     source : random.Random
         Source of election timeouts.
+    may_form : bool
+        Whether this instance may form a new log; False once the system has had one.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         timing: TimingSettings,
         stored: StoredState,
         source: random.Random,
+        may_form: bool = True,
     ) -> None:
         self.instance_id = instance_id
         self.timing = timing
@@ -93,7 +96,7 @@
         self.quiet_until_s: float | None = None
         self.votes: set[str] = set()
         self.leadership: Leadership | None = None
-        self.bootstrap = Bootstrap(instance_id, self.voter_id, first_voters, timing)
+        self.bootstrap = Bootstrap(instance_id, self.voter_id, first_voters, timing, may_form)
         self.partial_snapshot: Snapshot | None = None
         self.effects: list[Effect] = []
         self.receivers = {
--- /dev/null
+++ b/laburnumrock/routing/__init__.py
@@ -0,0 +1,39 @@
+"""Routes, services and client accounts as operators declare them, and their lookup."""
+
+from laburnumrock.routing._messages import (
+    RouteDocument,
+    RouteDocumentQuery,
+    SetDrain,
+    StoreAnswer,
+    StoreRoutes,
+)
+from laburnumrock.routing._part import RoutesPart
+from laburnumrock.routing._table import RouteTable
+from laburnumrock.routing._types import (
+    AccountEntry,
+    EngineParameters,
+    RequestKind,
+    Route,
+    RouteLimits,
+    RouteSet,
+    Service,
+    ServiceShare,
+)
+
+__all__ = [
+    "AccountEntry",
+    "EngineParameters",
+    "RequestKind",
+    "Route",
+    "RouteDocument",
+    "RouteDocumentQuery",
+    "RouteLimits",
+    "RouteSet",
+    "RouteTable",
+    "RoutesPart",
+    "Service",
+    "ServiceShare",
+    "SetDrain",
+    "StoreAnswer",
+    "StoreRoutes",
+]
--- /dev/null
+++ b/laburnumrock/routing/_messages.py
@@ -0,0 +1,82 @@
+"""Commands and questions of the replicated routes."""
+
+from dataclasses import dataclass, field
+
+from laburnumrock.messages import register_message
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class StoreRoutes:
+    """Stores a version of the routes unless an equal or higher one is stored.
+
+    Parameters
+    ----------
+    version : int
+        Version of the document.
+    document : bytes
+        The document as the operator sent it, compressed with zlib.
+    """
+
+    version: int
+    document: bytes
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class SetDrain:
+    """Takes a failure domain out of service, or back.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Domain whose upstreams get nothing new while `drained` is true.
+    drained : bool
+        The new state.
+    """
+
+    failure_domain: str
+    drained: bool
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """State after a command.
+
+    Parameters
+    ----------
+    version : int
+        Version that is now in force.
+    changed : bool
+        Whether the command changed anything.
+    """
+
+    version: int
+    changed: bool
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class RouteDocumentQuery:
+    """Asks for the version in force."""
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class RouteDocument:
+    """The version in force.
+
+    Parameters
+    ----------
+    version : int
+        0 before the first one.
+    document : bytes
+        Compressed document; empty before the first one.
+    drained : list of str
+        Failure domains that are out of service.
+    """
+
+    version: int = 0
+    document: bytes = b""
+    drained: list[str] = field(default_factory=list)
--- /dev/null
+++ b/laburnumrock/routing/_part.py
@@ -0,0 +1,54 @@
+"""Replicated part that holds the routes in force."""
+
+from laburnumrock.messages import from_plain, to_plain
+from laburnumrock.routing._messages import (
+    RouteDocument,
+    RouteDocumentQuery,
+    SetDrain,
+    StoreAnswer,
+    StoreRoutes,
+)
+from laburnumrock.state import register_part
+
+
+@register_part("routes")
+class RoutesPart:
+    """Highest version of the routes, and the failure domains out of service."""
+
+    command_types = (StoreRoutes, SetDrain)
+
+    def __init__(self) -> None:
+        self.current = RouteDocument()
+
+    def apply(self, command: StoreRoutes | SetDrain, index: int) -> StoreAnswer:
+        """Apply a command; a version that is not higher than the stored one changes nothing."""
+        if isinstance(command, SetDrain):
+            return self._apply_drain(command)
+        current = self.current
+        if command.version <= current.version:
+            return StoreAnswer(current.version, False)
+        self.current = RouteDocument(command.version, command.document, current.drained)
+        return StoreAnswer(command.version, True)
+
+    def _apply_drain(self, command: SetDrain) -> StoreAnswer:
+        current = self.current
+        drained = set(current.drained)
+        if command.drained:
+            drained.add(command.failure_domain)
+        else:
+            drained.discard(command.failure_domain)
+        changed = sorted(drained) != current.drained
+        self.current = RouteDocument(current.version, current.document, sorted(drained))
+        return StoreAnswer(current.version, changed)
+
+    def query(self, question: RouteDocumentQuery) -> RouteDocument:
+        """Return the version in force."""
+        return self.current
+
+    def to_plain(self) -> object:
+        """Return the state as plain data."""
+        return to_plain(self.current)
+
+    def restore(self, plain: object | None) -> None:
+        """Replace the state."""
+        self.current = RouteDocument() if plain is None else from_plain(RouteDocument, plain)
--- /dev/null
+++ b/laburnumrock/routing/_types.py
@@ -0,0 +1,200 @@
+"""Declared routes, services and client accounts."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RequestKind(StrEnum):
+    """What may be repeated of a request."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """Share of a route's requests that a service gets.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    weight : float, >= 0
+        Relative share.
+    """
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where the requests of one host and path prefix go.
+
+    Parameters
+    ----------
+    name : str
+        Name of the route.
+    host : str
+        Host of the request, in lower case.
+    path_prefix : str
+        Begins and ends with a slash.
+    kind : RequestKind
+        What may be repeated.
+    shares : tuple of ServiceShare
+        Services that get the requests.
+    timeout_s : float, > 0
+        Longest time until the final answer.
+    goal_s : float, > 0
+        Time to the answer, or to the first event of a stream, within which it counts in full.
+    gap_goal_s : float
+        Longest pause between the events of a stream; 0 when none is declared.
+    max_attempts : int, >= 1
+        Upstreams that one request may be sent to.
+    priority : int
+        Rank; 0 is the most urgent.
+    anonymous : bool
+        Whether requests need no key.
+    resumable : bool
+        Whether a stream may be resumed on another upstream.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    goal_s: float
+    gap_goal_s: float = 0.0
+    max_attempts: int = 1
+    priority: int = 0
+    anonymous: bool = False
+    resumable: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the request may run more than once."""
+        if self.kind is RequestKind.STREAMING:
+            return self.resumable
+        return self.kind is RequestKind.IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class EngineParameters:
+    """Published cost parameters of the model engines of a service.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that an engine runs at once.
+    kv_capacity_tokens : int
+        KV memory.
+    stride : int
+        Steps of a pass that includes writing requests; one event of a stream holds as many tokens.
+    step_ms, per_sequence_ms, context_ms_per_1k : float
+        Cost of one token step: fixed, for each writing request, and for 1,000 tokens of context.
+    read_tokens_per_s : float
+        Speed of reading prompts.
+    pairs_ms_per_million : float
+        Cost of a million pairs of a token and an earlier one.
+    chunk_tokens : int
+        Prompt tokens that one step reads at most.
+    hop_ms : float
+        Cost for each step of a request whose memory is spread over several engines.
+    usual_prompt_tokens, usual_output_tokens : float
+        Mean sizes of requests.
+    """
+
+    slots: int = 8
+    kv_capacity_tokens: int = 450_000
+    stride: int = 46
+    step_ms: float = 0.925
+    per_sequence_ms: float = 0.01
+    context_ms_per_1k: float = 0.0025
+    read_tokens_per_s: float = 256_000.0
+    pairs_ms_per_million: float = 0.0917
+    chunk_tokens: int = 2048
+    hop_ms: float = 0.1
+    usual_prompt_tokens: float = 13_000.0
+    usual_output_tokens: float = 1_500.0
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Service whose upstreams get requests.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    max_connections : int
+        Connections that one upstream accepts from all instances together.
+    cold_requests_per_s : float
+        Requests that a cold upstream bears; 0 for no limit.
+    engine : EngineParameters, optional
+        Set for model engines.
+    """
+
+    name: str
+    max_connections: int = 0
+    cold_requests_per_s: float = 0.0
+    engine: EngineParameters | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AccountEntry:
+    """Client account.
+
+    Parameters
+    ----------
+    name : str
+        Name of the account.
+    keys : tuple of str
+        Keys of its callers.
+    priority : int, optional
+        Takes precedence over the priority of the route.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RouteLimits:
+    """What callers may send.
+
+    Parameters
+    ----------
+    max_header_bytes, max_body_bytes : int
+        Sizes of a request.
+    idle_timeout_s : float
+        Time that a connection may stay idle.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 * 1024 * 1024
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteSet:
+    """One version of everything that operators declare for requests.
+
+    Parameters
+    ----------
+    version : int
+        The highest version is in force.
+    routes, services, accounts : tuple
+        Their entries; `accounts` is None when requests need no key.
+    limits : RouteLimits
+        What callers may send.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    accounts: tuple[AccountEntry, ...] | None = None
+    limits: RouteLimits = field(default_factory=RouteLimits)
--- a/laburnumrock/settings/_instance.py
+++ b/laburnumrock/settings/_instance.py
@@ -107,6 +107,8 @@
         Longest wait for running requests in a planned stop.
     connect_timeout_s : float, > 0
         Longest wait for a connection to an upstream or a peer.
+    link_ping_s : float, > 0
+        Time between two pings on a link between instances, and longest wait for the answer.
     """
 
     announcement_expiry_s: float = Field(default=2.0, gt=0)
@@ -123,6 +125,7 @@
     balancer_grace_s: float = Field(default=1.0, ge=0)
     drain_timeout_s: float = Field(default=120.0, gt=0)
     connect_timeout_s: float = Field(default=1.0, gt=0)
+    link_ping_s: float = Field(default=20.0, gt=0)
 
     @model_validator(mode="after")
     def _check_order(self) -> "TimingSettings":
--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -49,11 +49,19 @@
         Addresses of this instance and its peers.
     key : bytes
         Shared key of the system's instances.
+    find_peer : callable, optional
+        Returns the address of an instance that the settings do not name, or None.
     """
 
-    def __init__(self, settings: InstanceSettings, key: bytes) -> None:
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        key: bytes,
+        find_peer: Callable[[str], PeerSettings | None] | None = None,
+    ) -> None:
         self.settings = settings
         self.key = key
+        self.find_peer = find_peer
         self.peers = {peer.instance_id: peer for peer in settings.peers}
         self.handlers: dict[type, Handler] = {}
         self.links: dict[str, _Link] = {}
@@ -73,6 +81,8 @@
             listen.peer_port,
             max_size=MAX_FRAME_BYTES,
             compression=None,
+            ping_interval=self.settings.timing.link_ping_s,
+            ping_timeout=self.settings.timing.link_ping_s,
         )
 
     async def stop(self) -> None:
@@ -147,11 +157,14 @@
         if peer == self.settings.instance_id:
             self._dispatch(peer, frame)
             return True
-        if peer not in self.peers:
-            return False
         link = self.links.get(peer)
         if link is None:
-            link = _Link(self.peers[peer])
+            address = self.peers.get(peer)
+            if address is None and self.find_peer is not None:
+                address = self.find_peer(peer)
+            if address is None:
+                return False
+            link = _Link(address)
             link.task = asyncio.create_task(self._run_link(link))
             self.links[peer] = link
         if len(link.frames) >= QUEUE_FRAMES:
@@ -174,6 +187,10 @@
                 link.frames.clear()
                 await asyncio.sleep(delay_s * self.random.uniform(0.5, 1.0))
                 delay_s = min(delay_s * 2, RECONNECT_MAX_S)
+                # Without frames to send, a peer that left for good would be called for ever.
+                link.filled.clear()
+                if not link.frames:
+                    await link.filled.wait()
 
     @contextlib.asynccontextmanager
     async def _open(self, peer: PeerSettings):
@@ -182,6 +199,8 @@
             max_size=MAX_FRAME_BYTES,
             compression=None,
             open_timeout=self.settings.timing.connect_timeout_s,
+            ping_interval=self.settings.timing.link_ping_s,
+            ping_timeout=self.settings.timing.link_ping_s,
             proxy=None,
         )
         async with connection:
