--- /dev/null
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -0,0 +1,223 @@
+"""Choice of upstreams."""
+
+import random
+from dataclasses import replace
+
+from laburnumrock.dispatch import (
+    ActiveSendReport,
+    DispatchAnswer,
+    DispatchCall,
+    Dispatcher,
+    DispatchSettings,
+    SendEnded,
+    SendOutcome,
+    SendStarted,
+    UpstreamDirectory,
+    UpstreamReport,
+    UpstreamState,
+)
+from laburnumrock.errors import ErrorKind
+from laburnumrock.routing import EngineParameters, RouteSet, Service
+
+SHORT = DispatchCall("s", 1, "llm", "one", 1, 5_000, 1_600, 0.3, 0.2, 10.0)
+LONG = DispatchCall("l", 1, "llm", "one", 1, 200_000, 800, 3.0, 0.8, 15.0)
+PLAIN = DispatchCall("p", 1, "plain", "one", 1, 0, 0, 0.1, 0.0, 0.6)
+
+
+def make_dispatcher(engines: int = 4, slots: int = 8, **settings) -> Dispatcher:
+    directory = UpstreamDirectory(4.0, 30.0)
+    dispatcher = Dispatcher(DispatchSettings(**settings), directory, random.Random(1))
+    dispatcher.set_routes(make_routes(slots))
+    dispatcher.start(1, 0.0)
+    for number in range(engines):
+        dispatcher.observe(make_report("llm", number, slots), 10.0)
+    dispatcher.observe(make_report("plain", 100, 6), 10.0)
+    return dispatcher
+
+
+def make_routes(slots: int) -> RouteSet:
+    engine = EngineParameters(slots=slots)
+    services = (Service("llm", cold_requests_per_s=10.0, engine=engine), Service("plain"))
+    return RouteSet(1, (), services)
+
+
+def make_report(service: str, number: int, slots: int) -> UpstreamReport:
+    domain = "abc"[number % 3]
+    host = f"10.0.0.{number}"
+    state = UpstreamState.READY
+    return UpstreamReport(f"{service}{number}", service, host, 80, domain, 1, 1, slots, state)
+
+
+def place(dispatcher: Dispatcher, call: DispatchCall, now_s: float = 10.0) -> DispatchAnswer:
+    answer = dispatcher.place("entry", "a", call, now_s)
+    assert isinstance(answer, DispatchAnswer)
+    return answer
+
+
+class TestPlacement:
+    def test_short_prompt_avoids_an_engine_that_reads_a_long_one(self):
+        """Guards against short requests that wait behind a long prompt."""
+        dispatcher = make_dispatcher()
+        busy = {place(dispatcher, LONG).upstream_id}
+        for _ in range(10):
+            assert place(dispatcher, SHORT).upstream_id not in busy
+
+    def test_long_prompt_avoids_streams(self):
+        """Guards against streams that stall while their engine reads a long prompt."""
+        dispatcher = make_dispatcher()
+        permits = [place(dispatcher, SHORT) for _ in range(6)]
+        for permit in permits:
+            dispatcher.note_started(SendStarted(permit.permit, 0.1), 10.2)
+        writing = {permit.upstream_id for permit in permits}
+        assert len(writing) < 4
+        assert place(dispatcher, LONG, 10.3).upstream_id not in writing
+
+    def test_short_prompts_share_engines(self):
+        """Guards against streams spread over all engines, which leaves none for long prompts."""
+        dispatcher = make_dispatcher(engines=8)
+        used = set()
+        for number in range(12):
+            now_s = 10.0 + 0.1 * number
+            permit = place(dispatcher, SHORT, now_s)
+            used.add(permit.upstream_id)
+            dispatcher.note_started(SendStarted(permit.permit, 0.1), now_s + 0.09)
+        assert len(used) <= 4
+
+    def test_prompt_that_is_late_on_one_engine_is_split(self):
+        """Guards against the longest prompts, worth most, that are always late."""
+        dispatcher = make_dispatcher(engines=8)
+        answer = place(dispatcher, replace(LONG, prompt_tokens=400_000))
+        assert len(answer.helpers) >= 2
+        assert answer.expected_first_s < 3.0
+        assert all(helper.reserved_tokens == 0 for helper in answer.helpers)
+
+    def test_prompt_larger_than_an_engine_reserves_memory(self):
+        """Guards against prompts over one engine's memory that are refused as if it were full."""
+        dispatcher = make_dispatcher(engines=8)
+        answer = place(dispatcher, replace(LONG, prompt_tokens=900_000))
+        reserved = sum(helper.reserved_tokens for helper in answer.helpers)
+        assert reserved >= 900_000 - 450_000
+        assert all(0 < helper.reserved_tokens < 450_000 for helper in answer.helpers)
+
+    def test_never_more_than_the_slots(self):
+        """Guards against requests that an engine queues or rejects."""
+        dispatcher = make_dispatcher(engines=2, slots=3)
+        placed = [place(dispatcher, SHORT) for _ in range(6)]
+        assert all(answer.permit for answer in placed)
+        assert isinstance(dispatcher.place("entry", "a", SHORT, 10.0), int)
+
+    def test_excluded_and_drained_get_nothing(self):
+        """Guards against sends to a failure domain that is out of service."""
+        dispatcher = make_dispatcher(engines=3)
+        dispatcher.set_drained({"a"})
+        for _ in range(5):
+            answer = place(dispatcher, replace(SHORT, excluded=["llm1"]))
+            assert answer.upstream_id == "llm2"
+
+    def test_no_upstream_is_refused_at_once(self):
+        """Guards against a request that is held although nothing can serve it."""
+        dispatcher = make_dispatcher(engines=0)
+        answer = place(dispatcher, SHORT)
+        assert answer.refusal == ErrorKind.NO_UPSTREAM
+        assert answer.retry_after_s > 0
+
+    def test_plain_service_balances(self):
+        """Guards against plain requests that pile up on one upstream."""
+        dispatcher = make_dispatcher()
+        dispatcher.observe(make_report("plain", 101, 6), 10.0)
+        names = [place(dispatcher, PLAIN).upstream_id for _ in range(8)]
+        assert names.count("plain100") == 4
+
+
+class TestWaiting:
+    def test_waiting_request_gets_the_free_slot(self):
+        """Guards against a refusal while an engine is about to become free."""
+        dispatcher = make_dispatcher(engines=1, slots=1)
+        first = place(dispatcher, SHORT)
+        ticket = dispatcher.place("entry", "a", SHORT, 10.0)
+        dispatcher.note_ended(SendEnded(first.permit, SendOutcome.DONE), 10.1)
+        [(served, answer)] = dispatcher.retry_waiting({}, 10.1)
+        assert served == ticket
+        assert answer.permit
+
+    def test_waiting_ends_early(self):
+        """Guards against a request that is held until its deadline and then refused."""
+        dispatcher = make_dispatcher(engines=1, slots=1)
+        place(dispatcher, SHORT)
+        dispatcher.place("entry", "a", SHORT, 10.0)
+        assert dispatcher.retry_waiting({}, 10.1) == []
+        [(_, answer)] = dispatcher.retry_waiting({}, 10.16)
+        assert answer.refusal == ErrorKind.CONCURRENCY_LIMITED
+
+    def test_long_queue_refuses_at_once(self):
+        """Guards against a burst that waits in vain."""
+        dispatcher = make_dispatcher(engines=1, slots=2)
+        for _ in range(2):
+            place(dispatcher, SHORT)
+        assert isinstance(dispatcher.place("entry", "a", SHORT, 10.0), int)
+        assert place(dispatcher, SHORT).refusal == ErrorKind.CONCURRENCY_LIMITED
+
+
+class TestLimits:
+    def test_cold_upstream_gets_no_more_than_it_bears(self):
+        """Guards against a cold upstream that all instances together overload."""
+        dispatcher = make_dispatcher(engines=1, slots=1000)
+        cold = replace(make_report("llm", 0, 1000), sequence=2, cold_left_s=5.0)
+        dispatcher.observe(cold, 10.0)
+        granted = 0
+        for number in range(100):
+            answer = dispatcher.place("entry", "a", SHORT, 10.0 + number / 100)
+            granted += isinstance(answer, DispatchAnswer) and answer.permit > 0
+        assert 1 <= granted <= 10
+
+    def test_new_dispatcher_spares_cold_upstreams(self):
+        """Guards against two dispatchers in a row that both use the whole cold limit."""
+        dispatcher = make_dispatcher(engines=1)
+        cold = replace(make_report("llm", 0, 8), sequence=2, cold_left_s=5.0)
+        dispatcher.observe(cold, 10.0)
+        dispatcher.start(1 << 32, 10.0)
+        assert isinstance(dispatcher.place("entry", "a", SHORT, 10.1), int)
+
+    def test_repeat_budget(self):
+        """Guards against more second sends than all instances may make together."""
+        dispatcher = make_dispatcher(slots=1000, repeat_ratio=0.2, repeat_slack=5.0)
+        for _ in range(50):
+            place(dispatcher, SHORT)
+        second = replace(SHORT, attempt=2)
+        answers = [place(dispatcher, second) for _ in range(20)]
+        assert sum(answer.permit > 0 for answer in answers) == 15
+
+    def test_unresponsive_upstream_is_avoided(self):
+        """Guards against new work for an upstream that fell silent."""
+        dispatcher = make_dispatcher(engines=2)
+        answer = place(dispatcher, SHORT)
+        dispatcher.note_ended(SendEnded(answer.permit, SendOutcome.SILENT), 10.1)
+        for _ in range(4):
+            assert place(dispatcher, SHORT, 10.2).upstream_id != answer.upstream_id
+
+
+class TestLedger:
+    def test_lost_permits_are_dropped(self):
+        """Guards against slots that stay taken after their entry was killed."""
+        dispatcher = make_dispatcher(engines=1, slots=1)
+        place(dispatcher, SHORT)
+        dispatcher.keep_only("entry", set(), 10.5)
+        assert isinstance(dispatcher.place("entry", "a", SHORT, 10.5), int)
+        dispatcher.keep_only("entry", set(), 11.5)
+        assert place(dispatcher, SHORT, 11.5).permit
+
+    def test_new_dispatcher_adopts_sends(self):
+        """Guards against a new leader that takes busy engines for idle ones."""
+        dispatcher = make_dispatcher(engines=1, slots=1)
+        dispatcher.start(1 << 32, 10.0)
+        dispatcher.adopt("entry", ActiveSendReport(5, "llm0", 5000, 1600, 0.2, 0.5, True), 10.0)
+        assert isinstance(dispatcher.place("entry", "a", SHORT, 10.0), int)
+        dispatcher.note_ended(SendEnded(5, SendOutcome.DONE), 10.1)
+        assert place(dispatcher, SHORT, 10.1).permit
+
+    def test_helpers_are_freed_with_the_send(self):
+        """Guards against engines that stay taken by a part of a prompt that ended."""
+        dispatcher = make_dispatcher(engines=8)
+        answer = place(dispatcher, replace(LONG, prompt_tokens=900_000))
+        dispatcher.note_ended(SendEnded(answer.permit, SendOutcome.CANCELLED), 10.1)
+        assert all(not load.sends for load in dispatcher.loads.values())
--- a/laburnumrock/forwarding/_events.py
+++ b/laburnumrock/forwarding/_events.py
@@ -3,7 +3,7 @@
 import re
 
 _END = re.compile(rb"\r?\n\r?\n")
-_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+_ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
 class EventSplitter:
@@ -28,7 +28,7 @@
         data = self.rest + chunk
         end = 0
         for match in _END.finditer(data):
-            found = _ID.search(data, end, match.start())
+            found = _ID.search(data[end : match.start()])
             if found is not None:
                 self.last_id = found[1].decode("latin1")
             end = match.end()
