--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -7,6 +7,7 @@
 from laburnumrock.dispatch._budget import RepeatBudget
 from laburnumrock.dispatch._directory import UpstreamDirectory
 from laburnumrock.dispatch._dispatcher import Dispatcher, DispatchSettings
+from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._engine_model import EngineModel
 from laburnumrock.dispatch._load import ActiveSend, UpstreamLoad
 from laburnumrock.dispatch._local import LocalDispatcher
@@ -14,9 +15,11 @@
     ActiveSendReport,
     DispatchAnswer,
     DispatchCall,
+    DispatchDecided,
     Helper,
     SendEnded,
     SendOutcome,
+    SendStalled,
     SendStarted,
     UpstreamReport,
     UpstreamState,
@@ -27,14 +30,17 @@
     "ActiveSendReport",
     "DispatchAnswer",
     "DispatchCall",
+    "DispatchDecided",
     "DispatchSettings",
     "Dispatcher",
+    "DomainHealth",
     "EngineModel",
     "Helper",
     "LocalDispatcher",
     "RepeatBudget",
     "SendEnded",
     "SendOutcome",
+    "SendStalled",
     "SendStarted",
     "UpstreamDirectory",
     "UpstreamLoad",
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -12,6 +12,7 @@
 
 from laburnumrock.dispatch._budget import RepeatBudget
 from laburnumrock.dispatch._directory import UpstreamDirectory, UpstreamEntry
+from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._engine_model import MS_PER_S, EngineModel
 from laburnumrock.dispatch._load import ActiveSend, UpstreamLoad
 from laburnumrock.dispatch._messages import (
@@ -21,6 +22,7 @@
     Helper,
     SendEnded,
     SendOutcome,
+    SendStalled,
     SendStarted,
     UpstreamReport,
 )
@@ -39,10 +41,21 @@
 """Weight of the use of an idle engine, which long prompts may soon need."""
 DISTANCE_WEIGHT = 0.002
 """Weight of another failure domain; traffic between domains is priced."""
-HELPED_GOAL_SHARE = 0.6
-"""A long prompt is split until its predicted first event is within this share of its goal."""
+HELPER_WEIGHT = 0.02
+"""Weight of each engine that helps; each one more can break the whole prompt."""
 MAX_ENGINES_PER_PROMPT = 16
 """Largest number of engines that read one prompt; the engines' protocol allows 16 helpers."""
+SPLIT_IDLE_SHARE = 0.6
+"""Share of the engines without waiting prompts that one prompt may occupy, so that short prompts
+still find one."""
+SHORT_PART_MS = 100.0
+"""A part that is read in this time delays no other request beyond its goal."""
+NO_UPSTREAM_RETRY_S = 2.0
+"""Upstreams announce themselves about every second, also after all of them were lost."""
+SPLIT_LOSS = 0.1
+"""A placement that loses less is taken without weighing whether to split the prompt."""
+SPLIT_SIZES = (2, 3, 4, 6, 8, 12, 16)
+"""Numbers of engines that are weighed for one prompt."""
 MEMORY_SHARE = 0.97
 """Share of an engine's memory that is planned with; blocks round each request up."""
 OUTPUT_TOKENS_WEIGHT = 10.0
@@ -67,6 +80,8 @@
         Budget of repeated sends for each service.
     expiry_s, forget_s : float, > 0
         As in `UpstreamDirectory`.
+    doubt_s : float, > 0
+        An upstream that was not heard for this long gets work only if there is no other.
     hold_share : float
         Part of its goal for which a request may wait for a free upstream.
     """
@@ -75,6 +90,7 @@
     repeat_slack: float = 50.0
     repeat_window_s: float = 10.0
     expiry_s: float = 4.0
+    doubt_s: float = 2.0
     forget_s: float = 30.0
     hold_share: float = 0.5
 
@@ -126,6 +142,7 @@
         self.loads: dict[str, UpstreamLoad] = {}
         self.sends: dict[int, ActiveSend] = {}
         self.budgets: dict[str, RepeatBudget] = {}
+        self.unresponsive: dict[str, DomainHealth] = {}
         self.waiting: dict[int, _Waiting] = {}
         self.next_permit = 1
         self.next_ticket = 1
@@ -144,6 +161,7 @@
         self.loads.clear()
         self.sends.clear()
         self.budgets.clear()
+        self.unresponsive.clear()
         self.waiting.clear()
         self.next_permit = first_permit
         self.started_s = now_s
@@ -192,7 +210,7 @@
         if choice is not None:
             return self._grant(entry, choice, call, now_s)
         if not self._has_upstream(call, now_s):
-            return _refuse(ErrorKind.NO_UPSTREAM, self._spread(1.0))
+            return _refuse(ErrorKind.NO_UPSTREAM, self._spread(NO_UPSTREAM_RETRY_S))
         hold_s = min(self.settings.hold_share * call.goal_s, call.remaining_s / 4)
         if hold_s <= 0 or self._wait_is_hopeless(call):
             return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._spread(max(0.5, call.goal_s)))
@@ -240,11 +258,20 @@
             load = self.loads.get(name)
             if load is not None:
                 load.note_first_event(message.permit, message.first_s, now_s)
-        self.directory.note_alive(send.upstream_id, now_s)
+        self._note_alive(send.upstream_id, now_s)
+
+    def note_stalled(self, message: SendStalled, now_s: float) -> None:
+        """Take over that nothing has come from a send for longer than expected."""
+        send = self.sends.get(message.permit)
+        # A stalled prompt with helpers does not tell which of its engines is at fault.
+        if send is not None and not send.helped_by:
+            self._note_unresponsive(send.upstream_id, now_s)
 
     def note_ended(self, message: SendEnded, now_s: float) -> None:
         """Take over that a send ended."""
         send = self._drop(message.permit, now_s)
+        for name in message.unresponsive:
+            self._note_unresponsive(name, now_s)
         if send is None:
             return
         load = self.loads.get(send.upstream_id)
@@ -253,11 +280,26 @@
         outcome = message.outcome
         if outcome is SendOutcome.DONE:
             load.note_outcome(False, now_s)
-            self.directory.note_alive(send.upstream_id, now_s)
-        elif outcome is not SendOutcome.CANCELLED:
+            self._note_alive(send.upstream_id, now_s)
+        elif outcome is not SendOutcome.CANCELLED and not message.unresponsive:
             load.note_outcome(True, now_s)
             if outcome in (SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN):
-                load.note_unresponsive(now_s)
+                self._note_unresponsive(send.upstream_id, now_s)
+
+    def _note_alive(self, upstream_id: str, now_s: float) -> None:
+        self.directory.note_alive(upstream_id, now_s)
+        entry = self.directory.entries.get(upstream_id)
+        if entry is not None:
+            self.unresponsive.pop(entry.report.failure_domain, None)
+
+    def _note_unresponsive(self, upstream_id: str, now_s: float) -> None:
+        load = self.loads.get(upstream_id)
+        entry = self.directory.entries.get(upstream_id)
+        if load is None or entry is None:
+            return
+        load.note_unresponsive(now_s)
+        health = self.unresponsive.setdefault(entry.report.failure_domain, DomainHealth())
+        health.note_unresponsive(upstream_id, now_s)
 
     def keep_only(self, entry: str, permits: set[int], now_s: float) -> None:
         """Drop the sends of an entry that it no longer lists."""
@@ -378,14 +420,14 @@
         read_ms = model.read_ms(0, call.prompt_tokens)
         memory = call.prompt_tokens + call.output_tokens
         capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
-        best = None
+        best: _Choice | None = None
         for entry, load in candidates:
             if load.memory_tokens + memory > capacity:
                 continue
             choice = self._weigh(domain, call, entry, load, read_ms, now_s)
             if best is None or choice.loss < best.loss:
                 best = choice
-        if best is not None and best.first_s <= RAMP_START * call.goal_s:
+        if best is not None and best.loss <= SPLIT_LOSS:
             return best
         split = self._split(domain, call, candidates, model, now_s)
         if split is not None and (best is None or split.loss < best.loss):
@@ -405,12 +447,19 @@
             if load.free_slots <= 0 or not self._bears_cold(entry, load, now_s):
                 continue
             load.advance(now_s)
-            if load.is_suspect(now_s):
+            if load.is_suspect(now_s) or self._is_doubtful(entry, now_s):
                 suspects.append((entry, load))
             else:
                 usable.append((entry, load))
         return usable or suspects
 
+    def _is_doubtful(self, entry: UpstreamEntry, now_s: float) -> bool:
+        """Whether an upstream missed a report, or others of its failure domain do not respond."""
+        if now_s - entry.heard_s > self.settings.doubt_s:
+            return True
+        unresponsive = self.unresponsive.get(entry.report.failure_domain)
+        return unresponsive is not None and unresponsive.is_cut_off(now_s)
+
     def _weigh_plain(
         self,
         domain: str,
@@ -433,23 +482,17 @@
         now_s: float,
     ) -> _Choice:
         value = self._value(call.service, call.prompt_tokens, call.output_tokens)
-        pass_before_ms = load.pass_ms()
-        pass_after_ms = load.pass_ms(read_ms)
+        pass_ms = load.pass_ms()
         own_pass_ms = load.model.write_pass_ms(len(load.sends) + 1, call.prompt_tokens)
-        first_ms = pass_before_ms + load.reading_ms() + read_ms + own_pass_ms
+        first_ms = pass_ms + load.reading_ms() + read_ms + own_pass_ms
         first_s = load.pace * first_ms / MS_PER_S
         loss = value * _late_loss(first_s, call.goal_s)
         loss += value * DELAY_WEIGHT * first_s / call.goal_s
         loss += value * FAIL_LOSS * load.current_failure_rate(now_s)
         if call.gap_goal_s > 0:
-            gap_s = load.pace * max(pass_after_ms - read_ms, own_pass_ms) / MS_PER_S
+            gap_s = load.pace * max(pass_ms, own_pass_ms) / MS_PER_S
             loss += value * _late_loss(gap_s, call.gap_goal_s)
-        before_s = load.pace * pass_before_ms / MS_PER_S
-        after_s = load.pace * pass_after_ms / MS_PER_S
-        for writer in load.writers():
-            if writer.gap_goal_s > 0:
-                added = _late_loss(after_s, writer.gap_goal_s)
-                loss += writer.value * (added - _late_loss(before_s, writer.gap_goal_s))
+        loss += _disturbance(load, read_ms)
         if not load.sends:
             loss += IDLE_ENGINE_WEIGHT
         loss += self._distance(domain, entry) + self.source.random() * 1e-4
@@ -463,34 +506,76 @@
         model: EngineModel,
         now_s: float,
     ) -> _Choice | None:
-        """Split a long prompt over engines on which it disturbs nobody."""
-        quiet = [
-            (entry, load)
-            for entry, load in candidates
-            if not load.writers() and load.reading_ms() <= 0 and not entry.is_cold(now_s)
-        ]
-        quiet.sort(key=lambda pair: (pair[1].pace, self._distance(domain, pair[0])))
+        """Split a long prompt into parts that disturb the streams of their engines least."""
         whole_ms = model.read_ms(0, call.prompt_tokens)
         memory = call.prompt_tokens + call.output_tokens
         capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
-        engines = max(2, -int(-memory // capacity))
-        if engines > min(len(quiet), MAX_ENGINES_PER_PROMPT):
+        able = [pair for pair in candidates if not pair[0].is_cold(now_s)]
+        idle = sum(1 for _, load in able if load.reading_ms() <= 0)
+        best = None
+        for engines in SPLIT_SIZES:
+            part_ms = whole_ms / engines
+            most = min(len(able), MAX_ENGINES_PER_PROMPT)
+            if part_ms > SHORT_PART_MS and memory <= capacity:
+                most = min(most, int(SPLIT_IDLE_SHARE * idle))
+            if engines > most or memory > engines * capacity:
+                continue
+            ranked = sorted(able, key=lambda pair: self._part_cost(domain, pair, part_ms, now_s))
+            reserved = -int(-memory // engines) if memory > capacity else 0
+            choice = self._weigh_split(domain, call, ranked, engines, part_ms, reserved, now_s)
+            if choice is not None and (best is None or choice.loss < best.loss):
+                best = choice
+        return best
+
+    def _weigh_split(
+        self,
+        domain: str,
+        call: DispatchCall,
+        ranked: list[tuple[UpstreamEntry, UpstreamLoad]],
+        engines: int,
+        part_ms: float,
+        reserved: int,
+        now_s: float,
+    ) -> _Choice | None:
+        memory = call.prompt_tokens + call.output_tokens - reserved * (engines - 1)
+        first = None
+        helping = []
+        for entry, load in ranked:
+            free = MEMORY_SHARE * load.model.parameters.kv_capacity_tokens - load.memory_tokens
+            if first is None and memory <= free:
+                first = (entry, load)
+            elif len(helping) < engines - 1 and reserved <= free:
+                helping.append((entry, load, reserved))
+        if first is None or len(helping) < engines - 1:
             return None
-        most = min(len(quiet), MAX_ENGINES_PER_PROMPT)
-        while engines < most:
-            first_s = (whole_ms / engines + model.write_pass_ms(1, call.prompt_tokens)) / MS_PER_S
-            if first_s <= HELPED_GOAL_SHARE * call.goal_s:
-                break
-            engines += 1
-        (entry, load), *helping = quiet[:engines]
-        choice = self._weigh(domain, call, entry, load, whole_ms / engines, now_s)
-        choice.loss += IDLE_ENGINE_WEIGHT * (engines - 1)
-        reserved = 0
-        if memory > capacity:
-            reserved = -int(-memory // engines)
-        choice.helpers = [(*pair, reserved) for pair in helping]
+        choice = self._weigh(domain, call, *first, part_ms, now_s)
+        pace = max([first[1].pace, *(load.pace for _, load, _ in helping)])
+        waits_ms = max(load.pass_ms() for _, load, _ in helping)
+        own_pass_ms = first[1].model.write_pass_ms(len(first[1].sends) + 1, call.prompt_tokens)
+        first_s = pace * (waits_ms + part_ms + own_pass_ms) / MS_PER_S
+        if first_s > choice.first_s:
+            value = self._value(call.service, call.prompt_tokens, call.output_tokens)
+            choice.loss += value * _late_loss(first_s, call.goal_s)
+            choice.loss -= value * _late_loss(choice.first_s, call.goal_s)
+            choice.first_s = first_s
+        for entry, load, _ in helping:
+            choice.loss += self._part_cost(domain, (entry, load), part_ms, now_s)
+        choice.helpers = helping
         return choice
 
+    def _part_cost(
+        self,
+        domain: str,
+        pair: tuple[UpstreamEntry, UpstreamLoad],
+        part_ms: float,
+        now_s: float,
+    ) -> float:
+        """Worth that is lost when an engine reads a part for another one."""
+        entry, load = pair
+        cost = _disturbance(load, part_ms) + HELPER_WEIGHT
+        cost += HELPER_WEIGHT * (load.pace + 10.0 * load.current_failure_rate(now_s))
+        return cost + self._distance(domain, entry)
+
     def _load(self, entry: UpstreamEntry) -> UpstreamLoad:
         report = entry.report
         load = self.loads.get(report.upstream_id)
@@ -563,6 +648,28 @@
         return round(base_s * self.source.uniform(0.7, 1.5), 2)
 
 
+def _disturbance(load: UpstreamLoad, read_ms: float) -> float:
+    """Worth that the requests of an engine lose when it reads more.
+
+    Parameters
+    ----------
+    load : UpstreamLoad
+        The engine.
+    read_ms : float
+        Time that it reads more, at the normal pace.
+    """
+    before_s = load.pace * load.pass_ms() / MS_PER_S
+    after_s = load.pace * load.pass_ms(read_ms) / MS_PER_S
+    loss = 0.0
+    for send in load.sends.values():
+        if not send.is_writing or send.gap_goal_s <= 0:
+            continue
+        loss += send.value * (
+            _late_loss(after_s, send.gap_goal_s) - _late_loss(before_s, send.gap_goal_s)
+        )
+    return loss
+
+
 def _late_loss(time_s: float, goal_s: float) -> float:
     if goal_s <= 0:
         return 0.0
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -4,6 +4,7 @@
 
 from laburnumrock.dispatch._budget import RepeatBudget
 from laburnumrock.dispatch._directory import UpstreamEntry
+from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._messages import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
 from laburnumrock.errors import ErrorKind
 
@@ -37,6 +38,8 @@
         self.budget = RepeatBudget(0.0, LOCAL_REPEAT_SLACK, repeat_window_s)
         self.sends: dict[int, tuple[str, int]] = {}
         self.suspect_until_s: dict[str, float] = {}
+        self.domains: dict[str, DomainHealth] = {}
+        self.domain_of: dict[str, str] = {}
         # Entries draw from a wide range, so that a dispatcher can adopt the sends of all of them.
         self.next_permit = -source.getrandbits(48) - 1
 
@@ -66,7 +69,9 @@
             name = entry.report.upstream_id
             if name in call.excluded or entry.is_cold(now_s):
                 continue
+            health = self.domains.get(entry.report.failure_domain)
             suspect = now_s < self.suspect_until_s.get(name, 0.0)
+            suspect = suspect or (health is not None and health.is_cut_off(now_s))
             far = entry.report.failure_domain != domain
             key = (suspect, loads.get(name, 0), far, self.source.random())
             if best is None or key < best[0]:
@@ -76,11 +81,20 @@
         report = best[1]
         permit = self.next_permit
         self.next_permit -= 1
+        self.domain_of[report.upstream_id] = report.failure_domain
         self.sends[permit] = (report.upstream_id, call.prompt_tokens)
         return DispatchAnswer(permit, report.upstream_id, report.host, report.port, call.goal_s)
 
     def note_ended(self, message: SendEnded, now_s: float) -> None:
         """Take over that a send ended."""
         name, _ = self.sends.pop(message.permit, ("", 0))
-        if message.outcome in (SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN):
+        domain = self.domain_of.get(name, "")
+        if message.outcome is SendOutcome.DONE:
+            self.domains.pop(domain, None)
+        elif message.outcome in (
+            SendOutcome.UNREACHABLE,
+            SendOutcome.SILENT,
+            SendOutcome.BROKEN,
+        ):
             self.suspect_until_s[name] = now_s + SUSPECT_S
+            self.domains.setdefault(domain, DomainHealth()).note_unresponsive(name, now_s)
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -155,6 +155,8 @@
         Error kind of a refusal; empty for a permit.
     retry_after_s : float
         When to come back after a refusal.
+    ticket : int
+        Number under which the request waits; the decision follows in `DispatchDecided`.
     """
 
     permit: int = 0
@@ -165,6 +167,24 @@
     helpers: list[Helper] = field(default_factory=list)
     refusal: str = ""
     retry_after_s: float = 0.0
+    ticket: int = 0
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class DispatchDecided:
+    """Decision on a request that waited.
+
+    Parameters
+    ----------
+    ticket : int
+        Number under which it waited.
+    answer : DispatchAnswer
+        The decision.
+    """
+
+    ticket: int
+    answer: DispatchAnswer
 
 
 @register_message
@@ -195,10 +215,27 @@
         Number of the send.
     outcome : SendOutcome
         How it ended.
+    unresponsive : list of str
+        Helpers that did not answer when memory was to be reserved.
     """
 
     permit: int
     outcome: SendOutcome
+    unresponsive: list[str] = field(default_factory=list)
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class SendStalled:
+    """Nothing has come from a send for longer than expected; it goes on all the same.
+
+    Parameters
+    ----------
+    permit : int
+        Number of the send.
+    """
+
+    permit: int
 
 
 @register_message
--- a/laburnumrock/forwarding/_reservations.py
+++ b/laburnumrock/forwarding/_reservations.py
@@ -14,7 +14,6 @@
 from result import Err, Ok, Result
 
 from laburnumrock.dispatch import Helper
-from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.forwarding._channels import ChannelPool
 from laburnumrock.forwarding._exchange import Answer, exchange, stated_idle_s
 from laburnumrock.forwarding._wire import CallerRequest, WireFormat
@@ -23,10 +22,14 @@
 """Shorter than the 4 s after which memory that nobody uses counts as leaked."""
 RENEW_S = 1.0
 """Two renewals may be lost before a lease ends."""
-CALL_TIMEOUT_S = 0.8
+CALL_TIMEOUT_S = 0.4
+"""Many times the round trip; engines answer orders without a slot."""
 RELEASE_ATTEMPTS = 6
 """By then the lease has ended."""
 
+RESERVED = 200
+"""Status of an engine that set the memory aside."""
+
 Hold = tuple[str, int, str]
 
 
@@ -49,7 +52,7 @@
     @contextlib.asynccontextmanager
     async def hold(
         self, name: str, helpers: list[Helper]
-    ) -> AsyncIterator[Result[list[Hold], Failure]]:
+    ) -> AsyncIterator[Result[list[Hold], list[str]]]:
         """Hold memory on all helpers that need some, or on none.
 
         Parameters
@@ -62,18 +65,20 @@
         Yields
         ------
         Result
-            Host, port and reservation of each helper, or why not all could be reserved.
+            Host, port and reservation of each helper. If not all had memory free, the names of
+            the helpers that did not answer.
         """
         needed = [helper for helper in helpers if helper.reserved_tokens > 0]
         renewal = None
         try:
-            answers = await asyncio.gather(*(self._reserve(name, helper) for helper in needed))
-            if all(answers):
+            statuses = await asyncio.gather(*(self._reserve(name, helper) for helper in needed))
+            if all(status == RESERVED for status in statuses):
                 if needed:
                     renewal = asyncio.create_task(self._renew(name, needed))
                 yield Ok([_describe(name, helper) for helper in helpers])
             else:
-                yield Err(Failure(ErrorKind.NO_UPSTREAM, "not all engines had memory free"))
+                pairs = zip(needed, statuses, strict=True)
+                yield Err([helper.upstream_id for helper, status in pairs if status is None])
         finally:
             if renewal is not None:
                 renewal.cancel()
@@ -92,18 +97,18 @@
             await asyncio.sleep(RENEW_S)
             await asyncio.gather(*(self._reserve(name, helper) for helper in helpers))
 
-    async def _reserve(self, name: str, helper: Helper) -> bool:
+    async def _reserve(self, name: str, helper: Helper) -> int | None:
         call = self.wire.encode_reservation(name, helper.reserved_tokens, LEASE_S)
         answer = await self._call(helper, call)
-        reserved = answer is not None and answer.status == 200
+        status = None if answer is None else answer.status
         log_message(
             "memory_reserved",
             name=name,
             upstream=helper.upstream_id,
             tokens=helper.reserved_tokens,
-            status=None if answer is None else answer.status,
+            status=status,
         )
-        return reserved
+        return status
 
     async def _release(self, name: str, helper: Helper) -> None:
         for _ in range(RELEASE_ATTEMPTS):
--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -16,6 +17,7 @@
     DispatchCall,
     SendEnded,
     SendOutcome,
+    SendStalled,
     SendStarted,
 )
 from laburnumrock.errors import ANSWERS, ErrorKind
@@ -24,12 +26,15 @@
 from laburnumrock.forwarding._exchange import Answer, ExchangeResult, exchange, stated_idle_s
 from laburnumrock.forwarding._reservations import Reservations
 from laburnumrock.forwarding._wire import CallerRequest, SendFacts, WireFormat
+from laburnumrock.metrics import NodeMetrics, classify_length
 from laburnumrock.routing import AccountEntry, RequestKind, Route, RouteTable
 
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that the request has not run."""
 MIN_REMAINING_S = 0.02
 """A send with less time left could not be answered."""
+START_RETRY_S = 1.8
+"""Time in which an instance that starts learns the routes and upstreams."""
 UNSENT_TRIES = 3
 """Placements that may fail before a byte is sent, beside the sends that count as attempts."""
 
@@ -43,16 +48,23 @@
     patience_s : float, > 0
         Shortest wait for the first event of a send before it goes to another upstream.
     patience_factor : float, >= 1
-        Multiple of the predicted time that is waited if that is longer.
+        Multiple of the predicted time that is waited besides; first events come within 1.5 times
+        the predicted time in 95 of 100 cases.
     gap_patience_s : float, > 0
-        Longest silence inside a stream before it is resumed elsewhere.
+        Silence inside a stream after which it is resumed elsewhere; callers leave after 2 s.
+    gap_patience_factor : float, > 0
+        Multiple of the pause goal that is waited if that is longer.
+    stall_notice_s : float, > 0
+        Delay beyond the expected time after which the dispatcher is told that a send stalls.
     default_timeout_s : float, > 0
         Time limit of requests without any.
     """
 
-    patience_s: float = 1.2
-    patience_factor: float = 3.0
-    gap_patience_s: float = 1.8
+    patience_s: float = 0.9
+    patience_factor: float = 1.6
+    gap_patience_s: float = 1.0
+    gap_patience_factor: float = 4.0
+    stall_notice_s: float = 0.4
     default_timeout_s: float = 30.0
 
 
@@ -68,6 +80,9 @@
     def note_started(self, message: SendStarted) -> None:
         """Record that a send was answered."""
 
+    def note_stalled(self, message: SendStalled) -> None:
+        """Record that nothing has come from a send for longer than expected."""
+
     def note_ended(self, message: SendEnded) -> None:
         """Record that a send ended."""
 
@@ -88,6 +103,8 @@
         Connections to upstreams.
     reservations : Reservations
         Memory on engines.
+    metrics : NodeMetrics
+        Counters and histograms.
     source : random.Random
         Draws services by weight.
     table : RouteTable, optional
@@ -101,10 +118,10 @@
     placer: Placer
     pool: ChannelPool
     reservations: Reservations
+    metrics: NodeMetrics
     source: random.Random
     table: RouteTable | None = None
     stopping: bool = False
-    counts: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -114,10 +131,40 @@
     sent: int = 0
     unsent: int = 0
     excluded: list[str] = field(default_factory=list)
+    unresponsive: list[str] = field(default_factory=list)
     may_have_run: bool = False
     last: Answer | None = None
 
 
+class _StallNotice:
+    """Timer that is set anew with each event."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, notify: Callable[[], None]) -> None:
+        self.loop = loop
+        self.notify = notify
+        self.due_s = 0.0
+        self.handle: asyncio.TimerHandle | None = None
+
+    def set(self, delay_s: float) -> None:
+        """Notify after a delay from now."""
+        self.due_s = self.loop.time() + delay_s
+        # A running timer looks at the due time when it fires; events are far more frequent.
+        if self.handle is None:
+            self.handle = self.loop.call_at(self.due_s, self._fire)
+
+    def cancel(self) -> None:
+        """Notify no more."""
+        if self.handle is not None:
+            self.handle.cancel()
+
+    def _fire(self) -> None:
+        self.handle = None
+        if self.loop.time() < self.due_s:
+            self.handle = self.loop.call_at(self.due_s, self._fire)
+        else:
+            self.notify()
+
+
 class ForwardRun:
     """Run of one request.
 
@@ -144,6 +191,8 @@
         self.attempts = _Attempts()
         self.started = False
         self.events = EventSplitter()
+        self.last_event_s = 0.0
+        self.longest_pause_s = 0.0
 
     async def run(self) -> None:
         """Answer the request."""
@@ -190,7 +239,11 @@
                 self._fail(ErrorKind.DEADLINE_EXCEEDED)
                 return
             call = self._make_call()
+            asked_s = time.monotonic()
             placed = await self.context.placer.place(call)
+            waited_s = time.monotonic() - asked_s
+            decided_by = "leader" if placed.permit >= 0 else "entry"
+            self.context.metrics.placement.labels(decided_by).observe(waited_s)
             self._log_placement(call, placed)
             if not placed.permit:
                 self._refuse(placed)
@@ -200,10 +253,14 @@
             try:
                 outcome = await self._send(call, placed)
             finally:
-                self.context.placer.note_ended(SendEnded(placed.permit, outcome))
+                unresponsive, attempts.unresponsive = attempts.unresponsive, []
+                ended = SendEnded(placed.permit, outcome, unresponsive)
+                self.context.placer.note_ended(ended)
+                self.context.metrics.sends.labels(self.service, outcome.value).inc()
             if outcome is SendOutcome.DONE:
                 return
-            attempts.excluded.append(placed.upstream_id)
+            if not unresponsive:
+                attempts.excluded.append(placed.upstream_id)
             if attempts.sent >= most or attempts.unsent >= UNSENT_TRIES:
                 self._give_up()
                 return
@@ -239,6 +296,7 @@
         async with context.reservations.hold(name, placed.helpers) as held:
             if held.is_err():
                 self.attempts.unsent += 1
+                self.attempts.unresponsive = held.unwrap_err()
                 return SendOutcome.REFUSED
             left_s = self.ends_s - time.monotonic()
             opened = await context.pool.open(placed.host, placed.port, left_s)
@@ -267,7 +325,9 @@
         self.attempts.may_have_run = True
         sent_s = time.monotonic()
         settings = context.settings
-        patience_s = max(settings.patience_s, settings.patience_factor * placed.expected_first_s)
+        expected_s = placed.expected_first_s
+        patience_s = settings.patience_s + settings.patience_factor * expected_s
+        gap_s = max(settings.gap_patience_s, settings.gap_patience_factor * self.route.gap_goal_s)
         repeats = self.route.may_repeat and self.attempts.sent < self.route.max_attempts
         if not repeats:
             patience_s = self.ends_s - sent_s
@@ -280,18 +340,24 @@
         )
         headers = context.wire.encode_request(self.request, facts)
         loop = asyncio.get_running_loop()
+        stall = _StallNotice(loop, lambda: self._note_stall(placed))
+        stall.set(expected_s + settings.stall_notice_s)
         limit = asyncio.timeout(patience_s)
         heard = False
 
         async def relay(chunk: bytes) -> None:
             nonlocal heard
             whole = self.events.feed(chunk)
+            now_s = time.monotonic()
             if not heard:
                 heard = True
-                first_s = time.monotonic() - sent_s
-                context.placer.note_started(SendStarted(placed.permit, first_s))
+                self._note_first_event(placed, now_s - sent_s, now_s)
+            else:
+                self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_event_s)
+            self.last_event_s = now_s
+            stall.set(self.route.gap_goal_s + settings.stall_notice_s)
             if repeats:
-                limit.reschedule(loop.time() + settings.gap_patience_s)
+                limit.reschedule(loop.time() + gap_s)
             if whole:
                 await self.connection.write(whole)
 
@@ -308,6 +374,26 @@
             if time.monotonic() >= self.ends_s - MIN_REMAINING_S:
                 raise
             return None, True
+        finally:
+            stall.cancel()
+
+    def _note_stall(self, placed: DispatchAnswer) -> None:
+        self._log("send_stalled", upstream=placed.upstream_id, attempt=self.attempts.sent)
+        self.context.placer.note_stalled(SendStalled(placed.permit))
+
+    def _note_first_event(self, placed: DispatchAnswer, first_s: float, now_s: float) -> None:
+        self.context.placer.note_started(SendStarted(placed.permit, first_s))
+        metrics = self.context.metrics
+        if placed.expected_first_s > 0 and placed.permit > 0:
+            metrics.prediction.observe(first_s / placed.expected_first_s)
+        if self.last_event_s == 0.0:
+            metrics.first_event.labels(*self._labels()).observe(now_s - self.request.arrived_s)
+        self._log(
+            "first_event",
+            upstream=placed.upstream_id,
+            first_s=round(first_s, 4),
+            expected_first_s=round(placed.expected_first_s, 4),
+        )
 
     def _start_relay(self, answer: Answer) -> bool:
         """Send the headers of a stream to the caller; returns whether its body is relayed."""
@@ -362,7 +448,13 @@
             self.events.drop_rest()
             return SendOutcome.BROKEN
         self.connection.finish()
-        self._log("stream_finished", attempts=self.attempts.sent)
+        self._count(answer.status)
+        self.context.metrics.pause.labels(*self._labels()).observe(self.longest_pause_s)
+        self._log(
+            "stream_finished",
+            attempts=self.attempts.sent,
+            longest_pause_s=round(self.longest_pause_s, 4),
+        )
         return SendOutcome.DONE
 
     def _give_up(self) -> None:
@@ -402,8 +494,10 @@
         if status == 504 and not self.attempts.may_have_run:
             status = 503
         if status == 503 and retry_after_s <= 0:
-            retry_after_s = 0.5
+            retry_after_s = START_RETRY_S * self.context.source.uniform(0.8, 1.4)
         self._log("request_failed", kind=kind, status=status, retry_after_s=retry_after_s)
+        self.context.metrics.refusals.labels(kind.value).inc()
+        self._count(status)
         headers = self.context.wire.encode_failure(self.request.request_id, retry_after_s)
         body = f'{{"kind": "{kind.value}"}}\n'.encode()
         headers["Content-Type"] = "application/problem+json"
@@ -414,6 +508,8 @@
     def _break_off(self, kind: ErrorKind) -> None:
         """Close the caller's connection, so that a cut stream does not look complete."""
         self._log("stream_broken_off", kind=kind, last_event=self.events.last_id)
+        self.context.metrics.refusals.labels(kind.value).inc()
+        self._count(0)
         self.connection.close()
 
     def _answer(self, answer: Answer) -> None:
@@ -423,6 +519,7 @@
             headers["Content-Length"] = str(len(answer.body))
         self._write_headers(answer.status, answer.reason, headers, answer.body)
         self.connection.finish()
+        self._count(answer.status)
         self._log("answered", status=answer.status, attempts=self.attempts.sent)
 
     def _write_headers(
@@ -433,6 +530,17 @@
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         self.connection.write_headers(start_line, headers, body or None)
 
+    def _labels(self) -> tuple[str, str]:
+        account = self.account.name if self.account is not None else ""
+        return account, classify_length(self.request.prompt_tokens)
+
+    def _count(self, status: int) -> None:
+        """Count the end of the request; status 0 stands for a closed connection."""
+        labels = self._labels()
+        metrics = self.context.metrics
+        metrics.requests.labels(*labels, str(status)).inc()
+        metrics.duration.labels(*labels).observe(time.monotonic() - self.request.arrived_s)
+
     def _loop_time(self, monotonic_s: float) -> float:
         return asyncio.get_running_loop().time() + monotonic_s - time.monotonic()
 
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -44,6 +44,7 @@
     def __init__(self, context: RunContext) -> None:
         self.context = context
         self.server: _Listener | None = None
+        self.port = 0
         self.connections: dict[object, _RequestReader | None] = {}
         self.runs: set[asyncio.Task] = set()
 
@@ -51,6 +52,7 @@
         """Open the port."""
         self.server = _Listener(self)
         sockets = bind_sockets(port, host, family=socket.AF_INET, backlog=BACKLOG)
+        self.port = sockets[0].getsockname()[1]
         self.server.add_sockets(sockets)
 
     def start_request(self, server_conn: object, request_conn: HTTP1Connection):
--- /dev/null
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -0,0 +1,312 @@
+"""Upstreams that follow a script, and a caller, on loopback sockets."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+
+from laburnumrock.dispatch import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
+from laburnumrock.forwarding import (
+    ChannelPool,
+    ChannelSettings,
+    ForwardSettings,
+    FrontServer,
+    Reservations,
+    RunContext,
+)
+from laburnumrock.metrics import NodeMetrics
+from laburnumrock.platform._wire import PlatformWire
+from laburnumrock.routing import (
+    AccountEntry,
+    RequestKind,
+    Route,
+    RouteSet,
+    RouteTable,
+    Service,
+    ServiceShare,
+)
+
+HOST = "127.0.0.1"
+
+
+@dataclass(slots=True)
+class Received:
+    """Request that an upstream received."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter, Received], Awaitable[None]]
+
+
+class ScriptedUpstream:
+    """Upstream whose n-th request follows the n-th script, and the last one from then on."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = list(scripts)
+        self.received: list[Received] = []
+        self.connections = 0
+        self.closed_s: list[float] = []
+        self.port = 0
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                received = await read_request(reader)
+                self.received.append(received)
+                number = min(len(self.received), len(self.scripts)) - 1
+                await self.scripts[number](reader, writer, received)
+                if writer.is_closing():
+                    break
+        self.closed_s.append(asyncio.get_running_loop().time())
+        writer.close()
+
+
+async def read_request(reader: asyncio.StreamReader) -> Received:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    line, *rest = head.strip().split("\r\n")
+    headers = dict(entry.split(": ", 1) for entry in rest)
+    body = await reader.readexactly(int(headers.get("Content-Length", "0")))
+    return Received(line, headers, body)
+
+
+def answer(status: int = 200, body: bytes = b"done", signed: bool = True, **headers: str) -> Script:
+    """Answer with a length."""
+
+    async def run(reader, writer, received: Received) -> None:
+        writer.write(make_head(status, received, signed, len(body), headers) + body)
+        await writer.drain()
+
+    return run
+
+
+def answer_raw(data: bytes, close: bool = True) -> Script:
+    """Send bytes as they are."""
+
+    async def run(reader, writer, received: Received) -> None:
+        writer.write(data.replace(b"{id}", received.headers["Request-Id"].encode()))
+        await writer.drain()
+        if close:
+            writer.close()
+
+    return run
+
+
+def stream(first: int, last: int, cut: bytes | None = None, pause_s: float = 0.0) -> Script:
+    """Send events from `first` to `last`; end after `cut` without an end of the body if set."""
+
+    async def run(reader, writer, received: Received) -> None:
+        head = make_head(200, received, True, None, {"Content-Type": "text/event-stream"})
+        writer.write(head)
+        for number in range(first, last + 1):
+            write_chunk(writer, make_event(number))
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        if cut is None:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            return
+        write_chunk(writer, cut)
+        await writer.drain()
+        writer.close()
+
+    return run
+
+
+def hang() -> Script:
+    """Never answer."""
+
+    async def run(reader, writer, received: Received) -> None:
+        await reader.read()
+        writer.close()
+
+    return run
+
+
+def make_event(number: int) -> bytes:
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+
+def make_head(
+    status: int, received: Received, signed: bool, length: int | None, headers: dict[str, str]
+) -> bytes:
+    lines = [f"HTTP/1.1 {status} Reason", f"Request-Id: {received.headers.get('Request-Id', '')}"]
+    if signed:
+        lines.append("Server-Signature: proof")
+    lines.append(
+        f"Content-Length: {length}" if length is not None else "Transfer-Encoding: chunked"
+    )
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+class ScriptedPlacer:
+    """Sends the n-th placement to the n-th upstream."""
+
+    def __init__(self, upstreams: list[ScriptedUpstream]) -> None:
+        self.upstreams = upstreams
+        self.calls: list[DispatchCall] = []
+        self.outcomes: list[SendOutcome] = []
+        self.refusal: DispatchAnswer | None = None
+
+    async def place(self, call: DispatchCall) -> DispatchAnswer:
+        self.calls.append(call)
+        if self.refusal is not None:
+            return self.refusal
+        number = min(len(self.calls), len(self.upstreams))
+        port = self.upstreams[number - 1].port
+        return DispatchAnswer(len(self.calls), f"u{number}", HOST, port, 0.01)
+
+    def note_sent(self, call, answer) -> None:
+        pass
+
+    def note_started(self, message) -> None:
+        pass
+
+    def note_stalled(self, message) -> None:
+        pass
+
+    def note_ended(self, message: SendEnded) -> None:
+        self.outcomes.append(message.outcome)
+
+
+@dataclass(slots=True)
+class Reply:
+    """What the caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+
+@dataclass(slots=True)
+class Front:
+    """Front server under test, with its placer and port."""
+
+    server: FrontServer
+    placer: ScriptedPlacer
+    context: RunContext
+    port: int = 0
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        self.writers.append(writer)
+        return reader, writer
+
+    async def request(
+        self, path: str = "/r/x", method: str = "POST", body: bytes = b"{}", **headers: str
+    ) -> Reply:
+        reader, writer = await self.connect()
+        writer.write(make_request(path, method, body, headers))
+        return await read_reply(reader)
+
+
+def make_request(path: str, method: str, body: bytes, headers: dict[str, str]) -> bytes:
+    values = {
+        "Host": "a.example",
+        "Request-Id": "r1",
+        "Deadline-Ms": "3000",
+        "Authorization": "Token k1",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in values.items())]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    line, *rest = head.strip().split("\r\n")
+    headers = dict(entry.split(": ", 1) for entry in rest)
+    status = int(line.split()[1])
+    try:
+        if headers.get("Transfer-Encoding") == "chunked":
+            return Reply(status, headers, *await read_chunks(reader))
+        body = await reader.readexactly(int(headers["Content-Length"]))
+        return Reply(status, headers, body, True)
+    except asyncio.IncompleteReadError as error:
+        return Reply(status, headers, error.partial, False)
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    body = b""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            data = await reader.readexactly(size + 2)
+            if size == 0:
+                return body, True
+            body += data[:-2]
+    return body, False
+
+
+def make_routes() -> RouteTable:
+    shares = (ServiceShare("llm"),)
+    common = {"host": "a.example", "shares": shares, "timeout_s": 2.0, "goal_s": 0.3}
+    kinds = RequestKind
+    routes = (
+        Route("once", path_prefix="/once/", kind=kinds.NON_IDEMPOTENT, **common),
+        Route("r", path_prefix="/r/", kind=kinds.IDEMPOTENT, max_attempts=2, **common),
+        Route(
+            "s",
+            path_prefix="/s/",
+            kind=kinds.STREAMING,
+            max_attempts=2,
+            resumable=True,
+            gap_goal_s=0.1,
+            **common,
+        ),
+        Route("open", path_prefix="/open/", kind=kinds.IDEMPOTENT, anonymous=True, **common),
+    )
+    accounts = (AccountEntry("tenant-one", ("k1",)),)
+    return RouteTable(RouteSet(1, routes, (Service("llm"),), accounts))
+
+
+@contextlib.asynccontextmanager
+async def open_front(*upstreams: ScriptedUpstream, **settings: float) -> AsyncIterator[Front]:
+    """Start a front server before scripted upstreams."""
+    for upstream in upstreams:
+        await upstream.start()
+    placer = ScriptedPlacer(list(upstreams))
+    pool = ChannelPool(ChannelSettings())
+    wire = PlatformWire()
+    context = RunContext(
+        ForwardSettings(**settings),
+        wire,
+        placer,
+        pool,
+        Reservations(pool, wire),
+        NodeMetrics(),
+        random.Random(1),
+        make_routes(),
+    )
+    server = FrontServer(context)
+    server.listen(HOST, 0)
+    front = Front(server, placer, context)
+    front.port = server.port
+    try:
+        yield front
+    finally:
+        for writer in front.writers:
+            writer.close()
+        server.stop_listening()
+        await server.finish(1.0)
+        pool.close()
+        for upstream in upstreams:
+            upstream.server.close()
--- /dev/null
+++ b/laburnumrock/metrics/_node_metrics.py
@@ -0,0 +1,67 @@
+"""Counters and latency histograms of a node, as text for a collector."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0)
+"""Bounds around the goals of the routes, which lie between 0.1 and 4 s."""
+SHORT_PROMPT_TOKENS = 8_000
+LONG_PROMPT_TOKENS = 100_000
+
+
+def classify_length(prompt_tokens: int) -> str:
+    """Return the length class of a request; requests without a prompt are ``plain``.
+
+    Notes
+    -----
+    The bounds are those of `laburnumrock.placement.PoolSettings`.
+    """
+    if prompt_tokens <= 0:
+        return "plain"
+    if prompt_tokens <= SHORT_PROMPT_TOKENS:
+        return "short"
+    return "medium" if prompt_tokens <= LONG_PROMPT_TOKENS else "long"
+
+
+class NodeMetrics:
+    """Metrics of one process."""
+
+    def __init__(self) -> None:
+        self.registry = registry = CollectorRegistry(auto_describe=False)
+
+        def count(name: str, text: str, labels: tuple[str, ...] = ()) -> Counter:
+            return Counter(f"laburnumrock_{name}", text, labels, registry=registry)
+
+        def measure(name: str, text: str, labels: tuple[str, ...] = ()) -> Histogram:
+            return Histogram(
+                f"laburnumrock_{name}_seconds",
+                text,
+                labels,
+                buckets=LATENCY_BUCKETS_S,
+                registry=registry,
+            )
+
+        by_class = ("account", "length")
+        self.requests = count("requests", "Requests by final status", (*by_class, "status"))
+        self.refusals = count("refusals", "Requests refused, by error kind", ("kind",))
+        self.sends = count("sends", "Sends to upstreams by outcome", ("service", "outcome"))
+        self.first_event = measure("first_event", "Arrival to the first event", by_class)
+        self.duration = measure("duration", "Arrival to the end of the answer", by_class)
+        self.pause = measure("pause", "Longest pause between events of a stream", by_class)
+        self.placement = measure("placement", "Wait for a placement", ("decided_by",))
+        self.commits = measure("commit", "Commit of a change", ("change",))
+        self.prediction = Histogram(
+            "laburnumrock_first_event_error_ratio",
+            "Measured over predicted time to the first event",
+            registry=registry,
+            buckets=(0.25, 0.5, 0.75, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 4.0),
+        )
+        self.channels = count("channels_opened", "New connections to upstreams")
+        self.runs = Gauge("laburnumrock_runs", "Requests under way", registry=registry)
+        self.routes_version = Gauge(
+            "laburnumrock_routes_version", "Version of the routes in force", registry=registry
+        )
+        self.leading = Gauge("laburnumrock_leading", "1 while this core leads", registry=registry)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -15,13 +15,16 @@
 from laburnumrock.dispatch import (
     DispatchAnswer,
     DispatchCall,
+    DispatchDecided,
     Dispatcher,
     SendEnded,
+    SendStalled,
     SendStarted,
     UpstreamDirectory,
     UpstreamReport,
 )
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.metrics import NodeMetrics
 from laburnumrock.nodes._messages import EntryHello, EntryWelcome, UpstreamNews, View
 from laburnumrock.nodes._settings import NodeSettings, make_peer
 from laburnumrock.replication import VoterPlan
@@ -55,6 +58,14 @@
     term: int
 
 
+@dataclass(slots=True)
+class _WaitingCall:
+    """Call that is decided once an upstream is free."""
+
+    entry: str
+    call: DispatchCall
+
+
 class CoreNode:
     """One of the nodes with a disk.
 
@@ -82,9 +93,11 @@
         dispatch = settings.dispatch
         self.directory = UpstreamDirectory(dispatch.expiry_s, dispatch.forget_s)
         self.dispatcher = Dispatcher(dispatch, self.directory, source)
-        self.voter_plan = VoterPlan(settings.instance_id)
+        self.voter_plan = VoterPlan()
+        self.metrics = NodeMetrics()
+        self.metrics.leading.set_function(lambda: int(self.is_leading))
         self.entries: dict[str, _EntryState] = {}
-        self.waiting: dict[int, asyncio.Future] = {}
+        self.waiting: dict[int, _WaitingCall] = {}
         self.news: list[UpstreamReport] = []
         self.leading_term = 0
         self.revision = 0
@@ -92,6 +105,7 @@
         self.directory_revision = -1
         self.applied_version = -1
         self.applied_drained: list[str] = []
+        self.known_cores = list(settings.cores)
         self.tasks: list[asyncio.Task] = []
 
     async def start(self) -> Result[None, Failure]:
@@ -100,6 +114,7 @@
         network.handle(EntryHello, self._receive_hello)
         network.handle(DispatchCall, self._receive_call)
         network.handle(SendStarted, self._receive_started)
+        network.handle(SendStalled, self._receive_stalled)
         network.handle(SendEnded, self._receive_ended)
         network.handle(UpstreamNews, self._receive_news)
         self.log.on_applied(lambda *_: self._follow_state())
@@ -128,6 +143,13 @@
         await self.network.stop()
         log_message("core_stopped")
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Take over changed settings; only the known cores can change while a node runs."""
+        self.known_cores = sorted({*self.known_cores, *settings.cores})
+        if self.log.runner.node is not None:
+            self.log.runner.node.bootstrap.first_voters = list(settings.cores)
+        log_message("settings_reloaded", cores=self.known_cores)
+
     @property
     def is_leading(self) -> bool:
         """Whether this core decides for all instances."""
@@ -149,12 +171,14 @@
             The version in force afterwards.
         """
         packed = zlib.compress(document)
-        answer = await self.log.propose(StoreRoutes(routes.version, packed), PROPOSE_TIMEOUT_S)
+        with self.metrics.commits.labels("routes").time():
+            answer = await self.log.propose(StoreRoutes(routes.version, packed), PROPOSE_TIMEOUT_S)
         return self._log_change("routes_stored", answer, version=routes.version)
 
     async def set_drain(self, failure_domain: str, drained: bool) -> Result[int, Failure]:
         """Commit that a failure domain is taken out of service, or back."""
-        answer = await self.log.propose(SetDrain(failure_domain, drained), PROPOSE_TIMEOUT_S)
+        with self.metrics.commits.labels("drain").time():
+            answer = await self.log.propose(SetDrain(failure_domain, drained), PROPOSE_TIMEOUT_S)
         return self._log_change(
             "drain_stored", answer, failure_domain=failure_domain, drained=drained
         )
@@ -217,13 +241,14 @@
 
     def _cores(self) -> list[str]:
         members = self.log.members.everyone
-        return sorted(set(members.values()) | set(self.settings.cores))
+        return sorted(set(members.values()) | set(self.known_cores))
 
     def _follow_state(self) -> None:
         """Take over the replicated state after it changed."""
         current = self._document()
         if current.version != self.applied_version and current.document:
             self.applied_version = current.version
+            self.metrics.routes_version.set(current.version)
             decoded = self.decode_routes(zlib.decompress(current.document))
             if decoded.is_err():
                 # Only checked documents are proposed, so another release must have stored it.
@@ -248,9 +273,9 @@
             log_message("leading", term=self.leading_term)
 
     def _refuse_waiting(self) -> None:
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_result(DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value))
+        refusal = DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value)
+        for ticket, waited in self.waiting.items():
+            self.network.send(waited.entry, DispatchDecided(ticket, refusal))
         self.waiting.clear()
 
     def _push_views(self) -> None:
@@ -303,21 +328,47 @@
             self._push_view(sender, entry)
         return EntryWelcome(True, leader, self.leading_term)
 
-    async def _receive_call(self, sender: str, message: DispatchCall) -> DispatchAnswer:
+    def _receive_call(self, sender: str, message: DispatchCall) -> DispatchAnswer:
         if not self.is_leading:
             return DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value)
         entry = self.entries.get(sender)
         domain = entry.failure_domain if entry is not None else ""
         decided = self.dispatcher.place(sender, domain, message, time.monotonic())
         if isinstance(decided, DispatchAnswer):
+            self._log_decision(message, decided)
             return decided
-        future = asyncio.get_running_loop().create_future()
-        self.waiting[decided] = future
-        return await future
+        log_message(
+            "request_waits",
+            request_id=message.request_id,
+            service=message.service,
+            waiting=len(self.waiting) + 1,
+        )
+        self.waiting[decided] = _WaitingCall(sender, message)
+        return DispatchAnswer(ticket=decided)
+
+    def _log_decision(self, call: DispatchCall, answer: DispatchAnswer) -> None:
+        entry = self.directory.entries.get(answer.upstream_id)
+        load = self.dispatcher.loads.get(answer.upstream_id)
+        log_message(
+            "placement_decided",
+            request_id=call.request_id,
+            attempt=call.attempt,
+            upstream=answer.upstream_id,
+            expected_first_s=round(answer.expected_first_s, 4),
+            helpers=[helper.upstream_id for helper in answer.helpers],
+            refusal=answer.refusal,
+            report_age_s=round(time.monotonic() - entry.heard_s, 3) if entry else None,
+            sends=len(load.sends) if load else None,
+            pace=round(load.pace, 2) if load else None,
+            routes_version=self.applied_version,
+        )
 
     def _receive_started(self, sender: str, message: SendStarted) -> None:
         self.dispatcher.note_started(message, time.monotonic())
 
+    def _receive_stalled(self, sender: str, message: SendStalled) -> None:
+        self.dispatcher.note_stalled(message, time.monotonic())
+
     def _receive_ended(self, sender: str, message: SendEnded) -> None:
         self.dispatcher.note_ended(message, time.monotonic())
         if self.waiting:
@@ -338,9 +389,10 @@
             return
         domains = {name: entry.failure_domain for name, entry in self.entries.items()}
         for ticket, answer in self.dispatcher.retry_waiting(domains, time.monotonic()):
-            future = self.waiting.pop(ticket, None)
-            if future is not None and not future.done():
-                future.set_result(answer)
+            waited = self.waiting.pop(ticket, None)
+            if waited is not None:
+                self._log_decision(waited.call, answer)
+                self.network.send(waited.entry, DispatchDecided(ticket, answer))
 
     def _send_news(self) -> None:
         if not self.news:
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -13,14 +13,17 @@
     ActiveSendReport,
     DispatchAnswer,
     DispatchCall,
+    DispatchDecided,
     LocalDispatcher,
     SendEnded,
+    SendStalled,
     SendStarted,
     UpstreamDirectory,
     UpstreamState,
 )
 from laburnumrock.errors import ErrorKind
 from laburnumrock.forwarding import ChannelPool, FrontServer, Reservations, RunContext, WireFormat
+from laburnumrock.metrics import NodeMetrics
 from laburnumrock.nodes._core import RouteDecoder
 from laburnumrock.nodes._messages import EntryHello, EntryWelcome, View
 from laburnumrock.nodes._settings import NodeSettings, make_peer
@@ -30,8 +33,15 @@
 HELLO_INTERVAL_S = 0.5
 HELLO_TIMEOUT_S = 0.4
 """Longer than a round trip to a core under load, shorter than the interval."""
-PLACE_MARGIN_S = 0.25
-"""Longest wait for a placement beyond the time for which the dispatcher may hold a request."""
+PLACE_TIMEOUT_S = 0.12
+"""Longest wait for the first answer of the leader; it takes a few ms, and the goal of the shortest
+prompts is 0.3 s."""
+PLACE_FAILURES = 2
+"""Calls in a row without an answer after which the leader counts as lost."""
+MAX_DECISIONS = 1_000
+"""Decisions kept; those whose callers gave up are dropped, the oldest first."""
+DECISION_MARGIN_S = 0.15
+"""Longest wait for a decision beyond the time for which the dispatcher may hold a request."""
 CHANNEL_CHECK_S = 1.0
 BALANCER_GRACE_S = 2.6
 """The balancer asks once a second and takes an instance out after two misses."""
@@ -77,7 +87,11 @@
         self.local = LocalDispatcher(dispatch.repeat_window_s, source)
         self.pool = ChannelPool(settings.channels)
         reservations = Reservations(self.pool, wire)
-        self.context = RunContext(settings.forward, wire, self, self.pool, reservations, source)
+        self.metrics = NodeMetrics()
+        self.metrics.runs.set_function(lambda: len(self.front.runs))
+        self.context = RunContext(
+            settings.forward, wire, self, self.pool, reservations, self.metrics, source
+        )
         self.front = FrontServer(self.context)
         self.cores = list(settings.cores)
         self.leader: str | None = None
@@ -88,6 +102,8 @@
         self.sends: dict[int, _Sent] = {}
         self.tasks: list[asyncio.Task] = []
         self.hello_due = asyncio.Event()
+        self.place_failures = 0
+        self.decisions: dict[int, asyncio.Future] = {}
         self.stopping = False
 
     @property
@@ -98,6 +114,7 @@
     async def start(self) -> None:
         """Open the ports and look for the leader."""
         self.network.handle(View, self._receive_view)
+        self.network.handle(DispatchDecided, self._receive_decision)
         await self.network.start()
         listen = self.settings.listen
         self.front.listen(listen.host, listen.caller_port)
@@ -127,20 +144,59 @@
         await self.network.stop()
         log_message("entry_stopped", runs=len(self.front.runs))
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Take over changed settings; only the known cores can change while a node runs."""
+        self.cores = sorted({*self.cores, *settings.cores})
+        self.hello_due.set()
+        log_message("settings_reloaded", cores=self.cores)
+
     async def place(self, call: DispatchCall) -> DispatchAnswer:
         """Choose an upstream: the leader does, or this entry alone if it reaches none."""
         leader = self.leader
         if leader is not None:
-            hold_s = min(self.settings.dispatch.hold_share * call.goal_s, call.remaining_s / 4)
-            timeout_s = min(PLACE_MARGIN_S + hold_s, call.remaining_s)
-            answered = await self.network.call(leader, call, timeout_s)
-            if answered.is_ok():
-                answer = answered.unwrap()
-                if answer.refusal != ErrorKind.OWNER_UNAVAILABLE.value:
-                    return answer
-            self._lose_leader(leader, "no placement")
+            answer = await self._ask_leader(leader, call)
+            if answer is not None:
+                return answer
         return self._place_alone(call)
 
+    async def _ask_leader(self, leader: str, call: DispatchCall) -> DispatchAnswer | None:
+        timeout_s = min(PLACE_TIMEOUT_S, call.remaining_s)
+        answered = await self.network.call(leader, call, timeout_s)
+        if answered.is_err():
+            self.place_failures += 1
+            if self.place_failures >= PLACE_FAILURES:
+                self._lose_leader(leader, "no placement")
+            return None
+        self.place_failures = 0
+        answer = answered.unwrap()
+        if answer.ticket:
+            answer = await self._await_decision(answer.ticket, call)
+        if answer is None or answer.refusal == ErrorKind.OWNER_UNAVAILABLE.value:
+            self._lose_leader(leader, "it does not decide")
+            return None
+        return answer
+
+    async def _await_decision(self, ticket: int, call: DispatchCall) -> DispatchAnswer | None:
+        hold_s = min(self.settings.dispatch.hold_share * call.goal_s, call.remaining_s / 4)
+        future = self._find_decision(ticket)
+        try:
+            return await asyncio.wait_for(future, hold_s + DECISION_MARGIN_S)
+        except TimeoutError:
+            return None
+        finally:
+            self.decisions.pop(ticket, None)
+
+    def _receive_decision(self, sender: str, message: DispatchDecided) -> None:
+        future = self._find_decision(message.ticket)
+        if not future.done():
+            future.set_result(message.answer)
+
+    def _find_decision(self, ticket: int) -> asyncio.Future:
+        """Return the future of a decision, which may arrive before anybody waits for it."""
+        while len(self.decisions) >= MAX_DECISIONS:
+            self.decisions.pop(next(iter(self.decisions)))
+        return self.decisions.setdefault(ticket, asyncio.get_running_loop().create_future())
+
     def note_sent(self, call: DispatchCall, answer: DispatchAnswer) -> None:
         """Record a send under way."""
         self.sends[answer.permit] = _Sent(call, answer, time.monotonic())
@@ -152,6 +208,10 @@
             sent.writing = True
         self._tell_leader(message)
 
+    def note_stalled(self, message: SendStalled) -> None:
+        """Tell the leader that a send stalls."""
+        self._tell_leader(message)
+
     def note_ended(self, message: SendEnded) -> None:
         """Tell the leader that a send ended."""
         self.sends.pop(message.permit, None)
@@ -159,7 +219,7 @@
             self.local.note_ended(message, time.monotonic())
         self._tell_leader(message)
 
-    def _tell_leader(self, message: SendStarted | SendEnded) -> None:
+    def _tell_leader(self, message: SendStarted | SendStalled | SendEnded) -> None:
         if self.leader is not None:
             self.network.send(self.leader, message)
 
@@ -219,6 +279,7 @@
                 log_message("leader_found", leader=core, term=welcome.term)
             self.leader = core
             self.leader_term = welcome.term
+            self.place_failures = 0
         elif known:
             self._lose_leader(core, "it does not lead")
         if welcome.leader is not None and welcome.leader not in self.cores:
@@ -268,6 +329,7 @@
             return
         self.context.table = RouteTable(decoded.unwrap())
         self.routes_version = view.routes_version
+        self.metrics.routes_version.set(view.routes_version)
         log_message("routes_in_force", version=view.routes_version, term=view.term)
 
     async def _check_channels(self) -> None:
--- a/laburnumrock/platform/__main__.py
+++ b/laburnumrock/platform/__main__.py
@@ -7,18 +7,22 @@
 from pathlib import Path
 
 import click
-from eliot import FileDestination, add_destinations, log_message
+from eliot import log_message
 
+from laburnumrock.metrics import LogLimits, open_log_writer
 from laburnumrock.nodes import CoreNode, EntryNode, NodeSettings
 from laburnumrock.platform._control import listen_control
-from laburnumrock.platform._readiness import listen_readiness
 from laburnumrock.platform._routes import decode_routes
 from laburnumrock.platform._settings import SETTINGS_VARIABLE, load_settings
+from laburnumrock.platform._status import listen_metrics, listen_readiness
 from laburnumrock.platform._wire import PlatformWire
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_CANNOT_START = 3
 EXIT_LOG_FAILED = 4
+SETTINGS_CHECK_S = 2.0
+"""Settings may change without a signal; operators allow more than this for a change."""
+_WATCHES: set[asyncio.Task] = set()
 PEER_KEY = b"laburnumrock"
 """The platform gives its processes no secret; only the system's own nodes reach their ports."""
 
@@ -31,35 +35,40 @@
     Exit status: 0 after a planned stop, 2 for invalid settings, 3 when the process cannot start,
     4 when its replicated log failed while it ran.
     """
-    loaded = load_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    loaded = load_settings(path)
     if loaded.is_err():
         click.echo(f"laburnumrock: {loaded.unwrap_err()}", err=True)
         sys.exit(EXIT_INVALID_SETTINGS)
     settings = loaded.unwrap()
-    add_destinations(FileDestination(sys.stdout))
+    place = {"instance": settings.instance_id, "failure_domain": settings.failure_domain}
     run = _run_core if role == "core" else _run_entry
-    sys.exit(asyncio.run(run(settings)))
+    with open_log_writer(place, LogLimits()):
+        status = asyncio.run(run(settings, path))
+    sys.exit(status)
 
 
-async def _run_entry(settings: NodeSettings) -> int:
+async def _run_entry(settings: NodeSettings, path: Path) -> int:
     node = EntryNode(settings, PEER_KEY, decode_routes, PlatformWire())
-    stop = _watch_signals()
+    stop = _watch_signals(node, path)
     await node.start()
     if settings.readiness is not None:
         listen_readiness(node, *settings.readiness)
+    listen_metrics(node.metrics, settings.instance_id)
     await stop.wait()
     await node.stop()
     return 0
 
 
-async def _run_core(settings: NodeSettings) -> int:
+async def _run_core(settings: NodeSettings, path: Path) -> int:
     node = CoreNode(settings, PEER_KEY, decode_routes)
-    stop = _watch_signals()
+    stop = _watch_signals(node, path)
     started = await node.start()
     if started.is_err():
         click.echo(f"laburnumrock: {started.unwrap_err()}", err=True)
         return EXIT_CANNOT_START
     listen_control(node, settings.listen.host, settings.listen.caller_port)
+    listen_metrics(node.metrics, settings.instance_id)
     failed = asyncio.create_task(node.log.wait_failed())
     stopped = asyncio.create_task(stop.wait())
     await asyncio.wait((failed, stopped), return_when=asyncio.FIRST_COMPLETED)
@@ -69,14 +78,44 @@
     return 0
 
 
-def _watch_signals() -> asyncio.Event:
+def _watch_signals(node: EntryNode | CoreNode, path: Path) -> asyncio.Event:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log_message("settings_changed"))
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(node, path))
+    watch = asyncio.create_task(_watch_file(node, path))
+    # The event loop holds only weak references to tasks.
+    _WATCHES.add(watch)
     return stop
 
 
+async def _watch_file(node: EntryNode | CoreNode, path: Path) -> None:
+    """Reload settings that change without a signal."""
+    seen = _modified(path)
+    while True:
+        await asyncio.sleep(SETTINGS_CHECK_S)
+        now = _modified(path)
+        if now != seen:
+            seen = now
+            _reload(node, path)
+
+
+def _modified(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        # The file is being replaced; the next check sees the new one.
+        return 0
+
+
+def _reload(node: EntryNode | CoreNode, path: Path) -> None:
+    loaded = load_settings(path)
+    if loaded.is_err():
+        log_message("settings_invalid", failure=str(loaded.unwrap_err()))
+        return
+    node.reload(loaded.unwrap())
+
+
 if __name__ == "__main__":
     main()
--- a/laburnumrock/platform/_settings.py
+++ b/laburnumrock/platform/_settings.py
@@ -13,6 +13,8 @@
 SETTINGS_VARIABLE = "LABURNUMROCK_CONFIG"
 LINK_PING_S = 1.0
 """Connections may fall silent without a reset; this bounds how long that stays unnoticed."""
+HEARTBEATS_UNTIL_DOUBT = 1.6
+"""Intervals of silence after which an engine gets work only if there is no other."""
 HEARTBEATS_UNTIL_EXPIRY = 3.0
 """Heartbeats that an engine may miss; they can arrive seconds late."""
 FORGET_S = 30.0
@@ -66,6 +68,7 @@
             repeat_slack=bounds["retry_slack"] * BUDGET_SHARE,
             repeat_window_s=float(bounds["retry_window_s"]),
             expiry_s=HEARTBEATS_UNTIL_EXPIRY * heartbeat_s,
+            doubt_s=HEARTBEATS_UNTIL_DOUBT * heartbeat_s,
             forget_s=FORGET_S,
         ),
     )
--- a/laburnumrock/replication/_bootstrap.py
+++ b/laburnumrock/replication/_bootstrap.py
@@ -44,6 +44,7 @@
         self.first_voters = first_voters
         self.timing = timing
         self.identities: dict[str, str] = {instance_id: voter_id}
+        self.heard_s: dict[str, float] = {}
         self.fresh: set[str] = {instance_id}
         self.query_due_s = float("-inf")
 
@@ -55,6 +56,11 @@
         else:
             self.fresh.add(instance_id)
 
+    def note_outsider(self, instance_id: str, voter_id: str, now_s: float) -> None:
+        """Record that an identity that is no member asked for something."""
+        self.identities[instance_id] = voter_id
+        self.heard_s[instance_id] = now_s
+
     def queries_due(self, now_s: float) -> list[str]:
         """Return the instances to ask now."""
         if now_s < self.query_due_s:
--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -145,6 +145,9 @@
         list of Effect
             To be run in order.
         """
+        if self.has_log and message.voter_id not in self.members.everyone:
+            # A new instance, or a voter that was removed while it was cut off.
+            self.bootstrap.note_outsider(sender, message.voter_id, now_s)
         if isinstance(message, IdentityQuery):
             self.bootstrap.note_identity(sender, message.voter_id, self.has_log)
             self._send(sender, self._identity_answer())
--- a/laburnumrock/replication/_voter_plan.py
+++ b/laburnumrock/replication/_voter_plan.py
@@ -6,10 +6,14 @@
 from laburnumrock.replication._node import RaftNode
 from laburnumrock.replication._types import Role
 
-MAX_VOTERS = 5
-"""Bears the loss of two voters at once; more voters only make commits slower."""
+MAX_VOTERS = 9
+"""More voters make commits slower; the largest deployment has 8 cores."""
+MIN_VOTERS = 3
+"""A silent voter is not removed below this, since fewer bear no loss."""
 SILENT_S = 1.5
-"""A voter that did not answer for this long is replaced if a spare one has caught up."""
+"""A member that did not answer for this long is removed while enough others remain."""
+OUTSIDER_S = 3.0
+"""An outsider counts as present for this long; spare instances ask every 2 s."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,20 +41,12 @@
 class VoterPlan:
     """Finds the next change of the members.
 
-    Parameters
-    ----------
-    instance_id : str
-        This instance.
-
     Notes
     -----
-    A voter is removed only when more than three remain, so that a lost one goes once its
-    replacement has caught up, and never before.
+    A lost voter is removed once its replacement has caught up, and never before. A voter that was
+    removed while it was cut off comes back as a learner when it is heard again.
     """
 
-    def __init__(self, instance_id: str) -> None:
-        self.instance_id = instance_id
-
     def next_change(self, node: RaftNode, now_s: float) -> VoterChange | None:
         """Return the change to start now, if any.
 
@@ -63,16 +59,20 @@
         """
         if node.role is not Role.LEADER or node.leadership is None:
             return None
+        members = node.members
         silent = self._find_silent(node, now_s)
-        voters = node.members.voters
-        if silent and len(voters) > 3 and len(silent) < len(voters) / 2:
+        for voter_id in silent:
+            if voter_id in members.learners:
+                return VoterChange("remove", members.learners[voter_id])
+        voters = members.voters
+        if silent and len(voters) > MIN_VOTERS and len(silent) < len(voters) / 2:
             return VoterChange("remove", voters[silent[0]])
-        members = node.members.everyone
-        for instance_id, voter_id in sorted(node.bootstrap.identities.items()):
-            if voter_id in members or instance_id == self.instance_id:
-                continue
-            replaces = instance_id in voters.values()
-            if replaces or len(voters) - len(silent) < MAX_VOTERS:
+        if members.learners or len(voters) - len(silent) >= MAX_VOTERS:
+            return None
+        bootstrap = node.bootstrap
+        for instance_id, heard_s in sorted(bootstrap.heard_s.items()):
+            outside = bootstrap.identities[instance_id] not in members.everyone
+            if outside and now_s - heard_s <= OUTSIDER_S:
                 return VoterChange("add", instance_id)
         return None
 
@@ -80,6 +80,6 @@
         progress = node.leadership.progress
         return [
             voter_id
-            for voter_id in sorted(node.members.voters)
+            for voter_id in sorted(node.members.everyone)
             if voter_id in progress and now_s - progress[voter_id].acked_s > SILENT_S
         ]
