Count parts of other prompts ahead of reading; send long prompts again only when an engine is dead

Under bursts of long prompts an engine that helps reads the part ahead of its own prompts. The prediction ignored that, so first events came at two to three times the predicted time, the sends were given up after 1.6 times of it and read again from the start, which doubled the load.

Parts now count ahead of prompts in the prediction, a placement weighs the delay of prompts that are being read, and a stalled long prompt is given up only when the dispatcher finds one of its engines silent or gone.

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -21,6 +21,7 @@
     SendOutcome,
     SendStalled,
     SendStarted,
+    StallAdvice,
     UpstreamReport,
     UpstreamState,
 )
@@ -42,6 +43,7 @@
     "SendOutcome",
     "SendStalled",
     "SendStarted",
+    "StallAdvice",
     "UpstreamDirectory",
     "UpstreamLoad",
     "UpstreamReport",
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -24,7 +24,9 @@
     SendOutcome,
     SendStalled,
     SendStarted,
+    StallAdvice,
     UpstreamReport,
+    UpstreamState,
 )
 from laburnumrock.errors import ErrorKind
 from laburnumrock.routing import RouteSet, Service
@@ -43,6 +45,8 @@
 """Weight of another failure domain; traffic between domains is priced."""
 HELPER_WEIGHT = 0.02
 """Weight of each engine that helps; each one more can break the whole prompt."""
+PART_WAIT_WEIGHT = 1.0
+"""Worth of a second by which a part waits for earlier ones; the whole prompt waits for it."""
 MAX_ENGINES_PER_PROMPT = 16
 """Largest number of engines that read one prompt; the engines' protocol allows 16 helpers."""
 SPLIT_IDLE_SHARE = 0.6
@@ -260,12 +264,32 @@
                 load.note_first_event(message.permit, message.first_s, now_s)
         self._note_alive(send.upstream_id, now_s)
 
-    def note_stalled(self, message: SendStalled, now_s: float) -> None:
-        """Take over that nothing has come from a send for longer than expected."""
+    def note_stalled(self, message: SendStalled, now_s: float) -> StallAdvice:
+        """Advise on a send from which nothing has come for longer than expected.
+
+        Returns
+        -------
+        StallAdvice
+            Whether the send should be given up. A long prompt that is only slow is read on, since
+            to read it again elsewhere costs more than the delay.
+        """
         send = self.sends.get(message.permit)
+        if send is None:
+            return StallAdvice(False)
+        names = (send.upstream_id, *send.helped_by)
+        silent = [name for name in names if self._fell_silent(name, now_s)]
+        for name in silent:
+            self._note_unresponsive(name, now_s)
         # A stalled prompt with helpers does not tell which of its engines is at fault.
-        if send is not None and not send.helped_by:
+        if not silent and not send.helped_by:
             self._note_unresponsive(send.upstream_id, now_s)
+        return StallAdvice(bool(silent))
+
+    def _fell_silent(self, upstream_id: str, now_s: float) -> bool:
+        entry = self.directory.entries.get(upstream_id)
+        if entry is None or entry.report.state is UpstreamState.GONE:
+            return True
+        return now_s - entry.heard_s > self.settings.doubt_s
 
     def note_ended(self, message: SendEnded, now_s: float) -> None:
         """Take over that a send ended."""
@@ -368,6 +392,7 @@
             choice.read_ms,
             choice.read_ms,
             choice.first_s,
+            call.goal_s,
             tuple(helper.report.upstream_id for helper, _, _ in choice.helpers),
         )
         self.sends[permit] = send
@@ -389,6 +414,7 @@
                 choice.read_ms,
                 is_part=True,
             )
+            load.delay_readers(choice.read_ms)
             load.add(part, now_s)
             self._count_cold(helper, load, now_s)
             target = helper.report
@@ -487,7 +513,7 @@
         first_ms = pass_ms + load.reading_ms() + read_ms + own_pass_ms
         first_s = load.pace * first_ms / MS_PER_S
         loss = value * _late_loss(first_s, call.goal_s)
-        loss += value * DELAY_WEIGHT * first_s / call.goal_s
+        loss += DELAY_WEIGHT * first_s / call.goal_s
         loss += value * FAIL_LOSS * load.current_failure_rate(now_s)
         if call.gap_goal_s > 0:
             gap_s = load.pace * max(pass_ms, own_pass_ms) / MS_PER_S
@@ -550,7 +576,7 @@
             return None
         choice = self._weigh(domain, call, *first, part_ms, now_s)
         pace = max([first[1].pace, *(load.pace for _, load, _ in helping)])
-        waits_ms = max(load.pass_ms() for _, load, _ in helping)
+        waits_ms = max(load.pass_ms() + load.parts_ms() for _, load, _ in helping)
         own_pass_ms = first[1].model.write_pass_ms(len(first[1].sends) + 1, call.prompt_tokens)
         first_s = pace * (waits_ms + part_ms + own_pass_ms) / MS_PER_S
         if first_s > choice.first_s:
@@ -572,7 +598,8 @@
     ) -> float:
         """Worth that is lost when an engine reads a part for another one."""
         entry, load = pair
-        cost = _disturbance(load, part_ms) + HELPER_WEIGHT
+        cost = _disturbance(load, part_ms) + _reader_delay(load, part_ms) + HELPER_WEIGHT
+        cost += PART_WAIT_WEIGHT * load.pace * load.parts_ms() / MS_PER_S
         cost += HELPER_WEIGHT * (load.pace + 10.0 * load.current_failure_rate(now_s))
         return cost + self._distance(domain, entry)
 
@@ -670,6 +697,18 @@
     return loss
 
 
+def _reader_delay(load: UpstreamLoad, part_ms: float) -> float:
+    """Worth that the waiting prompts of an engine lose when it reads a part ahead of them."""
+    delay_s = load.pace * part_ms / MS_PER_S
+    loss = 0.0
+    for send in load.sends.values():
+        if send.is_part or send.is_writing:
+            continue
+        after = _late_loss(send.expected_first_s + delay_s, send.goal_s)
+        loss += send.value * (after - _late_loss(send.expected_first_s, send.goal_s))
+    return loss
+
+
 def _late_loss(time_s: float, goal_s: float) -> float:
     if goal_s <= 0:
         return 0.0
--- a/laburnumrock/dispatch/_load.py
+++ b/laburnumrock/dispatch/_load.py
@@ -46,6 +46,8 @@
         Predicted time for the whole prompt or part.
     expected_first_s : float
         Predicted time to the first event.
+    goal_s : float
+        Time to the first event within which it counts in full; 0 for none.
     helped_by : tuple of str
         Upstreams that read parts of the prompt.
     is_part : bool
@@ -64,6 +66,7 @@
     read_left_ms: float
     read_ms: float
     expected_first_s: float = 0.0
+    goal_s: float = 0.0
     helped_by: tuple[str, ...] = ()
     is_part: bool = False
 
@@ -122,18 +125,30 @@
         self.advanced_s = now_s
         if self.model is None:
             return
-        for send in self.sends.values():
-            if left_ms <= 0.0:
-                return
-            if send.read_left_ms > 0.0:
-                used_ms = min(left_ms, send.read_left_ms)
-                send.read_left_ms -= used_ms
-                left_ms -= used_ms
+        # Parts of prompts of other engines are read ahead of the engine's own prompts.
+        for parts in (True, False):
+            for send in self.sends.values():
+                if left_ms <= 0.0:
+                    return
+                if send.is_part is parts and send.read_left_ms > 0.0:
+                    used_ms = min(left_ms, send.read_left_ms)
+                    send.read_left_ms -= used_ms
+                    left_ms -= used_ms
 
     def reading_ms(self) -> float:
         """Predicted time for all prompts that wait or are being read, at the normal pace."""
         return sum(send.read_left_ms for send in self.sends.values())
 
+    def parts_ms(self) -> float:
+        """Predicted time for the parts of other engines' prompts, at the normal pace."""
+        return sum(send.read_left_ms for send in self.sends.values() if send.is_part)
+
+    def delay_readers(self, part_ms: float) -> None:
+        """Take into account that a new part is read ahead of the engine's own prompts."""
+        for send in self.sends.values():
+            if not send.is_part and not send.is_writing:
+                send.expected_first_s += self.pace * part_ms / MS_PER_S
+
     def writers(self) -> list[ActiveSend]:
         """Return the sends whose prompts are read."""
         return [send for send in self.sends.values() if send.is_writing and not send.is_part]
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -227,7 +227,7 @@
 @register_message
 @dataclass(frozen=True, slots=True)
 class SendStalled:
-    """Nothing has come from a send for longer than expected; it goes on all the same.
+    """Nothing has come from a send for longer than expected.
 
     Parameters
     ----------
@@ -238,6 +238,20 @@
     permit: int
 
 
+@register_message
+@dataclass(frozen=True, slots=True)
+class StallAdvice:
+    """What to do with a send that stalls.
+
+    Parameters
+    ----------
+    give_up : bool
+        Whether an engine that it needs is probably dead.
+    """
+
+    give_up: bool
+
+
 @register_message
 @dataclass(frozen=True, slots=True)
 class ActiveSendReport:
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -11,6 +11,7 @@
     DispatchSettings,
     SendEnded,
     SendOutcome,
+    SendStalled,
     SendStarted,
     UpstreamDirectory,
     UpstreamReport,
@@ -128,6 +129,45 @@
         names = [place(dispatcher, PLAIN).upstream_id for _ in range(8)]
         assert names.count("plain100") == 4
 
+    def test_helper_does_not_delay_a_prompt_that_is_being_read(self):
+        """Guards against a prompt that is late because its engine reads a part ahead of it."""
+        dispatcher = make_dispatcher(engines=6)
+        reading = place(dispatcher, replace(LONG, prompt_tokens=180_000))
+        assert not reading.helpers
+        other = place(dispatcher, replace(LONG, prompt_tokens=400_000))
+        names = {other.upstream_id, *(helper.upstream_id for helper in other.helpers)}
+        assert reading.upstream_id not in names
+
+    def test_expected_time_counts_the_parts_ahead(self):
+        """Guards against predictions that ignore parts which engines read first."""
+        dispatcher = make_dispatcher(engines=2)
+        call = replace(LONG, prompt_tokens=100_000, remaining_s=60.0)
+        first = place(dispatcher, replace(call, prompt_tokens=600_000))
+        second = place(dispatcher, call)
+        assert first.expected_first_s > 5.0
+        assert second.expected_first_s > first.expected_first_s
+
+
+class TestStalls:
+    def test_slow_engine_is_waited_for(self):
+        """Guards against a long prompt that is read again although its engine lives."""
+        dispatcher = make_dispatcher()
+        answer = place(dispatcher, LONG)
+        assert not dispatcher.note_stalled(SendStalled(answer.permit), 11.0).give_up
+
+    def test_silent_engine_is_given_up(self):
+        """Guards against a prompt that waits for an engine which no longer reports."""
+        dispatcher = make_dispatcher()
+        answer = place(dispatcher, LONG)
+        assert dispatcher.note_stalled(SendStalled(answer.permit), 12.5).give_up
+
+    def test_helper_that_left_is_noticed(self):
+        """Guards against a prompt that waits for a part on an engine that left."""
+        dispatcher = make_dispatcher(engines=8)
+        answer = place(dispatcher, replace(LONG, prompt_tokens=400_000))
+        dispatcher.directory.remove(answer.helpers[0].upstream_id, 10.1)
+        assert dispatcher.note_stalled(SendStalled(answer.permit), 10.5).give_up
+
 
 class TestWaiting:
     def test_waiting_request_gets_the_free_slot(self):
--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -19,6 +19,7 @@
     SendOutcome,
     SendStalled,
     SendStarted,
+    StallAdvice,
 )
 from laburnumrock.errors import ANSWERS, ErrorKind
 from laburnumrock.forwarding._channels import ChannelPool
@@ -55,7 +56,14 @@
     gap_patience_factor : float, > 0
         Multiple of the pause goal that is waited if that is longer.
     stall_notice_s : float, > 0
-        Delay beyond the expected time after which the dispatcher is told that a send stalls.
+        Delay beyond the expected time after which the dispatcher is asked about a send.
+    stall_interval_s : float, > 0
+        Time until it is asked again.
+    long_prompt_tokens : int
+        Longer prompts are sent again only if the dispatcher advises it, or after the long patience:
+        reading them twice costs the other requests more than the delay.
+    long_patience_s, long_patience_factor : float
+        Patience with long prompts, as for the others.
     default_timeout_s : float, > 0
         Time limit of requests without any.
     """
@@ -65,6 +73,10 @@
     gap_patience_s: float = 1.0
     gap_patience_factor: float = 4.0
     stall_notice_s: float = 0.4
+    stall_interval_s: float = 0.5
+    long_prompt_tokens: int = 30_000
+    long_patience_s: float = 3.0
+    long_patience_factor: float = 4.0
     default_timeout_s: float = 30.0
 
 
@@ -80,8 +92,8 @@
     def note_started(self, message: SendStarted) -> None:
         """Record that a send was answered."""
 
-    def note_stalled(self, message: SendStalled) -> None:
-        """Record that nothing has come from a send for longer than expected."""
+    async def ask_stalled(self, message: SendStalled) -> StallAdvice:
+        """Ask what to do with a send from which nothing has come for longer than expected."""
 
     def note_ended(self, message: SendEnded) -> None:
         """Record that a send ended."""
@@ -144,18 +156,23 @@
         self.notify = notify
         self.due_s = 0.0
         self.handle: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task | None = None
+        self.cancelled = False
 
     def set(self, delay_s: float) -> None:
         """Notify after a delay from now."""
         self.due_s = self.loop.time() + delay_s
         # A running timer looks at the due time when it fires; events are far more frequent.
-        if self.handle is None:
+        if self.handle is None and not self.cancelled:
             self.handle = self.loop.call_at(self.due_s, self._fire)
 
     def cancel(self) -> None:
         """Notify no more."""
+        self.cancelled = True
         if self.handle is not None:
             self.handle.cancel()
+        if self.task is not None:
+            self.task.cancel()
 
     def _fire(self) -> None:
         self.handle = None
@@ -327,6 +344,8 @@
         settings = context.settings
         expected_s = placed.expected_first_s
         patience_s = settings.patience_s + settings.patience_factor * expected_s
+        if self.request.prompt_tokens > settings.long_prompt_tokens:
+            patience_s = settings.long_patience_s + settings.long_patience_factor * expected_s
         gap_s = max(settings.gap_patience_s, settings.gap_patience_factor * self.route.gap_goal_s)
         repeats = self.route.may_repeat and self.attempts.sent < self.route.max_attempts
         if not repeats:
@@ -340,9 +359,9 @@
         )
         headers = context.wire.encode_request(self.request, facts)
         loop = asyncio.get_running_loop()
-        stall = _StallNotice(loop, lambda: self._note_stall(placed))
-        stall.set(expected_s + settings.stall_notice_s)
         limit = asyncio.timeout(patience_s)
+        stall = _StallNotice(loop, lambda: self._start_stall(placed, stall, limit, repeats))
+        stall.set(expected_s + settings.stall_notice_s)
         heard = False
 
         async def relay(chunk: bytes) -> None:
@@ -377,9 +396,34 @@
         finally:
             stall.cancel()
 
-    def _note_stall(self, placed: DispatchAnswer) -> None:
-        self._log("send_stalled", upstream=placed.upstream_id, attempt=self.attempts.sent)
-        self.context.placer.note_stalled(SendStalled(placed.permit))
+    def _start_stall(
+        self,
+        placed: DispatchAnswer,
+        stall: "_StallNotice",
+        limit: asyncio.Timeout,
+        repeats: bool,
+    ) -> None:
+        stall.task = asyncio.create_task(self._handle_stall(placed, stall, limit, repeats))
+
+    async def _handle_stall(
+        self,
+        placed: DispatchAnswer,
+        stall: "_StallNotice",
+        limit: asyncio.Timeout,
+        repeats: bool,
+    ) -> None:
+        """Ask the dispatcher about a send that stalls, and give it up if it advises so."""
+        advice = await self.context.placer.ask_stalled(SendStalled(placed.permit))
+        self._log(
+            "send_stalled",
+            upstream=placed.upstream_id,
+            attempt=self.attempts.sent,
+            give_up=advice.give_up,
+        )
+        if advice.give_up and repeats:
+            limit.reschedule(asyncio.get_running_loop().time())
+        else:
+            stall.set(self.context.settings.stall_interval_s)
 
     def _note_first_event(self, placed: DispatchAnswer, first_s: float, now_s: float) -> None:
         self.context.placer.note_started(SendStarted(placed.permit, first_s))
--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
-from laburnumrock.dispatch import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
+from laburnumrock.dispatch import DispatchAnswer, DispatchCall, SendEnded, SendOutcome, StallAdvice
 from laburnumrock.forwarding import (
     ChannelPool,
     ChannelSettings,
@@ -101,10 +101,17 @@
     return run
 
 
-def stream(first: int, last: int, cut: bytes | None = None, pause_s: float = 0.0) -> Script:
+def stream(
+    first: int,
+    last: int,
+    cut: bytes | None = None,
+    pause_s: float = 0.0,
+    delay_s: float = 0.0,
+) -> Script:
     """Send events from `first` to `last`; end after `cut` without an end of the body if set."""
 
     async def run(reader, writer, received: Received) -> None:
+        await asyncio.sleep(delay_s)
         head = make_head(200, received, True, None, {"Content-Type": "text/event-stream"})
         writer.write(head)
         for number in range(first, last + 1):
@@ -161,6 +168,7 @@
         self.calls: list[DispatchCall] = []
         self.outcomes: list[SendOutcome] = []
         self.refusal: DispatchAnswer | None = None
+        self.advises_to_give_up = False
 
     async def place(self, call: DispatchCall) -> DispatchAnswer:
         self.calls.append(call)
@@ -176,8 +184,8 @@
     def note_started(self, message) -> None:
         pass
 
-    def note_stalled(self, message) -> None:
-        pass
+    async def ask_stalled(self, message) -> StallAdvice:
+        return StallAdvice(self.advises_to_give_up)
 
     def note_ended(self, message: SendEnded) -> None:
         self.outcomes.append(message.outcome)
--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -183,6 +183,32 @@
 
         asyncio.run(run())
 
+    def test_long_prompt_is_not_read_twice_without_need(self):
+        """Guards against prompts that are read again and again while engines are only slow."""
+
+        async def run():
+            first, second = ScriptedUpstream(stream(1, 4, delay_s=0.5)), ScriptedUpstream(hang())
+            limits = {"patience_s": 0.1, "stall_notice_s": 0.05, "stall_interval_s": 0.05}
+            async with open_front(first, second, **limits) as front:
+                reply = await front.request("/s/x", Token_Usage="200000,800")
+            assert reply.complete
+            assert second.received == []
+
+        asyncio.run(run())
+
+    def test_long_prompt_leaves_a_dead_engine(self):
+        """Guards against long prompts that wait for an engine that the dispatcher knows is dead."""
+
+        async def run():
+            first, second = ScriptedUpstream(hang()), ScriptedUpstream(stream(1, 4))
+            async with open_front(first, second, stall_notice_s=0.05) as front:
+                front.placer.advises_to_give_up = True
+                reply = await asyncio.wait_for(front.request("/s/x", Token_Usage="200000,800"), 1.0)
+                assert front.placer.outcomes[0] is SendOutcome.SILENT
+            assert reply.complete
+
+        asyncio.run(run())
+
     def test_unreachable_upstream_costs_no_attempt(self):
         """Guards against attempts that are used up before a byte was sent."""
 
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -20,6 +20,7 @@
     SendEnded,
     SendStalled,
     SendStarted,
+    StallAdvice,
     UpstreamDirectory,
     UpstreamReport,
 )
@@ -366,8 +367,8 @@
     def _receive_started(self, sender: str, message: SendStarted) -> None:
         self.dispatcher.note_started(message, time.monotonic())
 
-    def _receive_stalled(self, sender: str, message: SendStalled) -> None:
-        self.dispatcher.note_stalled(message, time.monotonic())
+    def _receive_stalled(self, sender: str, message: SendStalled) -> StallAdvice:
+        return self.dispatcher.note_stalled(message, time.monotonic())
 
     def _receive_ended(self, sender: str, message: SendEnded) -> None:
         self.dispatcher.note_ended(message, time.monotonic())
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -18,6 +18,7 @@
     SendEnded,
     SendStalled,
     SendStarted,
+    StallAdvice,
     UpstreamDirectory,
     UpstreamState,
 )
@@ -208,9 +209,12 @@
             sent.writing = True
         self._tell_leader(message)
 
-    def note_stalled(self, message: SendStalled) -> None:
-        """Tell the leader that a send stalls."""
-        self._tell_leader(message)
+    async def ask_stalled(self, message: SendStalled) -> StallAdvice:
+        """Tell the leader that a send stalls; without an answer it goes on."""
+        if self.leader is None:
+            return StallAdvice(False)
+        answered = await self.network.call(self.leader, message, HELLO_TIMEOUT_S)
+        return answered.unwrap() if answered.is_ok() else StallAdvice(False)
 
     def note_ended(self, message: SendEnded) -> None:
         """Tell the leader that a send ended."""
@@ -219,7 +223,7 @@
             self.local.note_ended(message, time.monotonic())
         self._tell_leader(message)
 
-    def _tell_leader(self, message: SendStarted | SendStalled | SendEnded) -> None:
+    def _tell_leader(self, message: SendStarted | SendEnded) -> None:
         if self.leader is not None:
             self.network.send(self.leader, message)
 
