--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -27,7 +27,8 @@
 from laburnumrock.forwarding._exchange import Answer, ExchangeResult, exchange, stated_idle_s
 from laburnumrock.forwarding._reservations import Reservations
 from laburnumrock.forwarding._wire import CallerRequest, SendFacts, WireFormat
-from laburnumrock.metrics import NodeMetrics, classify_length
+from laburnumrock.metrics import NodeMetrics
+from laburnumrock.placement import classify_length
 from laburnumrock.routing import AccountEntry, RequestKind, Route, RouteTable
 
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
@@ -576,7 +577,9 @@
 
     def _labels(self) -> tuple[str, str]:
         account = self.account.name if self.account is not None else ""
-        return account, classify_length(self.request.prompt_tokens)
+        prompt_tokens = self.request.prompt_tokens
+        length = classify_length(prompt_tokens, 0, 0).value if prompt_tokens else "plain"
+        return account, length
 
     def _count(self, status: int) -> None:
         """Count the end of the request; status 0 stands for a closed connection."""
--- a/laburnumrock/metrics/__init__.py
+++ b/laburnumrock/metrics/__init__.py
@@ -3,7 +3,7 @@
 from laburnumrock.metrics._histograms import HistogramRegistry, Measure, Percentiles
 from laburnumrock.metrics._log_writer import LogLimits, LogWriter, open_log_writer
 from laburnumrock.metrics._logging import open_log
-from laburnumrock.metrics._node_metrics import NodeMetrics, classify_length
+from laburnumrock.metrics._node_metrics import NodeMetrics
 from laburnumrock.metrics._statsd import Counters, open_counters
 
 __all__ = [
@@ -14,7 +14,6 @@
     "Measure",
     "NodeMetrics",
     "Percentiles",
-    "classify_length",
     "open_counters",
     "open_log",
     "open_log_writer",
--- a/laburnumrock/metrics/_node_metrics.py
+++ b/laburnumrock/metrics/_node_metrics.py
@@ -4,22 +4,6 @@
 
 LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0)
 """Bounds around the goals of the routes, which lie between 0.1 and 4 s."""
-SHORT_PROMPT_TOKENS = 8_000
-LONG_PROMPT_TOKENS = 100_000
-
-
-def classify_length(prompt_tokens: int) -> str:
-    """Return the length class of a request; requests without a prompt are ``plain``.
-
-    Notes
-    -----
-    The bounds are those of `laburnumrock.placement.PoolSettings`.
-    """
-    if prompt_tokens <= 0:
-        return "plain"
-    if prompt_tokens <= SHORT_PROMPT_TOKENS:
-        return "short"
-    return "medium" if prompt_tokens <= LONG_PROMPT_TOKENS else "long"
 
 
 class NodeMetrics:
--- /dev/null
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -0,0 +1,264 @@
+"""Cores and entries as processes would run them, on loopback addresses."""
+
+import asyncio
+import contextlib
+import json
+import socket
+
+from laburnumrock.dispatch import DispatchCall, UpstreamReport, UpstreamState
+from laburnumrock.forwarding.tests.scripted import (
+    ScriptedUpstream,
+    answer,
+    make_request,
+    read_reply,
+)
+from laburnumrock.nodes import CoreNode, EntryNode, NodeSettings
+from laburnumrock.platform._routes import decode_routes
+from laburnumrock.platform._wire import PlatformWire
+from laburnumrock.platform.tests.samples import make_config
+from laburnumrock.settings import ListenSettings, TimingSettings
+
+CORES = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+ENTRY = "127.0.0.21"
+KEY = b"key"
+TIMING = TimingSettings(link_ping_s=1.0)
+WAIT_S = 8.0
+
+
+def find_ports() -> tuple[int, int]:
+    """Return two ports that are free on all loopback addresses."""
+    with socket.socket() as first, socket.socket() as second:
+        first.bind(("", 0))
+        second.bind(("", 0))
+        return first.getsockname()[1], second.getsockname()[1]
+
+
+async def wait_until(condition) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+class Deployment:
+    """Three cores and an entry in one event loop."""
+
+    def __init__(self, folder) -> None:
+        self.folder = folder
+        self.ports = find_ports()
+        self.cores: dict[str, CoreNode] = {}
+        self.entry: EntryNode | None = None
+
+    def make_settings(self, name: str, **values) -> NodeSettings:
+        listen = ListenSettings(host=name, caller_port=self.ports[0], peer_port=self.ports[1])
+        return NodeSettings(name, "a", listen, CORES, timing=TIMING, stop_s=4.0, **values)
+
+    async def start_core(self, name: str, first_start: bool = True) -> CoreNode:
+        settings = self.make_settings(name, data_folder=self.folder / name, first_start=first_start)
+        core = CoreNode(settings, KEY, decode_routes)
+        assert (await core.start()).is_ok()
+        self.cores[name] = core
+        return core
+
+    async def start_entry(self) -> EntryNode:
+        self.entry = EntryNode(self.make_settings(ENTRY), KEY, decode_routes, PlatformWire())
+        await self.entry.start()
+        return self.entry
+
+    def leader(self) -> CoreNode | None:
+        return next((core for core in self.cores.values() if core.is_leading), None)
+
+    async def store(self, version: int) -> None:
+        def change(config):
+            config["version"] = version
+
+        document = make_config(change)
+        core = next(iter(self.cores.values()))
+        stored = await core.store_routes(decode_routes(document).unwrap(), document)
+        assert stored.is_ok()
+
+    async def stop(self) -> None:
+        if self.entry is not None:
+            for task in self.entry.tasks:
+                task.cancel()
+            self.entry.front.stop_listening()
+            self.entry.pool.close()
+            await self.entry.network.stop()
+        for core in list(self.cores.values()):
+            await core.stop()
+
+
+@contextlib.asynccontextmanager
+async def open_deployment(folder):
+    """Start cores and an entry, and stop them."""
+    deployment = Deployment(folder)
+    for name in CORES:
+        await deployment.start_core(name)
+    await deployment.start_entry()
+    try:
+        await wait_until(deployment.leader)
+        yield deployment
+    finally:
+        await deployment.stop()
+
+
+def make_report(port: int, **values) -> UpstreamReport:
+    fields = {
+        "upstream_id": "u1",
+        "service": "llm",
+        "host": "127.0.0.1",
+        "port": port,
+        "failure_domain": "a",
+        "incarnation": 1,
+        "sequence": 1,
+        "slots": 8,
+        "state": UpstreamState.READY,
+    }
+    return UpstreamReport(**{**fields, **values})
+
+
+async def request(deployment: Deployment) -> int:
+    reader, writer = await asyncio.open_connection(ENTRY, deployment.ports[0])
+    writer.write(make_request("/x/1", "POST", b"{}", {}))
+    reply = await asyncio.wait_for(read_reply(reader), 5.0)
+    writer.close()
+    return reply.status
+
+
+class TestRoutes:
+    def test_entry_follows_the_highest_version(self, tmp_path):
+        """Guards against a change that an entry does not hear of, or that reverts."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                entry = deployment.entry
+                assert not entry.is_ready
+                await deployment.store(7)
+                await wait_until(lambda: entry.routes_version == 7)
+                assert entry.is_ready
+                await deployment.store(5)
+                await deployment.store(9)
+                await wait_until(lambda: entry.routes_version == 9)
+
+        asyncio.run(run())
+
+    def test_read_is_what_was_sent(self, tmp_path):
+        """Guards against a config that is read back in another form."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                for core in deployment.cores.values():
+                    document = (await core.read_routes()).unwrap().document
+                    assert json.loads(document) == {**json.loads(make_config()), "version": 7}
+
+        asyncio.run(run())
+
+    def test_read_without_a_quorum_is_refused(self, tmp_path):
+        """Guards against a cut-off core that answers with an old version."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                for name in CORES[1:]:
+                    await deployment.cores.pop(name).stop()
+                assert (await deployment.cores[CORES[0]].read_routes()).is_err()
+
+        asyncio.run(run())
+
+    def test_restarted_cores_know_what_was_acknowledged(self, tmp_path):
+        """Guards against the loss of an acknowledged version when all cores restart."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                for name in CORES:
+                    await deployment.cores.pop(name).stop()
+                for name in CORES:
+                    await deployment.start_core(name, first_start=False)
+                await wait_until(deployment.leader)
+                read = await deployment.cores[CORES[1]].read_routes()
+                assert read.unwrap().version == 7
+
+        asyncio.run(run())
+
+
+class TestRequests:
+    def test_request_through_the_leader(self, tmp_path):
+        """Guards against a path that is broken between its parts."""
+
+        async def run():
+            upstream = ScriptedUpstream(answer())
+            await upstream.start()
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                await wait_until(lambda: deployment.entry.is_ready)
+                for core in list(deployment.cores.values())[:1]:
+                    core.observe_upstream(make_report(upstream.port))
+                await wait_until(lambda: deployment.entry.directory.usable("llm", 0.0))
+                assert await request(deployment) == 200
+                await wait_until(lambda: not deployment.leader().dispatcher.sends)
+            upstream.server.close()
+
+        asyncio.run(run())
+
+    def test_entry_goes_on_without_cores(self, tmp_path):
+        """Guards against an entry that stops serving when no leader can be reached."""
+
+        async def run():
+            upstream = ScriptedUpstream(answer())
+            await upstream.start()
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                await wait_until(lambda: deployment.entry.is_ready)
+                deployment.leader().observe_upstream(make_report(upstream.port))
+                await wait_until(lambda: deployment.entry.directory.usable("llm", 0.0))
+                for name in CORES:
+                    await deployment.cores.pop(name).stop()
+                assert await request(deployment) == 200
+            upstream.server.close()
+
+        asyncio.run(run())
+
+    def test_leaving_upstream_reaches_the_leader(self, tmp_path):
+        """Guards against work for an upstream that told another core that it leaves."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                other = next(c for c in deployment.cores.values() if not c.is_leading)
+                other.observe_upstream(make_report(9))
+                leader = deployment.leader()
+                await wait_until(lambda: leader.directory.usable("llm", 0.0))
+                leaving = make_report(9, sequence=2, state=UpstreamState.DRAINING)
+                other.observe_upstream(leaving)
+                await wait_until(lambda: not leader.directory.usable("llm", 0.0))
+
+        asyncio.run(run())
+
+
+class TestLeader:
+    def test_new_leader_adopts_sends(self, tmp_path):
+        """Guards against a new leader that takes busy upstreams for idle ones."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                entry = deployment.entry
+                await wait_until(lambda: entry.is_ready)
+                leader = deployment.leader()
+                leader.observe_upstream(make_report(9))
+                others = [core for core in deployment.cores.values() if core is not leader]
+                await wait_until(lambda: all(c.directory.usable("llm", 0.0) for c in others))
+                call = make_call()
+                placed = await entry.place(call)
+                entry.note_sent(call, placed)
+                del deployment.cores[leader.settings.instance_id]
+                await leader.stop()
+                await wait_until(deployment.leader)
+                await wait_until(lambda: placed.permit in deployment.leader().dispatcher.sends)
+
+        asyncio.run(run())
+
+
+def make_call():
+    return DispatchCall("r1", 1, "llm", "one", 1, 5000, 800, 0.3, 0.2, 10.0)
--- /dev/null
+++ b/laburnumrock/platform/tests/test_settings.py
@@ -0,0 +1,42 @@
+"""Settings file of the platform."""
+
+from pathlib import Path
+
+from laburnumrock.errors import ErrorKind
+from laburnumrock.platform._settings import load_settings
+from laburnumrock.platform.tests.samples import SETTINGS
+
+
+class TestLoadSettings:
+    def test_entry(self, tmp_path):
+        """Guards against a field that is read under another meaning."""
+        path = tmp_path / "settings.toml"
+        path.write_text(SETTINGS)
+        settings = load_settings(path).unwrap()
+        assert settings.instance_id == "10.1.0.40"
+        assert settings.cores == ("10.1.0.43", "10.2.0.32")
+        assert (settings.listen.caller_port, settings.listen.peer_port) == (8227, 7340)
+        assert settings.readiness == ("10.1.0.40", 8220)
+        assert settings.data_folder is None
+        assert settings.first_start
+        assert settings.dispatch.repeat_slack < 219
+
+    def test_core(self, tmp_path):
+        """Guards against a core that opens the wrong port or forgets its folder."""
+        path = tmp_path / "settings.toml"
+        text = SETTINGS.replace('front = "10.1.0.40:8227"', 'control = "10.1.0.40:8229"')
+        text = text.replace('readiness_address = "10.1.0.40:8220"\n', "")
+        path.write_text('data_dir = "/data/core"\n' + text)
+        settings = load_settings(path).unwrap()
+        assert settings.listen.caller_port == 8229
+        assert settings.data_folder == Path("/data/core")
+        assert settings.readiness is None
+
+    def test_errors_name_the_field(self, tmp_path):
+        """Guards against a start-up error that does not tell what to mend."""
+        path = tmp_path / "settings.toml"
+        path.write_text(SETTINGS.replace('zone = "zone-a"\n', ""))
+        failure = load_settings(path).unwrap_err()
+        assert failure.kind is ErrorKind.INVALID_SETTINGS
+        assert "zone" in str(failure)
+        assert load_settings(tmp_path / "none.toml").is_err()
