--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -9,13 +9,13 @@
 
 import random
 import zlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from laburnumrock.dispatch._budget import RepeatBudget
 from laburnumrock.dispatch._directory import UpstreamDirectory, UpstreamEntry
 from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._engine_model import MS_PER_S, EngineModel
-from laburnumrock.dispatch._load import ActiveSend, UpstreamLoad
+from laburnumrock.dispatch._load import UNFINISHED_SHARE, ActiveSend, UpstreamLoad
 from laburnumrock.dispatch._messages import (
     ActiveSendReport,
     DispatchAnswer,
@@ -55,6 +55,10 @@
 SPLIT_IDLE_SHARE = 0.6
 """Share of the engines without waiting prompts that one prompt may occupy, so that short prompts
 still find one."""
+MIN_WAIT_READ_S = 1.0
+"""Prompts that are read in less are placed at once; engines free up about every second."""
+WAIT_GOAL_SHARE = 0.5
+"""A prompt waits only if, split over the most engines, it is read in this share of its goal."""
 SHORT_PART_MS = 100.0
 """A part that is read in this time delays no other request beyond its goal."""
 NO_UPSTREAM_RETRY_S = 2.0
@@ -111,6 +115,15 @@
     arrived_s: float
     gives_up_s: float
 
+    def remaining_call(self, now_s: float) -> DispatchCall:
+        """Return the call with the times that are left."""
+        waited_s = now_s - self.arrived_s
+        return replace(
+            self.call,
+            goal_s=max(0.05, self.call.goal_s - waited_s),
+            remaining_s=self.call.remaining_s - waited_s,
+        )
+
 
 @dataclass(slots=True)
 class _Choice:
@@ -214,12 +227,12 @@
         elif not budget.take_repeat(now_s):
             return _refuse(ErrorKind.RATE_LIMITED, self._spread(1.0))
         choice = self._choose(domain, call, now_s)
-        if choice is not None:
+        if choice is not None and not self._is_worth_waiting(choice, call):
             return self._grant(entry, choice, call, now_s)
-        if not self._has_upstream(call, now_s):
+        if choice is None and not self._has_upstream(call, now_s):
             return _refuse(ErrorKind.NO_UPSTREAM, self._spread(NO_UPSTREAM_RETRY_S))
         hold_s = min(self.settings.hold_share * call.goal_s, call.remaining_s / 4)
-        if hold_s <= 0 or self._wait_is_hopeless(call):
+        if choice is None and (hold_s <= 0 or self._wait_is_hopeless(call)):
             return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._spread(max(0.5, call.goal_s)))
         ticket = self.next_ticket
         self.next_ticket += 1
@@ -241,17 +254,28 @@
             self.waiting.items(), key=lambda item: (item[1].call.priority, item[1].gives_up_s)
         )
         for ticket, waiting in order:
-            call = waiting.call
+            call = waiting.remaining_call(now_s)
             choice = self._choose(domains.get(waiting.entry, ""), call, now_s)
-            if choice is not None:
+            given_up = now_s >= waiting.gives_up_s
+            if choice is not None and (given_up or not self._is_worth_waiting(choice, call)):
                 decided.append((ticket, self._grant(waiting.entry, choice, call, now_s)))
-            elif now_s >= waiting.gives_up_s:
-                retry_s = self._spread(max(0.5, call.goal_s))
+            elif given_up:
+                retry_s = self._spread(max(0.5, waiting.call.goal_s))
                 decided.append((ticket, _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)))
         for ticket, _ in decided:
             del self.waiting[ticket]
         return decided
 
+    def _is_worth_waiting(self, choice: _Choice, call: DispatchCall) -> bool:
+        """Whether a long prompt that would be late now may be on time once engines are free."""
+        model = self.models.get(call.service)
+        if model is None or choice.first_s <= call.goal_s:
+            return False
+        whole_s = model.read_ms(0, call.prompt_tokens) / MS_PER_S
+        # Split over the most engines it takes whole_s / 16; what is left of the goal allows a wait.
+        split_s = whole_s / MAX_ENGINES_PER_PROMPT
+        return whole_s > MIN_WAIT_READ_S and split_s < WAIT_GOAL_SHARE * call.goal_s
+
     def forget_waiting(self, ticket: int) -> None:
         """Drop a waiting request whose caller left."""
         self.waiting.pop(ticket, None)
@@ -346,10 +370,13 @@
         if report.permit in self.sends or known is None:
             return
         load = self._load(known)
+        helpers = [name for name in report.helpers if name in self.directory.entries]
         read_ms = 0.0
         if load.model is not None:
-            read_ms = load.model.read_ms(0, report.prompt_tokens)
-        left_ms = 0.0 if report.writing else max(1.0, read_ms - report.age_s * MS_PER_S)
+            read_ms = load.model.read_ms(0, report.prompt_tokens) / (1 + len(report.helpers))
+        left_ms = 0.0
+        if not report.writing:
+            left_ms = max(UNFINISHED_SHARE * read_ms, read_ms - report.age_s * MS_PER_S)
         send = ActiveSend(
             report.permit,
             entry,
@@ -362,9 +389,33 @@
             now_s - report.age_s,
             left_ms,
             read_ms,
+            helped_by=tuple(helpers),
         )
         self.sends[report.permit] = send
         load.add(send, now_s)
+        for name in helpers:
+            self._add_part(send, self.directory.entries[name], 0, now_s)
+
+    def _add_part(self, send: ActiveSend, helper: UpstreamEntry, tokens: int, now_s: float) -> None:
+        """Add the part of a prompt that a helper reads."""
+        load = self._load(helper)
+        load.delay_readers(send.read_left_ms)
+        part = ActiveSend(
+            send.permit,
+            send.entry,
+            helper.report.upstream_id,
+            0,
+            0,
+            tokens,
+            0.0,
+            0.0,
+            send.started_s,
+            send.read_left_ms,
+            send.read_ms,
+            is_part=True,
+        )
+        load.add(part, now_s)
+        self._count_cold(helper, load, now_s)
 
     def observe(self, report: UpstreamReport, now_s: float) -> bool:
         """Take over the report of an upstream; a new incarnation starts with nothing."""
@@ -402,24 +453,8 @@
         choice.load.add(send, now_s)
         self._count_cold(choice.entry, choice.load, now_s)
         helpers = []
-        for helper, load, tokens in choice.helpers:
-            part = ActiveSend(
-                permit,
-                entry,
-                helper.report.upstream_id,
-                0,
-                0,
-                tokens,
-                0.0,
-                0.0,
-                now_s,
-                choice.read_ms,
-                choice.read_ms,
-                is_part=True,
-            )
-            load.delay_readers(choice.read_ms)
-            load.add(part, now_s)
-            self._count_cold(helper, load, now_s)
+        for helper, _, tokens in choice.helpers:
+            self._add_part(send, helper, tokens, now_s)
             target = helper.report
             helpers.append(Helper(target.upstream_id, target.host, target.port, tokens))
         return DispatchAnswer(
--- a/laburnumrock/dispatch/_load.py
+++ b/laburnumrock/dispatch/_load.py
@@ -12,6 +12,8 @@
 """Weight of the newest outcome in the moving average of an upstream's failures."""
 FAILURE_HALF_LIFE_S = 4.0
 """An upstream that failed is tried again as this memory fades."""
+UNFINISHED_SHARE = 0.1
+"""Part of a prompt that counts as unread until the first event arrives."""
 SUSPICION_FIRST_S = 0.5
 """Time without new work after a first broken or silent send; doubles with each further one."""
 SUSPICION_MAX_S = 4.0
@@ -130,8 +132,10 @@
             for send in self.sends.values():
                 if left_ms <= 0.0:
                     return
-                if send.is_part is parts and send.read_left_ms > 0.0:
-                    used_ms = min(left_ms, send.read_left_ms)
+                # Until its first event a prompt counts as being read, also when that takes longer.
+                able_ms = send.read_left_ms - UNFINISHED_SHARE * send.read_ms
+                if send.is_part is parts and able_ms > 0.0:
+                    used_ms = min(left_ms, able_ms)
                     send.read_left_ms -= used_ms
                     left_ms -= used_ms
 
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -13,8 +13,10 @@
 """Part of the slack for repeated sends that entries may use on their own, all together."""
 LONG_PROMPT_TOKENS = 30_000
 """A longer prompt counts as several requests when entries balance on their own."""
-ORDER_SENDS = 4.0
-"""Requests that an engine gets more when it stands at the other end of the common order."""
+SHORT_END = 0.6
+"""Part of the common order of engines that short prompts prefer; the rest is for long ones."""
+OTHER_END_SENDS = 3
+"""Requests that an engine counts as having when it stands at the other end of the order."""
 SUSPECT_S = 2.0
 """Time for which an entry avoids an upstream that did not respond."""
 
@@ -81,10 +83,11 @@
             suspect = now_s < self.suspect_until_s.get(name, 0.0)
             suspect = suspect or (health is not None and health.is_cut_off(now_s))
             far = entry.report.failure_domain != domain
-            order = spread_order(name) if call.prompt_tokens else 0.0
-            if call.prompt_tokens > LONG_PROMPT_TOKENS:
-                order = 1.0 - order
-            key = (suspect, loads.get(name, 0) + ORDER_SENDS * order, far, self.source.random())
+            load = loads.get(name, 0)
+            if call.prompt_tokens:
+                long = call.prompt_tokens > LONG_PROMPT_TOKENS
+                load += OTHER_END_SENDS * (long != (spread_order(name) > SHORT_END))
+            key = (suspect, load, far, self.source.random())
             if best is None or key < best[0]:
                 best = (key, entry.report)
         if best is None:
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -271,6 +271,8 @@
         Time since the send.
     writing : bool
         Whether its first event has arrived.
+    helpers : list of str
+        Engines that read parts of its prompt.
     """
 
     permit: int
@@ -280,3 +282,4 @@
     gap_goal_s: float
     age_s: float
     writing: bool
+    helpers: list[str] = field(default_factory=list)
--- /dev/null
+++ b/laburnumrock/dispatch/tests/test_local.py
@@ -0,0 +1,82 @@
+"""Choice of upstreams by an entry that reaches no dispatcher."""
+
+import random
+from dataclasses import replace
+
+from laburnumrock.dispatch import (
+    DispatchCall,
+    DispatchSettings,
+    LocalDispatcher,
+    SendEnded,
+    SendOutcome,
+    UpstreamDirectory,
+    UpstreamReport,
+    UpstreamState,
+)
+
+SHORT = DispatchCall("s", 1, "llm", "one", 1, 5_000, 1_600, 0.3, 0.2, 10.0)
+LONG = replace(SHORT, prompt_tokens=200_000)
+
+
+def make_upstreams(count: int = 20, **values):
+    directory = UpstreamDirectory(4.0, 30.0)
+    for number in range(count):
+        fields = {
+            "upstream_id": f"u{number}",
+            "service": "llm",
+            "host": f"10.0.0.{number}",
+            "port": 80,
+            "failure_domain": "abc"[number % 3],
+            "incarnation": 1,
+            "sequence": 1,
+            "slots": 8,
+            "state": UpstreamState.READY,
+        }
+        directory.observe(UpstreamReport(**{**fields, **values}), 0.0)
+    return directory.usable("llm", 0.0)
+
+
+def make_local(seed: int = 1) -> LocalDispatcher:
+    return LocalDispatcher(DispatchSettings(), random.Random(seed))
+
+
+class TestLocalDispatcher:
+    def test_entries_do_not_choose_alike(self):
+        """Guards against all entries sending to the same engine when the leader is lost."""
+        upstreams = make_upstreams()
+        chosen = [make_local(seed).place("a", upstreams, SHORT, 1.0) for seed in range(30)]
+        names = [answer.upstream_id for answer in chosen]
+        assert max(names.count(name) for name in set(names)) <= 12
+        assert len(set(names)) >= 3
+
+    def test_short_and_long_prompts_use_different_engines(self):
+        """Guards against long prompts on the engines on which others run streams."""
+        upstreams = make_upstreams()
+        short = {make_local(s).place("a", upstreams, SHORT, 1.0).upstream_id for s in range(30)}
+        long = {make_local(s).place("a", upstreams, LONG, 1.0).upstream_id for s in range(30)}
+        assert not short & long
+
+    def test_cold_upstreams_get_nothing(self):
+        """Guards against a cold upstream that entries overload without knowing of each other."""
+        answer = make_local().place("a", make_upstreams(cold_left_s=5.0), SHORT, 1.0)
+        assert answer.refusal
+
+    def test_repeats_share_a_budget(self):
+        """Guards against more second sends than all entries may make together."""
+        local = make_local()
+        local.share_budget(15)
+        second = replace(SHORT, attempt=2)
+        granted = [local.place("a", make_upstreams(), second, 1.0).permit for _ in range(10)]
+        assert sum(permit != 0 for permit in granted) == 1
+
+    def test_cut_off_domain_is_avoided(self):
+        """Guards against requests that try one unreachable engine after the other."""
+        local, upstreams = make_local(), make_upstreams()
+        for name in ("u1", "u4", "u7"):
+            others = [entry for entry in upstreams if entry.report.upstream_id == name]
+            answer = local.place("a", others, SHORT, 1.0)
+            local.note_ended(SendEnded(answer.permit, SendOutcome.UNREACHABLE), 1.0)
+        for _ in range(10):
+            answer = local.place("b", upstreams, SHORT, 1.5)
+            number = int(answer.upstream_id[1:])
+            assert number % 3 != 1
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -352,4 +352,5 @@
         call.gap_goal_s,
         now_s - sent.sent_s,
         sent.writing,
+        [helper.upstream_id for helper in sent.answer.helpers],
     )
--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -42,6 +42,14 @@
     task: asyncio.Task | None = None
 
 
+@dataclass(slots=True)
+class _PendingCall:
+    """Call that waits for its answer."""
+
+    peer: str
+    answer: asyncio.Future
+
+
 class PeerNetwork:
     """Sends messages to other instances and hands received ones to handlers.
 
@@ -70,7 +78,7 @@
         self.peers = {peer.instance_id: peer for peer in settings.peers}
         self.handlers: dict[type, Handler] = {}
         self.links: dict[str, _Link] = {}
-        self.pending_calls: dict[int, asyncio.Future] = {}
+        self.pending_calls: dict[int, _PendingCall] = {}
         self.next_call_number = 1
         self.server: Server | None = None
         self.tasks: set[asyncio.Task] = set()
@@ -140,12 +148,12 @@
         number = self.next_call_number
         self.next_call_number += 1
         answer: asyncio.Future = asyncio.get_running_loop().create_future()
-        self.pending_calls[number] = answer
+        self.pending_calls[number] = _PendingCall(peer, answer)
         try:
             if not self._enqueue(peer, Frame(message, call_number=number)):
                 return _unreachable(peer)
             return Ok(await asyncio.wait_for(answer, timeout_s))
-        except TimeoutError:
+        except (TimeoutError, ConnectionError):
             return _unreachable(peer)
         finally:
             del self.pending_calls[number]
@@ -190,6 +198,7 @@
             except (OSError, TimeoutError, WebSocketException):
                 # Frames queued before the reconnection are stale: their senders have given up.
                 link.frames.clear()
+                self._fail_calls(link.peer.instance_id)
                 await asyncio.sleep(delay_s * self.random.uniform(0.5, 1.0))
                 delay_s = min(delay_s * 2, RECONNECT_MAX_S)
                 # Without frames to send, a peer that left for good would be called for ever.
@@ -197,6 +206,12 @@
                 if not link.frames:
                     await link.filled.wait()
 
+    def _fail_calls(self, peer: str) -> None:
+        """End the calls to a peer whose link broke; it has probably died."""
+        for call in self.pending_calls.values():
+            if call.peer == peer and not call.answer.done():
+                call.answer.set_exception(ConnectionError(f"the link to {peer} broke"))
+
     @contextlib.asynccontextmanager
     async def _open(self, peer: PeerSettings):
         connection = await connect(
@@ -257,8 +272,8 @@
     def _dispatch(self, peer: str, frame: Frame) -> None:
         if frame.answered_call is not None:
             waiting = self.pending_calls.get(frame.answered_call)
-            if waiting is not None and not waiting.done():
-                waiting.set_result(frame.message)
+            if waiting is not None and not waiting.answer.done():
+                waiting.answer.set_result(frame.message)
             return
         if peer == self.settings.instance_id:
             # A state machine that sends to itself must not be entered again before it returns.
