Explain failures: closed list of events, trace and metrics commands, page for on-call engineers

An on-call engineer has only logs and metrics. Every event that the nodes write is listed with its fields, and a test reads all sources for lines that the list does not have.

The traces showed a fault: when the caller's connection broke while an event was written, the run took that for a fault of the upstream and sent the request again. The run now ends; the test fails without the change. A connection that does not open within 0.35 s instead of 0.6 s counts as unreachable.

--- a/laburnumrock/cli/_app.py
+++ b/laburnumrock/cli/_app.py
@@ -17,6 +17,7 @@
     "laburnumrock.cli._control",
     "laburnumrock.cli._request",
     "laburnumrock.cli._orders",
+    "laburnumrock.cli._trace",
     "laburnumrock.standins._load",
 )
 # An instance answers after 5 s that the log cannot take a change; a shorter wait loses its reason.
--- a/laburnumrock/forwarding/_channels.py
+++ b/laburnumrock/forwarding/_channels.py
@@ -26,7 +26,7 @@
     Parameters
     ----------
     connect_timeout_s : float, > 0
-        Longest wait for a new connection.
+        Longest wait for a new connection; a round trip takes a few ms.
     idle_s : float, > 0
         An idle connection is closed after this time, if the upstream states no shorter one.
     idle_margin_s : float, > 0
@@ -35,7 +35,7 @@
         Idle connections kept for one upstream.
     """
 
-    connect_timeout_s: float = 0.6
+    connect_timeout_s: float = 0.35
     idle_s: float = 8.0
     idle_margin_s: float = 1.0
     max_idle: int = 8
@@ -99,6 +99,7 @@
     def __init__(self, settings: ChannelSettings) -> None:
         self.settings = settings
         self.idle: dict[tuple[str, int], list[Channel]] = {}
+        # Connections opened since the counter was last read.
         self.opened = 0
 
     async def open(self, host: str, port: int, timeout_s: float) -> Result[Channel, Failure]:
--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -210,6 +210,7 @@
         self.ends_s = 0.0
         self.attempts = _Attempts()
         self.started = False
+        self.caller_left = False
         self.events = EventSplitter()
         self.last_event_s = 0.0
         self.longest_pause_s = 0.0
@@ -328,6 +329,8 @@
             kept = False
             try:
                 result, silent = await self._exchange(channel, placed, held.unwrap())
+                if self.caller_left:
+                    raise StreamClosedError
                 if result is not None and result.reusable:
                     context.pool.keep(channel, stated_idle_s(result.answer))
                     kept = True
@@ -382,7 +385,7 @@
             if repeats:
                 limit.reschedule(loop.time() + gap_s)
             if whole:
-                await self.connection.write(whole)
+                await self._write_events(whole)
 
         def start(answer: Answer) -> bool:
             return self._start_relay(answer)
@@ -400,6 +403,14 @@
         finally:
             stall.cancel()
 
+    async def _write_events(self, data: bytes) -> None:
+        try:
+            await self.connection.write(data)
+        except StreamClosedError:
+            # Without this mark the end of the exchange would look like a fault of the upstream.
+            self.caller_left = True
+            raise
+
     def _start_stall(
         self,
         placed: DispatchAnswer,
--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -1,9 +1,14 @@
 """Requests through a front server to scripted upstreams."""
 
 import asyncio
+import time
+
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
 
 from laburnumrock.dispatch import DispatchAnswer, SendOutcome
 from laburnumrock.errors import ErrorKind
+from laburnumrock.forwarding import ForwardRun
 from laburnumrock.forwarding.tests.scripted import (
     ScriptedUpstream,
     answer,
@@ -15,6 +20,7 @@
     read_reply,
     stream,
 )
+from laburnumrock.platform._wire import PlatformWire
 
 WHOLE_STREAM = b"".join(make_event(number) for number in range(1, 5))
 
@@ -390,6 +396,35 @@
 
         asyncio.run(run())
 
+    def test_failed_write_is_no_fault_of_the_upstream(self):
+        """Guards against a second send for a caller that left while an event was written."""
+
+        async def run():
+            first, second = ScriptedUpstream(stream(1, 4)), ScriptedUpstream(stream(1, 4))
+            async with open_front(first, second) as front:
+                request = PlatformWire().decode_request(
+                    "POST", "/s/x", HTTPHeaders({"Host": "a.example", "Authorization": "Token k1"})
+                )
+                request.arrived_s = time.monotonic()
+                await ForwardRun(front.context, ClosedConnection(), request).run()
+                assert front.placer.outcomes == [SendOutcome.CANCELLED]
+            assert second.received == []
+
+        asyncio.run(run())
+
+
+class ClosedConnection:
+    """Connection of a caller that has left."""
+
+    def write_headers(self, start_line, headers, chunk=None) -> None:
+        pass
+
+    async def write(self, chunk: bytes) -> None:
+        raise StreamClosedError
+
+    def close(self) -> None:
+        pass
+
 
 class TestPlannedStop:
     def test_idle_connections_close_and_running_ones_finish(self):
--- /dev/null
+++ b/laburnumrock/metrics/tests/test_events.py
@@ -0,0 +1,71 @@
+"""Closed list of log events."""
+
+import ast
+import json
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parents[2]
+EVENTS = json.loads((PACKAGE / "metrics" / "events.json").read_text())
+PAGE = PACKAGE.parent / "docs" / "OPERATIONS.md"
+SOURCES = (
+    "forwarding",
+    "nodes",
+    "platform",
+    "transport",
+    "daemon/_log_runner.py",
+    "metrics/_log_writer.py",
+)
+# Fields that every line of a run carries, or that lines of several events share.
+COMMON_FIELDS = {"request_id", "route", "elapsed_s", "failure_domain"}
+
+
+def find_calls():
+    """Yield file, event and field names of every line that is logged."""
+    for source in SOURCES:
+        path = PACKAGE / source
+        files = [path] if path.suffix else sorted(path.glob("*.py"))
+        for file in files:
+            for node in ast.walk(ast.parse(file.read_text())):
+                if isinstance(node, ast.Call) and _name(node) in ("log_message", "_log"):
+                    yield file, node.args[0], {keyword.arg for keyword in node.keywords}
+
+
+def _name(node: ast.Call) -> str:
+    return getattr(node.func, "attr", getattr(node.func, "id", ""))
+
+
+def read_names(argument: ast.expr) -> list[str]:
+    """Return the event names that an argument can have; none if it is a parameter."""
+    if isinstance(argument, ast.Constant):
+        return [argument.value]
+    if isinstance(argument, ast.IfExp):
+        return read_names(argument.body) + read_names(argument.orelse)
+    return []
+
+
+class TestEvents:
+    def test_every_logged_event_is_listed_with_its_fields(self):
+        """Guards against lines that an on-call engineer finds on no page."""
+        for file, argument, fields in find_calls():
+            for name in read_names(argument):
+                assert name in EVENTS, f"{file.name}: {name}"
+                listed = set(EVENTS[name]["fields"]) | COMMON_FIELDS | {None}
+                assert fields <= listed, f"{file.name}: {name} has {fields - listed}"
+
+    def test_every_listed_event_is_logged(self):
+        """Guards against a page that names events which no longer exist."""
+        logged = {name for _, argument, _ in find_calls() for name in read_names(argument)}
+        written_by_the_writer = {"lines_dropped", "lines_omitted"}
+        assert set(EVENTS) <= logged | written_by_the_writer
+
+    @pytest.mark.parametrize("name", sorted(EVENTS))
+    def test_page_lists_the_event(self, name):
+        """Guards against events that the operators' page leaves out."""
+        assert f"| `{name}` |" in PAGE.read_text()
+
+    def test_no_event_carries_a_key(self):
+        """Guards against secrets in the log."""
+        for entry in EVENTS.values():
+            assert not {"key", "authorization", "body", "prompt"} & set(entry["fields"])
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -172,15 +172,13 @@
         packed = zlib.compress(document)
         with self.metrics.commits.labels("routes").time():
             answer = await self.log.propose(StoreRoutes(routes.version, packed), PROPOSE_TIMEOUT_S)
-        return self._log_change("routes_stored", answer, version=routes.version)
+        return self._log_change("routes", routes.version, answer)
 
     async def set_drain(self, failure_domain: str, drained: bool) -> Result[int, Failure]:
         """Commit that a failure domain is taken out of service, or back."""
         with self.metrics.commits.labels("drain").time():
             answer = await self.log.propose(SetDrain(failure_domain, drained), PROPOSE_TIMEOUT_S)
-        return self._log_change(
-            "drain_stored", answer, failure_domain=failure_domain, drained=drained
-        )
+        return self._log_change("drain" if drained else "restore", failure_domain, answer)
 
     async def read_routes(self) -> Result[RouteDocument, Failure]:
         """Return the version in force, confirmed by a quorum."""
@@ -214,13 +212,20 @@
         self._push_views()
 
     def _log_change(
-        self, event: str, answer: Result[StoreAnswer, Failure], **values: object
+        self, change: str, subject: int | str, answer: Result[StoreAnswer, Failure]
     ) -> Result[int, Failure]:
         if answer.is_err():
-            log_message(f"{event}_failed", failure=str(answer.unwrap_err()), **values)
+            failure = answer.unwrap_err()
+            log_message("change_committed", change=change, subject=subject, failure=str(failure))
             return answer
         state = answer.unwrap()
-        log_message(event, in_force=state.version, changed=state.changed, **values)
+        log_message(
+            "change_committed",
+            change=change,
+            subject=subject,
+            in_force=state.version,
+            changed=state.changed,
+        )
         return Ok(state.version)
 
     def _log_upstream(self, report: UpstreamReport) -> None:
@@ -422,7 +427,7 @@
         if change is None:
             return
         effects = change.start(runner.node, now_s)
-        log_message("voter_change", action=change.action, instance=change.instance_id)
+        log_message("voter_change", action=change.action, subject=change.instance_id)
         if effects is not None:
             runner.enqueue(effects)
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -340,6 +340,8 @@
         while True:
             await asyncio.sleep(CHANNEL_CHECK_S)
             self.pool.close_idle()
+            opened, self.pool.opened = self.pool.opened, 0
+            self.metrics.channels.inc(opened)
 
 
 def _report(sent: _Sent, now_s: float) -> ActiveSendReport:
