Close idle connections of callers only when nothing waits to be read

Ruled out: the order of the stop, which waited 2.6 s after readiness turned off. The stop now looks at the socket, lets the loop settle and looks again. The new test fails without the second look.

--- a/laburnumrock/forwarding/_channels.py
+++ b/laburnumrock/forwarding/_channels.py
@@ -41,6 +41,17 @@
     max_idle: int = 8
 
 
+def has_unread(connection: socket.socket) -> bool:
+    """Whether bytes, an end or an error wait to be read from a socket."""
+    try:
+        connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 class ChannelStream(IOStream):
     """Stream that can tell whether an idle connection is still good."""
 
@@ -48,14 +59,8 @@
         """Whether the connection is open and nothing has arrived on it."""
         if self.closed() or self._read_buffer_size:
             return False
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        # Either the upstream closed the connection, or bytes arrived that belong to no request.
-        return False
+        # Otherwise the upstream closed the connection, or sent bytes that belong to no request.
+        return not has_unread(self.socket)
 
 
 @dataclass(slots=True)
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -21,6 +21,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
+from laburnumrock.forwarding._channels import has_unread
 from laburnumrock.forwarding._run import ForwardRun, RunContext
 from laburnumrock.forwarding._wire import CallerRequest
 
@@ -30,6 +31,8 @@
 """Twice the declared limit; the declared one is checked when routes are known."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
 BACKLOG = 512
+SETTLE_S = 0.02
+"""Time in which the event loop takes up a request whose bytes it has already read."""
 
 
 class FrontServer(HTTPServerConnectionDelegate):
@@ -45,7 +48,7 @@
         self.context = context
         self.server: _Listener | None = None
         self.port = 0
-        self.connections: dict[object, _RequestReader | None] = {}
+        self.connections: dict[HTTP1ServerConnection, _RequestReader] = {}
         self.runs: set[asyncio.Task] = set()
 
     def listen(self, host: str, port: int) -> None:
@@ -55,13 +58,13 @@
         self.port = sockets[0].getsockname()[1]
         self.server.add_sockets(sockets)
 
-    def start_request(self, server_conn: object, request_conn: HTTP1Connection):
+    def start_request(self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection):
         """Return the reader of the next request of a connection."""
         reader = _RequestReader(self, server_conn, request_conn)
         self.connections[server_conn] = reader
         return reader
 
-    def on_close(self, server_conn: object) -> None:
+    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Forget a connection."""
         self.connections.pop(server_conn, None)
 
@@ -85,12 +88,25 @@
             )
             connection.close()
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is being read or answered."""
-        for connection, reader in list(self.connections.items()):
-            if reader is not None and not reader.is_busy:
+    async def close_idle(self) -> None:
+        """Close the connections on which no request is being read or answered.
+
+        Notes
+        -----
+        A request may have arrived that the event loop has not yet seen; its connection stays.
+        """
+        idle = [connection for connection in self.connections if self._is_idle(connection)]
+        await asyncio.sleep(SETTLE_S)
+        for connection in idle:
+            if connection in self.connections and self._is_idle(connection):
                 connection.stream.close()
 
+    def _is_idle(self, connection: HTTP1ServerConnection) -> bool:
+        stream = connection.stream
+        if self.connections[connection].is_busy or stream.closed():
+            return False
+        return not has_unread(stream.socket)
+
     def stop_listening(self) -> None:
         """Accept no more connections."""
         if self.server is not None:
--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -1,6 +1,8 @@
 """Requests through a front server to scripted upstreams."""
 
 import asyncio
+import os
+import socket
 import time
 
 from tornado.httputil import HTTPHeaders
@@ -441,13 +443,31 @@
                 await asyncio.sleep(0.1)
                 front.context.stopping = True
                 front.server.stop_listening()
-                front.server.close_idle()
+                await front.server.close_idle()
                 assert await idle_reader.read() == b""
                 reply = await read_reply(busy_reader)
                 assert (reply.body, reply.complete) == (WHOLE_STREAM, True)
 
         asyncio.run(run())
 
+    def test_request_that_has_just_arrived_is_answered(self):
+        """Guards against a stop that closes a connection on which a request already waits."""
+
+        async def run():
+            async with open_front(ScriptedUpstream(answer())) as front:
+                reader, writer = await front.connect()
+                writer.write(make_request("/r/x", "POST", b"{}", {}))
+                await read_reply(reader)
+                front.context.stopping = True
+                # Written past the event loop, which has no chance to read it before the close.
+                descriptor = os.dup(writer.get_extra_info("socket").fileno())
+                with socket.socket(fileno=descriptor) as connection:
+                    connection.send(make_request("/r/x", "POST", b"{}", {"Request_Id": "r2"}))
+                await front.server.close_idle()
+                assert (await read_reply(reader)).status == 200
+
+        asyncio.run(run())
+
     def test_answers_of_a_stopping_instance_close(self):
         """Guards against callers that keep connections to an instance that stops."""
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -132,10 +132,10 @@
         began_s = time.monotonic()
         await asyncio.sleep(BALANCER_GRACE_S)
         self.front.stop_listening()
-        self.front.close_idle()
+        await self.front.close_idle()
         left_s = self.settings.stop_s - STOP_MARGIN_S - (time.monotonic() - began_s)
         await self.front.finish(max(0.0, left_s))
-        self.front.close_idle()
+        await self.front.close_idle()
         await self.context.reservations.finish(0.3)
         for task in self.tasks:
             task.cancel()
