Answer late in the test of a stop, so that it fails without the second look

The scripted upstream answered before the connection was closed, so the test passed without the change that it guards. It fails now without the change and passes with it.

--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -454,7 +454,11 @@
         """Guards against a stop that closes a connection on which a request already waits."""
 
         async def run():
-            async with open_front(ScriptedUpstream(answer())) as front:
+            async def answer_later(reader, writer, received):
+                await asyncio.sleep(0.1)
+                await answer()(reader, writer, received)
+
+            async with open_front(ScriptedUpstream(answer(), answer_later)) as front:
                 reader, writer = await front.connect()
                 writer.write(make_request("/r/x", "POST", b"{}", {}))
                 await read_reply(reader)
