--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -175,6 +175,9 @@
         """Start the run of a request that was read whole."""
         if self.request is None:
             return
+        if self.connection.stream.closed():
+            # The request crossed the close of its connection; nobody would get the answer.
+            return
         self.request.body = b"".join(self.chunks)
         self.chunks.clear()
         self.task = self.front.start_run(self.connection, self.request)
--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 import socket
 import time
 
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.iostream import StreamClosedError
 
 from laburnumrock.dispatch import DispatchAnswer, SendOutcome
@@ -418,6 +418,12 @@
 class ClosedConnection:
     """Connection of a caller that has left."""
 
+    def __init__(self) -> None:
+        self.stream = self
+
+    def closed(self) -> bool:
+        return True
+
     def write_headers(self, start_line, headers, chunk=None) -> None:
         pass
 
@@ -472,6 +478,20 @@
 
         asyncio.run(run())
 
+    def test_request_that_crosses_the_close_is_not_sent(self):
+        """Guards against an upstream that runs a request whose connection was just closed."""
+
+        async def run():
+            async with open_front(ScriptedUpstream(answer())) as front:
+                reader = front.server.start_request(object(), ClosedConnection())
+                line = RequestStartLine("POST", "/r/x", "HTTP/1.1")
+                reader.headers_received(line, HTTPHeaders({"Host": "a.example"}))
+                reader.finish()
+                assert not front.server.runs
+                front.server.connections.clear()
+
+        asyncio.run(run())
+
     def test_answers_of_a_stopping_instance_close(self):
         """Guards against callers that keep connections to an instance that stops."""
 
