Let engines without a free slot read parts of prompts

Parts counted as requests in the slots of the ledger, so that under a burst with an emptied zone no full engine could help, and whole prompts of 45,000 tokens stalled the eight streams of one engine for 0.27 s. Engines limit parts separately. Ruled out: the weights of the loss, by which a split costs a tenth of that stall.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -472,7 +472,8 @@
         return send
 
     def _choose(self, domain: str, call: DispatchCall, now_s: float) -> _Choice | None:
-        candidates = self._candidates(call, now_s)
+        usable = self._candidates(call, now_s)
+        candidates = [pair for pair in usable if pair[1].free_slots > 0]
         if not candidates:
             return None
         model = self.models.get(call.service)
@@ -493,7 +494,7 @@
                 best = choice
         if best is not None and best.loss <= SPLIT_LOSS:
             return best
-        split = self._split(domain, call, candidates, model, now_s)
+        split = self._split(domain, call, usable, model, now_s)
         if split is not None and (best is None or split.loss < best.loss):
             return split
         return best
@@ -508,7 +509,7 @@
             if entry.report.failure_domain in self.drained or name in call.excluded:
                 continue
             load = self._load(entry)
-            if load.free_slots <= 0 or not self._bears_cold(entry, load, now_s):
+            if not self._bears_cold(entry, load, now_s):
                 continue
             load.advance(now_s)
             if load.is_suspect(now_s) or self._is_doubtful(entry, now_s):
@@ -608,9 +609,9 @@
         helping = []
         for entry, load in ranked:
             free = MEMORY_SHARE * load.model.parameters.kv_capacity_tokens - load.memory_tokens
-            if first is None and memory <= free:
+            if first is None and memory <= free and load.free_slots > 0:
                 first = (entry, load)
-            elif len(helping) < engines - 1 and reserved <= free:
+            elif len(helping) < engines - 1 and reserved <= free and load.parts < load.slots:
                 helping.append((entry, load, reserved))
         if first is None or len(helping) < engines - 1:
             return None
--- a/laburnumrock/dispatch/_load.py
+++ b/laburnumrock/dispatch/_load.py
@@ -103,8 +103,13 @@
 
     @property
     def free_slots(self) -> int:
-        """Requests that fit beside those under way."""
-        return self.slots - len(self.sends)
+        """Requests that fit beside those under way; parts for other engines take no slot."""
+        return self.slots - len(self.sends) + self.parts
+
+    @property
+    def parts(self) -> int:
+        """Parts of other engines' prompts that it reads or holds."""
+        return sum(1 for send in self.sends.values() if send.is_part)
 
     @property
     def memory_tokens(self) -> int:
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -129,6 +129,17 @@
         names = [place(dispatcher, PLAIN).upstream_id for _ in range(8)]
         assert names.count("plain100") == 4
 
+    def test_full_engines_help(self):
+        """Guards against a prompt that stalls all streams of one engine while others could help."""
+        dispatcher = make_dispatcher(engines=4, slots=3)
+        for number in range(11):
+            now_s = 10.0 + 0.15 * number
+            permit = place(dispatcher, SHORT, now_s)
+            dispatcher.note_started(SendStarted(permit.permit, 0.1), now_s + 0.1)
+        medium = DispatchCall("m", 1, "llm", "one", 1, 45_000, 1_000, 1.5, 0.5, 10.0)
+        answer = place(dispatcher, medium, 11.8)
+        assert len(answer.helpers) == 2
+
     def test_helper_does_not_delay_a_prompt_that_is_being_read(self):
         """Guards against a prompt that is late because its engine reads a part ahead of it."""
         dispatcher = make_dispatcher(engines=12)
