Split the dispatcher; place cut streams before new requests

Under a burst with an emptied zone, streams that were cut when their engine left were broken off with concurrency_limited, since new requests held every slot. A request that was sent before now waits up to 0.8 s, goes first, and may exceed the slots of an engine by two. Ruled out: the budget of second sends, whose refusals have another kind. The test fails without the change.

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -6,9 +6,10 @@
 
 from laburnumrock.dispatch._budget import RepeatBudget
 from laburnumrock.dispatch._directory import UpstreamDirectory
-from laburnumrock.dispatch._dispatcher import Dispatcher, DispatchSettings
+from laburnumrock.dispatch._dispatcher import Dispatcher, find_hold_s
 from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._engine_model import EngineModel
+from laburnumrock.dispatch._fleet import DispatchSettings, Fleet
 from laburnumrock.dispatch._load import ActiveSend, UpstreamLoad
 from laburnumrock.dispatch._local import LocalDispatcher
 from laburnumrock.dispatch._messages import (
@@ -36,6 +37,7 @@
     "Dispatcher",
     "DomainHealth",
     "EngineModel",
+    "Fleet",
     "Helper",
     "LocalDispatcher",
     "RepeatBudget",
@@ -48,4 +50,5 @@
     "UpstreamLoad",
     "UpstreamReport",
     "UpstreamState",
+    "find_hold_s",
 ]
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -4,8 +4,9 @@
 
 from laburnumrock.dispatch._budget import RepeatBudget
 from laburnumrock.dispatch._directory import UpstreamEntry
-from laburnumrock.dispatch._dispatcher import DispatchSettings, spread_order
 from laburnumrock.dispatch._domain_health import DomainHealth
+from laburnumrock.dispatch._fleet import DispatchSettings
+from laburnumrock.dispatch._losses import spread_order
 from laburnumrock.dispatch._messages import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
 from laburnumrock.errors import ErrorKind
 
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -222,6 +222,18 @@
         assert served == ticket
         assert answer.permit
 
+    def test_cut_stream_goes_before_new_requests(self):
+        """Guards against a stream that is broken off since new requests took every free slot."""
+        dispatcher = make_dispatcher(engines=1, slots=1)
+        running = [place(dispatcher, SHORT)]
+        running += [place(dispatcher, replace(SHORT, attempt=2)) for _ in range(2)]
+        new = dispatcher.place("entry", "a", SHORT, 10.0)
+        cut = dispatcher.place("entry", "a", replace(SHORT, attempt=2), 10.0)
+        assert isinstance(new, int) and isinstance(cut, int)
+        dispatcher.note_ended(SendEnded(running[0].permit, SendOutcome.DONE), 10.1)
+        [(ticket, answer)] = dispatcher.retry_waiting({}, 10.1)
+        assert ticket == cut and answer.permit
+
     def test_waiting_ends_early(self):
         """Guards against a request that is held until its deadline and then refused."""
         dispatcher = make_dispatcher(engines=1, slots=1)
@@ -302,7 +314,7 @@
         dispatcher = make_dispatcher(engines=3)
         report = ActiveSendReport(5, "llm0", 300_000, 800, 0.8, 0.1, False, ["llm1"])
         dispatcher.adopt("entry", report, 10.0)
-        assert dispatcher.loads["llm1"].parts_ms() > 1000
+        assert dispatcher.fleet.loads["llm1"].parts_ms() > 1000
         assert place(dispatcher, SHORT).upstream_id == "llm2"
 
     def test_helpers_are_freed_with_the_send(self):
@@ -310,4 +322,4 @@
         dispatcher = make_dispatcher(engines=8)
         answer = place(dispatcher, replace(LONG, prompt_tokens=900_000))
         dispatcher.note_ended(SendEnded(answer.permit, SendOutcome.CANCELLED), 10.1)
-        assert all(not load.sends for load in dispatcher.loads.values())
+        assert all(not load.sends for load in dispatcher.fleet.loads.values())
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -353,7 +353,7 @@
 
     def _log_decision(self, call: DispatchCall, answer: DispatchAnswer) -> None:
         entry = self.directory.entries.get(answer.upstream_id)
-        load = self.dispatcher.loads.get(answer.upstream_id)
+        load = self.dispatcher.fleet.loads.get(answer.upstream_id)
         log_message(
             "placement_decided",
             request_id=call.request_id,
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -21,6 +21,7 @@
     StallAdvice,
     UpstreamDirectory,
     UpstreamState,
+    find_hold_s,
 )
 from laburnumrock.errors import ErrorKind
 from laburnumrock.forwarding import ChannelPool, FrontServer, Reservations, RunContext, WireFormat
@@ -177,7 +178,7 @@
         return answer
 
     async def _await_decision(self, ticket: int, call: DispatchCall) -> DispatchAnswer | None:
-        hold_s = min(self.settings.dispatch.hold_share * call.goal_s, call.remaining_s / 4)
+        hold_s = find_hold_s(self.settings.dispatch, call)
         future = self._find_decision(ticket)
         try:
             return await asyncio.wait_for(future, hold_s + DECISION_MARGIN_S)
