Add a randomized fault soak over real processes

The scenarios order their faults by hand; the users ask for random ones, in series and overlapping, with the promises checked meanwhile from what callers and upstreams see. A forwarder before a node needs a port of its own, so the settings take an optional peer_bind_port.

Left out: clocks, since nodes use the time of day only in log lines and the soak has no right to move it; slow disks, which need a file system of their own.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install format lint test demo clean
+.PHONY: install format lint test soak demo clean
 
 install: $(VENV)/.installed
 
@@ -20,6 +20,9 @@
 	$(BIN)/black --check --quiet laburnumrock benchmarks examples conftest.py
 	$(BIN)/ruff check --quiet laburnumrock benchmarks examples conftest.py
 
+soak: install
+	$(BIN)/python -m laburnumrock.soak --seed 1 --runs 50 --logs soak-logs
+
 test: lint
 	$(BIN)/python -m pytest -n 4 -m "not processes"
 	$(BIN)/python -m pytest -n 2 -m processes
--- a/laburnumrock/nodes/_settings.py
+++ b/laburnumrock/nodes/_settings.py
@@ -25,12 +25,16 @@
     caller_port : int
         Port for callers on an entry, for operators and upstreams on a core.
     peer_port : int
-        Port for other nodes; the same on all of them.
+        Port for other nodes on this one.
+    target_port : int
+        Port at which other nodes are called, the same for all of them; 0 for `peer_port`. It
+        differs when a forwarder stands before each node.
     """
 
     host: str
     caller_port: int
     peer_port: int
+    target_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,4 +137,4 @@
 
 def make_peer(instance_id: str, listen: NodeListen) -> NodePeer:
     """Return the address of a node; ports are the same on all nodes."""
-    return NodePeer(instance_id, instance_id, listen.peer_port)
+    return NodePeer(instance_id, instance_id, listen.target_port or listen.peer_port)
--- a/laburnumrock/platform/_settings.py
+++ b/laburnumrock/platform/_settings.py
@@ -53,7 +53,13 @@
     return NodeSettings(
         instance_id=document["ip"],
         failure_domain=document["zone"],
-        listen=NodeListen(host=host, caller_port=port, peer_port=document["port_range"][0]),
+        listen=NodeListen(
+            host=host,
+            caller_port=port,
+            # Not a field of the platform: set where a forwarder stands before each node.
+            peer_port=document.get("peer_bind_port", document["port_range"][0]),
+            target_port=document["port_range"][0],
+        ),
         cores=tuple(split_address(seed)[0] for seed in document["seeds"]),
         data_folder=Path(data_folder) if data_folder else None,
         first_start=document["bootstrap"],
--- a/laburnumrock/scenarios/_processes.py
+++ b/laburnumrock/scenarios/_processes.py
@@ -38,6 +38,8 @@
         Durable state.
     process : subprocess.Popen, optional
         The process, once started.
+    variables : dict of str to str
+        Variables of its environment besides those of this process.
     """
 
     name: str
@@ -45,6 +47,7 @@
     log_file: Path
     data_folder: Path | None = None
     process: subprocess.Popen | None = None
+    variables: dict[str, str] = field(default_factory=dict)
 
     @property
     def is_running(self) -> bool:
@@ -58,6 +61,7 @@
         if self.data_folder is not None:
             self.data_folder.mkdir(parents=True, exist_ok=True)
         environment = {**os.environ, "PYTHONPATH": str(SOURCE_FOLDER), "PYTHONUNBUFFERED": "1"}
+        environment.update(self.variables)
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, *self.command],
--- /dev/null
+++ b/laburnumrock/soak/_operator.py
@@ -0,0 +1,173 @@
+"""Operator of the soak, and the control calls of its upstreams."""
+
+import asyncio
+import json
+import random
+import time
+from dataclasses import dataclass
+
+from laburnumrock.soak._callers import HOST_NAME, KEY
+from laburnumrock.soak._findings import Findings
+from laburnumrock.soak._upstreams import ACCOUNT, SLOTS
+
+CALL_TIMEOUT_S = 1.0
+CHANGE_LIMIT_S = 12.0
+"""A change that is not acknowledged by then is given up; faults of cores are shorter."""
+FORCE_S = 2.0
+"""Time from an acknowledgement until the change is in force everywhere."""
+
+
+async def call(host: str, port: int, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+    """Make one call to a core; raises OSError or TimeoutError without an answer."""
+    async with asyncio.timeout(CALL_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            head = f"{method} {path} HTTP/1.1\r\nHost: core\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            answer = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").lower()
+            length = int(answer.partition("content-length: ")[2].split("\r\n")[0])
+            return int(answer.split()[1]), await reader.readexactly(length)
+        finally:
+            writer.transport.abort()
+
+
+def make_routes(version: int) -> bytes:
+    """Return a config; its last route tells the version."""
+    common = {"hostname": HOST_NAME, "latency_goal_ms": 500, "timeout_ms": 5000, "priority": 1}
+    stream = {"type": "streaming", "resumable": True, "max_attempts": 3, "gap_target_ms": 200}
+    once = {"type": "non_idempotent", "max_attempts": 1}
+    again = {"type": "idempotent", "max_attempts": 3}
+    probe = {"type": "idempotent", "max_attempts": 1}
+    routes = [
+        {"name": "stream", "path_prefix": "/stream/", "service": "llm", **stream, **common},
+        {"name": "once", "path_prefix": "/once/", "service": "app", **once, **common},
+        {"name": "again", "path_prefix": "/again/", "service": "app", **again, **common},
+        {"name": "probe", "path_prefix": f"/v{version}/", "service": "app", **probe, **common},
+    ]
+    engine = {
+        "slots": SLOTS,
+        "kv_capacity": 450_000,
+        "stride": 46,
+        "step_ms": 0.5,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.002,
+        "read_per_s": 2_000_000.0,
+        "pairs_per_m": 0.001,
+        "chunk": 2048,
+    }
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "llm", "engine": engine}, {"name": "app"}],
+        "tenants": [{"name": ACCOUNT, "api_keys": [KEY]}],
+    }
+    return json.dumps(document).encode()
+
+
+@dataclass(slots=True)
+class Operator:
+    """Sends changes and reads them back.
+
+    Parameters
+    ----------
+    cores : list of (str, int)
+        Control addresses.
+    findings : Findings
+        Receives broken promises.
+    source : random.Random
+        Draws cores.
+    version : int
+        Last version that was sent.
+    acknowledged : int
+        Highest version that was acknowledged.
+    """
+
+    cores: list[tuple[str, int]]
+    findings: Findings
+    source: random.Random
+    version: int = 0
+    acknowledged: int = 0
+
+    async def send(self, method: str, path: str, body: bytes = b"") -> int | None:
+        """Send a change until it has a clear answer; returns the status."""
+        ends_s = time.monotonic() + CHANGE_LIMIT_S
+        while time.monotonic() < ends_s:
+            try:
+                status, _ = await call(*self.source.choice(self.cores), method, path, body)
+            except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+                status = 0
+            if status and status < 500:
+                return status
+            await asyncio.sleep(0.1)
+        return None
+
+    async def change_routes(self) -> None:
+        """Send the next version and expect an acknowledgement."""
+        self.version += self.source.randint(1, 3)
+        version = self.version
+        status = await self.send("PUT", "/laburnumrock/config", make_routes(version))
+        if status == 200:
+            self.acknowledged = max(self.acknowledged, version)
+        elif status is not None:
+            self.findings.report("valid changes are taken", f"version {version}: {status}")
+        self.findings.counts["change acknowledged" if status == 200 else "change unclear"] += 1
+
+    async def send_invalid(self) -> None:
+        """Send a config whose route names no service."""
+        document = json.loads(make_routes(self.version + 1))
+        document["routes"][0]["service"] = "none"
+        status = await self.send("PUT", "/laburnumrock/config", json.dumps(document).encode())
+        if status is not None and status < 400:
+            self.findings.report("invalid changes are refused", f"{status}")
+
+    async def evacuate(self, zone: str, lasts_s: float) -> None:
+        """Take a zone out of service and back."""
+        await self.send("POST", f"/laburnumrock/evacuations/{zone}")
+        await asyncio.sleep(lasts_s)
+        await self.send("DELETE", f"/laburnumrock/evacuations/{zone}")
+
+    async def read_back(self) -> int | None:
+        """Read the config at a core and compare it with what was acknowledged before."""
+        expected = self.acknowledged
+        try:
+            answer = await call(*self.source.choice(self.cores), "GET", "/laburnumrock/config", b"")
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            return None
+        status, body = answer
+        self.findings.counts[f"read {status}"] += 1
+        if status != 200:
+            return None
+        version = json.loads(body)["version"]
+        if version < expected:
+            self.findings.report("reads never go back", f"{version} after {expected}")
+        return version
+
+    async def check_force(self, entries: list[tuple[str, int]]) -> None:
+        """Check that every entry follows the newest version once all is calm."""
+        version = self.acknowledged
+        since_s = time.monotonic()
+        await asyncio.sleep(FORCE_S)
+        if version != self.version or not self.findings.is_quiet_since(since_s):
+            return
+        for host, port in entries:
+            try:
+                status, _ = await call_entry(host, port, f"/v{version}/x")
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                status = 0
+            unchanged = version == self.version and self.findings.is_quiet_since(since_s)
+            if status == 404 and unchanged:
+                self.findings.report("changes are in force", f"{host} lacks version {version}")
+
+
+async def call_entry(host: str, port: int, path: str) -> tuple[int, bytes]:
+    """Send a request without an id to an entry, and return the status."""
+    async with asyncio.timeout(CALL_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            lines = [f"GET {path} HTTP/1.1", f"Host: {HOST_NAME}", "Request-Id: probe"]
+            lines += [f"Authorization: Token {KEY}", "Deadline-Ms: 900"]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+            return int(head.split()[1]), b""
+        finally:
+            writer.transport.abort()
