Open a link anew as soon as it fell silent

The library that carries the links waits 10 s for the close handshake of a connection whose pings are not answered, and until then no new link is opened. Ruled out: the search for the leader, which asks all cores every 0.1 s. The wait is now 0.3 s; the test, on a connection that stays silent for good, fails without the change.

--- a/laburnumrock/soak/_proxy.py
+++ b/laburnumrock/soak/_proxy.py
@@ -47,6 +47,13 @@
         self.inbound.set()
         self.outbound.set()
 
+    def abandon(self) -> None:
+        """Leave open connections silent for good; new ones work."""
+        self.inbound.clear()
+        self.outbound.clear()
+        self.inbound, self.outbound = asyncio.Event(), asyncio.Event()
+        self.heal()
+
     def reset(self) -> None:
         """Break all connections."""
         for writer in list(self.writers):
@@ -85,7 +92,7 @@
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_open: asyncio.Event
     ) -> None:
-        with contextlib.suppress(ConnectionError, RuntimeError):
+        with contextlib.suppress(OSError, RuntimeError):
             while data := await reader.read(BLOCK_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
--- a/laburnumrock/soak/_run.py
+++ b/laburnumrock/soak/_run.py
@@ -394,8 +394,8 @@
 
 
 async def _trouble_proxy(proxy: FaultyProxy, step: Step) -> None:
-    if step.action == "reset":
-        proxy.reset()
+    if step.action in ("reset", "abandon"):
+        proxy.reset() if step.action == "reset" else proxy.abandon()
         return
     if step.action == "delay":
         proxy.delay_s = DELAY_S
@@ -419,7 +419,7 @@
         await asyncio.sleep(step.lasts_s + HEARTBEAT_S)
         upstream.crash()
         await upstream.start()
-    elif step.action in ("silence", "silence_one_way", "reset", "delay"):
+    elif step.action in ("silence", "silence_one_way", "reset", "abandon", "delay"):
         await _trouble_proxy(soak.engine_proxies[upstream.name], step)
     else:
         upstream.mode = step.action
--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -28,6 +28,9 @@
 QUEUE_FRAMES = 1_024
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 0.5
+CLOSE_TIMEOUT_S = 0.3
+"""Longest wait for the end of a link that no longer answers; the library waits 10 s by default, in
+which no new link is opened."""
 
 Handler = Callable[[str, object], Awaitable[object | None] | object | None]
 
@@ -96,6 +99,7 @@
             compression=None,
             ping_interval=self.settings.timing.link_ping_s,
             ping_timeout=self.settings.timing.link_ping_s,
+            close_timeout=CLOSE_TIMEOUT_S,
         )
 
     async def stop(self) -> None:
@@ -221,6 +225,7 @@
             open_timeout=self.settings.timing.connect_timeout_s,
             ping_interval=self.settings.timing.link_ping_s,
             ping_timeout=self.settings.timing.link_ping_s,
+            close_timeout=CLOSE_TIMEOUT_S,
             proxy=None,
         )
         async with connection:
--- a/laburnumrock/transport/tests/test_network.py
+++ b/laburnumrock/transport/tests/test_network.py
@@ -5,6 +5,7 @@
 
 from laburnumrock.errors import ErrorKind
 from laburnumrock.settings import InstanceSettings
+from laburnumrock.soak._proxy import FaultyProxy
 from laburnumrock.transport import PeerHello, PeerNetwork
 
 KEY = b"k" * 32
@@ -84,3 +85,36 @@
             return [name for name in names if name in waits]
 
         assert asyncio.run(scenario()) == []
+
+
+class TestSilentLink:
+    def test_silent_link_is_opened_anew(self):
+        """Guards against a link that stays closed for seconds after its path is whole again."""
+
+        async def run():
+            first_settings, second_settings = _make_settings()
+            [port] = _free_ports(1)
+            peer = second_settings.own_peer
+            proxy = FaultyProxy("127.0.0.1", port, peer.peer_port)
+            timing = first_settings.timing.model_copy(
+                update={"link_ping_s": 0.2, "connect_timeout_s": 0.3}
+            )
+            other = peer.model_copy(update={"peer_port": port})
+            peers = [first_settings.own_peer, other]
+            first_settings = first_settings.model_copy(update={"timing": timing, "peers": peers})
+            first = PeerNetwork(first_settings, KEY)
+            second = PeerNetwork(second_settings, KEY)
+            second.handle(PeerHello, lambda sender, message: PeerHello(sender, b"", 2))
+            await proxy.start()
+            await first.start()
+            await second.start()
+            hello = PeerHello("a1", b"n", 1)
+            assert (await first.call("a2", hello, 1.0)).is_ok()
+            proxy.abandon()
+            answers = [await first.call("a2", hello, 0.4) for _ in range(5)]
+            assert any(answer.is_ok() for answer in answers)
+            proxy.close()
+            await first.stop()
+            await second.stop()
+
+        asyncio.run(run())
