Count the streams that prompts will write when others are placed behind them

Ruled out: late first events, the largest of which was 2.99 s with a goal of 3 s, and the pace of the engines (0.94 to 1.08).

The pauses are now predicted from what a prompt adds to its longest pass, for streams that write and for those that will write while the prompts behind them are read.

--- a/laburnumrock/dispatch/_chooser.py
+++ b/laburnumrock/dispatch/_chooser.py
@@ -73,6 +73,8 @@
         Worth that is expected to be lost.
     read_ms : float
         Predicted time to read the prompt, or the part that each engine reads.
+    burst_ms : float
+        Longest time that this adds to one pass.
     helpers : list of tuple of (UpstreamEntry, UpstreamLoad, int)
         Engines that read parts, and the tokens to reserve there.
     """
@@ -82,6 +84,7 @@
     first_s: float
     loss: float
     read_ms: float = 0.0
+    burst_ms: float = 0.0
     helpers: list[tuple[UpstreamEntry, UpstreamLoad, int]] = field(default_factory=list)
 
 
@@ -125,13 +128,14 @@
                 key=lambda choice: choice.loss,
             )
         read_ms = model.read_ms(0, call.prompt_tokens)
+        burst_ms = model.burst_ms(call.prompt_tokens)
         memory = call.prompt_tokens + call.output_tokens
         capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
         best: Choice | None = None
         for entry, load in candidates:
             if load.memory_tokens + memory > capacity:
                 continue
-            choice = self._weigh(domain, call, entry, load, read_ms, now_s)
+            choice = self._weigh(domain, call, entry, load, read_ms, burst_ms, now_s)
             if best is None or choice.loss < best.loss:
                 best = choice
         if best is not None and best.loss <= SPLIT_LOSS:
@@ -170,6 +174,7 @@
         entry: UpstreamEntry,
         load: UpstreamLoad,
         read_ms: float,
+        burst_ms: float,
         now_s: float,
     ) -> Choice:
         value = self.fleet.find_value(call.service, call.prompt_tokens, call.output_tokens)
@@ -181,15 +186,15 @@
         loss += DELAY_WEIGHT * first_s / call.goal_s
         loss += value * FAIL_LOSS * load.current_failure_rate(now_s)
         if call.gap_goal_s > 0:
-            gap_s = load.pace * max(pass_ms, own_pass_ms) / MS_PER_S
+            gap_s = load.pace * own_pass_ms / MS_PER_S
             loss += value * late_loss(gap_s, call.gap_goal_s)
-        loss += find_disturbance(load, read_ms)
+        loss += find_disturbance(load, burst_ms)
         if not load.sends:
             order = spread_order(entry.report.upstream_id)
             long = read_ms > SHORT_PART_MS
             loss += IDLE_ENGINE_WEIGHT + ORDER_WEIGHT * (1.0 - order if long else order)
         loss += self._distance(domain, entry) + self.source.random() * 1e-4
-        return Choice(entry, load, first_s, loss, read_ms)
+        return Choice(entry, load, first_s, loss, read_ms, burst_ms)
 
     def _split(
         self,
@@ -214,10 +219,12 @@
                 most = min(most, int(SPLIT_IDLE_SHARE * idle))
             if engines > most or memory > engines * capacity:
                 continue
-            ranked = sorted(able, key=lambda pair: self._part_cost(domain, pair, part_ms, now_s))
+            burst_ms = model.part_burst_ms(call.prompt_tokens, engines)
+            part = (part_ms, burst_ms)
+            ranked = sorted(able, key=lambda pair: self._part_cost(domain, pair, part, now_s))
             reserved = -int(-memory // engines) if memory > capacity else 0
             choice = self._weigh_split(
-                domain, call, ranked, candidates, engines, part_ms, reserved, now_s
+                domain, call, ranked, candidates, engines, part, reserved, now_s
             )
             if choice is not None and (best is None or choice.loss < best.loss):
                 best = choice
@@ -230,7 +237,7 @@
         ranked: list[tuple[UpstreamEntry, UpstreamLoad]],
         candidates: list[tuple[UpstreamEntry, UpstreamLoad]],
         engines: int,
-        part_ms: float,
+        part: tuple[float, float],
         reserved: int,
         now_s: float,
     ) -> Choice | None:
@@ -245,7 +252,8 @@
                 helping.append((entry, load, reserved))
         if first is None or len(helping) < engines - 1:
             return None
-        choice = self._weigh(domain, call, *first, part_ms, now_s)
+        part_ms, _ = part
+        choice = self._weigh(domain, call, *first, *part, now_s)
         pace = max([first[1].pace, *(load.pace for _, load, _ in helping)])
         waits_ms = max(load.pass_ms() + load.parts_ms() for _, load, _ in helping)
         own_pass_ms = first[1].model.write_pass_ms(len(first[1].sends) + 1, call.prompt_tokens)
@@ -256,7 +264,7 @@
             choice.loss -= value * late_loss(choice.first_s, call.goal_s)
             choice.first_s = first_s
         for entry, load, _ in helping:
-            choice.loss += self._part_cost(domain, (entry, load), part_ms, now_s)
+            choice.loss += self._part_cost(domain, (entry, load), part, now_s)
         choice.helpers = helping
         return choice
 
@@ -264,12 +272,20 @@
         self,
         domain: str,
         pair: tuple[UpstreamEntry, UpstreamLoad],
-        part_ms: float,
+        part: tuple[float, float],
         now_s: float,
     ) -> float:
-        """Worth that is lost when an engine reads a part for another one."""
+        """Worth that is lost when an engine reads a part for another one.
+
+        Parameters
+        ----------
+        part : tuple of (float, float)
+            Time to read the part, and the longest time that it adds to one pass, in ms.
+        """
         entry, load = pair
-        cost = find_disturbance(load, part_ms) + find_reader_delay(load, part_ms) + HELPER_WEIGHT
+        part_ms, burst_ms = part
+        cost = HELPER_WEIGHT + find_disturbance(load, burst_ms, as_part=True)
+        cost += find_reader_delay(load, part_ms)
         cost += PART_WAIT_WEIGHT * load.pace * load.parts_ms() / MS_PER_S
         cost += HELPER_WEIGHT * (load.pace + 10.0 * load.current_failure_rate(now_s))
         return cost + self._distance(domain, entry)
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -248,9 +248,11 @@
             return
         load = self.fleet.find_load(known)
         helpers = [name for name in report.helpers if name in self.directory.entries]
-        read_ms = 0.0
+        read_ms = burst_ms = 0.0
         if load.model is not None:
-            read_ms = load.model.read_ms(0, report.prompt_tokens) / (1 + len(report.helpers))
+            engines = 1 + len(report.helpers)
+            read_ms = load.model.read_ms(0, report.prompt_tokens) / engines
+            burst_ms = load.model.part_burst_ms(report.prompt_tokens, engines)
         left_ms = 0.0
         if not report.writing:
             left_ms = max(UNFINISHED_SHARE * read_ms, read_ms - report.age_s * MS_PER_S)
@@ -266,6 +268,7 @@
             now_s - report.age_s,
             left_ms,
             read_ms,
+            burst_ms=burst_ms,
             helped_by=tuple(helpers),
         )
         self.sends[report.permit] = send
@@ -289,6 +292,7 @@
             send.started_s,
             send.read_left_ms,
             send.read_ms,
+            burst_ms=send.burst_ms,
             is_part=True,
         )
         load.add(part, now_s)
@@ -324,6 +328,7 @@
             choice.read_ms,
             choice.first_s,
             call.goal_s,
+            choice.burst_ms,
             tuple(helper.report.upstream_id for helper, _, _ in choice.helpers),
         )
         self.sends[permit] = send
--- a/laburnumrock/dispatch/_engine_model.py
+++ b/laburnumrock/dispatch/_engine_model.py
@@ -54,10 +54,26 @@
         step_ms += context_tokens / 1000.0 * parameters.context_ms_per_1k
         return parameters.stride * step_ms
 
-    def pass_read_limit_ms(self, position: float) -> float:
-        """Longest time that reading adds to one pass, for a prompt read up to `position`."""
-        tokens = self.parameters.stride * self.parameters.chunk_tokens
-        return self.read_ms(position, position + tokens)
+    @property
+    def pass_tokens(self) -> int:
+        """Prompt tokens that one pass reads at most."""
+        return self.parameters.stride * self.parameters.chunk_tokens
+
+    def burst_ms(self, prompt_tokens: float) -> float:
+        """Longest time that a prompt adds to one pass: its last tokens have the most pairs."""
+        return self.read_ms(max(0.0, prompt_tokens - self.pass_tokens), prompt_tokens)
+
+    def part_burst_ms(self, prompt_tokens: float, engines: int) -> float:
+        """Longest time that an equal part of a prompt adds to one pass of its engine."""
+        part_ms = self.read_ms(0, prompt_tokens) / engines
+        return part_ms * min(1.0, self.pass_tokens * engines / max(prompt_tokens, 1.0))
+
+    def join_bursts_ms(self, bursts_ms: list[float]) -> float:
+        """Longest time that several waiting prompts add to one pass."""
+        if not bursts_ms:
+            return 0.0
+        full_ms = self.pass_tokens * self.ms_per_token
+        return max(max(bursts_ms), min(sum(bursts_ms), full_ms))
 
     def write_ms(self, output_tokens: float, context_tokens: float) -> float:
         """Time to write an answer on an engine that does nothing else."""
--- a/laburnumrock/dispatch/_load.py
+++ b/laburnumrock/dispatch/_load.py
@@ -50,6 +50,8 @@
         Predicted time to the first event.
     goal_s : float
         Time to the first event within which it counts in full; 0 for none.
+    burst_ms : float
+        Longest time that reading it adds to one pass.
     helped_by : tuple of str
         Upstreams that read parts of the prompt.
     is_part : bool
@@ -69,6 +71,7 @@
     read_ms: float
     expected_first_s: float = 0.0
     goal_s: float = 0.0
+    burst_ms: float = 0.0
     helped_by: tuple[str, ...] = ()
     is_part: bool = False
 
@@ -162,24 +165,22 @@
         """Return the sends whose prompts are read."""
         return [send for send in self.sends.values() if send.is_writing and not send.is_part]
 
-    def pass_ms(self, more_reading_ms: float = 0.0) -> float:
-        """Predicted duration of the next pass, at the normal pace.
-
-        Parameters
-        ----------
-        more_reading_ms : float
-            Reading besides that of the sends under way.
-        """
+    def pass_ms(self) -> float:
+        """Predicted duration of the next pass, at the normal pace; 0 if nothing writes."""
         writers = self.writers()
-        context = sum(send.prompt_tokens for send in writers)
-        write_ms = self.model.write_pass_ms(len(writers), context)
         if not writers:
             return 0.0
-        position = max(
-            (s.prompt_tokens for s in self.sends.values() if not s.is_writing), default=0
-        )
-        limit_ms = self.model.pass_read_limit_ms(position / 2)
-        return write_ms + min(self.reading_ms() + more_reading_ms, max(limit_ms, 0.0))
+        context = sum(send.prompt_tokens for send in writers)
+        write_ms = self.model.write_pass_ms(len(writers), context)
+        return write_ms + self.model.join_bursts_ms(self.bursts_ms())
+
+    def bursts_ms(self) -> list[float]:
+        """Longest times that the waiting prompts and parts add to one pass."""
+        return [
+            min(send.burst_ms, send.read_left_ms)
+            for send in self.sends.values()
+            if not send.is_writing
+        ]
 
     def note_first_event(self, permit: int, first_s: float, now_s: float) -> None:
         """Take over how long a send took to its first event."""
--- a/laburnumrock/dispatch/_losses.py
+++ b/laburnumrock/dispatch/_losses.py
@@ -3,7 +3,7 @@
 import zlib
 
 from laburnumrock.dispatch._engine_model import MS_PER_S
-from laburnumrock.dispatch._load import UpstreamLoad
+from laburnumrock.dispatch._load import ActiveSend, UpstreamLoad
 
 LATE_LOSS = 0.75
 """Share of its worth that a late answer loses; both users give a late answer a quarter."""
@@ -22,28 +22,53 @@
     return zlib.crc32(upstream_id.encode()) / 0xFFFFFFFF
 
 
-def find_disturbance(load: UpstreamLoad, read_ms: float) -> float:
-    """Worth that the requests of an engine lose when it reads more.
+def find_disturbance(load: UpstreamLoad, burst_ms: float, as_part: bool = False) -> float:
+    """Worth that the streams of an engine lose by longer pauses when it reads one more prompt.
 
     Parameters
     ----------
     load : UpstreamLoad
         The engine.
-    read_ms : float
-        Time that it reads more, at the normal pace.
+    burst_ms : float
+        Longest time that the prompt adds to one pass, at the normal pace.
+    as_part : bool
+        Whether it is a part of another engine's prompt, which is read before the prompts that
+        wait here and so does not disturb their streams.
+
+    Notes
+    -----
+    A prompt that still waits will write while the prompts behind it are read.
     """
-    before_s = load.pace * load.pass_ms() / MS_PER_S
-    after_s = load.pace * load.pass_ms(read_ms) / MS_PER_S
+    model = load.model
+    sends = [send for send in load.sends.values() if not send.is_part]
+    context = sum(send.prompt_tokens for send in sends)
+    base_ms = model.write_pass_ms(len(sends), context)
     loss = 0.0
-    for send in load.sends.values():
-        if not send.is_writing or send.gap_goal_s <= 0:
+    behind: list[float] = []
+    for send in reversed(sends):
+        if send.is_writing:
             continue
-        loss += send.value * (
-            late_loss(after_s, send.gap_goal_s) - late_loss(before_s, send.gap_goal_s)
-        )
+        if not as_part:
+            loss += _lose_by_burst(load, send, base_ms, behind, burst_ms)
+        behind.append(min(send.burst_ms, send.read_left_ms))
+    waiting = load.bursts_ms()
+    for send in sends:
+        if send.is_writing:
+            loss += _lose_by_burst(load, send, base_ms, waiting, burst_ms)
     return loss
 
 
+def _lose_by_burst(
+    load: UpstreamLoad, send: ActiveSend, base_ms: float, bursts: list[float], burst_ms: float
+) -> float:
+    if send.gap_goal_s <= 0:
+        return 0.0
+    before_s = load.pace * (base_ms + load.model.join_bursts_ms(bursts)) / MS_PER_S
+    after_s = load.pace * (base_ms + load.model.join_bursts_ms([*bursts, burst_ms])) / MS_PER_S
+    after = late_loss(after_s, send.gap_goal_s)
+    return send.value * (after - late_loss(before_s, send.gap_goal_s))
+
+
 def find_reader_delay(load: UpstreamLoad, part_ms: float) -> float:
     """Worth that the waiting prompts of an engine lose when it reads a part ahead of them."""
     delay_s = load.pace * part_ms / MS_PER_S
@@ -57,6 +82,7 @@
 
 
 def late_loss(time_s: float, goal_s: float) -> float:
+    """Share of its worth that a request loses when a time is predicted against its goal."""
     if goal_s <= 0:
         return 0.0
     share = time_s / goal_s
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -129,6 +129,13 @@
         names = [place(dispatcher, PLAIN).upstream_id for _ in range(8)]
         assert names.count("plain100") == 4
 
+    def test_long_prompts_do_not_queue_behind_each_other(self):
+        """Guards against a stream that stalls while the prompt behind it is read."""
+        dispatcher = make_dispatcher(engines=6)
+        calls = [replace(LONG, prompt_tokens=130_000) for _ in range(4)]
+        used = [place(dispatcher, call).upstream_id for call in calls]
+        assert len(set(used)) == 4
+
     def test_full_engines_help(self):
         """Guards against a prompt that stalls all streams of one engine while others could help."""
         dispatcher = make_dispatcher(engines=4, slots=3)
