Refuse prompts whose callers will have left; let late short prompts wait for a slot

A request that would be late waits for a better slot as long as for any slot; one whose first event is predicted after its caller has left is refused with the time to return. A caller that leaves is logged and counted.

--- a/laburnumrock/dispatch/_chooser.py
+++ b/laburnumrock/dispatch/_chooser.py
@@ -51,8 +51,11 @@
 """Share of an engine's memory that is planned with; blocks round each request up."""
 EXPECTED_PLAIN_S = 0.05
 """Predicted time of a request on an idle upstream that is not a model engine."""
-MIN_WAIT_READ_S = 1.0
-"""Prompts that are read in less are placed at once; engines free up about every second."""
+MIN_SPLIT_READ_S = 1.0
+"""Prompts that are read in less are not split while they wait."""
+ABANDON_S, ABANDON_GOALS, ABANDON_GAPS = 2.0, 4.0, 8.0
+"""Callers leave a stream without events after the longest of these times: in seconds, in goals of
+the first event and in goals of the pauses, as the users state it."""
 WAIT_GOAL_SHARE = 0.5
 """A prompt waits only if, split over the most engines, it is read in this share of its goal."""
 REPEAT_EXTRA_SLOTS = 2
@@ -146,14 +149,21 @@
         return best
 
     def is_worth_waiting(self, choice: Choice, call: DispatchCall) -> bool:
-        """Whether a long prompt that would be late now may be on time once engines are free."""
+        """Whether a request that would be late now may be on time once engines are free."""
         model = self.fleet.models.get(call.service)
         if model is None or choice.first_s <= call.goal_s:
             return False
+        # Split over the most engines a long prompt takes a sixteenth of the time.
         whole_s = model.read_ms(0, call.prompt_tokens) / MS_PER_S
-        # Split over the most engines it takes whole_s / 16; what is left of the goal allows a wait.
-        split_s = whole_s / MAX_ENGINES_PER_PROMPT
-        return whole_s > MIN_WAIT_READ_S and split_s < WAIT_GOAL_SHARE * call.goal_s
+        best_s = whole_s / MAX_ENGINES_PER_PROMPT if whole_s > MIN_SPLIT_READ_S else whole_s
+        return best_s < WAIT_GOAL_SHARE * call.goal_s
+
+    def is_in_vain(self, choice: Choice, call: DispatchCall) -> bool:
+        """Whether the caller will have left before the predicted first event."""
+        if call.gap_goal_s <= 0:
+            return choice.first_s > call.remaining_s
+        patience_s = max(ABANDON_S, ABANDON_GOALS * call.goal_s, ABANDON_GAPS * call.gap_goal_s)
+        return choice.first_s > min(patience_s, call.remaining_s)
 
     def _weigh_plain(
         self,
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -26,6 +26,9 @@
 
 NO_UPSTREAM_RETRY_S = 2.0
 """Upstreams announce themselves about every second, also after all of them were lost."""
+MAX_RETRY_S = 3.0
+"""Longest time after which a refused caller is asked to return; callers wait up to a third of the
+time that they have left."""
 PERMIT_MARGIN_S = 1.0
 """A send that its entry no longer lists is dropped after this time; reports may cross."""
 REPEAT_HOLD_S = 0.8
@@ -130,7 +133,7 @@
             return _refuse(ErrorKind.RATE_LIMITED, self._spread(1.0))
         choice = self.chooser.choose(domain, call, now_s)
         if choice is not None and not self.chooser.is_worth_waiting(choice, call):
-            return self._grant(entry, choice, call, now_s)
+            return self._grant_or_refuse(entry, choice, call, now_s)
         if choice is None and not self.fleet.has_upstream(call, now_s):
             return _refuse(ErrorKind.NO_UPSTREAM, self._spread(NO_UPSTREAM_RETRY_S))
         hold_s = find_hold_s(self.settings, call)
@@ -166,7 +169,8 @@
             choice = self.chooser.choose(domains.get(waiting.entry, ""), call, now_s)
             given_up = now_s >= waiting.gives_up_s
             if choice is not None and (given_up or not self.chooser.is_worth_waiting(choice, call)):
-                decided.append((ticket, self._grant(waiting.entry, choice, call, now_s)))
+                answer = self._grant_or_refuse(waiting.entry, choice, call, now_s)
+                decided.append((ticket, answer))
             elif given_up:
                 retry_s = self._spread(max(0.5, waiting.call.goal_s))
                 decided.append((ticket, _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)))
@@ -306,6 +310,15 @@
             self.fleet.loads.pop(report.upstream_id, None)
         return changed
 
+    def _grant_or_refuse(
+        self, entry: str, choice: Choice, call: DispatchCall, now_s: float
+    ) -> DispatchAnswer:
+        if self.chooser.is_in_vain(choice, call):
+            # The engine would work for a caller that has left, while others wait.
+            retry_s = self._spread(min(MAX_RETRY_S, max(0.5, choice.first_s / 2)))
+            return _refuse(ErrorKind.DEADLINE_UNREACHABLE, retry_s)
+        return self._grant(entry, choice, call, now_s)
+
     def _grant(
         self, entry: str, choice: Choice, call: DispatchCall, now_s: float
     ) -> DispatchAnswer:
--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -228,7 +228,15 @@
             self._fail(ErrorKind.DEADLINE_EXCEEDED)
         except StreamClosedError:
             # The caller left; nothing can be answered.
-            self._log("caller_left")
+            self._note_caller_left()
+        except asyncio.CancelledError:
+            self._note_caller_left()
+            raise
+
+    def _note_caller_left(self) -> None:
+        self._log("caller_left", attempts=self.attempts.sent)
+        if self.route is not None:
+            self._count(0)
 
     def _admit(self) -> ErrorKind | None:
         table = self.context.table
--- a/laburnumrock/soak/_upstreams.py
+++ b/laburnumrock/soak/_upstreams.py
@@ -132,7 +132,7 @@
         try:
             while not writer.is_closing():
                 await self._serve_one(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
         finally:
             self.writers.discard(writer)
