Use doubtful engines when the others are full; bound the cost of a placement

The benchmark of the placement cost showed requests that waited although two thirds of the slots were free: engines that had missed a report were not used at all while any other engine was usable, even if that one was full. They now get requests when the others have no slot; the test fails without it.

A placement weighed every engine for every split, 4 ms for a long prompt with 78 engines. It now weighs at most 40 engines for a whole prompt and the 24 least busy ones for parts.

--- /dev/null
+++ b/benchmarks/dispatch_cost.py
@@ -0,0 +1,87 @@
+"""Processor time of one placement, by the number of engines and the kind of prompt."""
+
+import random
+import time
+
+import click
+
+from laburnumrock.dispatch import (
+    DispatchAnswer,
+    DispatchCall,
+    Dispatcher,
+    DispatchSettings,
+    SendEnded,
+    SendOutcome,
+    SendStarted,
+    UpstreamDirectory,
+    UpstreamReport,
+    UpstreamState,
+)
+from laburnumrock.routing import EngineParameters, RouteSet, Service
+
+SHORT = DispatchCall("s", 1, "llm", "one", 1, 5_000, 1_600, 0.3, 0.2, 10.0)
+LONG = DispatchCall("l", 1, "llm", "one", 1, 250_000, 800, 3.0, 0.8, 15.0)
+BUSY_SHARE = 0.6
+"""Part of all slots that are taken during the measurement."""
+
+
+def make_dispatcher(engines: int, slots: int) -> Dispatcher:
+    """Return a dispatcher with idle engines."""
+    dispatcher = Dispatcher(
+        DispatchSettings(doubt_s=1e9), UpstreamDirectory(1e9, 1e9), random.Random(1)
+    )
+    services = (Service("llm", engine=EngineParameters(slots=slots)),)
+    dispatcher.set_routes(RouteSet(1, (), services))
+    dispatcher.start(1, 0.0)
+    for number in range(engines):
+        dispatcher.observe(
+            UpstreamReport(
+                f"u{number}",
+                "llm",
+                f"10.0.{number // 250}.{number % 250}",
+                80,
+                "abc"[number % 3],
+                1,
+                1,
+                slots,
+                UpstreamState.READY,
+            ),
+            0.0,
+        )
+    return dispatcher
+
+
+def measure(engines: int, slots: int, call: DispatchCall, rounds: int) -> float:
+    """Return the mean processor time of a placement and its end, in microseconds."""
+    dispatcher = make_dispatcher(engines, slots)
+    now_s = 1.0
+    for _ in range(int(BUSY_SHARE * engines * slots)):
+        now_s += 0.02
+        answer = dispatcher.place("e", "a", SHORT, now_s)
+        if isinstance(answer, DispatchAnswer):
+            dispatcher.note_started(SendStarted(answer.permit, 0.1), now_s + 0.01)
+    spent_s = 0.0
+    for _ in range(rounds):
+        now_s += 0.02
+        began_s = time.process_time()
+        answer = dispatcher.place("e", "a", call, now_s)
+        spent_s += time.process_time() - began_s
+        if isinstance(answer, DispatchAnswer) and answer.permit:
+            dispatcher.note_ended(SendEnded(answer.permit, SendOutcome.DONE), now_s + 0.01)
+        dispatcher.waiting.clear()
+    return spent_s / rounds * 1e6
+
+
+@click.command()
+@click.option("--rounds", default=300, show_default=True)
+def main(rounds: int) -> None:
+    """Print the cost of short and long prompts for growing fleets."""
+    click.echo("engines  short us  long us")
+    for engines in (21, 42, 72, 78, 156, 300):
+        short = measure(engines, 8, SHORT, rounds)
+        long = measure(engines, 8, LONG, rounds)
+        click.echo(f"{engines:7}  {short:8.0f}  {long:7.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/laburnumrock/dispatch/_chooser.py
+++ b/laburnumrock/dispatch/_chooser.py
@@ -12,7 +12,7 @@
 
 from laburnumrock.dispatch._directory import UpstreamEntry
 from laburnumrock.dispatch._engine_model import MS_PER_S, EngineModel
-from laburnumrock.dispatch._fleet import Fleet
+from laburnumrock.dispatch._fleet import Fleet, UpstreamPair
 from laburnumrock.dispatch._load import UpstreamLoad
 from laburnumrock.dispatch._losses import (
     find_disturbance,
@@ -43,6 +43,9 @@
 still find one."""
 SHORT_PART_MS = 100.0
 """A part that is read in this time delays no other request beyond its goal."""
+MAX_WEIGHED, MAX_WEIGHED_PARTS = 40, 24
+"""Engines that are weighed for a whole prompt and for parts; a random or the least busy part of a
+larger fleet, so that a decision costs about the same for any number of engines."""
 SPLIT_LOSS = 0.1
 """A placement that loses less is taken without weighing whether to split the prompt."""
 SPLIT_SIZES = (2, 3, 4, 6, 8, 12, 16)
@@ -118,10 +121,23 @@
         now_s : float
             Monotonic clock in seconds.
         """
-        usable = self.fleet.find_candidates(call, now_s)
         # Engines queue a few requests; a stream that was cut cannot wait for a free slot.
         least_free = 1 if call.attempt <= 1 else 1 - REPEAT_EXTRA_SLOTS
-        candidates = [pair for pair in usable if pair[1].free_slots >= least_free]
+        for usable in self.fleet.find_candidates(call, now_s):
+            candidates = [pair for pair in usable if pair[1].free_slots >= least_free]
+            choice = self._choose_among(domain, call, usable, candidates, now_s)
+            if choice is not None:
+                return choice
+        return None
+
+    def _choose_among(
+        self,
+        domain: str,
+        call: DispatchCall,
+        usable: list[UpstreamPair],
+        candidates: list[UpstreamPair],
+        now_s: float,
+    ) -> Choice | None:
         if not candidates:
             return None
         model = self.fleet.models.get(call.service)
@@ -135,7 +151,10 @@
         memory = call.prompt_tokens + call.output_tokens
         capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
         best: Choice | None = None
-        for entry, load in candidates:
+        weighed = candidates
+        if len(weighed) > MAX_WEIGHED:
+            weighed = self.source.sample(candidates, MAX_WEIGHED)
+        for entry, load in weighed:
             if load.memory_tokens + memory > capacity:
                 continue
             choice = self._weigh(domain, call, entry, load, read_ms, burst_ms, now_s)
@@ -210,8 +229,8 @@
         self,
         domain: str,
         call: DispatchCall,
-        usable: list[tuple[UpstreamEntry, UpstreamLoad]],
-        candidates: list[tuple[UpstreamEntry, UpstreamLoad]],
+        usable: list[UpstreamPair],
+        candidates: list[UpstreamPair],
         model: EngineModel,
         now_s: float,
     ) -> Choice | None:
@@ -220,6 +239,9 @@
         memory = call.prompt_tokens + call.output_tokens
         capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
         able = [pair for pair in usable if not pair[0].is_cold(now_s)]
+        if len(able) > MAX_WEIGHED_PARTS:
+            able.sort(key=lambda pair: (pair[1].reading_ms(), len(pair[1].sends)))
+            able = able[:MAX_WEIGHED_PARTS]
         idle = sum(1 for _, load in able if load.reading_ms() <= 0)
         best = None
         for engines in SPLIT_SIZES:
@@ -244,8 +266,8 @@
         self,
         domain: str,
         call: DispatchCall,
-        ranked: list[tuple[UpstreamEntry, UpstreamLoad]],
-        candidates: list[tuple[UpstreamEntry, UpstreamLoad]],
+        ranked: list[UpstreamPair],
+        candidates: list[UpstreamPair],
         engines: int,
         part: tuple[float, float],
         reserved: int,
@@ -281,7 +303,7 @@
     def _part_cost(
         self,
         domain: str,
-        pair: tuple[UpstreamEntry, UpstreamLoad],
+        pair: UpstreamPair,
         part: tuple[float, float],
         now_s: float,
     ) -> float:
--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -42,6 +42,9 @@
     hold_share: float = 0.5
 
 
+UpstreamPair = tuple[UpstreamEntry, UpstreamLoad]
+
+
 class Fleet:
     """State of all upstreams.
 
@@ -92,10 +95,10 @@
 
     def find_candidates(
         self, call: DispatchCall, now_s: float
-    ) -> list[tuple[UpstreamEntry, UpstreamLoad]]:
-        """Return the upstreams that may get a request, or doubtful ones if there are no others."""
-        usable = []
-        suspects = []
+    ) -> tuple[list[UpstreamPair], list[UpstreamPair]]:
+        """Return the upstreams that may get a request, and those that may if these are full."""
+        usable: list[UpstreamPair] = []
+        doubtful: list[UpstreamPair] = []
         for entry in self.directory.usable(call.service, now_s):
             name = entry.report.upstream_id
             if entry.report.failure_domain in self.drained or name in call.excluded:
@@ -104,11 +107,9 @@
             if not self.bears_cold(entry, load, now_s):
                 continue
             load.advance(now_s)
-            if load.is_suspect(now_s) or self.is_doubtful(entry, now_s):
-                suspects.append((entry, load))
-            else:
-                usable.append((entry, load))
-        return usable or suspects
+            in_doubt = load.is_suspect(now_s) or self.is_doubtful(entry, now_s)
+            (doubtful if in_doubt else usable).append((entry, load))
+        return usable, doubtful
 
     def has_upstream(self, call: DispatchCall, now_s: float) -> bool:
         """Whether any upstream may get a request, now or once it has a free slot."""
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -122,6 +122,14 @@
         assert answer.refusal == ErrorKind.NO_UPSTREAM
         assert answer.retry_after_s > 0
 
+    def test_upstream_that_missed_a_report_is_used_when_others_are_full(self):
+        """Guards against requests that are refused while an engine that lives has free slots."""
+        dispatcher = make_dispatcher(engines=2, slots=1)
+        dispatcher.observe(replace(make_report("llm", 0, 1), sequence=2), 12.5)
+        first = place(dispatcher, SHORT, 12.6)
+        assert first.upstream_id == "llm0"
+        assert place(dispatcher, SHORT, 12.6).upstream_id == "llm1"
+
     def test_plain_service_balances(self):
         """Guards against plain requests that pile up on one upstream."""
         dispatcher = make_dispatcher()
