--- a/laburnumrock/standins/__init__.py
+++ b/laburnumrock/standins/__init__.py
@@ -29,6 +29,7 @@
     RequestAborted,
     TokenEvent,
 )
+from laburnumrock.standins._passes import FleetReplay, ReplayRequest
 
 __all__ = [
     "AccountProfile",
@@ -38,6 +39,7 @@
     "EngineEvent",
     "EngineParameters",
     "EngineRequest",
+    "FleetReplay",
     "LoadClient",
     "LoadProfile",
     "LoadReport",
@@ -52,6 +54,7 @@
     "load_command",
     "load_profile",
     "plan_calls",
+    "ReplayRequest",
     "read_executions",
     "read_report",
     "report_command",
