Split the run of a request; move the soak beside the adapter and the proxy to the stand-ins

The soak speaks the platform's protocol, so it belongs into the adapter's folder; its proxy is a stand-in that other tests use too.

One fault came to light while splitting: after two sends that both were refused with proof, the answer was 502 instead of 503, because only the first send's proof counted. A new test covers it.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/ruff check --quiet laburnumrock benchmarks examples conftest.py
 
 soak: install
-	$(BIN)/python -m laburnumrock.soak --seed 1 --runs 50 --logs soak-logs
+	$(BIN)/python -m laburnumrock.platform.soak --seed 1 --runs 50 --logs soak-logs
 
 test: lint
 	$(BIN)/python -m pytest -n 4 -m "not processes"
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -22,7 +22,8 @@
 from tornado.tcpserver import TCPServer
 
 from laburnumrock.forwarding._channels import has_unread
-from laburnumrock.forwarding._run import ForwardRun, RunContext
+from laburnumrock.forwarding._context import RunContext
+from laburnumrock.forwarding._run import ForwardRun
 from laburnumrock.forwarding._wire import CallerRequest
 
 IDLE_TIMEOUT_S = 20.0
--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -257,6 +257,18 @@
 
         asyncio.run(run())
 
+    def test_two_proofs_are_a_promise(self):
+        """Guards against an unknown outcome where both upstreams prove that nothing ran."""
+
+        async def run():
+            refusing = [answer(503, Not_Executed="1", signed=False) for _ in range(2)]
+            first, second = (ScriptedUpstream(script) for script in refusing)
+            async with open_front(first, second) as front:
+                reply = await front.request()
+            assert reply.status == 503
+
+        asyncio.run(run())
+
     def test_refusal_after_a_run_is_no_promise(self):
         """Guards against 503 when the first of two sends may have run."""
 
--- a/laburnumrock/metrics/tests/test_events.py
+++ b/laburnumrock/metrics/tests/test_events.py
@@ -28,7 +28,7 @@
         files = [path] if path.suffix else sorted(path.glob("*.py"))
         for file in files:
             for node in ast.walk(ast.parse(file.read_text())):
-                if isinstance(node, ast.Call) and _name(node) in ("log_message", "_log"):
+                if isinstance(node, ast.Call) and _name(node) in ("log_message", "log"):
                     yield file, node.args[0], {keyword.arg for keyword in node.keywords}
 
 
--- a/laburnumrock/soak/__main__.py
+++ b/laburnumrock/platform/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Program ``python -m laburnumrock.soak``."""
+"""Program ``python -m laburnumrock.platform.soak``."""
 
 import shutil
 import sys
@@ -7,8 +7,8 @@
 
 import click
 
-from laburnumrock.soak._run import SoakSettings, run_soak
-from laburnumrock.soak._schedule import make_schedule
+from laburnumrock.platform.soak._run import SoakSettings, run_soak
+from laburnumrock.platform.soak._schedule import make_schedule
 
 
 @click.command()
--- a/laburnumrock/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -5,8 +5,8 @@
 import time
 from dataclasses import dataclass, field
 
-from laburnumrock.soak._findings import Findings
-from laburnumrock.soak._upstreams import PIECES, Ledger, make_piece
+from laburnumrock.platform.soak._findings import Findings
+from laburnumrock.platform.soak._upstreams import PIECES, Ledger, make_piece
 
 HOST_NAME = "soak.example"
 KEY = "soak-key"
--- a/laburnumrock/soak/_operator.py
+++ b/laburnumrock/platform/soak/_operator.py
@@ -6,9 +6,9 @@
 import time
 from dataclasses import dataclass
 
-from laburnumrock.soak._callers import HOST_NAME, KEY
-from laburnumrock.soak._findings import Findings
-from laburnumrock.soak._upstreams import ACCOUNT, SLOTS
+from laburnumrock.platform.soak._callers import HOST_NAME, KEY
+from laburnumrock.platform.soak._findings import Findings
+from laburnumrock.platform.soak._upstreams import ACCOUNT, SLOTS
 
 CALL_TIMEOUT_S = 1.0
 CHANGE_LIMIT_S = 12.0
--- a/laburnumrock/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -10,14 +10,23 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from laburnumrock.platform.soak._callers import Caller
+from laburnumrock.platform.soak._findings import Findings
+from laburnumrock.platform.soak._operator import Operator, call
+from laburnumrock.platform.soak._schedule import (
+    CORES,
+    ENGINES,
+    ENTRIES,
+    SERVERS,
+    Step,
+    make_schedule,
+)
+from laburnumrock.platform.soak._upstreams import HEARTBEAT_S, Ledger, Upstream
 from laburnumrock.scenarios import ManagedProcess
-from laburnumrock.soak._callers import Caller
-from laburnumrock.soak._findings import Findings
-from laburnumrock.soak._operator import Operator, call
-from laburnumrock.soak._proxy import DELAY_S, FaultyProxy
-from laburnumrock.soak._schedule import CORES, ENGINES, ENTRIES, SERVERS, Step, make_schedule
-from laburnumrock.soak._upstreams import HEARTBEAT_S, Ledger, Upstream
+from laburnumrock.standins import FaultyProxy
 
+DELAY_S = 0.15
+"""Delay of a slow link; above every round trip, below the time limits between nodes."""
 ZONES = ("zone-a", "zone-b", "zone-c")
 START_LIMIT_S = 20.0
 SETTLE_S = 9.0
--- a/laburnumrock/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -7,7 +7,7 @@
 import time
 from dataclasses import dataclass, field
 
-from laburnumrock.soak._findings import Findings
+from laburnumrock.platform.soak._findings import Findings
 
 HEARTBEAT_S = 0.6
 PIECE_PAUSE_S = 0.02
--- a/laburnumrock/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from laburnumrock.soak import ACTIONS, Findings, SoakSettings, make_schedule, run_soak
-from laburnumrock.soak._schedule import CORE_RECOVERY_S
+from laburnumrock.platform.soak import ACTIONS, Findings, SoakSettings, make_schedule, run_soak
+from laburnumrock.platform.soak._schedule import CORE_RECOVERY_S
 
 # Seeds that failed once, each with its cause.
 REGRESSIONS: dict[int, str] = {}
--- a/laburnumrock/standins/__init__.py
+++ b/laburnumrock/standins/__init__.py
@@ -30,6 +30,7 @@
     TokenEvent,
 )
 from laburnumrock.standins._passes import FleetReplay, ReplayRequest
+from laburnumrock.standins._proxy import FaultyProxy
 
 __all__ = [
     "AccountProfile",
@@ -39,6 +40,7 @@
     "EngineEvent",
     "EngineParameters",
     "EngineRequest",
+    "FaultyProxy",
     "FleetReplay",
     "LoadClient",
     "LoadProfile",
--- a/laburnumrock/soak/_proxy.py
+++ b/laburnumrock/standins/_proxy.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 
 BLOCK_BYTES = 64 * 1024
-DELAY_S = 0.15
 
 
 @dataclass(slots=True)
--- a/laburnumrock/transport/tests/test_network.py
+++ b/laburnumrock/transport/tests/test_network.py
@@ -5,7 +5,7 @@
 
 from laburnumrock.errors import ErrorKind
 from laburnumrock.settings import InstanceSettings
-from laburnumrock.soak._proxy import FaultyProxy
+from laburnumrock.standins import FaultyProxy
 from laburnumrock.transport import PeerHello, PeerNetwork
 
 KEY = b"k" * 32
