--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -92,7 +92,7 @@
         dispatch = settings.dispatch
         self.directory = UpstreamDirectory(dispatch.expiry_s, dispatch.forget_s)
         self.dispatcher = Dispatcher(dispatch, self.directory, source)
-        self.voter_plan = VoterPlan()
+        self.voter_plan = VoterPlan(settings.tolerated_losses)
         self.metrics = NodeMetrics()
         self.metrics.leading.set_function(lambda: int(self.is_leading))
         self.entries: dict[str, _EntryState] = {}
@@ -410,6 +410,7 @@
     def _keep_house(self) -> None:
         now_s = time.monotonic()
         for name in self.directory.expire(now_s):
+            self.dispatcher.fleet.loads.pop(name, None)
             log_message("upstream_expired", upstream=name)
         silent = [
             name for name, entry in self.entries.items() if now_s - entry.heard_s > ENTRY_EXPIRY_S
--- a/laburnumrock/nodes/_settings.py
+++ b/laburnumrock/nodes/_settings.py
@@ -97,6 +97,8 @@
         Whether the whole system starts for the first time, with empty disks.
     readiness : tuple of (str, int), optional
         Host and port where an entry tells whether it takes connections.
+    tolerated_losses : int, >= 1
+        Disks that may be lost at once.
     stop_s : float, > 0
         Time between the order to stop and the end of the process by force.
     timing : NodeTiming
@@ -118,6 +120,7 @@
     data_folder: Path | None = None
     first_start: bool = False
     readiness: tuple[str, int] | None = None
+    tolerated_losses: int = 1
     stop_s: float = 8.0
     timing: NodeTiming = field(default_factory=NodeTiming)
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
--- a/laburnumrock/platform/_settings.py
+++ b/laburnumrock/platform/_settings.py
@@ -64,6 +64,7 @@
         data_folder=Path(data_folder) if data_folder else None,
         first_start=document["bootstrap"],
         readiness=split_address(readiness) if readiness else None,
+        tolerated_losses=max(1, document.get("fault_tolerance", {}).get("machines", 1)),
         stop_s=float(bounds["grace_s"]),
         dispatch=DispatchSettings(
             repeat_ratio=bounds["retry_ratio"] * BUDGET_SHARE,
--- a/laburnumrock/platform/tests/samples.py
+++ b/laburnumrock/platform/tests/samples.py
@@ -15,6 +15,8 @@
 [listen]
 front = "10.1.0.40:8227"
 readiness_address = "10.1.0.40:8220"
+[fault_tolerance]
+machines = 2
 [bounds]
 grace_s = 8
 retry_ratio = 0.2
--- a/laburnumrock/platform/tests/test_settings.py
+++ b/laburnumrock/platform/tests/test_settings.py
@@ -20,6 +20,7 @@
         assert settings.data_folder is None
         assert settings.first_start
         assert settings.dispatch.repeat_slack < 219
+        assert settings.tolerated_losses == 2
 
     def test_core(self, tmp_path):
         """Guards against a core that opens the wrong port or forgets its folder."""
--- a/laburnumrock/replication/_voter_plan.py
+++ b/laburnumrock/replication/_voter_plan.py
@@ -8,8 +8,6 @@
 
 MAX_VOTERS = 9
 """More voters make commits slower; the largest deployment has 8 cores."""
-MIN_VOTERS = 3
-"""A silent voter is not removed below this, since fewer bear no loss."""
 SILENT_S = 1.5
 """A member that did not answer for this long is removed while enough others remain."""
 OUTSIDER_S = 3.0
@@ -41,12 +39,22 @@
 class VoterPlan:
     """Finds the next change of the members.
 
+    Parameters
+    ----------
+    tolerated_losses : int, >= 1
+        Disks that may be lost at once.
+
     Notes
     -----
-    A lost voter is removed once its replacement has caught up, and never before. A voter that was
-    removed while it was cut off comes back as a learner when it is heard again.
+    A lost voter is removed only while enough others remain to lose that many disks at once, so on
+    the smallest deployments once its replacement has caught up. With fewer, the voters that are
+    left with their disks would be no majority of the members, for good. A voter that was removed
+    while it was cut off comes back as a learner when it is heard again.
     """
 
+    def __init__(self, tolerated_losses: int = 1) -> None:
+        self.tolerated_losses = tolerated_losses
+
     def next_change(self, node: RaftNode, now_s: float) -> VoterChange | None:
         """Return the change to start now, if any.
 
@@ -65,7 +73,8 @@
             if voter_id in members.learners:
                 return VoterChange("remove", members.learners[voter_id])
         voters = members.voters
-        if silent and len(voters) > MIN_VOTERS and len(silent) < len(voters) / 2:
+        least = 2 * self.tolerated_losses + 1
+        if silent and len(voters) > least and len(silent) < len(voters) / 2:
             return VoterChange("remove", voters[silent[0]])
         if members.learners or len(voters) - len(silent) >= MAX_VOTERS:
             return None
--- a/laburnumrock/replication/tests/test_voter_plan.py
+++ b/laburnumrock/replication/tests/test_voter_plan.py
@@ -13,11 +13,11 @@
 class Cluster:
     """Nodes that exchange messages without loss, and a plan that runs on the leader."""
 
-    def __init__(self) -> None:
+    def __init__(self, tolerated_losses: int = 1) -> None:
         self.nodes: dict[str, RaftNode] = {}
         self.down: set[str] = set()
         self.now_s = 0.0
-        self.plan = VoterPlan()
+        self.plan = VoterPlan(tolerated_losses)
         for name in FIRST:
             self.start(name, f"{name}1", may_form=True)
 
@@ -133,6 +133,28 @@
         cluster.run(6.0)
         assert cut in cluster.voters()
 
+    def test_disks_that_may_be_lost_leave_a_majority(self):
+        """Guards against a log that ends when voters are cut off and others lose their disks."""
+        cluster = Cluster(tolerated_losses=2)
+        cluster.run(3.0)
+        for name in "def":
+            cluster.start(name, f"{name}1")
+        cluster.run(12.0)
+        assert cluster.voters() == list("abcdef")
+        cut = [name for name in "abcdef" if name != cluster.leader().instance_id][:2]
+        cluster.down.update(cut)
+        cluster.run(4.0)
+        index = cluster.propose()
+        cluster.run(0.5)
+        assert cluster.leader().commit_index >= index
+        alive = [name for name in "abcdef" if name not in cut]
+        for name in alive[:2]:
+            cluster.start(name, f"{name}2")
+        cluster.down.difference_update(cut)
+        cluster.run(12.0)
+        assert cluster.leader() is not None
+        assert cluster.leader().log.last_index >= index
+
     def test_no_second_log_without_the_first_start(self):
         """Guards against wiped cores that form an empty log of their own."""
         cluster = Cluster()
