Send changes of upstreams again; keep periodic work alive after a fault

Ruled out: waiting for the periodic report of the upstream, which comes later than the 2 s after which a leaving upstream must get nothing new.

Change: a change is sent again after 0.3, 0.7 and 1.2 s; an unknown departure goes to the other cores; a fault of periodic work is logged and the work goes on; an entry forgets exactly what its core's whole view no longer names.

Before: the new tests fail. After: they pass.

--- a/laburnumrock/dispatch/_directory.py
+++ b/laburnumrock/dispatch/_directory.py
@@ -102,13 +102,16 @@
             name for name, entry in self.entries.items() if now_s - entry.heard_s > self.forget_s
         ]
         for name in old:
-            report = self.entries.pop(name).report
-            if self.by_address.get((report.host, report.port)) == name:
-                del self.by_address[report.host, report.port]
-        if old:
-            self.revision += 1
+            self.forget(name)
         return old
 
+    def forget(self, upstream_id: str) -> None:
+        """Drop what is known of an upstream."""
+        report = self.entries.pop(upstream_id).report
+        if self.by_address.get((report.host, report.port)) == upstream_id:
+            del self.by_address[report.host, report.port]
+        self.revision += 1
+
     def reports(self, now_s: float) -> list[UpstreamReport]:
         """Return the newest reports, with the cold phase as of now."""
         result = []
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -1,7 +1,6 @@
 """Core node: replicated routes, upstream reports, and the dispatcher while it leads."""
 
 import asyncio
-import contextlib
 import random
 import time
 import zlib
@@ -38,6 +37,9 @@
 """Interval at which waiting requests are placed or refused."""
 NEWS_INTERVAL_S = 0.1
 """Reports of upstreams are sent to the other cores in groups; a second is their own interval."""
+NEWS_REPEATS_S = (0.3, 0.7, 1.2)
+"""Delays after which a change of an upstream is sent to the other cores again; all of them end
+within the 2 s after which a leaving upstream must get nothing new."""
 HOUSEKEEPING_S = 0.5
 PERMITS_PER_TERM = 1 << 32
 """Permits of different leaders never have the same number."""
@@ -98,6 +100,7 @@
         self.entries: dict[str, _EntryState] = {}
         self.waiting: dict[int, _WaitingCall] = {}
         self.news: list[UpstreamReport] = []
+        self.repeats: list[tuple[float, UpstreamReport]] = []
         self.leading_term = 0
         self.revision = 0
         self.pushed_revision = 0
@@ -196,17 +199,23 @@
         changed = self.dispatcher.observe(report, now_s)
         self.news.append(report)
         if changed:
-            self._log_upstream(report)
-            self._send_news()
-            self._push_views()
+            self._take_change(report)
 
     def remove_upstream(self, upstream_id: str) -> None:
         """Take over that an upstream says it leaves."""
         report = self.directory.remove(upstream_id, time.monotonic())
         if report is None:
+            # Another core may know it, for example when this one has just started.
             log_message("upstream_unknown", upstream=upstream_id)
+            self._tell_cores(UpstreamNews([], [upstream_id]))
             return
         self.news.append(report)
+        self._take_change(report)
+
+    def _take_change(self, report: UpstreamReport) -> None:
+        """Spread a change at once, and again later, since a link may break meanwhile."""
+        now_s = time.monotonic()
+        self.repeats += [(now_s + delay_s, report) for delay_s in NEWS_REPEATS_S]
         self._log_upstream(report)
         self._send_news()
         self._push_views()
@@ -386,6 +395,11 @@
             if self.dispatcher.observe(report, now_s):
                 changed = True
                 self._log_upstream(report)
+        for upstream_id in message.left:
+            departed = self.directory.remove(upstream_id, now_s)
+            if departed is not None:
+                changed = True
+                self._log_upstream(departed)
         if changed:
             self._push_views()
 
@@ -400,9 +414,14 @@
                 self.network.send(waited.entry, DispatchDecided(ticket, answer))
 
     def _send_news(self) -> None:
-        if not self.news:
-            return
-        news, self.news = UpstreamNews(self.news), []
+        now_s = time.monotonic()
+        self.news += [report for due_s, report in self.repeats if due_s <= now_s]
+        self.repeats = [one for one in self.repeats if one[0] > now_s]
+        if self.news:
+            news, self.news = UpstreamNews(self.news), []
+            self._tell_cores(news)
+
+    def _tell_cores(self, news: UpstreamNews) -> None:
         for core in self._cores():
             if core != self.settings.instance_id:
                 self.network.send(core, news)
@@ -435,5 +454,9 @@
     async def _run_every(self, interval_s: float, work: Callable[[], None]) -> None:
         while True:
             await asyncio.sleep(interval_s)
-            with contextlib.suppress(asyncio.InvalidStateError):
+            try:
                 work()
+            except Exception as error:
+                # One fault must not end the work for good.
+                detail = f"{type(error).__name__}: {error}"
+                log_message("periodic_work_failed", work=work.__name__, error=detail)
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -1,6 +1,7 @@
 """Entry node: takes callers' requests and forwards them where the dispatcher says."""
 
 import asyncio
+import math
 import random
 import time
 import zlib
@@ -84,7 +85,8 @@
         source = random.Random(f"{settings.seed}-{settings.instance_id}")
         self.source = source
         dispatch = settings.dispatch
-        self.directory = UpstreamDirectory(dispatch.forget_s, dispatch.forget_s)
+        # An entry that is cut off goes on with its last view.
+        self.directory = UpstreamDirectory(math.inf, math.inf)
         self.local = LocalDispatcher(dispatch, source)
         self.pool = ChannelPool(settings.channels)
         reservations = Reservations(self.pool, wire)
@@ -320,8 +322,8 @@
             self.directory.note_alive(report.upstream_id, now_s)
             if report.state is UpstreamState.GONE:
                 self.pool.close_address(report.host, report.port)
-        for name in self.directory.entries.keys() - names:
-            self.directory.remove(name, now_s)
+        for name in list(self.directory.entries.keys() - names):
+            self.directory.forget(name)
         if view.routes_version > self.routes_version and view.document:
             self._apply_routes(view)
         if view.routes_version > self.routes_version:
--- a/laburnumrock/nodes/_messages.py
+++ b/laburnumrock/nodes/_messages.py
@@ -97,6 +97,9 @@
     ----------
     reports : list of UpstreamReport
         In the order of their arrival.
+    left : list of str
+        Upstreams that said they leave to a core which did not know them.
     """
 
     reports: list[UpstreamReport]
+    left: list[str] = field(default_factory=list)
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -233,6 +233,40 @@
 
         asyncio.run(run())
 
+    def test_departure_told_to_a_core_that_does_not_know_the_upstream(self, tmp_path):
+        """Guards against work for an upstream that left through a core which had just started."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                leader = deployment.leader()
+                other = next(c for c in deployment.cores.values() if not c.is_leading)
+                leader.observe_upstream(make_report(9))
+                await wait_until(lambda: other.directory.usable("llm", 0.0))
+                other.directory.forget("u1")
+                other.remove_upstream("u1")
+                await wait_until(lambda: not leader.directory.usable("llm", 0.0))
+
+        asyncio.run(run())
+
+    def test_change_is_told_again(self, tmp_path):
+        """Guards against a departure that is lost with the link that carried it."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                leader = deployment.leader()
+                other = next(c for c in deployment.cores.values() if not c.is_leading)
+                other.observe_upstream(make_report(9))
+                await wait_until(lambda: leader.directory.usable("llm", 0.0))
+                send, other.network.send = other.network.send, lambda peer, message: None
+                other.remove_upstream("u1")
+                await asyncio.sleep(0.1)
+                other.network.send = send
+                await wait_until(lambda: not leader.directory.usable("llm", 0.0))
+
+        asyncio.run(run())
+
 
 class TestLeader:
     def test_new_leader_adopts_sends(self, tmp_path):
