--- a/laburnumrock/standins/_proxy.py
+++ b/laburnumrock/standins/_proxy.py
@@ -65,26 +65,28 @@
             self.server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # asyncio of Python 3.11 prints a traceback for a cancelled callback of a server, and the
+        # run may end while connections are open.
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._forward(reader, writer)
+
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        opened = [writer]
         self.writers.add(writer)
         try:
             await self.inbound.wait()
-            opened = await asyncio.open_connection(self.host, self.target_port)
-        except OSError:
-            writer.transport.abort()
-            self.writers.discard(writer)
-            return
-        target_reader, target_writer = opened
-        self.writers.add(target_writer)
-        try:
+            target_reader, target = await asyncio.open_connection(self.host, self.target_port)
+            opened.append(target)
+            self.writers.add(target)
             await asyncio.gather(
-                self._pump(reader, target_writer, self.inbound),
+                self._pump(reader, target, self.inbound),
                 self._pump(target_reader, writer, self.outbound),
             )
-        except asyncio.CancelledError:
-            # The run ends while connections are open.
+        except OSError:
+            # The target does not listen: the caller sees a broken connection, as without a proxy.
             return
         finally:
-            for one in (writer, target_writer):
+            for one in opened:
                 self.writers.discard(one)
                 one.transport.abort()
 
