--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -6,6 +6,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
+from tornado.iostream import StreamClosedError
+
 from laburnumrock.dispatch import DispatchAnswer, DispatchCall, SendEnded, SendOutcome, StallAdvice
 from laburnumrock.forwarding import (
     ChannelPool,
@@ -318,3 +320,22 @@
         pool.close()
         for upstream in upstreams:
             upstream.server.close()
+
+
+class ClosedConnection:
+    """Connection of a caller that has left."""
+
+    def __init__(self) -> None:
+        self.stream = self
+
+    def closed(self) -> bool:
+        return True
+
+    def write_headers(self, start_line, headers, chunk=None) -> None:
+        pass
+
+    async def write(self, chunk: bytes) -> None:
+        raise StreamClosedError
+
+    def close(self) -> None:
+        pass
--- /dev/null
+++ b/laburnumrock/forwarding/tests/test_planned_stop.py
@@ -0,0 +1,90 @@
+"""Connections of callers during a planned stop."""
+
+import asyncio
+import os
+import socket
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from laburnumrock.forwarding.tests.scripted import (
+    ClosedConnection,
+    ScriptedUpstream,
+    answer,
+    make_event,
+    make_request,
+    open_front,
+    read_reply,
+    stream,
+)
+
+WHOLE_STREAM = b"".join(make_event(number) for number in range(1, 5))
+
+
+class TestPlannedStop:
+    def test_idle_connections_close_and_running_ones_finish(self):
+        """Guards against a planned stop that cuts a request."""
+
+        async def run():
+            upstream = ScriptedUpstream(answer(), stream(1, 4, pause_s=0.1))
+            async with open_front(upstream) as front:
+                idle_reader, idle_writer = await front.connect()
+                idle_writer.write(make_request("/r/x", "POST", b"{}", {}))
+                await read_reply(idle_reader)
+                busy_reader, busy_writer = await front.connect()
+                busy_writer.write(make_request("/s/x", "POST", b"{}", {}))
+                await asyncio.sleep(0.1)
+                front.context.stopping = True
+                front.server.stop_listening()
+                await front.server.close_idle()
+                assert await idle_reader.read() == b""
+                reply = await read_reply(busy_reader)
+                assert (reply.body, reply.complete) == (WHOLE_STREAM, True)
+
+        asyncio.run(run())
+
+    def test_request_that_has_just_arrived_is_answered(self):
+        """Guards against a stop that closes a connection on which a request already waits."""
+
+        async def run():
+            async def answer_later(reader, writer, received):
+                await asyncio.sleep(0.1)
+                await answer()(reader, writer, received)
+
+            async with open_front(ScriptedUpstream(answer(), answer_later)) as front:
+                reader, writer = await front.connect()
+                writer.write(make_request("/r/x", "POST", b"{}", {}))
+                await read_reply(reader)
+                front.context.stopping = True
+                # Written past the event loop, which has no chance to read it before the close.
+                descriptor = os.dup(writer.get_extra_info("socket").fileno())
+                with socket.socket(fileno=descriptor) as connection:
+                    connection.send(make_request("/r/x", "POST", b"{}", {"Request_Id": "r2"}))
+                await front.server.close_idle()
+                assert (await read_reply(reader)).status == 200
+
+        asyncio.run(run())
+
+    def test_request_that_crosses_the_close_is_not_sent(self):
+        """Guards against an upstream that runs a request whose connection was just closed."""
+
+        async def run():
+            async with open_front(ScriptedUpstream(answer())) as front:
+                reader = front.server.start_request(object(), ClosedConnection())
+                line = RequestStartLine("POST", "/r/x", "HTTP/1.1")
+                reader.headers_received(line, HTTPHeaders({"Host": "a.example"}))
+                reader.finish()
+                assert not front.server.runs
+                front.server.connections.clear()
+
+        asyncio.run(run())
+
+    def test_answers_of_a_stopping_instance_close(self):
+        """Guards against callers that keep connections to an instance that stops."""
+
+        async def run():
+            upstream = ScriptedUpstream(answer())
+            async with open_front(upstream) as front:
+                front.context.stopping = True
+                assert (await front.request()).headers["Connection"] == "close"
+
+        asyncio.run(run())
