Bound the nesting of JSON before it is parsed

Cause: the parser of the standard library recurses. When the garbage collector runs close to the limit of recursion, destructors of unrelated objects fail with RecursionError and their resources stay open. Decoders of routes and heartbeats did not expect RecursionError at all.

Ruled out: a fault of the gateway's own handlers; a script without them, with one cycle of garbage and the collector's threshold moved through the depths of the parser, shows the same error.

Change: one function parses JSON from outside and refuses more than 64 levels as a ValueError before parsing. The gateway, the daemon's clients of engines and the platform's decoders use it.

--- a/laburnumrock/daemon/_engine_calls.py
+++ b/laburnumrock/daemon/_engine_calls.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
 
 MAX_CALLS = 64
@@ -66,7 +67,7 @@
         if answer.is_err():
             return answer
         try:
-            load = json.loads(answer.unwrap())
+            load = parse_json(answer.unwrap())
             held = {str(name): 0 for name in load.get("waiting_requests", [])}
             held.update({str(one["request_id"]): int(one["tokens"]) for one in load["holdings"]})
         except (ValueError, KeyError, TypeError, AttributeError) as error:
--- a/laburnumrock/daemon/_order_calls.py
+++ b/laburnumrock/daemon/_order_calls.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
+from laburnumrock.documents import parse_json
 from laburnumrock.orders import (
     EngineListing,
     OrderKind,
@@ -56,7 +57,7 @@
         request = self._make_request(effect.base_url, "GET")
         try:
             response = await self._fetch(request)
-            document = json.loads(response.body)
+            document = parse_json(response.body)
             loaded = {kind: list(document[name]) for kind, name in _LISTED.items()}
             loaded[OrderKind.CHANGE_ROLE] = [document["role"]]
             order_ids = [order["order_id"] for order in document["orders"]]
--- /dev/null
+++ b/laburnumrock/documents/tests/test_json.py
@@ -0,0 +1,41 @@
+"""Tests of the reading of JSON."""
+
+import json
+
+import pytest
+
+from laburnumrock.documents import MAX_JSON_DEPTH, parse_json
+
+
+class TestParseJson:
+    @pytest.mark.parametrize("opening", [b"[", b'{"a":'])
+    def test_deep_nesting_is_refused_before_it_is_parsed(self, opening, monkeypatch):
+        """Guards against a body that brings the parser to the limit of recursion."""
+        parsed = []
+        monkeypatch.setattr(json, "loads", parsed.append)
+        for depth in (MAX_JSON_DEPTH + 1, 100_000):
+            with pytest.raises(ValueError, match="nested deeper"):
+                parse_json(opening * depth)
+        assert parsed == []
+
+    def test_permitted_nesting_is_parsed(self):
+        """Guards against a bound that refuses documents within it."""
+        text = b"[" * MAX_JSON_DEPTH + b"]" * MAX_JSON_DEPTH
+        assert parse_json(text) == json.loads(text)
+
+    @pytest.mark.parametrize("text", ["[" * 500, '\\"' + "{" * 500, "\\\\"])
+    def test_brackets_in_text_do_not_count(self, text):
+        """Guards against a prompt that is refused for what it says."""
+        document = [{"prompt": text}, ["{" * 100]]
+        assert parse_json(json.dumps(document).encode()) == document
+
+    def test_many_flat_values_do_not_count(self):
+        """Guards against a bound on the size of a document in place of its depth."""
+        document = [{"a": [1]} for _ in range(1_000)]
+        assert parse_json(json.dumps(document).encode()) == document
+
+    @pytest.mark.parametrize("data", [b"{", b"", b"\xff", b"[" * 10, b'"' + b"[" * 100])
+    def test_other_faults_are_value_errors(self, data):
+        """Guards against an error that callers of the function do not expect."""
+        with pytest.raises(ValueError):
+            parse_json(data)
--- a/laburnumrock/gateway/_bodies.py
+++ b/laburnumrock/gateway/_bodies.py
@@ -1,11 +1,11 @@
 """Validated bodies of requests to the gateway."""
 
-import json
 from typing import TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
+from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.settings import describe_validation_error
 from laburnumrock.upstreams import CacheEvent, UpstreamAnnouncement, UpstreamKind, UpstreamState
@@ -100,8 +100,8 @@
         The validated body, or a failure of kind ``invalid_request`` that names the field.
     """
     try:
-        document = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        document = parse_json(data)
+    except ValueError as error:
         return Err(Failure(ErrorKind.INVALID_REQUEST, f"the body is not JSON: {error}"))
     try:
         return Ok(model.model_validate(document))
--- a/laburnumrock/gateway/_engine.py
+++ b/laburnumrock/gateway/_engine.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._assembler import AnswerAssembler
 from laburnumrock.gateway._sse import EventParser
@@ -160,7 +161,7 @@
 def read_reason(answer: UpstreamAnswer) -> str:
     """Return the reason that an engine gives for a refusal, or an empty string."""
     try:
-        reason = json.loads(answer.body).get("reason", "")
+        reason = parse_json(answer.body).get("reason", "")
     except (ValueError, AttributeError):
         return ""
     return str(reason)
--- a/laburnumrock/gateway/_operator_base.py
+++ b/laburnumrock/gateway/_operator_base.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from laburnumrock.declarations import describe_declaration_error
+from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._operator_services import OperatorServices
 from laburnumrock.gateway._problem_handler import ProblemHandler
@@ -57,8 +58,8 @@
             Instance of `model`, or a failure of kind ``invalid_request`` that names the field.
         """
         try:
-            document = json.loads(self.request.body)
-        except (ValueError, RecursionError) as error:
+            document = parse_json(self.request.body)
+        except ValueError as error:
             return Err(Failure(ErrorKind.INVALID_REQUEST, f"the body is not JSON: {error}"))
         try:
             return Ok(model.model_validate(document))
--- a/laburnumrock/gateway/_spanning.py
+++ b/laburnumrock/gateway/_spanning.py
@@ -8,10 +8,10 @@
 
 import asyncio
 import dataclasses
-import json
 
 from result import Err, Ok, Result
 
+from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._engine import EngineWork, make_call, read_reason
 from laburnumrock.gateway._upstream_http import exchange
@@ -105,7 +105,7 @@
         detail = f"{path} was refused with {answer.status}: {read_reason(answer)}"
         return Err(Failure(ErrorKind.UPSTREAM_REJECTED, detail))
     try:
-        document = json.loads(answer.body or b"{}")
+        document = parse_json(answer.body or b"{}")
     except ValueError:
         return Err(Failure(ErrorKind.UPSTREAM_FAILED, f"{path}: the answer is not JSON"))
     return Ok(document if isinstance(document, dict) else {})
--- a/laburnumrock/platform/_reports.py
+++ b/laburnumrock/platform/_reports.py
@@ -1,10 +1,9 @@
 """Registrations of the platform's engines."""
 
-import json
-
 from result import Err, Ok, Result
 
 from laburnumrock.dispatch import UpstreamReport, UpstreamState
+from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.platform._settings import split_address
 
@@ -27,7 +26,7 @@
         The report, or a failure of kind ``invalid_request`` that names the field.
     """
     try:
-        return Ok(_decode(upstream_id, json.loads(body)))
+        return Ok(_decode(upstream_id, parse_json(body)))
     except KeyError as error:
         return Err(Failure(ErrorKind.INVALID_REQUEST, f"{error} is missing or unknown"))
     except (ValueError, TypeError, AttributeError) as error:
--- a/laburnumrock/platform/_routes.py
+++ b/laburnumrock/platform/_routes.py
@@ -1,9 +1,8 @@
 """Configs of the platform's operators."""
 
-import json
-
 from result import Err, Ok, Result
 
+from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.routing import (
     AccountEntry,
@@ -33,7 +32,7 @@
         The routes, or a failure of kind ``invalid_declaration`` that names the field.
     """
     try:
-        routes = _decode(json.loads(document))
+        routes = _decode(parse_json(document))
         _check(routes)
     except KeyError as error:
         return Err(Failure(ErrorKind.INVALID_DECLARATION, f"{error} is missing"))
--- a/laburnumrock/platform/tests/test_reports.py
+++ b/laburnumrock/platform/tests/test_reports.py
@@ -37,7 +37,7 @@
         values = {name: value for name, value in values.items() if value is not None}
         assert decode_report("i-1", json.dumps(values).encode()).is_err()
 
-    @pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
+    @pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"null", b"{", b"[" * 9_000])
     def test_unreadable(self, body):
         """Guards against an exception for bytes that are no report."""
         assert decode_report("i-1", body).is_err()
--- a/laburnumrock/platform/tests/test_routes.py
+++ b/laburnumrock/platform/tests/test_routes.py
@@ -83,3 +83,7 @@
     def test_other_documents(self, value):
         """Guards against an exception for a document of another kind."""
         assert decode_routes(json.dumps(value).encode()).is_err()
+
+    def test_deep_nesting(self):
+        """Guards against a document that brings the parser to the limit of recursion."""
+        assert decode_routes(b"[" * 9_000).is_err()
