Close callers' connections with the last answer of a planned stop

Cause: an entry closed the connections that were idle 2.6 s after SIGTERM and again at its end.

Ruled out: closing idle connections again every moment; such a close crosses the next request.

Change: while an instance stops, the close arrives with the last bytes of the answer, unless a request already waits behind it. A request that is read later than the first closing of idle connections and could outlast the stop is refused at once and not sent on. Bytes that Tornado has read ahead count as a request that waits. Connections keep TCP_NODELAY after their first answer.

Before: the new tests fail.

--- a/laburnumrock/forwarding/_channels.py
+++ b/laburnumrock/forwarding/_channels.py
@@ -41,10 +41,13 @@
     max_idle: int = 8
 
 
-def has_unread(connection: socket.socket) -> bool:
-    """Whether bytes, an end or an error wait to be read from a socket."""
+def has_unread(stream: IOStream) -> bool:
+    """Whether bytes, an end or an error of the other side wait to be taken up."""
+    # Tornado reads ahead while it waits for the close of a connection.
+    if stream._read_buffer_size:
+        return True
     try:
-        connection.recv(1, socket.MSG_PEEK)
+        stream.socket.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return False
     except OSError:
@@ -56,11 +59,13 @@
     """Stream that can tell whether an idle connection is still good."""
 
     def is_quiet(self) -> bool:
-        """Whether the connection is open and nothing has arrived on it."""
-        if self.closed() or self._read_buffer_size:
-            return False
-        # Otherwise the upstream closed the connection, or sent bytes that belong to no request.
-        return not has_unread(self.socket)
+        """Whether the connection is open and nothing has arrived on it.
+
+        Notes
+        -----
+        Otherwise the upstream closed the connection, or sent bytes that belong to no request.
+        """
+        return not self.closed() and not has_unread(self)
 
 
 @dataclass(slots=True)
--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -1,5 +1,6 @@
 """What the runs of all requests share."""
 
+import math
 import random
 from dataclasses import dataclass
 from typing import Protocol
@@ -105,6 +106,8 @@
         Routes in force; None until some are known.
     stopping : bool
         Whether this instance is in a planned stop.
+    stop_ends_s : float
+        Clock reading at which a planned stop cuts what still runs.
     """
 
     settings: ForwardSettings
@@ -116,3 +119,4 @@
     source: random.Random
     table: RouteTable | None = None
     stopping: bool = False
+    stop_ends_s: float = math.inf
--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -113,6 +113,8 @@
         if request.remaining_s is not None:
             limit_s = min(limit_s, request.remaining_s)
         self.ends_s = request.arrived_s + limit_s
+        if self.ends_s > self.context.stop_ends_s:
+            return ErrorKind.STOPPING
         self.service = table.choose_service(reply.route, self.context.source)
         return None
 
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -17,7 +17,7 @@
     HTTPServerConnectionDelegate,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
@@ -61,6 +61,9 @@
 
     def start_request(self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection):
         """Return the reader of the next request of a connection."""
+        # Tornado lets the kernel collect small writes again after each answer; the events of a
+        # stream would wait for acknowledgements.
+        server_conn.stream.set_nodelay(True)
         reader = _RequestReader(self, server_conn, request_conn)
         self.connections[server_conn] = reader
         return reader
@@ -79,6 +82,8 @@
     async def _run(self, connection: HTTP1Connection, request: CallerRequest) -> None:
         try:
             await ForwardRun(self.context, connection, request).run()
+            if self.context.stopping:
+                await self._close_after_answer(connection)
         except Exception as error:
             # A fault in one run must not reach the others; its caller gets a closed connection,
             # which promises nothing.
@@ -89,6 +94,21 @@
             )
             connection.close()
 
+    async def _close_after_answer(self, connection: HTTP1Connection) -> None:
+        """Close a connection so that its end arrives with the last bytes of the answer.
+
+        Notes
+        -----
+        The headers of a stream that began before the stop do not announce the close. A later one
+        would cross the next request of the caller.
+        """
+        stream = connection.stream
+        with contextlib.suppress(StreamClosedError):
+            # An empty write is done when all bytes before it are.
+            await stream.write(b"")
+            if not has_unread(stream):
+                stream.close()
+
     async def close_idle(self) -> None:
         """Close the connections on which no request is being read or answered.
 
@@ -106,7 +126,7 @@
         stream = connection.stream
         if self.connections[connection].is_busy or stream.closed():
             return False
-        return not has_unread(stream.socket)
+        return not has_unread(stream)
 
     def stop_listening(self) -> None:
         """Accept no more connections."""
@@ -135,7 +155,6 @@
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Serve a new connection."""
-        stream.set_nodelay(True)
         HTTP1ServerConnection(stream, self.parameters, address).start_serving(self.front)
 
 
--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -331,6 +331,9 @@
     def closed(self) -> bool:
         return True
 
+    def set_nodelay(self, value: bool) -> None:
+        pass
+
     def write_headers(self, start_line, headers, chunk=None) -> None:
         pass
 
--- a/laburnumrock/forwarding/tests/test_planned_stop.py
+++ b/laburnumrock/forwarding/tests/test_planned_stop.py
@@ -3,7 +3,9 @@
 import asyncio
 import os
 import socket
+import time
 
+import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from laburnumrock.forwarding.tests.scripted import (
@@ -69,7 +71,7 @@
 
         async def run():
             async with open_front(ScriptedUpstream(answer())) as front:
-                reader = front.server.start_request(object(), ClosedConnection())
+                reader = front.server.start_request(ClosedConnection(), ClosedConnection())
                 line = RequestStartLine("POST", "/r/x", "HTTP/1.1")
                 reader.headers_received(line, HTTPHeaders({"Host": "a.example"}))
                 reader.finish()
@@ -78,6 +80,56 @@
 
         asyncio.run(run())
 
+    def test_stream_that_began_before_the_stop_ends_with_its_connection(self):
+        """Guards against a connection that takes a request when there is no time to answer it."""
+
+        async def run():
+            upstream = ScriptedUpstream(stream(1, 4, pause_s=0.05))
+            async with open_front(upstream) as front:
+                reader, writer = await front.connect()
+                writer.write(make_request("/s/x", "POST", b"{}", {}))
+                await asyncio.sleep(0.1)
+                front.context.stopping = True
+                reply = await read_reply(reader)
+                assert (reply.body, reply.complete) == (WHOLE_STREAM, True)
+                assert "Connection" not in reply.headers
+                async with asyncio.timeout(0.5):
+                    assert await reader.read() == b""
+
+        asyncio.run(run())
+
+    def test_request_that_waits_behind_a_stream_is_answered(self):
+        """Guards against a close that drops a request which has already arrived."""
+
+        async def run():
+            upstream = ScriptedUpstream(stream(1, 4, pause_s=0.05), answer())
+            async with open_front(upstream) as front:
+                reader, writer = await front.connect()
+                writer.write(make_request("/s/x", "POST", b"{}", {}))
+                await asyncio.sleep(0.1)
+                front.context.stopping = True
+                writer.write(make_request("/r/x", "POST", b"{}", {"Request_Id": "r2"}))
+                assert (await read_reply(reader)).complete
+                reply = await read_reply(reader)
+                assert (reply.status, reply.headers["Connection"]) == (200, "close")
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(("left_s", "status"), [(0.5, 503), (5.0, 200)])
+    def test_request_that_the_stop_would_cut_is_refused(self, left_s, status):
+        """Guards against a request that is sent on and cut when the process ends."""
+
+        async def run():
+            upstream = ScriptedUpstream(answer())
+            async with open_front(upstream) as front:
+                front.context.stopping = True
+                front.context.stop_ends_s = time.monotonic() + left_s
+                reply = await front.request(Deadline_Ms="1000")
+                assert (reply.status, reply.headers["Connection"]) == (status, "close")
+                assert len(upstream.received) == (status == 200)
+
+        asyncio.run(run())
+
     def test_answers_of_a_stopping_instance_close(self):
         """Guards against callers that keep connections to an instance that stops."""
 
--- a/laburnumrock/forwarding/tests/test_streams.py
+++ b/laburnumrock/forwarding/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Streams through a front server to scripted upstreams."""
 
 import asyncio
+import socket
 import time
 
 from tornado.httputil import HTTPHeaders
@@ -49,6 +50,22 @@
 
         asyncio.run(run())
 
+    def test_events_are_not_collected_on_a_kept_connection(self):
+        """Guards against small events that wait for acknowledgements from the second stream on."""
+
+        async def run():
+            async with open_front(ScriptedUpstream(stream(1, 4, pause_s=0.05))) as front:
+                reader, writer = await front.connect()
+                for _ in range(2):
+                    writer.write(make_request("/s/x", "POST", b"{}", {}))
+                    await reader.readuntil(b"piece 1")
+                    (connection,) = front.server.connections
+                    options = connection.stream.socket
+                    assert options.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+                    await reader.readuntil(b"0\r\n\r\n")
+
+        asyncio.run(run())
+
     def test_stream_goes_on_elsewhere(self):
         """Guards against missing or repeated pieces after an upstream broke in an event."""
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -134,10 +134,13 @@
         log_message("entry_stopping", runs=len(self.front.runs))
         began_s = time.monotonic()
         await asyncio.sleep(BALANCER_GRACE_S)
+        stop_ends_s = began_s + self.settings.stop_s - STOP_MARGIN_S
+        self.context.stop_ends_s = stop_ends_s
         self.front.stop_listening()
         await self.front.close_idle()
-        left_s = self.settings.stop_s - STOP_MARGIN_S - (time.monotonic() - began_s)
-        await self.front.finish(max(0.0, left_s))
+        await self.front.finish(max(0.0, stop_ends_s - time.monotonic()))
+        # From here on nothing that is sent to an upstream could be waited for.
+        self.context.stop_ends_s = -math.inf
         await self.front.close_idle()
         await self.context.reservations.finish(0.3)
         for task in self.tasks:
