Give each run of the soak its own loopback network

Cause: nodes serve metrics on a port that is the same for all, and the addresses followed from the seed alone. Two runs of one seed beside each other took each other's port; the cores ended with "Address already in use" and no change of the routes was acknowledged within the start limit.

Ruled out: ports picked before they are opened (all others differed in the logs of the failed runs), and load: the processes that started were ready within a second.

Change: a run claims a network of loopback addresses by a socket that it holds until its end.

The new test of two claims fails without the change.

--- a/laburnumrock/platform/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -33,6 +33,10 @@
 """Time without faults at the end; the platform asks for service again within 12 s."""
 FREE_S = 4.5
 """Time after the last request in which all memory is free again."""
+NETWORKS = 200
+"""Loopback networks among which a run chooses."""
+CLAIM_PORT = 9_099
+"""Port, unused by nodes, that a run holds on the first address of its network."""
 STOP_LIMIT_S = 9.5
 """A planned stop may take 8 s."""
 TORN_BYTES = b"LRF1\xff\x00"
@@ -90,6 +94,7 @@
     tasks: set[asyncio.Task] = field(default_factory=set)
     operator: Operator | None = None
     ports: list[int] = field(default_factory=list)
+    network: str = ""
 
     def spawn(self, work) -> None:
         """Run something beside the schedule."""
@@ -112,9 +117,10 @@
     settings = soak.settings
     source = random.Random(settings.seed)
     soak.ports = _find_ports(6)
-    _make_nodes(soak)
-    _make_upstreams(soak, source)
+    guard = _claim_network(soak)
     try:
+        _make_nodes(soak)
+        _make_upstreams(soak, source)
         await _start(soak, source)
         callers = await _drive(soak, source)
         await _settle(soak, callers)
@@ -125,14 +131,14 @@
             node.proxy.close()
         for task in list(soak.tasks):
             task.cancel()
+        guard.close()
     return soak.findings
 
 
 def _make_nodes(soak: _Soak) -> None:
     front, control, target, bind, _, ready = soak.ports
-    offset = soak.settings.seed % 200
-    cores = [f"127.{offset + 1}.0.{10 + number}" for number in range(CORES)]
-    entries = [f"127.{offset + 1}.0.{20 + number}" for number in range(ENTRIES)]
+    cores = [f"{soak.network}.{10 + number}" for number in range(CORES)]
+    entries = [f"{soak.network}.{20 + number}" for number in range(ENTRIES)]
     for kind, hosts in (("core", cores), ("entry", entries)):
         for number, host in enumerate(hosts):
             name = f"{kind}{number}"
@@ -183,7 +189,7 @@
 
 
 def _make_upstreams(soak: _Soak, source: random.Random) -> None:
-    host = next(iter(soak.nodes.values())).host.rsplit(".", 1)[0] + ".90"
+    host = f"{soak.network}.90"
     ports = _find_ports(2 * (ENGINES + SERVERS))
     names = [f"engine{number}" for number in range(ENGINES)]
     names += [f"server{number}" for number in range(SERVERS)]
@@ -436,6 +442,26 @@
         upstream.mode = ""
 
 
+def _claim_network(soak: _Soak) -> socket.socket:
+    """Claim loopback addresses for a run, and return the socket that holds the claim.
+
+    Notes
+    -----
+    Nodes serve metrics on a port that is the same for all, so that two runs of one seed beside
+    each other need different addresses.
+    """
+    for number in range(NETWORKS):
+        soak.network = f"127.{1 + (soak.settings.seed + number) % NETWORKS}.0"
+        guard = socket.socket()
+        try:
+            guard.bind((f"{soak.network}.1", CLAIM_PORT))
+        except OSError:
+            guard.close()
+        else:
+            return guard
+    raise OSError("all loopback networks are in use by other runs")
+
+
 def _find_ports(count: int) -> list[int]:
     """Return ports that are free on all loopback addresses."""
     sockets = [socket.socket() for _ in range(count)]
--- a/laburnumrock/platform/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from laburnumrock.platform.soak import ACTIONS, Findings, SoakSettings, make_schedule, run_soak
+from laburnumrock.platform.soak._run import _claim_network, _Soak
 from laburnumrock.platform.soak._schedule import CORE_RECOVERY_S
 
 # Seeds that failed once, each with its cause.
@@ -41,6 +42,16 @@
         assert findings.is_quiet_since(now_s + 6.0)
 
 
+class TestNetworks:
+    def test_two_runs_of_a_seed(self, tmp_path):
+        """Guards against two runs beside each other whose nodes share addresses."""
+        runs = [_Soak(SoakSettings(1, 8.0, tmp_path)) for _ in range(2)]
+        guards = [_claim_network(run) for run in runs]
+        for guard in guards:
+            guard.close()
+        assert runs[0].network != runs[1].network
+
+
 @pytest.mark.processes
 class TestRun:
     @pytest.mark.parametrize("seed", [1, 2, *REGRESSIONS])
