Leave engines that did not respond alone while others are only full

Cause: since a request went to any doubtful engine when the others had no free slot, also to engines that had just fallen silent or whose failure domain is probably cut off. It lost its patience there, and an attempt; a slot of a living engine is free again sooner.

Ruled out: taking back the use of doubtful engines as a whole.

Change: engines that missed a report come second; those that did not respond to a send, or whose domain is cut off, last and only if there are no others.

The new test fails before the change.

--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -1,5 +1,6 @@
 """Upstreams with their services, loads and health, as one decider sees them."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from laburnumrock.dispatch._directory import UpstreamDirectory, UpstreamEntry
@@ -93,12 +94,18 @@
         load.model = self.models.get(report.service)
         return load
 
-    def find_candidates(
-        self, call: DispatchCall, now_s: float
-    ) -> tuple[list[UpstreamPair], list[UpstreamPair]]:
-        """Return the upstreams that may get a request, and those that may if these are full."""
+    def find_candidates(self, call: DispatchCall, now_s: float) -> Iterator[list[UpstreamPair]]:
+        """Yield the upstreams that may get a request, and those that may if these are full.
+
+        Notes
+        -----
+        The second group missed a report; most of them answer. Those that did not respond to a
+        send, and the others of a domain that is probably cut off, cost a request its patience, so
+        that they come last and only if there are no others; a full engine is free again sooner.
+        """
         usable: list[UpstreamPair] = []
-        doubtful: list[UpstreamPair] = []
+        late: list[UpstreamPair] = []
+        unresponsive: list[UpstreamPair] = []
         for entry in self.directory.usable(call.service, now_s):
             name = entry.report.upstream_id
             if entry.report.failure_domain in self.drained or name in call.excluded:
@@ -107,9 +114,15 @@
             if not self.bears_cold(entry, load, now_s):
                 continue
             load.advance(now_s)
-            in_doubt = load.is_suspect(now_s) or self.is_doubtful(entry, now_s)
-            (doubtful if in_doubt else usable).append((entry, load))
-        return usable, doubtful
+            if load.is_suspect(now_s) or self.is_cut_off(entry, now_s):
+                group = unresponsive
+            else:
+                group = late if self.is_late(entry, now_s) else usable
+            group.append((entry, load))
+        yield usable
+        yield late
+        if not usable and not late:
+            yield unresponsive
 
     def has_upstream(self, call: DispatchCall, now_s: float) -> bool:
         """Whether any upstream may get a request, now or once it has a free slot."""
@@ -124,10 +137,12 @@
         entry = self.directory.entries.get(upstream_id)
         return entry is not None and entry.report.service == service
 
-    def is_doubtful(self, entry: UpstreamEntry, now_s: float) -> bool:
-        """Whether an upstream missed a report, or others of its failure domain do not respond."""
-        if now_s - entry.heard_s > self.settings.doubt_s:
-            return True
+    def is_late(self, entry: UpstreamEntry, now_s: float) -> bool:
+        """Whether an upstream missed a report."""
+        return now_s - entry.heard_s > self.settings.doubt_s
+
+    def is_cut_off(self, entry: UpstreamEntry, now_s: float) -> bool:
+        """Whether others of the failure domain of an upstream do not respond."""
         unresponsive = self.unresponsive.get(entry.report.failure_domain)
         return unresponsive is not None and unresponsive.is_cut_off(now_s)
 
@@ -136,7 +151,7 @@
         entry = self.directory.entries.get(upstream_id)
         if entry is None or entry.report.state is UpstreamState.GONE:
             return True
-        return now_s - entry.heard_s > self.settings.doubt_s
+        return self.is_late(entry, now_s)
 
     def note_alive(self, upstream_id: str, now_s: float) -> None:
         """Record a sign of life."""
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -130,6 +130,21 @@
         assert first.upstream_id == "llm0"
         assert place(dispatcher, SHORT, 12.6).upstream_id == "llm1"
 
+    def test_upstream_that_does_not_respond_is_left_alone_when_others_are_full(self):
+        """Guards against requests that lose their patience on an engine that is down."""
+        dispatcher = make_dispatcher(engines=2, slots=1)
+        for answer in [place(dispatcher, SHORT), place(dispatcher, SHORT)]:
+            silent = answer.upstream_id == "llm1"
+            outcome = SendOutcome.SILENT if silent else SendOutcome.DONE
+            dispatcher.note_ended(SendEnded(answer.permit, outcome), 10.1)
+        first = place(dispatcher, SHORT, 10.2)
+        assert first.upstream_id == "llm0"
+        waits = dispatcher.place("entry", "a", SHORT, 10.2)
+        assert isinstance(waits, int)
+        dispatcher.note_ended(SendEnded(first.permit, SendOutcome.DONE), 10.3)
+        ((ticket, answer),) = dispatcher.retry_waiting({}, 10.3)
+        assert (ticket, answer.upstream_id) == (waits, "llm0")
+
     def test_plain_service_balances(self):
         """Guards against plain requests that pile up on one upstream."""
         dispatcher = make_dispatcher()
