--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -1,8 +1,9 @@
 """What the runs of all requests share."""
 
+import asyncio
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from laburnumrock.dispatch import (
@@ -104,6 +105,10 @@
         Draws services by weight.
     table : RouteTable, optional
         Routes in force; None until some are known.
+    routes_known : asyncio.Event
+        Set once routes are known.
+    routes_due_s : float
+        Clock reading until which requests wait for the first routes.
     stopping : bool
         Whether this instance is in a planned stop.
     stop_ends_s : float
@@ -118,5 +123,12 @@
     metrics: NodeMetrics
     source: random.Random
     table: RouteTable | None = None
+    routes_known: asyncio.Event = field(default_factory=asyncio.Event)
+    routes_due_s: float = -math.inf
     stopping: bool = False
     stop_ends_s: float = math.inf
+
+    def apply_routes(self, table: RouteTable) -> None:
+        """Put routes in force."""
+        self.table = table
+        self.routes_known.set()
--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -1,6 +1,7 @@
 """The run of one request: route, upstreams, resumption, and one true answer."""
 
 import asyncio
+import contextlib
 import time
 from dataclasses import dataclass, field
 
@@ -17,6 +18,8 @@
 
 UNSENT_TRIES = 3
 """Placements that may fail before a byte is sent, beside the sends that count as attempts."""
+START_WAIT_SHARE = 0.25
+"""Share of its time for which a request waits for the first routes of an instance."""
 REFUSED_RETRY_S = 0.3
 """Time to return after upstreams refused a request; their queues change within an answer."""
 
@@ -79,6 +82,8 @@
     async def run(self) -> None:
         """Answer the request."""
         try:
+            if self.context.table is None:
+                await self._await_routes()
             failure = self._admit()
             if failure is not None:
                 self._fail(failure)
@@ -94,6 +99,23 @@
             self.reply.note_left(self.attempts.sent)
             raise
 
+    async def _await_routes(self) -> None:
+        """Wait for the routes of an instance that has just started.
+
+        Notes
+        -----
+        It answers the loss of all instances: they start together, and callers are back before the
+        cores have a leader. A refusal would cost them more than the wait.
+        """
+        request = self.request
+        left_s = self.context.routes_due_s - time.monotonic()
+        if request.remaining_s is not None:
+            left_s = min(left_s, START_WAIT_SHARE * request.remaining_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, left_s)):
+                await self.context.routes_known.wait()
+        self.reply.log("routes_awaited", known=self.context.table is not None)
+
     def _admit(self) -> ErrorKind | None:
         table = self.context.table
         request = self.request
--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -1,6 +1,9 @@
 """Requests through a front server to scripted upstreams."""
 
 import asyncio
+import time
+
+import pytest
 
 from laburnumrock.dispatch import DispatchAnswer, SendOutcome
 from laburnumrock.errors import ErrorKind
@@ -298,6 +301,29 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize(
+        ("learns_after_s", "deadline_ms", "status"),
+        [(0.15, "3000", 200), (0.15, "400", 503), (None, "3000", 503)],
+        ids=["in time", "too late for the caller", "never"],
+    )
+    def test_request_at_the_start_waits_for_the_routes(self, learns_after_s, deadline_ms, status):
+        """Guards against refusals between the start of an instance and its first routes."""
+
+        async def run():
+            upstream = ScriptedUpstream(answer())
+            async with open_front(upstream) as front:
+                loop = asyncio.get_running_loop()
+                table, front.context.table = front.context.table, None
+                front.context.routes_due_s = time.monotonic() + 0.3
+                if learns_after_s is not None:
+                    loop.call_later(learns_after_s, front.context.apply_routes, table)
+                began_s = loop.time()
+                reply = await front.request(Deadline_Ms=deadline_ms)
+                assert (reply.status, loop.time() - began_s < 0.5) == (status, True)
+                assert len(upstream.received) == (status == 200)
+
+        asyncio.run(run())
+
     def test_time_limit_of_the_route(self):
         """Guards against a caller that is held past the time limit of its route."""
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -44,7 +44,11 @@
 """Decisions kept; those whose callers gave up are dropped, the oldest first."""
 DECISION_MARGIN_S = 0.15
 """Longest wait for a decision beyond the time for which the dispatcher may hold a request."""
+START_WAIT_S = 1.0
+"""Time after its start in which an entry learns the routes even if all cores start with it: an
+election takes 0.4 to 0.8 s."""
 CHANNEL_CHECK_S = 1.0
+"""Interval at which idle channels are closed; upstreams state their idle time in whole seconds."""
 BALANCER_GRACE_S = 2.6
 """The balancer asks once a second and takes an instance out after two misses."""
 STOP_MARGIN_S = 0.8
@@ -119,6 +123,7 @@
         self.network.handle(View, self._receive_view)
         self.network.handle(DispatchDecided, self._receive_decision)
         await self.network.start()
+        self.context.routes_due_s = time.monotonic() + START_WAIT_S
         listen = self.settings.listen
         self.front.listen(listen.host, listen.caller_port)
         self.tasks = [
@@ -337,7 +342,7 @@
         if decoded.is_err():
             log_message("routes_unreadable", failure=str(decoded.unwrap_err()))
             return
-        self.context.table = RouteTable(decoded.unwrap())
+        self.context.apply_routes(RouteTable(decoded.unwrap()))
         self.routes_version = view.routes_version
         self.metrics.routes_version.set(view.routes_version)
         log_message("routes_in_force", version=view.routes_version, term=view.term)
