--- a/laburnumrock/dispatch/_chooser.py
+++ b/laburnumrock/dispatch/_chooser.py
@@ -109,9 +109,7 @@
         self.fleet = fleet
         self.source = source
 
-    def choose(
-        self, domain: str, call: DispatchCall, now_s: float, last_resort: bool = False
-    ) -> Choice | None:
+    def choose(self, domain: str, call: DispatchCall, now_s: float) -> Choice | None:
         """Return the placement that loses least, or None when no upstream has room.
 
         Parameters
@@ -122,12 +120,10 @@
             The request.
         now_s : float
             Monotonic clock in seconds.
-        last_resort : bool
-            Whether the request is refused if no upstream is chosen.
         """
         # Engines queue a few requests; a stream that was cut cannot wait for a free slot.
         least_free = 1 if call.attempt <= 1 else 1 - REPEAT_EXTRA_SLOTS
-        for usable in self.fleet.find_candidates(call, now_s, last_resort):
+        for usable in self.fleet.find_candidates(call, now_s):
             candidates = [pair for pair in usable if pair[1].free_slots >= least_free]
             choice = self._choose_among(domain, call, usable, candidates, now_s)
             if choice is not None:
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -139,9 +139,6 @@
         hold_s = find_hold_s(self.settings, call)
         hopeless = hold_s <= 0 or (call.attempt <= 1 and self._wait_is_hopeless(call))
         if choice is None and hopeless:
-            choice = self.chooser.choose(domain, call, now_s, last_resort=True)
-            if choice is not None:
-                return self._grant_or_refuse(entry, choice, call, now_s)
             return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._spread(max(0.5, call.goal_s)))
         ticket = self.next_ticket
         self.next_ticket += 1
@@ -169,9 +166,8 @@
         )
         for ticket, waiting in order:
             call = waiting.remaining_call(now_s)
+            choice = self.chooser.choose(domains.get(waiting.entry, ""), call, now_s)
             given_up = now_s >= waiting.gives_up_s
-            domain = domains.get(waiting.entry, "")
-            choice = self.chooser.choose(domain, call, now_s, last_resort=given_up)
             if choice is not None and (given_up or not self.chooser.is_worth_waiting(choice, call)):
                 answer = self._grant_or_refuse(waiting.entry, choice, call, now_s)
                 decided.append((ticket, answer))
--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -94,21 +94,14 @@
         load.model = self.models.get(report.service)
         return load
 
-    def find_candidates(
-        self, call: DispatchCall, now_s: float, last_resort: bool = False
-    ) -> Iterator[list[UpstreamPair]]:
+    def find_candidates(self, call: DispatchCall, now_s: float) -> Iterator[list[UpstreamPair]]:
         """Yield the upstreams that may get a request, and those that may if these are full.
 
-        Parameters
-        ----------
-        last_resort : bool
-            Whether the request is refused otherwise.
-
         Notes
         -----
         The second group missed a report; most of them answer. Those that did not respond to a
-        send, and the others of a domain that is probably cut off, cost a request its patience. They
-        come last, if there are no others or the request cannot wait for a full one to be free.
+        send, and the others of a domain that is probably cut off, cost a request its patience, so
+        that they come last and only if there are no others; a full engine is free again sooner.
         """
         usable: list[UpstreamPair] = []
         late: list[UpstreamPair] = []
@@ -128,7 +121,7 @@
             group.append((entry, load))
         yield usable
         yield late
-        if last_resort or not (usable or late):
+        if not usable and not late:
             yield unresponsive
 
     def has_upstream(self, call: DispatchCall, now_s: float) -> bool:
