Give the tickets of each leader numbers of their own

Cause, by reading and by a test: a waiting request is decided later under a ticket. Each leader counted its tickets from 1, and an entry keeps a decision for which nobody waits any more, since decisions may arrive before their tickets. After a change of the leader such a decision answered another request with the same ticket, also of another service.

Change: tickets begin at the first permit of a leader's term.

Before: the new test fails. After: it passes.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -87,7 +87,8 @@
         Parameters
         ----------
         first_permit : int
-            Larger than all permits of earlier dispatchers.
+            Larger than all permits and tickets of earlier dispatchers. A late decision of one of
+            them must not be taken for the answer to another request.
         now_s : float
             Monotonic clock in seconds.
         """
@@ -96,6 +97,7 @@
         self.budgets.clear()
         self.waiting.clear()
         self.next_permit = first_permit
+        self.next_ticket = first_permit
 
     def set_routes(self, routes: RouteSet) -> None:
         """Take over the declared services."""
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -253,6 +253,21 @@
 
 
 class TestWaiting:
+    def test_tickets_of_two_leaders_differ(self):
+        """Guards against a late decision of a former leader that answers another request.
+
+        Notes
+        -----
+        On tgs-taipei-grown a request to one service was run by an engine of another one.
+        """
+        tickets = set()
+        for term in (1, 2):
+            dispatcher = make_dispatcher(engines=1, slots=1)
+            dispatcher.start(term << 32, 10.0)
+            place(dispatcher, SHORT)
+            tickets.add(dispatcher.place("entry", "a", SHORT, 10.0))
+        assert len(tickets) == 2
+
     def test_waiting_request_gets_the_free_slot(self):
         """Guards against a refusal while an engine is about to become free."""
         dispatcher = make_dispatcher(engines=1, slots=1)
