Keep to the own failure domain without a dispatcher; count only sends that arrive

Cause: while a failure domain is cut off, its entries place alone.

Ruled out: a larger budget for entries alone; the bound counts arrivals over all instances.

Change: an engine of another domain counts as having four requests more; an entry alone avoids a silent upstream or domain for 4 s; only sends that may have reached an upstream take from the budget, for the dispatcher as well.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -131,7 +131,7 @@
         budget = self._budget(call.service)
         if call.attempt <= 1:
             budget.note_request(now_s)
-        elif not budget.take_repeat(now_s):
+        elif call.arrivals > 0 and not budget.take_repeat(now_s):
             return _refuse(ErrorKind.RATE_LIMITED, self._spread(1.0))
         choice = self.chooser.choose(domain, call, now_s)
         if choice is not None and not self.chooser.is_worth_waiting(choice, call):
--- a/laburnumrock/dispatch/_domain_health.py
+++ b/laburnumrock/dispatch/_domain_health.py
@@ -7,7 +7,7 @@
 CUT_OFF_WINDOW_S = 1.0
 """Time within which they fall silent."""
 AVOID_S = 1.5
-"""Time for which the domain is avoided after the last sign."""
+"""Time for which a dispatcher avoids the domain after the last sign."""
 
 
 @dataclass(slots=True)
@@ -31,10 +31,18 @@
         """Record that an upstream did not respond."""
         self.silent_s[upstream_id] = now_s
 
-    def is_cut_off(self, now_s: float) -> bool:
-        """Whether so many upstreams fell silent that the domain is probably cut off."""
+    def is_cut_off(self, now_s: float, avoid_s: float = AVOID_S) -> bool:
+        """Whether so many upstreams fell silent that the domain is probably cut off.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic clock in seconds.
+        avoid_s : float
+            Time for which the domain is avoided after the last sign.
+        """
         last_s = max(self.silent_s.values(), default=float("-inf"))
-        if now_s - last_s > AVOID_S:
+        if now_s - last_s > avoid_s:
             return False
         recent = sum(1 for time_s in self.silent_s.values() if last_s - time_s <= CUT_OFF_WINDOW_S)
         return recent >= CUT_OFF_UPSTREAMS
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -18,8 +18,12 @@
 """Part of the common order of engines that short prompts prefer; the rest is for long ones."""
 OTHER_END_SENDS = 3
 """Requests that an engine counts as having when it stands at the other end of the order."""
-SUSPECT_S = 2.0
-"""Time for which an entry avoids an upstream that did not respond."""
+OTHER_DOMAIN_SENDS = 4
+"""Requests that an engine of another failure domain counts as having; an entry that reaches no
+dispatcher is often cut off together with its domain."""
+SUSPECT_S = 4.0
+"""Time for which an entry avoids an upstream, or a domain, that did not respond; the entry finds a
+dispatcher within a second once the cut ends."""
 
 
 class LocalDispatcher:
@@ -70,7 +74,7 @@
         now_s : float
             Monotonic clock in seconds.
         """
-        if call.attempt > 1 and not self.budget.take_repeat(now_s):
+        if call.arrivals > 0 and not self.budget.take_repeat(now_s):
             return DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value, retry_after_s=1.0)
         loads: dict[str, int] = {}
         for name, tokens in self.sends.values():
@@ -82,13 +86,13 @@
                 continue
             health = self.domains.get(entry.report.failure_domain)
             suspect = now_s < self.suspect_until_s.get(name, 0.0)
-            suspect = suspect or (health is not None and health.is_cut_off(now_s))
+            suspect = suspect or (health is not None and health.is_cut_off(now_s, SUSPECT_S))
             far = entry.report.failure_domain != domain
-            load = loads.get(name, 0)
+            load = loads.get(name, 0) + OTHER_DOMAIN_SENDS * far
             if call.prompt_tokens:
                 long = call.prompt_tokens > LONG_PROMPT_TOKENS
                 load += OTHER_END_SENDS * (long != (spread_order(name) > SHORT_END))
-            key = (suspect, load, far, self.source.random())
+            key = (suspect, load, self.source.random())
             if best is None or key < best[0]:
                 best = (key, entry.report)
         if best is None:
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -77,7 +77,7 @@
     request_id : str
         Id of the caller's attempt.
     attempt : int
-        1 for the first send of the request.
+        1 for the first placement of the request.
     service : str
         Service of the route.
     account : str
@@ -94,6 +94,9 @@
         Time from now until the caller stops waiting.
     excluded : list of str
         Upstreams that this request was sent to before.
+    arrivals : int
+        Sends before that may have reached an upstream; only those make this one a repeat, which
+        the budget counts.
     """
 
     request_id: str
@@ -107,6 +110,7 @@
     gap_goal_s: float
     remaining_s: float
     excluded: list[str] = field(default_factory=list)
+    arrivals: int = 0
 
 
 @register_message
--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -181,6 +181,7 @@
             route.gap_goal_s,
             self.ends_s - now_s,
             list(self.attempts.excluded),
+            self.attempts.sent,
         )
 
     async def _place(self, call: DispatchCall) -> DispatchAnswer:
