Let requests at the start wait for the leader too, and for 1.5 s

Cause: after a loss of power the cores need half a second more than the entries, and then elect.

Change: waiting requests go on once the routes and the leader are known; the wait is 1.5 s after the start of the process.

--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -105,9 +105,9 @@
         Draws services by weight.
     table : RouteTable, optional
         Routes in force; None until some are known.
-    routes_known : asyncio.Event
-        Set once routes are known.
-    routes_due_s : float
+    ready : asyncio.Event
+        Set once routes are known, and who places requests by them.
+    ready_due_s : float
         Clock reading until which requests wait for the first routes.
     stopping : bool
         Whether this instance is in a planned stop.
@@ -123,12 +123,7 @@
     metrics: NodeMetrics
     source: random.Random
     table: RouteTable | None = None
-    routes_known: asyncio.Event = field(default_factory=asyncio.Event)
-    routes_due_s: float = -math.inf
+    ready: asyncio.Event = field(default_factory=asyncio.Event)
+    ready_due_s: float = -math.inf
     stopping: bool = False
     stop_ends_s: float = math.inf
-
-    def apply_routes(self, table: RouteTable) -> None:
-        """Put routes in force."""
-        self.table = table
-        self.routes_known.set()
--- a/laburnumrock/forwarding/_run.py
+++ b/laburnumrock/forwarding/_run.py
@@ -105,15 +105,16 @@
         Notes
         -----
         It answers the loss of all instances: they start together, and callers are back before the
-        cores have a leader. A refusal would cost them more than the wait.
+        cores have a leader. A refusal would cost them more than the wait, and entries that place
+        what has come meanwhile without the leader overload engines.
         """
         request = self.request
-        left_s = self.context.routes_due_s - time.monotonic()
+        left_s = self.context.ready_due_s - time.monotonic()
         if request.remaining_s is not None:
             left_s = min(left_s, START_WAIT_SHARE * request.remaining_s)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, left_s)):
-                await self.context.routes_known.wait()
+                await self.context.ready.wait()
         self.reply.log("routes_awaited", known=self.context.table is not None)
 
     def _admit(self) -> ErrorKind | None:
--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -314,9 +314,14 @@
             async with open_front(upstream) as front:
                 loop = asyncio.get_running_loop()
                 table, front.context.table = front.context.table, None
-                front.context.routes_due_s = time.monotonic() + 0.3
+                front.context.ready_due_s = time.monotonic() + 0.3
+
+                def learn_routes():
+                    front.context.table = table
+                    front.context.ready.set()
+
                 if learns_after_s is not None:
-                    loop.call_later(learns_after_s, front.context.apply_routes, table)
+                    loop.call_later(learns_after_s, learn_routes)
                 began_s = loop.time()
                 reply = await front.request(Deadline_Ms=deadline_ms)
                 assert (reply.status, loop.time() - began_s < 0.5) == (status, True)
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -44,9 +44,9 @@
 """Decisions kept; those whose callers gave up are dropped, the oldest first."""
 DECISION_MARGIN_S = 0.15
 """Longest wait for a decision beyond the time for which the dispatcher may hold a request."""
-START_WAIT_S = 1.0
-"""Time after its start in which an entry learns the routes even if all cores start with it: an
-election takes 0.4 to 0.8 s."""
+START_WAIT_S = 1.5
+"""Time after its start in which an entry learns the routes even if all cores start with it: they
+need up to 0.5 s more than an entry, and an election takes 0.4 to 0.8 s."""
 CHANNEL_CHECK_S = 1.0
 """Interval at which idle channels are closed; upstreams state their idle time in whole seconds."""
 BALANCER_GRACE_S = 2.6
@@ -123,7 +123,7 @@
         self.network.handle(View, self._receive_view)
         self.network.handle(DispatchDecided, self._receive_decision)
         await self.network.start()
-        self.context.routes_due_s = time.monotonic() + START_WAIT_S
+        self.context.ready_due_s = time.monotonic() + START_WAIT_S
         listen = self.settings.listen
         self.front.listen(listen.host, listen.caller_port)
         self.tasks = [
@@ -294,6 +294,7 @@
             self.leader = core
             self.leader_term = welcome.term
             self.place_failures = 0
+            self._note_ready()
         elif known:
             self._lose_leader(core, "it does not lead")
         if welcome.leader is not None and welcome.leader not in self.cores:
@@ -337,12 +338,18 @@
         if view.routes_version > self.routes_version:
             self.hello_due.set()
 
+    def _note_ready(self) -> None:
+        """Let requests go on that came before this entry knew the routes and the leader."""
+        if self.leader is not None and self.context.table is not None:
+            self.context.ready.set()
+
     def _apply_routes(self, view: View) -> None:
         decoded = self.decode_routes(zlib.decompress(view.document))
         if decoded.is_err():
             log_message("routes_unreadable", failure=str(decoded.unwrap_err()))
             return
-        self.context.apply_routes(RouteTable(decoded.unwrap()))
+        self.context.table = RouteTable(decoded.unwrap())
+        self._note_ready()
         self.routes_version = view.routes_version
         self.metrics.routes_version.set(view.routes_version)
         log_message("routes_in_force", version=view.routes_version, term=view.term)
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import socket
+import time
 
 from laburnumrock.dispatch import DispatchCall, UpstreamReport, UpstreamState
 from laburnumrock.forwarding.tests.scripted import (
@@ -199,6 +200,26 @@
 
         asyncio.run(run())
 
+    def test_request_before_the_first_routes_is_placed_by_the_leader(self, tmp_path):
+        """Guards against entries that refuse, or place alone, while they start."""
+
+        async def run():
+            upstream = ScriptedUpstream(answer())
+            await upstream.start()
+            async with open_deployment(tmp_path) as deployment:
+                deployment.entry.context.ready_due_s = time.monotonic() + WAIT_S
+                leader = deployment.leader()
+                leader.observe_upstream(make_report(upstream.port))
+                permits = leader.dispatcher.next_permit
+                asked = asyncio.create_task(request(deployment))
+                await asyncio.sleep(0.1)
+                await deployment.store(7)
+                assert await asked == 200
+                assert leader.dispatcher.next_permit == permits + 1
+            upstream.server.close()
+
+        asyncio.run(run())
+
     def test_entry_goes_on_without_cores(self, tmp_path):
         """Guards against an entry that stops serving when no leader can be reached."""
 
