Read the routes once for all commands that are applied together

An elected core is also not told when its first entry is committed; it noticed by the next greeting of an entry or after 0.5 s.

Ruled out: the election timeout; the same start without processor charges has one election.

Before: both new tests fail. After: they pass.

--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -108,6 +108,7 @@
         self.applied_version = -1
         self.applied_drained: list[str] = []
         self.known_cores = list(settings.cores)
+        self.follow_due: asyncio.Handle | None = None
         self.tasks: list[asyncio.Task] = []
 
     async def start(self) -> Result[None, Failure]:
@@ -119,7 +120,7 @@
         network.handle(SendStalled, self._receive_stalled)
         network.handle(SendEnded, self._receive_ended)
         network.handle(UpstreamNews, self._receive_news)
-        self.log.on_applied(lambda *_: self._follow_state())
+        self.log.on_applied(lambda *_: self._note_applied())
         self.log.on_restored(self._follow_state)
         self.log.on_role_changed(self._follow_role)
         await network.start()
@@ -256,8 +257,20 @@
         members = self.log.members.everyone
         return sorted(set(members.values()) | set(self.known_cores))
 
+    def _note_applied(self) -> None:
+        """Follow the state once for all commands that are applied together.
+
+        Notes
+        -----
+        A core that starts applies all versions since its snapshot at once. To read each of them
+        kept a new leader from its heartbeats for 0.3 s.
+        """
+        if self.follow_due is None:
+            self.follow_due = asyncio.get_running_loop().call_soon(self._follow_state)
+
     def _follow_state(self) -> None:
         """Take over the replicated state after it changed."""
+        self.follow_due = None
         current = self._document()
         if current.version != self.applied_version and current.document:
             self.applied_version = current.version
@@ -404,6 +417,9 @@
             self._push_views()
 
     def _serve_waiting(self) -> None:
+        if not self.is_leading:
+            # An elected core leads once its first entry is committed, of which it is not told.
+            self._push_views()
         if not self.waiting:
             return
         domains = {name: entry.failure_domain for name, entry in self.entries.items()}
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -180,6 +180,46 @@
 
         asyncio.run(run())
 
+    def test_versions_are_read_once_after_a_start(self, tmp_path, monkeypatch):
+        """Guards against a new leader that reads all old versions while its heartbeats are due."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                for version in range(7, 27):
+                    await deployment.store(version)
+                for name in CORES:
+                    await deployment.cores.pop(name).stop()
+                for name in CORES:
+                    core = await deployment.start_core(name, first_start=False)
+                    read = []
+                    decode = core.decode_routes
+                    core.decode_routes = lambda data, read=read, decode=decode: (
+                        read.append(1),
+                        decode(data),
+                    )[1]
+                    core.read = read
+                await wait_until(deployment.leader)
+                cores = deployment.cores.values()
+                await wait_until(lambda: all(core.applied_version == 26 for core in cores))
+                assert max(len(core.read) for core in cores) <= 3
+
+        asyncio.run(run())
+
+    def test_elected_core_leads_without_being_asked(self, tmp_path):
+        """Guards against a leader that begins to decide only at the next periodic work."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                deployment.entry.tasks[0].cancel()
+                leader = deployment.leader()
+                leader.tasks[2].cancel()
+                leader.leading_term = 0
+                async with asyncio.timeout(0.2):
+                    while not leader.is_leading:
+                        await asyncio.sleep(0.01)
+
+        asyncio.run(run())
+
 
 class TestRequests:
     def test_request_through_the_leader(self, tmp_path):
