Keep the leader's heartbeats on time when many requests wait

Cause: the end of each send led to a pass over all waiting requests, 1 ms for each long prompt.

Change: ends of sends within 10 ms share one pass, which stops after six requests that find no upstream; those whose wait is over are decided all the same. A timer that is more than 50 ms late lets the messages come first.

The new tests fail before the change.

--- a/laburnumrock/daemon/_due_timer.py
+++ b/laburnumrock/daemon/_due_timer.py
@@ -8,6 +8,10 @@
 """Bounds the wake-ups of a state machine whose due time stays in the past."""
 MAX_DELAY_S = 1.0
 """Bounds the damage of a due time that was computed too late."""
+LATE_S = 0.05
+"""Lateness of a run that shows a busy event loop; timers of an idle one are exact to 2 ms."""
+DEFER_S = 0.01
+"""Time in which an event loop takes up the messages that wait in its sockets."""
 
 
 class DueTimer:
@@ -26,6 +30,10 @@
     -----
     Polling every 25 to 50 ms made 120 wake-ups a second on an idle instance, half of its
     processor time.
+
+    A run that is late by more than `LATE_S` is put off by `DEFER_S` once: the event loop was busy,
+    and messages that have arrived meanwhile must be seen before time limits are. A leader that did
+    not read its answers in time stepped down under load.
     """
 
     def __init__(
@@ -40,6 +48,7 @@
         self.handle: asyncio.TimerHandle | None = None
         self.due_s = float("inf")
         self.running = False
+        self.deferred = False
 
     def start(self) -> None:
         """Run at once and then whenever due."""
@@ -73,6 +82,12 @@
             self._schedule(self.clock())
 
     def _fire(self) -> None:
+        now_s = self.clock()
+        if now_s - self.due_s > LATE_S and not self.deferred:
+            self.deferred = True
+            self._schedule(now_s + DEFER_S)
+            return
+        self.deferred = False
         self.due_s = float("inf")
         try:
             self.run()
--- a/laburnumrock/daemon/tests/test_due_timer.py
+++ b/laburnumrock/daemon/tests/test_due_timer.py
@@ -1,6 +1,7 @@
 """Tests of the timer of state machines."""
 
 import asyncio
+import socket
 import time
 
 from laburnumrock.daemon._due_timer import DueTimer
@@ -32,3 +33,34 @@
         runs = asyncio.run(run())
         assert len(runs) >= 2
         assert runs[1] >= 0.19
+
+    def test_messages_come_before_a_late_run(self):
+        """Guards against a leader that steps down since its event loop was busy."""
+
+        async def run(own, peer):
+            seen = []
+
+            async def read():
+                await reader.readexactly(1)
+                seen.append("message")
+
+            reader, writer = await asyncio.open_connection(sock=own)
+            started_s = time.monotonic()
+            timer = DueTimer(lambda: seen.append("run"), lambda: started_s + 0.05)
+            timer.start()
+            seen.clear()
+            task = asyncio.create_task(read())
+            await asyncio.sleep(0)
+            peer.send(b"x")
+            # Blocks the event loop beyond the due time.
+            time.sleep(0.2)
+            await asyncio.sleep(0.05)
+            timer.stop()
+            await task
+            writer.close()
+            return seen
+
+        own, peer = socket.socketpair()
+        own.setblocking(False)
+        with peer:
+            assert asyncio.run(run(own, peer))[:2] == ["message", "run"]
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -31,6 +31,9 @@
 time that they have left."""
 PERMIT_MARGIN_S = 1.0
 """A send that its entry no longer lists is dropped after this time; reports may cross."""
+WEIGHED_IN_VAIN = 6
+"""Waiting requests that find no upstream in one pass, before the others are left for the next one;
+weighing a long prompt takes 1 ms, and a pass follows the end of each send."""
 REPEAT_HOLD_S = 0.8
 """Longest wait of a request that was sent before; callers leave a stream after 2 s."""
 
@@ -158,6 +161,7 @@
             Failure domain of each entry.
         """
         decided = []
+        in_vain = 0
         order = sorted(
             self.waiting.items(),
             key=lambda item: (
@@ -167,15 +171,19 @@
             ),
         )
         for ticket, waiting in order:
+            given_up = now_s >= waiting.gives_up_s
+            if in_vain >= WEIGHED_IN_VAIN and not given_up:
+                continue
             call = waiting.remaining_call(now_s)
             choice = self.chooser.choose(domains.get(waiting.entry, ""), call, now_s)
-            given_up = now_s >= waiting.gives_up_s
             if choice is not None and (given_up or not self.chooser.is_worth_waiting(choice, call)):
                 answer = self._grant_or_refuse(waiting.entry, choice, call, now_s)
                 decided.append((ticket, answer))
             elif given_up:
                 retry_s = self._spread(max(0.5, waiting.call.goal_s))
                 decided.append((ticket, _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)))
+            else:
+                in_vain += 1
         for ticket, _ in decided:
             del self.waiting[ticket]
         return decided
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -17,6 +17,7 @@
     UpstreamReport,
     UpstreamState,
 )
+from laburnumrock.dispatch._dispatcher import WEIGHED_IN_VAIN
 from laburnumrock.errors import ErrorKind
 from laburnumrock.routing import EngineParameters, RouteSet, Service
 
@@ -253,6 +254,22 @@
 
 
 class TestWaiting:
+    def test_pass_over_many_waiting_requests_is_bounded(self, monkeypatch):
+        """Guards against a leader that weighs its whole queue at the end of each send."""
+        dispatcher = make_dispatcher(engines=1, slots=1)
+        place(dispatcher, SHORT)
+        monkeypatch.setattr(dispatcher, "_wait_is_hopeless", lambda call: False)
+        tickets = [dispatcher.place("entry", "a", SHORT, 10.0) for _ in range(50)]
+        calls = []
+        choose = dispatcher.chooser.choose
+        monkeypatch.setattr(
+            dispatcher.chooser, "choose", lambda *values: calls.append(values) or choose(*values)
+        )
+        assert dispatcher.retry_waiting({}, 10.05) == []
+        assert len(calls) == WEIGHED_IN_VAIN
+        # Requests whose wait is over are decided all the same.
+        assert [ticket for ticket, _ in dispatcher.retry_waiting({}, 11.0)] == tickets
+
     def test_tickets_of_two_leaders_differ(self):
         """Guards against a late decision of a former leader that answers another request.
 
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -35,6 +35,9 @@
 """An entry that was not heard for this long gets no views; it says hello twice a second."""
 RETRY_INTERVAL_S = 0.05
 """Interval at which waiting requests are placed or refused."""
+RETRY_SPACING_S = 0.01
+"""Time after the end of a send until waiting requests are placed; sends that end meanwhile count
+too. Under load a pass for each of them kept a leader from its heartbeats."""
 NEWS_INTERVAL_S = 0.1
 """Reports of upstreams are sent to the other cores in groups; a second is their own interval."""
 NEWS_REPEATS_S = (0.3, 0.7, 1.2)
@@ -109,6 +112,7 @@
         self.applied_drained: list[str] = []
         self.known_cores = list(settings.cores)
         self.follow_due: asyncio.Handle | None = None
+        self.retry_due: asyncio.TimerHandle | None = None
         self.tasks: list[asyncio.Task] = []
 
     async def start(self) -> Result[None, Failure]:
@@ -398,8 +402,9 @@
 
     def _receive_ended(self, sender: str, message: SendEnded) -> None:
         self.dispatcher.note_ended(message, time.monotonic())
-        if self.waiting:
-            self._serve_waiting()
+        if self.waiting and self.retry_due is None:
+            loop = asyncio.get_running_loop()
+            self.retry_due = loop.call_later(RETRY_SPACING_S, self._serve_waiting)
 
     def _receive_news(self, sender: str, message: UpstreamNews) -> None:
         now_s = time.monotonic()
@@ -417,6 +422,7 @@
             self._push_views()
 
     def _serve_waiting(self) -> None:
+        self.retry_due = None
         if not self.is_leading:
             # An elected core leads once its first entry is committed, of which it is not told.
             self._push_views()
