Take the share of idle engines from the whole fleet

Cause: the number of engines that one prompt may occupy is a share of the idle ones, which were counted among the 24 engines that are weighed for parts only.

Change: idle engines are counted before that. No deployment was measured for this change alone.

--- a/laburnumrock/dispatch/_chooser.py
+++ b/laburnumrock/dispatch/_chooser.py
@@ -239,10 +239,10 @@
         memory = call.prompt_tokens + call.output_tokens
         capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
         able = [pair for pair in usable if not pair[0].is_cold(now_s)]
+        idle = sum(1 for _, load in able if load.reading_ms() <= 0)
         if len(able) > MAX_WEIGHED_PARTS:
             able.sort(key=lambda pair: (pair[1].reading_ms(), len(pair[1].sends)))
             able = able[:MAX_WEIGHED_PARTS]
-        idle = sum(1 for _, load in able if load.reading_ms() <= 0)
         best = None
         for engines in SPLIT_SIZES:
             part_ms = whole_ms / engines
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -213,6 +213,12 @@
         assert answer.refusal == ErrorKind.DEADLINE_UNREACHABLE
         assert 0 < answer.retry_after_s < 5
 
+    def test_large_fleet_reads_a_prompt_on_the_most_engines(self):
+        """Guards against a share of idle engines that is taken from a few of them."""
+        dispatcher = make_dispatcher(engines=60)
+        large = replace(LONG, prompt_tokens=420_000, goal_s=1.0)
+        assert len(place(dispatcher, large).helpers) == 15
+
     def test_wait_ends_with_a_placement(self):
         """Guards against a refusal of a prompt that an engine could read late."""
         dispatcher = make_dispatcher(engines=8)
