--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -181,7 +181,9 @@
             writer.write(_head(200, request_id, len(body), {}) + body)
             return
         first = int(headers.get("last-event-id", "0")) + 1
-        cut = self.source.randint(first, PIECES) if self.mode == "engine_cuts" else 0
+        cut = 0
+        if self.mode == "engine_cuts" and first <= PIECES:
+            cut = self.source.randint(first, PIECES)
         writer.write(_head(200, request_id, None, {"Content-Type": "text/event-stream"}))
         for number in range(first, PIECES + 1):
             piece = make_piece(request_id, number)
