Answer an invalid engine order with 400 instead of 500

OrdersHandler called write_failure, which the handler does not have, so that an invalid body of POST /operator/v1/orders was answered 500 with outcome unknown. It now calls finish_with_failure like the other handlers.

--- a/laburnumrock/gateway/_operator_orders.py
+++ b/laburnumrock/gateway/_operator_orders.py
@@ -32,7 +32,7 @@
         """Record an order, which the log leader then sends to the engine."""
         body = self.read_body(OrderBody)
         if body.is_err():
-            self.write_failure(body.unwrap_err())
+            self.finish_with_failure(body.unwrap_err())
             return
         request = body.unwrap()
         self.request_id = request.request_id
