--- a/laburnumrock/dispatch/_chooser.py
+++ b/laburnumrock/dispatch/_chooser.py
@@ -15,8 +15,7 @@
 from laburnumrock.dispatch._fleet import Fleet, UpstreamPair
 from laburnumrock.dispatch._load import UpstreamLoad
 from laburnumrock.dispatch._losses import (
-    Streams,
-    collect_streams,
+    LATE_LOSS,
     engine_rank,
     interference_loss,
     late_loss,
@@ -46,7 +45,7 @@
 still find a free one."""
 SHORT_PART_MS = 100.0
 """A part with at most this prefill time delays no other request beyond its latency target."""
-MAX_CANDIDATES, MAX_PART_CANDIDATES = 40, 24
+MAX_CANDIDATES, MAX_PART_CANDIDATES = 24, 24
 """Maximum numbers of engines that are evaluated for a whole prompt and for parts. In larger fleets
 whole prompts use a random sample and parts the least busy engines, so that the cost of a decision
 is nearly independent of the number of engines."""
@@ -60,6 +59,9 @@
 """Predicted time of a request on an idle upstream that is not a model engine."""
 MIN_SPLIT_PREFILL_S = 1.0
 """Prompts with a shorter prefill are assumed not to be split when deciding whether to wait."""
+ABANDON_RAMP_START, ABANDON_RAMP_END = 0.5, 0.9
+"""Shares of the caller's timeout between which the expected loss of a first event rises from that
+of a late one to the whole value. Later prompts may delay a prefill beyond its prediction."""
 CLIENT_TIMEOUT_S, CLIENT_TIMEOUT_GOALS, CLIENT_TIMEOUT_GAPS = 2.0, 4.0, 8.0
 """Callers abandon a stream without events after the longest of these times, as the users state it:
 in seconds, in multiples of the target for the first event and of the target between events."""
@@ -130,7 +132,11 @@
         # engine, which queues a few requests itself.
         min_free_slots = 1 if call.attempt <= 1 else 1 - RETRY_EXTRA_SLOTS
         for usable in self.fleet.find_candidates(call, now_s):
-            candidates = [pair for pair in usable if pair[1].free_slots >= min_free_slots]
+            candidates = [
+                pair
+                for pair in usable
+                if pair[1].slots - len(pair[1].sends) + pair[1].summary.parts >= min_free_slots
+            ]
             choice = self._choose_among(domain, call, usable, candidates, now_s)
             if choice is not None:
                 return choice
@@ -154,6 +160,7 @@
             )
         prefill_ms = model.prefill_ms(0, call.prompt_tokens)
         peak_prefill_ms = model.peak_prefill_ms(call.prompt_tokens)
+        value = self.fleet.request_value(call.service, call.prompt_tokens, call.output_tokens)
         memory = call.prompt_tokens + call.output_tokens
         capacity = MEMORY_SHARE * model.parameters.kv_capacity_tokens
         best: Choice | None = None
@@ -164,7 +171,7 @@
             if load.memory_tokens + memory > capacity:
                 continue
             choice = self._score_single(
-                domain, call, record, load, prefill_ms, peak_prefill_ms, now_s
+                domain, call, record, load, prefill_ms, peak_prefill_ms, value, now_s
             )
             if best is None or choice.loss < best.loss:
                 best = choice
@@ -185,17 +192,6 @@
         best_s = whole_s / MAX_ENGINES_PER_PROMPT if whole_s > MIN_SPLIT_PREFILL_S else whole_s
         return best_s < WAIT_GOAL_SHARE * call.goal_s
 
-    def exceeds_client_timeout(self, choice: Choice, call: DispatchCall) -> bool:
-        """Whether the caller will have disconnected before the predicted first event."""
-        if call.gap_goal_s <= 0:
-            return choice.first_s > call.remaining_s
-        client_timeout_s = max(
-            CLIENT_TIMEOUT_S,
-            CLIENT_TIMEOUT_GOALS * call.goal_s,
-            CLIENT_TIMEOUT_GAPS * call.gap_goal_s,
-        )
-        return choice.first_s > min(client_timeout_s, call.remaining_s)
-
     def _score_plain(
         self,
         domain: str,
@@ -216,14 +212,14 @@
         load: UpstreamLoad,
         prefill_ms: float,
         peak_prefill_ms: float,
+        value: float,
         now_s: float,
     ) -> Choice:
-        value = self.fleet.request_value(call.service, call.prompt_tokens, call.output_tokens)
         pass_ms = load.pass_ms()
         own_pass_ms = load.model.decode_pass_ms(len(load.sends) + 1, call.prompt_tokens)
         first_ms = pass_ms + load.pending_prefill_ms() + prefill_ms + own_pass_ms
         first_s = load.slowdown * first_ms / MS_PER_S
-        loss = value * late_loss(first_s, call.goal_s)
+        loss = value * delay_loss(call, first_s)
         loss += DELAY_WEIGHT * first_s / call.goal_s
         loss += value * FAILURE_LOSS * load.current_failure_rate(now_s)
         if call.gap_goal_s > 0:
@@ -255,7 +251,6 @@
         if len(eligible) > MAX_PART_CANDIDATES:
             eligible.sort(key=lambda pair: (pair[1].pending_prefill_ms(), len(pair[1].sends)))
             eligible = eligible[:MAX_PART_CANDIDATES]
-        streams = [collect_streams(load) for _, load in eligible]
         free_loads = {id(load) for _, load in candidates}
         best = None
         for engine_count in SPLIT_ENGINE_COUNTS:
@@ -267,10 +262,7 @@
                 continue
             peak_prefill_ms = model.part_peak_prefill_ms(call.prompt_tokens, engine_count)
             part = (part_ms, peak_prefill_ms)
-            costs = [
-                self._part_cost(domain, pair, part, load_streams, now_s)
-                for pair, load_streams in zip(eligible, streams, strict=True)
-            ]
+            costs = [self._part_cost(domain, pair, part, now_s) for pair in eligible]
             by_cost = sorted(range(len(eligible)), key=costs.__getitem__)
             ranked = [(*eligible[index], costs[index]) for index in by_cost]
             reserved = -int(-memory // engine_count) if memory > capacity else 0
@@ -306,15 +298,14 @@
         if first is None or len(helpers) < engine_count - 1:
             return None
         part_ms, _ = part
-        choice = self._score_single(domain, call, *first, *part, now_s)
+        value = self.fleet.request_value(call.service, call.prompt_tokens, call.output_tokens)
+        choice = self._score_single(domain, call, *first, *part, value, now_s)
         slowdown = max([first[1].slowdown, *(load.slowdown for _, load, _ in helpers)])
         max_wait_ms = max(load.pass_ms() + load.pending_parts_ms() for _, load, _ in helpers)
         own_pass_ms = first[1].model.decode_pass_ms(len(first[1].sends) + 1, call.prompt_tokens)
         first_s = slowdown * (max_wait_ms + part_ms + own_pass_ms) / MS_PER_S
         if first_s > choice.first_s:
-            value = self.fleet.request_value(call.service, call.prompt_tokens, call.output_tokens)
-            choice.loss += value * late_loss(first_s, call.goal_s)
-            choice.loss -= value * late_loss(choice.first_s, call.goal_s)
+            choice.loss += value * (delay_loss(call, first_s) - delay_loss(call, choice.first_s))
             choice.first_s = first_s
         choice.loss += part_costs
         choice.helpers = helpers
@@ -325,7 +316,6 @@
         domain: str,
         pair: UpstreamPair,
         part: tuple[float, float],
-        streams: Streams,
         now_s: float,
     ) -> float:
         """Expected loss of value when an engine prefills a part for another one.
@@ -334,16 +324,43 @@
         ----------
         part : tuple of (float, float)
             Prefill time of the part, and the longest time that it adds to one pass, in ms.
-        streams : Streams
-            Streams of the engine.
         """
         record, load = pair
         part_ms, peak_prefill_ms = part
-        cost = HELPER_WEIGHT + part_interference_loss(load, streams, peak_prefill_ms)
-        cost += prefill_delay_loss(load, streams, part_ms)
+        cost = HELPER_WEIGHT + part_interference_loss(load, peak_prefill_ms)
+        cost += prefill_delay_loss(load, part_ms)
         cost += PART_WAIT_WEIGHT * load.slowdown * load.pending_parts_ms() / MS_PER_S
         cost += HELPER_WEIGHT * (load.slowdown + 10.0 * load.current_failure_rate(now_s))
         return cost + self._distance_cost(domain, record)
 
     def _distance_cost(self, domain: str, record: UpstreamRecord) -> float:
         return 0.0 if record.report.failure_domain == domain else CROSS_DOMAIN_WEIGHT
+
+
+def client_timeout_s(call: DispatchCall) -> float:
+    """Return how long the caller waits for the first event, in seconds from now."""
+    if call.gap_goal_s <= 0:
+        return call.remaining_s
+    patience_s = max(
+        CLIENT_TIMEOUT_S,
+        CLIENT_TIMEOUT_GOALS * call.goal_s,
+        CLIENT_TIMEOUT_GAPS * call.gap_goal_s,
+    )
+    return min(patience_s, call.remaining_s)
+
+
+def delay_loss(call: DispatchCall, first_s: float) -> float:
+    """Share of its value that a request is expected to lose by the predicted first event.
+
+    Notes
+    -----
+    A late answer keeps a part of its value, an answer that the caller no longer waits for none. A
+    prompt of 560,000 tokens was split over three engines because it was late in any case; its
+    prefill took longer than predicted, and the caller left after 12 s.
+    """
+    late = late_loss(first_s, call.goal_s)
+    if late < LATE_LOSS:
+        return late
+    share = first_s / max(client_timeout_s(call), 1e-3)
+    risk = (share - ABANDON_RAMP_START) / (ABANDON_RAMP_END - ABANDON_RAMP_START)
+    return late + (1.0 - late) * min(1.0, max(0.0, risk))
--- a/laburnumrock/dispatch/_directory.py
+++ b/laburnumrock/dispatch/_directory.py
@@ -1,5 +1,6 @@
 """Directory of upstreams, built from their reports."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from laburnumrock.dispatch._messages import UpstreamReport, UpstreamState
@@ -44,8 +45,18 @@
         self.expiry_s = expiry_s
         self.retention_s = retention_s
         self.records: dict[str, UpstreamRecord] = {}
+        self.names_by_service: dict[str, dict[str, None]] = {}
         self.by_address: dict[tuple[str, int], str] = {}
         self.revision = 0
+        self.changed_names: set[str] = set()
+        self.removed_names: set[str] = set()
+
+    def take_changes(self) -> tuple[list[str], list[str]]:
+        """Return the upstreams that changed and those removed since the last call."""
+        changed, removed = sorted(self.changed_names), sorted(self.removed_names)
+        self.changed_names.clear()
+        self.removed_names.clear()
+        return changed, removed
 
     def observe(self, report: UpstreamReport, now_s: float) -> bool:
         """Store a report unless a newer one is known.
@@ -61,11 +72,14 @@
         if not self._assign_address(report):
             return False
         changed = known is None or _differs(report, known, now_s)
+        if known is not None and known.report.service != report.service:
+            del self.names_by_service[known.report.service][report.upstream_id]
+        self.names_by_service.setdefault(report.service, {})[report.upstream_id] = None
         self.records[report.upstream_id] = UpstreamRecord(
             report, now_s, now_s + report.cold_left_s if report.cold_left_s > 0 else 0.0
         )
         if changed:
-            self.revision += 1
+            self._mark_changed(report.upstream_id)
         return changed
 
     def remove(self, upstream_id: str, now_s: float) -> UpstreamReport | None:
@@ -90,10 +104,12 @@
 
     def usable(self, service: str, now_s: float) -> list[UpstreamRecord]:
         """Return the upstreams of a service that may get new requests."""
+        oldest_s = now_s - self.expiry_s
+        records = [self.records[name] for name in self.names_by_service.get(service, ())]
         return [
             record
-            for record in self.records.values()
-            if record.report.service == service and self.is_usable(record, now_s)
+            for record in records
+            if record.last_seen_s >= oldest_s and record.report.state is UpstreamState.READY
         ]
 
     def expire(self, now_s: float) -> list[str]:
@@ -110,14 +126,26 @@
     def delete_record(self, upstream_id: str) -> None:
         """Delete the record of an upstream without marking the upstream as gone."""
         report = self.records.pop(upstream_id).report
+        del self.names_by_service[report.service][upstream_id]
+        self.changed_names.discard(upstream_id)
+        self.removed_names.add(upstream_id)
         if self.by_address.get((report.host, report.port)) == upstream_id:
             del self.by_address[report.host, report.port]
         self.revision += 1
 
-    def reports(self, now_s: float) -> list[UpstreamReport]:
-        """Return the latest reports, with the remaining cold phase as of now."""
+    def reports(self, now_s: float, names: Iterable[str] | None = None) -> list[UpstreamReport]:
+        """Return the latest reports, with the remaining cold phase as of now.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic clock in seconds.
+        names : iterable of str, optional
+            Upstreams to include; all by default.
+        """
         result = []
-        for record in self.records.values():
+        for name in self.records if names is None else names:
+            record = self.records[name]
             report = record.report
             left_s = max(0.0, record.cold_until_s - now_s)
             if left_s != report.cold_left_s:
@@ -125,6 +153,11 @@
             result.append(report)
         return result
 
+    def _mark_changed(self, upstream_id: str) -> None:
+        self.revision += 1
+        self.removed_names.discard(upstream_id)
+        self.changed_names.add(upstream_id)
+
     def _assign_address(self, report: UpstreamReport) -> bool:
         """Assign the address to the newest incarnation; False if another upstream is newer."""
         address = (report.host, report.port)
@@ -136,7 +169,7 @@
                 # A new upstream has the address, so the former holder no longer exists.
                 former = self.records[holder]
                 former.report = _as_departed(former.report)
-                self.revision += 1
+                self._mark_changed(holder)
         if report.state is not UpstreamState.GONE or holder is None:
             self.by_address[address] = report.upstream_id
         return True
--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -92,7 +92,9 @@
             load = UpstreamLoad(self.models.get(report.service), report.slots)
             self.loads[report.upstream_id] = load
         load.slots = report.slots
-        load.model = self.models.get(report.service)
+        model = self.models.get(report.service)
+        if load.model is not model:
+            load.set_model(model)
         return load
 
     def find_candidates(self, call: DispatchCall, now_s: float) -> Iterator[list[UpstreamPair]]:
@@ -108,19 +110,23 @@
         usable: list[UpstreamPair] = []
         stale: list[UpstreamPair] = []
         unresponsive: list[UpstreamPair] = []
+        partitioned = self.find_partitioned(now_s)
+        stale_before_s = now_s - self.settings.stale_after_s
         for record in self.directory.usable(call.service, now_s):
-            name = record.report.upstream_id
-            if record.report.failure_domain in self.drained or name in call.excluded:
+            report = record.report
+            if report.failure_domain in self.drained or report.upstream_id in call.excluded:
                 continue
             load = self.find_load(record)
-            if not self.has_cold_capacity(record, load, now_s):
+            if now_s < record.cold_until_s and not self.has_cold_capacity(record, load, now_s):
                 continue
-            load.advance(now_s)
-            if load.is_ejected(now_s) or self.is_partitioned(record, now_s):
-                group = unresponsive
+            if load.summary.pending:
+                load.advance(now_s)
+            if now_s < load.ejected_until_s or report.failure_domain in partitioned:
+                unresponsive.append((record, load))
+            elif record.last_seen_s < stale_before_s:
+                stale.append((record, load))
             else:
-                group = stale if self.is_stale(record, now_s) else usable
-            group.append((record, load))
+                usable.append((record, load))
         yield usable
         yield stale
         if not usable and not stale:
@@ -143,10 +149,11 @@
         """Whether the last sign of life of an upstream is older than the limit."""
         return now_s - record.last_seen_s > self.settings.stale_after_s
 
-    def is_partitioned(self, record: UpstreamRecord, now_s: float) -> bool:
-        """Whether several upstreams of the same failure domain do not respond."""
-        health = self.domain_health.get(record.report.failure_domain)
-        return health is not None and health.is_partitioned(now_s)
+    def find_partitioned(self, now_s: float) -> set[str]:
+        """Return the failure domains of which several upstreams do not respond."""
+        return {
+            domain for domain, health in self.domain_health.items() if health.is_partitioned(now_s)
+        }
 
     def is_gone_or_stale(self, upstream_id: str, now_s: float) -> bool:
         """Whether an upstream left, is unknown or missed reports."""
--- a/laburnumrock/dispatch/_load.py
+++ b/laburnumrock/dispatch/_load.py
@@ -1,6 +1,8 @@
 """Predicted load of an upstream, tracked by the dispatcher from the sends that it placed."""
 
-from dataclasses import dataclass
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from laburnumrock.dispatch._engine_model import MS_PER_S, EngineModel
 
@@ -81,6 +83,67 @@
         return self.prefill_left_ms <= 0.0
 
 
+@dataclass(slots=True)
+class LoadSummary:
+    """Properties of an upstream's sends that change only when a send is added, removed or decodes.
+
+    Parameters
+    ----------
+    parts : int
+        Number of parts of other engines' prompts.
+    memory_tokens : int
+        KV cache that the sends take.
+    base_ms : float
+        Predicted time of a pass without prefill, once all pending prompts decode.
+    decode_ms : float
+        Predicted time of a pass without prefill, with the requests that decode now; 0 for none.
+    values : dict of float to float
+        Value of the decoding streams, by their latency target between events in seconds.
+    min_gap_goal_s : float
+        Shortest of these targets; infinite if no stream decodes.
+    prefilling : list of ActiveSend
+        Own prompts whose prefill is running or pending.
+    pending : list of ActiveSend
+        The same with the parts of other engines' prompts.
+    """
+
+    parts: int = 0
+    memory_tokens: int = 0
+    base_ms: float = 0.0
+    decode_ms: float = 0.0
+    values: dict[float, float] = field(default_factory=dict)
+    min_gap_goal_s: float = math.inf
+    prefilling: list[ActiveSend] = field(default_factory=list)
+    pending: list[ActiveSend] = field(default_factory=list)
+
+
+def summarize_sends(model: EngineModel | None, sends: Iterable[ActiveSend]) -> LoadSummary:
+    """Compute the summary of the sends of an upstream."""
+    summary = LoadSummary()
+    count = context = decoding = decoding_context = 0
+    for send in sends:
+        summary.memory_tokens += send.memory_tokens
+        if not send.is_decoding:
+            summary.pending.append(send)
+        if send.is_part:
+            summary.parts += 1
+            continue
+        count += 1
+        context += send.prompt_tokens
+        if send.is_decoding:
+            decoding += 1
+            decoding_context += send.prompt_tokens
+            goal_s = send.gap_goal_s
+            summary.values[goal_s] = summary.values.get(goal_s, 0.0) + send.value
+        else:
+            summary.prefilling.append(send)
+    if model is not None:
+        summary.base_ms = model.decode_pass_ms(count, context)
+        summary.decode_ms = model.decode_pass_ms(decoding, decoding_context)
+    summary.min_gap_goal_s = min((goal for goal in summary.values if goal > 0), default=math.inf)
+    return summary
+
+
 class UpstreamLoad:
     """Active sends of one upstream, and its recent performance.
 
@@ -96,6 +159,7 @@
         self.model = model
         self.slots = slots
         self.sends: dict[int, ActiveSend] = {}
+        self.cached_summary: LoadSummary | None = None
         self.advanced_s = float("-inf")
         self.slowdown = 1.0
         self.failure_rate = 0.0
@@ -104,39 +168,55 @@
         self.ejected_until_s = float("-inf")
         self.cold_sends: list[float] = []
 
+    @property
+    def summary(self) -> LoadSummary:
+        """Properties of the sends that do not change with time."""
+        if self.cached_summary is None:
+            self.cached_summary = summarize_sends(self.model, self.sends.values())
+        return self.cached_summary
+
+    def set_model(self, model: EngineModel | None) -> None:
+        """Replace the cost model after a change of the declared service."""
+        if model is not self.model:
+            self.model = model
+            self.cached_summary = None
+
     @property
     def free_slots(self) -> int:
         """Further requests that fit; prompt parts for other engines take no slot."""
-        return self.slots - len(self.sends) + self.parts
+        return self.slots - len(self.sends) + self.summary.parts
 
     @property
     def parts(self) -> int:
         """Number of parts of other engines' prompts on this upstream."""
-        return sum(1 for send in self.sends.values() if send.is_part)
+        return self.summary.parts
 
     @property
     def memory_tokens(self) -> int:
         """KV cache that the sends take."""
-        return sum(send.memory_tokens for send in self.sends.values())
+        return self.summary.memory_tokens
 
     def add(self, send: ActiveSend, now_s: float) -> None:
         self.advance(now_s)
         self.sends[send.permit] = send
+        self.cached_summary = None
 
     def remove(self, permit: int, now_s: float) -> ActiveSend | None:
         """Remove a send that ended."""
         self.advance(now_s)
+        self.cached_summary = None
         return self.sends.pop(permit, None)
 
     def advance(self, now_s: float) -> None:
         """Advance the predicted prefill to `now_s`; prompts are processed one after the other."""
         left_ms = (now_s - self.advanced_s) * MS_PER_S / self.slowdown
         self.advanced_s = now_s
-        if self.model is None:
+        pending = self.summary.pending
+        if self.model is None or not pending:
             return
         # Parts of other engines' prompts take precedence over the engine's own prompts.
         for is_part in (True, False):
-            for send in self.sends.values():
+            for send in pending:
                 if left_ms <= 0.0:
                     return
                 # A prompt counts as unfinished until its first event, also if that is overdue.
@@ -148,38 +228,29 @@
 
     def pending_prefill_ms(self) -> float:
         """Predicted time to prefill all pending prompts, at nominal speed."""
-        return sum(send.prefill_left_ms for send in self.sends.values())
+        pending = self.summary.pending
+        return sum([send.prefill_left_ms for send in pending]) if pending else 0.0
 
     def pending_parts_ms(self) -> float:
         """Predicted time to prefill the parts of other engines' prompts, at nominal speed."""
-        return sum(send.prefill_left_ms for send in self.sends.values() if send.is_part)
+        return sum([send.prefill_left_ms for send in self.summary.pending if send.is_part])
 
     def delay_prefills(self, part_ms: float) -> None:
         """Postpone the expected first events of own prompts by a part that takes precedence."""
-        for send in self.sends.values():
-            if not send.is_part and not send.is_decoding:
-                send.expected_first_s += self.slowdown * part_ms / MS_PER_S
-
-    def decoding_sends(self) -> list[ActiveSend]:
-        """Return the sends whose prefill is complete."""
-        return [send for send in self.sends.values() if send.is_decoding and not send.is_part]
+        for send in self.summary.prefilling:
+            send.expected_first_s += self.slowdown * part_ms / MS_PER_S
 
     def pass_ms(self) -> float:
         """Predicted duration of the next pass, at nominal speed; 0 if no request decodes."""
-        decoding = self.decoding_sends()
-        if not decoding:
-            return 0.0
-        context = sum(send.prompt_tokens for send in decoding)
-        decode_ms = self.model.decode_pass_ms(len(decoding), context)
-        return decode_ms + self.model.combined_peak_prefill_ms(self.peak_prefills_ms())
+        summary = self.summary
+        if not summary.values or not summary.pending:
+            return summary.decode_ms
+        peaks_ms = self.peak_prefills_ms()
+        return summary.decode_ms + self.model.combined_peak_prefill_ms(peaks_ms)
 
     def peak_prefills_ms(self) -> list[float]:
         """Longest time that each pending prompt or part adds to one pass."""
-        return [
-            min(send.peak_prefill_ms, send.prefill_left_ms)
-            for send in self.sends.values()
-            if not send.is_decoding
-        ]
+        return [min(send.peak_prefill_ms, send.prefill_left_ms) for send in self.summary.pending]
 
     def record_first_event(self, permit: int, first_s: float, now_s: float) -> None:
         """Record the time to the first event of a send and update the slowdown."""
@@ -188,6 +259,7 @@
         if send is None:
             return
         send.prefill_left_ms = 0.0
+        self.cached_summary = None
         if self.model is not None and send.expected_first_s > 0.0:
             ratio = min(max(first_s / send.expected_first_s, SLOWDOWN_MIN), SLOWDOWN_MAX)
             self.slowdown = max(
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -1,6 +1,7 @@
 """Selection of an upstream by an entry node that cannot reach the dispatcher."""
 
 import random
+from collections.abc import Collection
 
 from laburnumrock.dispatch._budget import RetryBudget
 from laburnumrock.dispatch._directory import UpstreamRecord
@@ -61,7 +62,12 @@
         self.budget.slack = max(1.0, slack / max(1, entry_count))
 
     def place(
-        self, domain: str, upstreams: list[UpstreamRecord], call: DispatchCall, now_s: float
+        self,
+        domain: str,
+        upstreams: list[UpstreamRecord],
+        call: DispatchCall,
+        now_s: float,
+        unreachable: Collection[str] = (),
     ) -> DispatchAnswer:
         """Choose an upstream; permit numbers are negative.
 
@@ -75,6 +81,10 @@
             The request.
         now_s : float
             Monotonic clock in seconds.
+        unreachable : collection of str
+            Failure domains that are probably partitioned from this node. Their upstreams get no
+            requests: a caller that is refused at once can return, while one whose request may have
+            run must not repeat it.
         """
         if call.arrivals > 0 and not self.budget.try_take_retry(now_s):
             return DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value, retry_after_s=1.0)
@@ -86,6 +96,8 @@
             name = record.report.upstream_id
             if name in call.excluded or record.is_cold(now_s):
                 continue
+            if record.report.failure_domain in unreachable:
+                continue
             health = self.domain_health.get(record.report.failure_domain)
             ejected = now_s < self.ejected_until_s.get(name, 0.0)
             ejected = ejected or (health is not None and health.is_partitioned(now_s, EJECTION_S))
--- a/laburnumrock/dispatch/_losses.py
+++ b/laburnumrock/dispatch/_losses.py
@@ -1,10 +1,9 @@
 """Expected loss of request value that a placement causes."""
 
 import zlib
-from dataclasses import dataclass
 
 from laburnumrock.dispatch._engine_model import MS_PER_S
-from laburnumrock.dispatch._load import ActiveSend, UpstreamLoad
+from laburnumrock.dispatch._load import UpstreamLoad
 
 LATE_LOSS = 0.75
 """Share of its value that a late answer loses; both users give a late answer a quarter."""
@@ -23,47 +22,6 @@
     return zlib.crc32(upstream_id.encode()) / 0xFFFFFFFF
 
 
-@dataclass(slots=True)
-class Streams:
-    """Streams and pending prompts of an engine that a further prompt would delay.
-
-    Parameters
-    ----------
-    base_ms : float
-        Predicted time of a pass without prefill, once all pending prompts decode.
-    peak_prefills_ms : list of float
-        Longest time that each pending prompt or part adds to one pass.
-    values : dict of float to float
-        Value of the decoding streams, by their latency target between events in seconds.
-    prefilling : list of ActiveSend
-        Own prompts whose prefill is running or pending.
-    """
-
-    base_ms: float
-    peak_prefills_ms: list[float]
-    values: dict[float, float]
-    prefilling: list[ActiveSend]
-
-
-def collect_streams(load: UpstreamLoad) -> Streams:
-    """Summarize the sends of an engine."""
-    values: dict[float, float] = {}
-    prefilling = []
-    count = context = 0
-    for send in load.sends.values():
-        if send.is_part:
-            continue
-        count += 1
-        context += send.prompt_tokens
-        if send.is_decoding:
-            values[send.gap_goal_s] = values.get(send.gap_goal_s, 0.0) + send.value
-        else:
-            prefilling.append(send)
-    return Streams(
-        load.model.decode_pass_ms(count, context), load.peak_prefills_ms(), values, prefilling
-    )
-
-
 def interference_loss(load: UpstreamLoad, peak_prefill_ms: float) -> float:
     """Value that the streams of an engine lose when one more prompt delays their events.
 
@@ -78,32 +36,41 @@
     -----
     A pending prompt will decode during the prefill of the prompts behind it.
     """
-    streams = collect_streams(load)
-    loss = part_interference_loss(load, streams, peak_prefill_ms)
+    summary = load.summary
+    loss = part_interference_loss(load, peak_prefill_ms)
     behind: list[float] = []
-    for send in reversed(streams.prefilling):
-        passes_s = _pass_durations_s(load, streams.base_ms, behind, peak_prefill_ms)
+    for send in reversed(summary.prefilling):
+        passes_s = _pass_durations_s(load, summary.base_ms, behind, peak_prefill_ms)
         loss += send.value * _added_loss(send.gap_goal_s, *passes_s)
         behind.append(min(send.peak_prefill_ms, send.prefill_left_ms))
     return loss
 
 
-def part_interference_loss(load: UpstreamLoad, streams: Streams, peak_prefill_ms: float) -> float:
+def part_interference_loss(load: UpstreamLoad, peak_prefill_ms: float) -> float:
     """Value that the decoding streams of an engine lose when it prefills a part for another engine.
 
     Notes
     -----
     The part precedes the pending prompts of this engine, so it does not delay their later streams.
     """
-    passes_s = _pass_durations_s(load, streams.base_ms, streams.peak_prefills_ms, peak_prefill_ms)
-    return sum(value * _added_loss(goal_s, *passes_s) for goal_s, value in streams.values.items())
+    summary = load.summary
+    if not summary.values:
+        return 0.0
+    before_s, after_s = _pass_durations_s(
+        load, summary.base_ms, load.peak_prefills_ms(), peak_prefill_ms
+    )
+    if after_s <= RAMP_START * summary.min_gap_goal_s:
+        return 0.0
+    return sum(
+        value * _added_loss(goal_s, before_s, after_s) for goal_s, value in summary.values.items()
+    )
 
 
-def prefill_delay_loss(load: UpstreamLoad, streams: Streams, part_ms: float) -> float:
+def prefill_delay_loss(load: UpstreamLoad, part_ms: float) -> float:
     """Value that the pending prompts of an engine lose when it prefills a part ahead of them."""
     delay_s = load.slowdown * part_ms / MS_PER_S
     loss = 0.0
-    for send in streams.prefilling:
+    for send in load.summary.prefilling:
         after = late_loss(send.expected_first_s + delay_s, send.goal_s)
         loss += send.value * (after - late_loss(send.expected_first_s, send.goal_s))
     return loss
@@ -113,6 +80,9 @@
     load: UpstreamLoad, base_ms: float, peak_prefills_ms: list[float], peak_prefill_ms: float
 ) -> tuple[float, float]:
     """Return the longest pass with the given prompts, without and with one more, in seconds."""
+    if not peak_prefills_ms:
+        scale = load.slowdown / MS_PER_S
+        return scale * base_ms, scale * (base_ms + peak_prefill_ms)
     before_ms = base_ms + load.model.combined_peak_prefill_ms(peak_prefills_ms)
     after_ms = base_ms + load.model.combined_peak_prefill_ms([*peak_prefills_ms, peak_prefill_ms])
     return load.slowdown * before_ms / MS_PER_S, load.slowdown * after_ms / MS_PER_S
