Drop ended sends while nothing waits

The times at which sends ended were dropped only when a request had to wait, so that the memory of a leader without a queue grew with each send. The new test failed with 100 kept times instead of 11. Found while reading the changes; _limits.py replaces a module name that said little.

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -9,6 +9,7 @@
 from laburnumrock.dispatch._budget import RetryBudget
 from laburnumrock.dispatch._directory import UpstreamDirectory
 from laburnumrock.dispatch._domain_health import DomainHealth
+from laburnumrock.dispatch._limits import DispatchSettings, max_queue_wait_s
 from laburnumrock.dispatch._local import LocalDispatcher
 from laburnumrock.dispatch._messages import (
     ActiveSendReport,
@@ -24,7 +25,6 @@
     UpstreamReport,
     UpstreamState,
 )
-from laburnumrock.dispatch._patience import DispatchSettings, max_queue_wait_s
 
 __all__ = [
     "ActiveSend",
--- a/laburnumrock/dispatch/_chooser.py
+++ b/laburnumrock/dispatch/_chooser.py
@@ -13,6 +13,7 @@
 from laburnumrock.dispatch._directory import UpstreamRecord
 from laburnumrock.dispatch._engine_model import MS_PER_S, EngineModel
 from laburnumrock.dispatch._fleet import Fleet, UpstreamPair
+from laburnumrock.dispatch._limits import client_timeout_s
 from laburnumrock.dispatch._load import UpstreamLoad
 from laburnumrock.dispatch._losses import (
     LATE_LOSS,
@@ -22,7 +23,6 @@
     prefill_delay_loss,
 )
 from laburnumrock.dispatch._messages import DispatchCall
-from laburnumrock.dispatch._patience import client_timeout_s
 from laburnumrock.dispatch._rank import engine_rank
 
 FAILURE_LOSS = 1.0
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -9,6 +9,11 @@
 from laburnumrock.dispatch._directory import UpstreamDirectory, UpstreamRecord
 from laburnumrock.dispatch._engine_model import MS_PER_S
 from laburnumrock.dispatch._fleet import Fleet
+from laburnumrock.dispatch._limits import (
+    DispatchSettings,
+    client_timeout_s,
+    max_queue_wait_s,
+)
 from laburnumrock.dispatch._load import MIN_PREFILL_LEFT_SHARE, ActiveSend
 from laburnumrock.dispatch._messages import (
     ActiveSendReport,
@@ -22,11 +27,6 @@
     StallAdvice,
     UpstreamReport,
 )
-from laburnumrock.dispatch._patience import (
-    DispatchSettings,
-    client_timeout_s,
-    max_queue_wait_s,
-)
 from laburnumrock.errors import ErrorKind
 from laburnumrock.routing import RouteSet
 
@@ -183,7 +183,7 @@
         if choice is None and not self.fleet.has_upstream(call, now_s):
             return _refuse(ErrorKind.NO_UPSTREAM, self._add_jitter(NO_UPSTREAM_RETRY_S))
         max_wait_s = max_queue_wait_s(self.settings, call)
-        if choice is not None and self._is_hopeless(choice, call, max_wait_s, now_s):
+        if choice is not None and self._exceeds_timeout_after_wait(choice, call, max_wait_s, now_s):
             return self._refuse_unreachable(choice)
         cannot_wait = max_wait_s <= 0 or (
             call.attempt <= 1 and self._queue_is_full(call, max_wait_s, now_s)
@@ -274,7 +274,9 @@
             return
         record = self.directory.records.get(send.upstream_id)
         if record is not None:
-            self.ended_s.setdefault(record.report.service, deque()).append(now_s)
+            service = record.report.service
+            self.ended_s.setdefault(service, deque()).append(now_s)
+            self._count_ended(service, now_s)
         load = self.fleet.loads.get(send.upstream_id)
         if load is None:
             return
@@ -374,7 +376,7 @@
             return self._refuse_unreachable(choice)
         return self._grant(entry, choice, call, now_s)
 
-    def _is_hopeless(
+    def _exceeds_timeout_after_wait(
         self, choice: Choice, call: DispatchCall, max_wait_s: float, now_s: float
     ) -> bool:
         """Whether the caller will have left before the first event, also after a wait.
@@ -486,7 +488,7 @@
         return sum(1 for other in self.waiting.values() if other.call.service == service)
 
     def _count_ended(self, service: str, now_s: float) -> int:
-        """Count the sends of a service that ended within the rate window."""
+        """Count the sends of a service that ended within the rate window, and drop older ones."""
         ended_s = self.ended_s.get(service)
         if ended_s is None:
             return 0
--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -5,9 +5,9 @@
 from laburnumrock.dispatch._directory import UpstreamDirectory, UpstreamRecord
 from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._engine_model import EngineModel
+from laburnumrock.dispatch._limits import DispatchSettings
 from laburnumrock.dispatch._load import UpstreamLoad
 from laburnumrock.dispatch._messages import DispatchCall, UpstreamState
-from laburnumrock.dispatch._patience import DispatchSettings
 from laburnumrock.routing import RouteSet, Service
 
 OUTPUT_TOKENS_WEIGHT = 10.0
--- a/laburnumrock/dispatch/_patience.py
+++ b/laburnumrock/dispatch/_limits.py
@@ -45,12 +45,12 @@
     """Return how long the caller waits for the first event, in seconds from now."""
     if call.gap_goal_s <= 0:
         return call.remaining_s
-    patience_s = max(
+    timeout_s = max(
         CLIENT_TIMEOUT_S,
         CLIENT_TIMEOUT_GOALS * call.goal_s,
         CLIENT_TIMEOUT_GAPS * call.gap_goal_s,
     )
-    return min(patience_s, call.remaining_s)
+    return min(timeout_s, call.remaining_s)
 
 
 def max_queue_wait_s(settings: DispatchSettings, call: DispatchCall) -> float:
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -6,8 +6,8 @@
 from laburnumrock.dispatch._budget import RetryBudget
 from laburnumrock.dispatch._directory import UpstreamRecord
 from laburnumrock.dispatch._domain_health import DomainHealth
+from laburnumrock.dispatch._limits import DispatchSettings
 from laburnumrock.dispatch._messages import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
-from laburnumrock.dispatch._patience import DispatchSettings
 from laburnumrock.dispatch._rank import engine_rank
 from laburnumrock.errors import ErrorKind
 
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -402,6 +402,17 @@
         assert answers[-1].refusal == ErrorKind.CONCURRENCY_LIMITED
         assert answers[-1].retry_after_s >= 0.4
 
+    def test_ended_sends_are_dropped_without_a_queue(self):
+        """Guards against a dispatcher whose memory grows with each send while nothing waits."""
+        dispatcher = make_dispatcher(engines=1)
+        for number in range(100):
+            now_s = 10.0 + number / 10
+            report = replace(make_report("llm", 0, 8), sequence=2 + number)
+            dispatcher.observe(report, now_s)
+            answer = place(dispatcher, SHORT, now_s)
+            dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.DONE), now_s)
+        assert len(dispatcher.ended_s["llm"]) <= 11
+
     def test_requests_that_can_be_on_time_precede_late_ones(self):
         """Guards against a burst in which every request waits behind late ones and is late too."""
         dispatcher = make_dispatcher(engines=1, slots=2)
