Refuse documents of the platform with values that cannot be used

A configuration with a wrongly typed or zero engine parameter was acknowledged and then raised in each core that applied it, also while it started, so that one document could keep all cores from starting. A heartbeat could name a host name, or a port that does not exist, which failed each request placed on it; a settings file with a list for a table ended the task that watches the file; and a negative or huge Token-Usage reached the leader, whose handler raised.

Fields are now read by type and range in one module, and the decoders refuse the rest with the name of the field.

--- a/laburnumrock/platform/_reports.py
+++ b/laburnumrock/platform/_reports.py
@@ -1,10 +1,13 @@
 """Decoding of the heartbeats with which engines register."""
 
+import ipaddress
+
 from result import Err, Ok, Result
 
 from laburnumrock.dispatch import UpstreamReport, UpstreamState
 from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.platform._fields import read_number, read_text, read_whole
 from laburnumrock.platform._settings import split_address
 
 _STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
@@ -29,32 +32,25 @@
         return Ok(_decode(upstream_id, parse_json(body)))
     except KeyError as error:
         return Err(Failure(ErrorKind.INVALID_REQUEST, f"{error} is missing or unknown"))
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         return Err(Failure(ErrorKind.INVALID_REQUEST, str(error)))
 
 
 def _decode(upstream_id: str, heartbeat: dict) -> UpstreamReport:
-    host, port = split_address(_get_typed(heartbeat, "address", str))
-    born = heartbeat.get("born", 0)
-    if type(born) is not int:
-        raise ValueError(f"born: expected a whole number, got {born!r}")
+    host, port = split_address(read_text(heartbeat, "address"))
+    ipaddress.ip_address(host)
+    if not 0 < port < 65_536:
+        raise ValueError(f"address: port {port} does not exist")
     return UpstreamReport(
         upstream_id=upstream_id,
-        service=_get_typed(heartbeat, "service", str),
+        service=read_text(heartbeat, "service"),
         host=host,
         port=port,
-        failure_domain=_get_typed(heartbeat, "zone", str),
+        failure_domain=read_text(heartbeat, "zone"),
         # Unix time in ms at which the engine started; its sequence numbers restart at each start.
-        incarnation=born,
-        sequence=_get_typed(heartbeat, "sequence", int),
-        slots=_get_typed(heartbeat, "slots", int),
-        state=_STATES[_get_typed(heartbeat, "state", str)],
-        cold_left_s=float(heartbeat.get("cold_left_ms") or 0) / 1000,
+        incarnation=read_whole(heartbeat, "born", 0),
+        sequence=read_whole(heartbeat, "sequence"),
+        slots=read_whole(heartbeat, "slots"),
+        state=_STATES[read_text(heartbeat, "state")],
+        cold_left_s=read_number(heartbeat, "cold_left_ms", 0.0) / 1000,
     )
-
-
-def _get_typed(heartbeat: dict, name: str, expected: type) -> object:
-    value = heartbeat[name]
-    if type(value) is not expected:
-        raise ValueError(f"{name}: expected {expected.__name__}, got {value!r}")
-    return value
--- a/laburnumrock/platform/_routes.py
+++ b/laburnumrock/platform/_routes.py
@@ -4,6 +4,7 @@
 
 from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.platform._fields import read_number, read_text, read_whole
 from laburnumrock.routing import (
     AccountEntry,
     EngineParameters,
@@ -36,18 +37,15 @@
         _check(routes)
     except KeyError as error:
         return Err(Failure(ErrorKind.INVALID_DECLARATION, f"{error} is missing"))
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         return Err(Failure(ErrorKind.INVALID_DECLARATION, str(error)))
     return Ok(routes)
 
 
 def _decode(config: dict) -> RouteSet:
-    version = config["version"]
-    if type(version) is not int or version < 0:
-        raise ValueError(f"version: expected a whole number, got {version!r}")
     tenants = config.get("tenants")
     return RouteSet(
-        version=version,
+        version=read_whole(config, "version"),
         routes=tuple(_decode_route(entry) for entry in config["routes"]),
         services=tuple(_decode_service(entry) for entry in config["services"]),
         accounts=None if tenants is None else tuple(_decode_tenant(entry) for entry in tenants),
@@ -56,31 +54,30 @@
 
 
 def _decode_route(entry: dict) -> Route:
-    name = entry["name"]
-    prefix = entry["path_prefix"]
+    name = read_text(entry, "name")
+    prefix = read_text(entry, "path_prefix")
     if not prefix.startswith("/") or not prefix.endswith("/"):
         raise ValueError(f"routes {name}: path_prefix must begin and end with a slash")
-    if entry["timeout_ms"] <= 0:
-        raise ValueError(f"routes {name}: timeout_ms must be > 0, got {entry['timeout_ms']}")
+    timeout_ms = read_number(entry, "timeout_ms", positive=True)
     # A route refers either to one service or to several weighted ones.
     if entry.get("backends"):
         shares = tuple(
-            ServiceShare(backend["service"], float(backend["weight"]))
+            ServiceShare(read_text(backend, "service"), read_number(backend, "weight"))
             for backend in entry["backends"]
         )
     else:
-        shares = (ServiceShare(entry["service"]),)
+        shares = (ServiceShare(read_text(entry, "service")),)
     return Route(
         name=name,
-        host=entry["hostname"].lower(),
+        host=read_text(entry, "hostname").lower(),
         path_prefix=prefix,
         kind=RequestKind(entry["type"]),
         shares=shares,
-        timeout_s=entry["timeout_ms"] / MS_PER_S,
-        goal_s=(entry.get("latency_goal_ms") or entry["timeout_ms"]) / MS_PER_S,
-        gap_goal_s=(entry.get("gap_target_ms") or 0) / MS_PER_S,
-        max_attempts=max(1, entry.get("max_attempts") or 1),
-        priority=entry.get("priority") or 0,
+        timeout_s=timeout_ms / MS_PER_S,
+        goal_s=(read_number(entry, "latency_goal_ms", 0.0) or timeout_ms) / MS_PER_S,
+        gap_goal_s=read_number(entry, "gap_target_ms", 0.0) / MS_PER_S,
+        max_attempts=max(1, read_whole(entry, "max_attempts", 1)),
+        priority=read_whole(entry, "priority", 0),
         anonymous=bool(entry.get("anonymous")),
         resumable=bool(entry.get("resumable")),
     )
@@ -89,9 +86,9 @@
 def _decode_service(entry: dict) -> Service:
     engine = entry.get("engine")
     return Service(
-        name=entry["name"],
-        max_connections=entry.get("max_conns") or 0,
-        cold_requests_per_s=entry.get("cold_per_s") or 0.0,
+        name=read_text(entry, "name"),
+        max_connections=read_whole(entry, "max_conns", 0),
+        cold_requests_per_s=read_number(entry, "cold_per_s", 0.0),
         engine=None if engine is None else _decode_engine(engine),
     )
 
@@ -99,32 +96,36 @@
 def _decode_engine(entry: dict) -> EngineParameters:
     typical_sizes = entry.get("usual") or {}
     return EngineParameters(
-        slots=entry["slots"],
-        kv_capacity_tokens=entry["kv_capacity"],
-        stride=entry["stride"],
-        step_ms=entry["step_ms"],
-        per_sequence_ms=entry["per_seq_ms"],
+        slots=read_whole(entry, "slots", least=1),
+        kv_capacity_tokens=read_whole(entry, "kv_capacity", least=1),
+        stride=read_whole(entry, "stride", least=1),
+        step_ms=read_number(entry, "step_ms"),
+        per_sequence_ms=read_number(entry, "per_seq_ms"),
         # Milliseconds that each 1,000 tokens of context add to a step.
-        context_ms_per_1k=entry["context_per_k"],
-        prefill_tokens_per_s=entry["read_per_s"],
-        attention_ms_per_million_pairs=entry["pairs_per_m"],
-        chunk_tokens=entry["chunk"],
-        hop_ms=entry.get("hop_ms") or 0.0,
-        mean_prompt_tokens=typical_sizes.get("prompt", 1_000),
-        mean_output_tokens=typical_sizes.get("answer", 100),
+        context_ms_per_1k=read_number(entry, "context_per_k"),
+        prefill_tokens_per_s=read_number(entry, "read_per_s", positive=True),
+        attention_ms_per_million_pairs=read_number(entry, "pairs_per_m"),
+        chunk_tokens=read_whole(entry, "chunk", least=1),
+        hop_ms=read_number(entry, "hop_ms", 0.0),
+        mean_prompt_tokens=read_number(typical_sizes, "prompt", 1_000.0),
+        mean_output_tokens=read_number(typical_sizes, "answer", 100.0),
     )
 
 
 def _decode_tenant(entry: dict) -> AccountEntry:
-    return AccountEntry(entry["name"], tuple(entry["api_keys"]), entry.get("priority"))
+    keys = entry["api_keys"]
+    if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+        raise ValueError("api_keys: expected a list of texts")
+    priority = None if entry.get("priority") is None else read_whole(entry, "priority")
+    return AccountEntry(read_text(entry, "name"), tuple(keys), priority)
 
 
 def _decode_limits(entry: dict) -> RouteLimits:
     default = RouteLimits()
     return RouteLimits(
-        max_header_bytes=entry.get("max_header_bytes") or default.max_header_bytes,
-        max_body_bytes=entry.get("max_body_bytes") or default.max_body_bytes,
-        idle_timeout_s=(entry.get("idle_timeout_ms") or 15_000) / MS_PER_S,
+        max_header_bytes=read_whole(entry, "max_header_bytes", 0) or default.max_header_bytes,
+        max_body_bytes=read_whole(entry, "max_body_bytes", 0) or default.max_body_bytes,
+        idle_timeout_s=(read_number(entry, "idle_timeout_ms", 0.0) or 15_000) / MS_PER_S,
     )
 
 
@@ -139,8 +140,6 @@
         for share in route.shares:
             if share.service not in services:
                 raise ValueError(f"routes {route.name}: service {share.service!r} is unknown")
-            if share.weight < 0:
-                raise ValueError(f"routes {route.name}: a weight is below 0")
         if sum(share.weight for share in route.shares) <= 0:
             raise ValueError(f"routes {route.name}: the weights add up to 0")
     keys = set()
--- a/laburnumrock/platform/_settings.py
+++ b/laburnumrock/platform/_settings.py
@@ -44,7 +44,7 @@
         return Ok(decode_settings(document))
     except KeyError as error:
         return Err(Failure(ErrorKind.INVALID_SETTINGS, f"{path}: {error} is missing"))
-    except (OSError, ValueError, TypeError) as error:
+    except (OSError, ValueError, TypeError, AttributeError, LookupError, OverflowError) as error:
         return Err(Failure(ErrorKind.INVALID_SETTINGS, f"{path}: {error}"))
 
 
--- a/laburnumrock/platform/_wire.py
+++ b/laburnumrock/platform/_wire.py
@@ -28,6 +28,8 @@
     "Priority-Class",
 )
 _KEY_SCHEME = "token "
+MAX_TOKENS = 1_000_000_000
+"""Largest number of tokens of a request, a thousand times that of the longest prompts."""
 
 
 class PlatformWire:
@@ -107,7 +109,10 @@
     if usage is None:
         return 0, 0
     prompt, _, output = usage.partition(",")
-    return int(prompt), int(output)
+    sizes = int(prompt), int(output)
+    if not all(0 <= size <= MAX_TOKENS for size in sizes):
+        raise ValueError(f"Token-Usage: expected up to {MAX_TOKENS} tokens, got {usage!r:.50}")
+    return sizes
 
 
 def _decode_api_key(authorization: str | None) -> str | None:
