Check the age of a placement and of the deadline next to the send

An entry node that was paused after it got a placement sent the request on it when it woke up, to an upstream that may have left meanwhile, and with a deadline that may have passed. A node that woke without its leader placed requests alone from the view of before the pause. Both acted on a permission that had run out.

A placement older than 1 s, or a passed deadline, is now found right before the first byte; the request is placed again, or refused as not run. A node whose last hello is older than 2.5 s looks for the leader once before it places alone; a partitioned node, which looks for it all the time, does not wait. Errors in the hellos and in the check of idle connections no longer end these tasks.

--- a/laburnumrock/forwarding/_exchange.py
+++ b/laburnumrock/forwarding/_exchange.py
@@ -191,9 +191,7 @@
             _send(http_connection, request, headers)
         else:
             http_connection.finish()
-        reader = _ResponseReader(
-            wire, request.request_id, connection.stream, on_headers, on_data
-        )
+        reader = _ResponseReader(wire, request.request_id, connection.stream, on_headers, on_data)
         try:
             await http_connection.read_response(reader)
         except (StreamClosedError, UnsatisfiableReadError, HTTPInputError, OSError) as error:
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -18,6 +18,9 @@
 
 MAX_UNSENT_ATTEMPTS = 3
 """Maximum number of placements that fail before a byte is sent; they do not count as attempts."""
+MAX_PLACEMENT_AGE_S = 1.0
+"""Age from which a placement is not used. Reserving memory and connecting take 0.75 s at most, so
+an older placement belongs to a process that was paused; its upstream may have left meanwhile."""
 ROUTE_WAIT_FRACTION = 0.25
 """Fraction of its remaining time for which a request waits for the first routes of an instance."""
 REFUSED_RETRY_AFTER_S = 0.3
@@ -79,6 +82,7 @@
         self.attempts = _Attempts()
         self.service = ""
         self.deadline_s = 0.0
+        self.placed_s = 0.0
 
     async def run(self) -> None:
         """Forward the request and write the response."""
@@ -192,7 +196,8 @@
         asked_s = time.monotonic()
         placement = await self.context.dispatcher.place(call)
         decided_by = "leader" if placement.permit >= 0 else "entry"
-        waited_s = time.monotonic() - asked_s
+        self.placed_s = time.monotonic()
+        waited_s = self.placed_s - asked_s
         self.context.metrics.placement.labels(decided_by).observe(waited_s)
         self.writer.log(
             "request_placed" if placement.permit else "request_refused",
@@ -216,7 +221,7 @@
             unresponsive, attempts.unresponsive = attempts.unresponsive, []
             self.context.dispatcher.record_ended(SendEnded(placement.permit, outcome, unresponsive))
             self.context.metrics.sends.labels(self.service, outcome.value).inc()
-        if not unresponsive:
+        if not unresponsive and outcome is not SendOutcome.CANCELLED:
             attempts.excluded.append(placement.upstream_id)
         return outcome
 
@@ -236,6 +241,10 @@
                 self.writer.log("upstream_unreachable", upstream=placement.upstream_id)
                 return SendOutcome.UNREACHABLE
             connection = opened.unwrap()
+            if not self._may_send(placement):
+                attempts.unsent += 1
+                context.pool.release(connection, None)
+                return SendOutcome.CANCELLED
             attempts.sent += 1
             attempts.possible_runs += 1
             released = False
@@ -254,6 +263,15 @@
                     connection.close()
             return self._evaluate_result(placement, result)
 
+    def _may_send(self, placement: DispatchAnswer) -> bool:
+        """Whether neither the placement nor the deadline of the request has expired."""
+        now_s = time.monotonic()
+        age_s = now_s - self.placed_s
+        if age_s <= MAX_PLACEMENT_AGE_S and now_s < self.deadline_s - MIN_REMAINING_S:
+            return True
+        self.writer.log("placement_expired", upstream=placement.upstream_id, age_s=round(age_s, 3))
+        return False
+
     def _evaluate_result(
         self, placement: DispatchAnswer, result: ExchangeResult | None
     ) -> SendOutcome:
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -4,7 +4,6 @@
 import random
 import time
 import zlib
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from eliot import log_message
@@ -34,6 +33,7 @@
     UpstreamNews,
     View,
 )
+from laburnumrock.nodes._periodic import run_every
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.replication import VoterPolicy
 from laburnumrock.routing import RouteDocument, RouteSet, SetDrain, StoreAnswer, StoreRoutes
@@ -162,9 +162,9 @@
             return started
         self._apply_state()
         self.tasks = [
-            asyncio.create_task(self._run_every(PLACE_WAITING_INTERVAL_S, self._place_waiting)),
-            asyncio.create_task(self._run_every(REPORT_INTERVAL_S, self._send_reports)),
-            asyncio.create_task(self._run_every(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)),
+            asyncio.create_task(run_every(PLACE_WAITING_INTERVAL_S, self._place_waiting)),
+            asyncio.create_task(run_every(REPORT_INTERVAL_S, self._send_reports)),
+            asyncio.create_task(run_every(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)),
         ]
         log_message("core_started", cores=list(self.settings.cores))
         return Ok(None)
@@ -586,13 +586,3 @@
         log_message("voter_change", action=change.action, subject=change.instance_id)
         if effects is not None:
             runner.enqueue(effects)
-
-    async def _run_every(self, interval_s: float, work: Callable[[], None]) -> None:
-        while True:
-            await asyncio.sleep(interval_s)
-            try:
-                work()
-            except Exception as error:
-                # A single error must not stop the periodic work.
-                detail = f"{type(error).__name__}: {error}"
-                log_message("periodic_work_failed", work=work.__name__, error=detail)
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -1,6 +1,7 @@
 """Entry node, which accepts requests of callers and forwards them to the dispatched upstream."""
 
 import asyncio
+import contextlib
 import math
 import random
 import time
@@ -34,6 +35,7 @@
 )
 from laburnumrock.metrics import NodeMetrics
 from laburnumrock.nodes._messages import EntryHello, EntryWelcome, View
+from laburnumrock.nodes._periodic import log_failed_work, run_every
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.routing import RouteTable
 from laburnumrock.transport import PeerNetwork
@@ -43,6 +45,9 @@
 """Hellos that all entry nodes together send to the leader per second. Each costs it 0.2 ms of CPU
 time, so 200 entry nodes that send two per second would take an eighth of a small core."""
 MAX_HELLO_INTERVAL_S = 1.5
+MAX_HELLO_AGE_S = 2.5
+"""Time since the last finished hello after which a node was probably paused; longer than the
+longest interval and the time limit of a hello together."""
 HELLO_TIMEOUT_S = 0.4
 """Longer than a round trip to a core under load, shorter than the hello interval."""
 PLACE_TIMEOUT_S, MAX_PLACE_TIMEOUT_S = 0.12, 0.5
@@ -131,6 +136,8 @@
         self.tasks: list[asyncio.Task] = []
         self.hello_requested = asyncio.Event()
         self.hello_interval_s = HELLO_INTERVAL_S
+        self.last_hello_s = -math.inf
+        self.search_lock = asyncio.Lock()
         self.core_domains: dict[str, str] = {}
         self.unreachable_domains: set[str] = set()
         self.place_failures = 0
@@ -152,7 +159,7 @@
         self.frontend.listen(listen.host, listen.caller_port)
         self.tasks = [
             asyncio.create_task(self._run_hellos()),
-            asyncio.create_task(self._close_idle_connections()),
+            asyncio.create_task(run_every(IDLE_CONNECTION_CHECK_S, self._close_idle_connections)),
         ]
         log_message("entry_started", cores=self.cores)
 
@@ -186,15 +193,29 @@
         log_message("settings_reloaded", cores=self.cores)
 
     async def place(self, call: DispatchCall) -> DispatchAnswer:
-        """Place a request by asking the leader, or locally if no leader is reachable."""
-        leader = self.leader
-        if leader is not None:
-            answer = await self._request_placement(leader, call)
-            if answer is not None:
-                return answer
-        return self._place_locally(call)
+        """Place a request by asking the leader, or locally if no leader is reachable.
+
+        Notes
+        -----
+        A node that was paused knows neither the leader nor the upstreams of now, so it looks for a
+        leader before it places a request alone. A partitioned node does so all the time.
+        """
+        answer = await self._request_placement(call)
+        if answer is None and time.monotonic() - self.last_hello_s > MAX_HELLO_AGE_S:
+            await self._search_once()
+            answer = await self._request_placement(call)
+        return answer if answer is not None else self._place_locally(call)
+
+    async def _search_once(self) -> None:
+        """Look for the leader, once for all requests that need it at the same time."""
+        async with self.search_lock:
+            if time.monotonic() - self.last_hello_s > MAX_HELLO_AGE_S:
+                await self._find_leader()
 
-    async def _request_placement(self, leader: str, call: DispatchCall) -> DispatchAnswer | None:
+    async def _request_placement(self, call: DispatchCall) -> DispatchAnswer | None:
+        leader = self.leader
+        if leader is None:
+            return None
         timeout_s = min(
             max(PLACE_TIMEOUT_S, PLACE_TIMEOUT_GOALS * call.goal_s), MAX_PLACE_TIMEOUT_S
         )
@@ -292,17 +313,18 @@
 
     async def _run_hellos(self) -> None:
         while True:
-            if self.leader is not None:
-                await self._send_hello(self.leader)
-            if self.leader is None:
-                await self._find_leader()
+            try:
+                if self.leader is not None:
+                    await self._send_hello(self.leader)
+                if self.leader is None:
+                    await self._find_leader()
+            except Exception as error:
+                log_failed_work("hello", error)
             self.hello_requested.clear()
             interval_s = self.hello_interval_s if self.leader is not None else HELLO_INTERVAL_S / 5
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(interval_s):
                     await self.hello_requested.wait()
-            except TimeoutError:
-                continue
 
     async def _find_leader(self) -> None:
         cores = list(self.cores)
@@ -332,6 +354,7 @@
         is_current_leader = self.leader == core
         hello = self._make_hello(with_sends=not is_current_leader)
         answered: Result = await self.network.call(core, hello, HELLO_TIMEOUT_S)
+        self.last_hello_s = time.monotonic()
         if answered.is_err():
             if is_current_leader:
                 self._drop_leader(core, "no answer to hello")
@@ -415,12 +438,10 @@
         self.metrics.routes_version.set(view.routes_version)
         log_message("routes_in_force", version=view.routes_version, term=view.term)
 
-    async def _close_idle_connections(self) -> None:
-        while True:
-            await asyncio.sleep(IDLE_CONNECTION_CHECK_S)
-            self.pool.close_idle()
-            opened, self.pool.opened = self.pool.opened, 0
-            self.metrics.upstream_connections.inc(opened)
+    def _close_idle_connections(self) -> None:
+        self.pool.close_idle()
+        opened, self.pool.opened = self.pool.opened, 0
+        self.metrics.upstream_connections.inc(opened)
 
 
 def _make_send_report(sent: _ActiveSend, now_s: float) -> ActiveSendReport:
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -17,7 +17,7 @@
     make_request,
     read_response,
 )
-from laburnumrock.nodes import CoreNode, EntryNode, NodeListen, NodeSettings
+from laburnumrock.nodes import CoreNode, EntryNode, NodeListen, NodeSettings, View
 from laburnumrock.nodes._core import MIN_VIEW_INTERVAL_S
 from laburnumrock.nodes._entry import compute_hello_interval_s
 from laburnumrock.platform._routes import decode_routes
@@ -500,6 +500,30 @@
 
         asyncio.run(run())
 
+    def test_paused_node_looks_for_the_leader_before_it_places_alone(self, tmp_path):
+        """Guards against a request to an upstream that left while the entry node was paused."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                entry, leader = deployment.entry, deployment.leader()
+                await leader.observe_upstream(make_report(9, upstream_id="gone"))
+                await leader.observe_upstream(make_report(10, upstream_id="here"))
+                await wait_until(lambda: len(entry.directory.usable("llm", 0.0)) == 2)
+                await wait_until(lambda: entry.leader is not None)
+                for task in entry.tasks:
+                    task.cancel()
+                # The state of a node that is resumed after a pause in which one upstream left.
+                entry.leader = None
+                entry.last_hello_s -= 60.0
+                entry.network.handle(View, lambda sender, view: None)
+                await leader.remove_upstream("gone")
+                answers = await asyncio.gather(*(entry.place(make_call()) for _ in range(5)))
+                assert {answer.upstream_id for answer in answers} == {"here"}
+                assert all(answer.permit > 0 for answer in answers)
+
+        asyncio.run(run())
+
     def test_failed_cores_exclude_no_domain(self, tmp_path):
         """Guards against upstreams that are avoided because all cores were killed."""
         entry = self.make_entry(tmp_path)
