Withdraw queued requests whose callers left, and split the queue

A request whose caller had left stayed in the queue of the leader, since nothing called remove_waiting, and took the next free slot until the entry node's next hello. The entry node now withdraws the ticket; the new test fails without that message.

The queue and its predictions are now a module of their own, and the core no longer keeps a second list of what waits.

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -24,6 +24,7 @@
     StallAdvice,
     UpstreamReport,
     UpstreamState,
+    WithdrawCall,
 )
 
 __all__ = [
@@ -49,6 +50,7 @@
     "UpstreamLoad",
     "UpstreamReport",
     "UpstreamState",
+    "WithdrawCall",
     "max_queue_wait_s",
 ]
 
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -1,8 +1,6 @@
 """Central dispatcher that places the requests of all entry nodes."""
 
 import random
-from collections import deque
-from dataclasses import dataclass, replace
 
 from laburnumrock.dispatch._budget import RetryBudget
 from laburnumrock.dispatch._chooser import Choice, UpstreamChooser
@@ -27,6 +25,7 @@
     StallAdvice,
     UpstreamReport,
 )
+from laburnumrock.dispatch._queue import CallQueue, QueueDecision
 from laburnumrock.errors import ErrorKind
 from laburnumrock.routing import RouteSet
 
@@ -42,56 +41,6 @@
 MAX_FAILED_PLACEMENTS = 6
 """Failed placements after which a pass leaves the other waiting requests for the next one, except
 expired ones. Evaluating a long prompt takes 1 ms, and a pass follows the end of each send."""
-END_RATE_WINDOW_S = 1.0
-"""Time over which ended sends are counted to predict the wait in the queue."""
-LATE_WAIT_RATIO = 0.7
-"""Wait in multiples of the latency target after which a queued request is taken to be late."""
-
-
-@dataclass(slots=True)
-class _QueuedCall:
-    """Request that is queued for a free upstream.
-
-    Parameters
-    ----------
-    entry : str
-        Entry node that sends the request.
-    call : DispatchCall
-        The request as it arrived.
-    arrived_s : float
-        Clock reading of its arrival.
-    improve_until_s : float
-        Clock reading until which it waits for a placement on time although a late one is possible.
-    wait_until_s : float
-        Clock reading at which it is refused if no upstream can take it.
-    """
-
-    entry: str
-    call: DispatchCall
-    arrived_s: float
-    improve_until_s: float
-    wait_until_s: float
-
-    def rank(self, now_s: float) -> tuple[bool, int, bool, float]:
-        """Return the key by which queued requests are placed, lowest first.
-
-        Notes
-        -----
-        Answers the load pattern of a burst that lasts longer than the latency target: requests that
-        can still be on time precede those that are late already, which would otherwise make all
-        that follow late too.
-        """
-        late = now_s - self.arrived_s > LATE_WAIT_RATIO * self.call.goal_s
-        return self.call.attempt <= 1, self.call.priority, late, self.wait_until_s
-
-    def remaining_call(self, now_s: float) -> DispatchCall:
-        """Return the call with its time limits reduced by the time spent in the queue."""
-        waited_s = now_s - self.arrived_s
-        return replace(
-            self.call,
-            goal_s=max(0.05, self.call.goal_s - waited_s),
-            remaining_s=self.call.remaining_s - waited_s,
-        )
 
 
 class Dispatcher:
@@ -118,10 +67,8 @@
         self.sends: dict[int, ActiveSend] = {}
         self.permits_by_entry: dict[str, set[int]] = {}
         self.budgets: dict[str, RetryBudget] = {}
-        self.waiting: dict[int, _QueuedCall] = {}
-        self.ended_s: dict[str, deque[float]] = {}
+        self.queue = CallQueue(settings)
         self.next_permit = 1
-        self.next_ticket = 1
 
     def start(self, first_permit: int, now_s: float) -> None:
         """Start with no active sends and an empty queue.
@@ -138,10 +85,8 @@
         self.sends.clear()
         self.permits_by_entry.clear()
         self.budgets.clear()
-        self.waiting.clear()
-        self.ended_s.clear()
+        self.queue.start(first_permit)
         self.next_permit = first_permit
-        self.next_ticket = first_permit
 
     def set_routes(self, routes: RouteSet) -> None:
         """Apply the declared services."""
@@ -182,24 +127,15 @@
             return self._grant_or_refuse(entry, choice, call, now_s)
         if choice is None and not self.fleet.has_upstream(call, now_s):
             return _refuse(ErrorKind.NO_UPSTREAM, self._add_jitter(NO_UPSTREAM_RETRY_S))
-        max_wait_s = max_queue_wait_s(self.settings, call)
-        if choice is not None and self._exceeds_timeout_after_wait(choice, call, max_wait_s, now_s):
+        if choice is not None and self._exceeds_timeout_after_wait(choice, call, now_s):
             return self._refuse_unreachable(choice)
-        cannot_wait = max_wait_s <= 0 or (
-            call.attempt <= 1 and self._queue_is_full(call, max_wait_s, now_s)
-        )
-        if choice is None and cannot_wait:
-            retry_s = max(0.5, call.goal_s, self._predict_wait_s(call, now_s))
+        if choice is None and self.queue.is_full(call, self._count_slots(call.service), now_s):
+            predicted_s = min(MAX_RETRY_S, self.queue.predict_wait_s(call.service, now_s))
+            retry_s = max(0.5, call.goal_s, predicted_s)
             return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._add_jitter(retry_s))
-        ticket = self.next_ticket
-        self.next_ticket += 1
-        improve_until_s = now_s + min(self.settings.max_wait_ratio * call.goal_s, max_wait_s)
-        self.waiting[ticket] = _QueuedCall(entry, call, now_s, improve_until_s, now_s + max_wait_s)
-        return ticket
-
-    def place_waiting(
-        self, domains: dict[str, str], now_s: float
-    ) -> list[tuple[int, DispatchAnswer]]:
+        return self.queue.add(entry, call, now_s)
+
+    def place_waiting(self, domains: dict[str, str], now_s: float) -> list[QueueDecision]:
         """Place queued requests that an upstream can take now, and refuse those whose wait expired.
 
         Parameters
@@ -209,30 +145,26 @@
         """
         decided = []
         failed = 0
-        order = sorted(self.waiting.items(), key=lambda item: item[1].rank(now_s))
-        for ticket, waiting in order:
-            expired = now_s >= waiting.wait_until_s
+        for ticket, queued in self.queue.in_order(now_s):
+            expired = now_s >= queued.wait_until_s
             if failed >= MAX_FAILED_PLACEMENTS and not expired:
                 continue
-            call = waiting.remaining_call(now_s)
-            choice = self.chooser.choose(domains.get(waiting.entry, ""), call, now_s)
-            settled = now_s >= waiting.improve_until_s
+            call = queued.remaining_call(now_s)
+            choice = self.chooser.choose(domains.get(queued.entry, ""), call, now_s)
+            settled = now_s >= queued.improve_until_s
             if choice is not None and (settled or not self.chooser.should_wait(choice, call)):
-                answer = self._grant_or_refuse(waiting.entry, choice, call, now_s)
-                decided.append((ticket, answer))
+                answer = self._grant_or_refuse(queued.entry, choice, call, now_s)
+                decided.append(QueueDecision(ticket, queued, answer))
             elif expired:
-                retry_s = self._add_jitter(max(0.5, waiting.call.goal_s))
-                decided.append((ticket, _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)))
+                retry_s = self._add_jitter(max(0.5, queued.call.goal_s))
+                answer = _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)
+                decided.append(QueueDecision(ticket, queued, answer))
             else:
                 failed += 1
-        for ticket, _ in decided:
-            del self.waiting[ticket]
+        for decision in decided:
+            self.queue.remove(decision.ticket)
         return decided
 
-    def remove_waiting(self, ticket: int) -> None:
-        """Remove a queued request whose caller disconnected."""
-        self.waiting.pop(ticket, None)
-
     def record_started(self, message: SendStarted, now_s: float) -> None:
         """Record the first event of a send."""
         send = self.sends.get(message.permit)
@@ -274,9 +206,7 @@
             return
         record = self.directory.records.get(send.upstream_id)
         if record is not None:
-            service = record.report.service
-            self.ended_s.setdefault(service, deque()).append(now_s)
-            self._count_ended(service, now_s)
+            self.queue.record_ended(record.report.service, now_s)
         load = self.fleet.loads.get(send.upstream_id)
         if load is None:
             return
@@ -376,9 +306,7 @@
             return self._refuse_unreachable(choice)
         return self._grant(entry, choice, call, now_s)
 
-    def _exceeds_timeout_after_wait(
-        self, choice: Choice, call: DispatchCall, max_wait_s: float, now_s: float
-    ) -> bool:
+    def _exceeds_timeout_after_wait(self, choice: Choice, call: DispatchCall, now_s: float) -> bool:
         """Whether the caller will have left before the first event, also after a wait.
 
         Notes
@@ -386,6 +314,7 @@
         While an engine has no free slot, the end of a stream may still make room earlier than the
         prediction, which covers only engines with free slots.
         """
+        max_wait_s = max_queue_wait_s(self.settings, call)
         if choice.first_s - max_wait_s <= client_timeout_s(call):
             return False
         usable = next(self.fleet.find_candidates(call, now_s))
@@ -460,41 +389,13 @@
             self.budgets[service] = budget
         return budget
 
-    def _queue_is_full(self, call: DispatchCall, max_wait_s: float, now_s: float) -> bool:
-        """Whether a further request would not be placed before its wait ends.
-
-        Notes
-        -----
-        Answers the load pattern of a burst that exceeds the capacity for seconds: the sends that
-        end per second are the rate at which queued requests start.
-        """
-        if self._count_ended(call.service, now_s) > 0:
-            return self._predict_wait_s(call, now_s) > max_wait_s
-        slots = sum(
+    def _count_slots(self, service: str) -> int:
+        """Return the number of slots of all known upstreams of a service."""
+        return sum(
             load.slots
             for name, load in self.fleet.loads.items()
-            if self.fleet.serves(name, call.service)
+            if self.fleet.serves(name, service)
         )
-        return self._count_waiting(call.service) >= max(1, slots // 2)
-
-    def _predict_wait_s(self, call: DispatchCall, now_s: float) -> float:
-        """Predict how long a request would be queued, from the sends that ended recently."""
-        rate = self._count_ended(call.service, now_s) / END_RATE_WINDOW_S
-        if rate <= 0:
-            return 0.0
-        return min(MAX_RETRY_S, (self._count_waiting(call.service) + 1) / rate)
-
-    def _count_waiting(self, service: str) -> int:
-        return sum(1 for other in self.waiting.values() if other.call.service == service)
-
-    def _count_ended(self, service: str, now_s: float) -> int:
-        """Count the sends of a service that ended within the rate window, and drop older ones."""
-        ended_s = self.ended_s.get(service)
-        if ended_s is None:
-            return 0
-        while ended_s and ended_s[0] < now_s - END_RATE_WINDOW_S:
-            ended_s.popleft()
-        return len(ended_s)
 
     def _add_jitter(self, base_s: float) -> float:
         """Add jitter to a retry delay, so that refused callers do not retry at the same time."""
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -191,6 +191,20 @@
     answer: DispatchAnswer
 
 
+@register_message
+@dataclass(frozen=True, slots=True)
+class WithdrawCall:
+    """Withdraws a queued request that the entry node no longer waits for.
+
+    Parameters
+    ----------
+    ticket : int
+        Number of the queued request.
+    """
+
+    ticket: int
+
+
 @register_message
 @dataclass(frozen=True, slots=True)
 class SendStarted:
--- a/laburnumrock/dispatch/tests/replay.py
+++ b/laburnumrock/dispatch/tests/replay.py
@@ -136,8 +136,8 @@
 
     def retry() -> None:
         """Place waiting requests at a fixed interval."""
-        for ticket, answer in dispatcher.place_waiting({}, fleet.now_s):
-            send(waiting.pop(ticket), answer)
+        for decision in dispatcher.place_waiting({}, fleet.now_s):
+            send(waiting.pop(decision.ticket), decision.answer)
         fleet.at(fleet.now_s + PLACE_WAITING_INTERVAL_S, retry)
 
     for request in requests:
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -1,76 +1,28 @@
 """Tests of placement by the dispatcher."""
 
-import random
 from dataclasses import replace
 
 from laburnumrock.dispatch import (
     ActiveSendReport,
     DispatchAnswer,
     DispatchCall,
-    Dispatcher,
-    DispatchSettings,
     SendEnded,
     SendOutcome,
     SendStalled,
     SendStarted,
-    UpstreamDirectory,
-    UpstreamReport,
-    UpstreamState,
 )
-from laburnumrock.dispatch._dispatcher import MAX_FAILED_PLACEMENTS
 from laburnumrock.dispatch._load import ActiveSend
-from laburnumrock.errors import ErrorKind
-from laburnumrock.routing import EngineParameters, RouteSet, Service
-
-SHORT = DispatchCall("s", 1, "llm", "one", 1, 5_000, 1_600, 0.3, 0.2, 10.0)
-LONG = DispatchCall("l", 1, "llm", "one", 1, 200_000, 800, 3.0, 0.8, 15.0)
-PLAIN = DispatchCall("p", 1, "plain", "one", 1, 0, 0, 0.1, 0.0, 0.6)
-
-
-SLOW_ATTENTION = EngineParameters(
-    kv_capacity_tokens=405_000,
-    stride=34,
-    step_ms=1.31,
-    per_sequence_ms=0.000917,
-    context_ms_per_1k=0.00213,
-    prefill_tokens_per_s=154_000.0,
-    attention_ms_per_million_pairs=0.162,
-    mean_prompt_tokens=11_301,
-    mean_output_tokens=1_266,
+from laburnumrock.dispatch.tests.builders import (
+    LONG,
+    PLAIN,
+    SHORT,
+    SLOW_ATTENTION,
+    make_dispatcher,
+    make_report,
+    place,
+    place_waiting,
 )
-"""Engines whose attention over 557,000 tokens takes 25 s, as in the buchrueckkauf deployment."""
-
-
-def make_dispatcher(
-    engines: int = 4, slots: int = 8, parameters: EngineParameters | None = None, **settings
-) -> Dispatcher:
-    directory = UpstreamDirectory(4.0, 30.0)
-    dispatcher = Dispatcher(DispatchSettings(**settings), directory, random.Random(1))
-    dispatcher.set_routes(make_routes(slots, parameters))
-    dispatcher.start(1, 0.0)
-    for number in range(engines):
-        dispatcher.observe(make_report("llm", number, slots), 10.0)
-    dispatcher.observe(make_report("plain", 100, 6), 10.0)
-    return dispatcher
-
-
-def make_routes(slots: int, parameters: EngineParameters | None = None) -> RouteSet:
-    engine = replace(parameters or EngineParameters(), slots=slots)
-    services = (Service("llm", cold_requests_per_s=10.0, engine=engine), Service("plain"))
-    return RouteSet(1, (), services)
-
-
-def make_report(service: str, number: int, slots: int) -> UpstreamReport:
-    domain = "abc"[number % 3]
-    host = f"10.0.0.{number}"
-    state = UpstreamState.READY
-    return UpstreamReport(f"{service}{number}", service, host, 80, domain, 1, 1, slots, state)
-
-
-def place(dispatcher: Dispatcher, call: DispatchCall, now_s: float = 10.0) -> DispatchAnswer:
-    answer = dispatcher.place("entry", "a", call, now_s)
-    assert isinstance(answer, DispatchAnswer)
-    return answer
+from laburnumrock.errors import ErrorKind
 
 
 class TestPlacement:
@@ -159,9 +111,9 @@
         assert first.upstream_id == "llm0"
         ticket = dispatcher.place("entry", "a", SHORT, 10.2)
         assert isinstance(ticket, int)
-        assert dispatcher.place_waiting({}, 10.25) == []
+        assert place_waiting(dispatcher, 10.25) == []
         dispatcher.record_ended(SendEnded(first.permit, SendOutcome.DONE), 10.3)
-        ((decided, answer),) = dispatcher.place_waiting({}, 10.3)
+        ((decided, answer),) = place_waiting(dispatcher, 10.3)
         assert (decided, answer.upstream_id) == (ticket, "llm0")
 
     def test_plain_service_balances(self):
@@ -216,7 +168,7 @@
         assert isinstance(ticket, int)
         for answer in running:
             dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.DONE), 10.5)
-        [(decided, answer)] = dispatcher.place_waiting({}, 10.5)
+        [(decided, answer)] = place_waiting(dispatcher, 10.5)
         assert decided == ticket
         assert answer.helpers
 
@@ -263,7 +215,7 @@
         assert isinstance(
             dispatcher.place("entry", "a", replace(LONG, prompt_tokens=250_000), 10.0), int
         )
-        [(_, answer)] = dispatcher.place_waiting({}, 11.6)
+        [(_, answer)] = place_waiting(dispatcher, 11.6)
         assert answer.permit
 
     def test_overdue_prefill_still_counts_as_running(self):
@@ -295,144 +247,6 @@
         assert dispatcher.record_stalled(SendStalled(answer.permit), 10.5).give_up
 
 
-def replace_call(dispatcher: Dispatcher, arrived_s: float):
-    """Return the queued call of the dispatcher as if it had arrived at another time."""
-    queued = next(iter(dispatcher.waiting.values()))
-    delay_s = arrived_s - queued.arrived_s
-    return replace(
-        queued,
-        arrived_s=arrived_s,
-        improve_until_s=queued.improve_until_s + delay_s,
-        wait_until_s=queued.wait_until_s + delay_s,
-    )
-
-
-class TestWaiting:
-    def test_pass_over_many_waiting_requests_is_bounded(self, monkeypatch):
-        """Guards against a leader that evaluates its whole queue at the end of each send."""
-        dispatcher = make_dispatcher(engines=1, slots=1)
-        place(dispatcher, SHORT)
-        monkeypatch.setattr(dispatcher, "_queue_is_full", lambda *_: False)
-        tickets = [dispatcher.place("entry", "a", SHORT, 10.0) for _ in range(50)]
-        calls = []
-        choose = dispatcher.chooser.choose
-        monkeypatch.setattr(
-            dispatcher.chooser, "choose", lambda *values: calls.append(values) or choose(*values)
-        )
-        assert dispatcher.place_waiting({}, 10.05) == []
-        assert len(calls) == MAX_FAILED_PLACEMENTS
-        # Expired requests are decided nevertheless.
-        assert [ticket for ticket, _ in dispatcher.place_waiting({}, 11.0)] == tickets
-
-    def test_tickets_of_two_leaders_differ(self):
-        """Guards against a late decision of a former leader that is taken for another request's.
-
-        Notes
-        -----
-        Seen in the tgs-taipei-grown deployment: an engine of one service ran a request to another.
-        """
-        tickets = set()
-        for term in (1, 2):
-            dispatcher = make_dispatcher(engines=1, slots=1)
-            dispatcher.start(term << 32, 10.0)
-            place(dispatcher, SHORT)
-            tickets.add(dispatcher.place("entry", "a", SHORT, 10.0))
-        assert len(tickets) == 2
-
-    def test_waiting_request_gets_the_free_slot(self):
-        """Guards against a refusal while an engine is about to become free."""
-        dispatcher = make_dispatcher(engines=1, slots=1)
-        first = place(dispatcher, SHORT)
-        ticket = dispatcher.place("entry", "a", SHORT, 10.0)
-        dispatcher.record_ended(SendEnded(first.permit, SendOutcome.DONE), 10.1)
-        [(served, answer)] = dispatcher.place_waiting({}, 10.1)
-        assert served == ticket
-        assert answer.permit
-
-    def test_interrupted_stream_precedes_new_requests(self):
-        """Guards against an interrupted stream that fails because new requests take every slot."""
-        dispatcher = make_dispatcher(engines=1, slots=1)
-        running = [place(dispatcher, SHORT)]
-        running += [place(dispatcher, replace(SHORT, attempt=2)) for _ in range(2)]
-        new = dispatcher.place("entry", "a", SHORT, 10.0)
-        interrupted = dispatcher.place("entry", "a", replace(SHORT, attempt=2), 10.0)
-        assert isinstance(new, int) and isinstance(interrupted, int)
-        dispatcher.record_ended(SendEnded(running[0].permit, SendOutcome.DONE), 10.1)
-        [(ticket, answer)] = dispatcher.place_waiting({}, 10.1)
-        assert ticket == interrupted and answer.permit
-
-    def test_waiting_ends_before_the_deadline(self):
-        """Guards against a request that is queued until its caller leaves, and against a refusal
-        while the caller, who waits 2 s for the first event, may still be served.
-        """
-        dispatcher = make_dispatcher(engines=1, slots=1)
-        place(dispatcher, SHORT)
-        dispatcher.place("entry", "a", SHORT, 10.0)
-        assert dispatcher.place_waiting({}, 10.5) == []
-        [(_, answer)] = dispatcher.place_waiting({}, 10.0 + 2.0 / 3)
-        assert answer.refusal == ErrorKind.CONCURRENCY_LIMITED
-
-    def test_plain_request_waits_by_its_own_time_limit(self):
-        """Guards against a booking that is refused after a share of a short latency target although
-        its caller waits for seconds.
-        """
-        dispatcher = make_dispatcher()
-        booking = replace(PLAIN, goal_s=0.126, remaining_s=1.5)
-        running = [place(dispatcher, booking) for _ in range(6)]
-        ticket = dispatcher.place("entry", "a", booking, 10.0)
-        assert dispatcher.place_waiting({}, 10.2) == []
-        dispatcher.record_ended(SendEnded(running[0].permit, SendOutcome.DONE), 10.3)
-        [(served, answer)] = dispatcher.place_waiting({}, 10.3)
-        assert served == ticket
-        assert answer.permit
-
-    def test_queue_is_limited_by_the_rate_at_which_sends_end(self):
-        """Guards against requests of a burst that wait although they cannot be placed in time, and
-        against a delay after which they come back too early.
-        """
-        dispatcher = make_dispatcher(engines=10, slots=2)
-        running = [place(dispatcher, SHORT) for _ in range(20)]
-        for index, answer in enumerate(running[:10]):
-            dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.DONE), 10.0 + index / 10)
-            place(dispatcher, SHORT)
-        answers = [dispatcher.place("entry", "a", SHORT, 10.95) for _ in range(30)]
-        queued = [answer for answer in answers if isinstance(answer, int)]
-        # Ten sends end per second, and a request waits 0.6 s.
-        assert len(queued) == 6
-        assert answers[-1].refusal == ErrorKind.CONCURRENCY_LIMITED
-        assert answers[-1].retry_after_s >= 0.4
-
-    def test_ended_sends_are_dropped_without_a_queue(self):
-        """Guards against a dispatcher whose memory grows with each send while nothing waits."""
-        dispatcher = make_dispatcher(engines=1)
-        for number in range(100):
-            now_s = 10.0 + number / 10
-            report = replace(make_report("llm", 0, 8), sequence=2 + number)
-            dispatcher.observe(report, now_s)
-            answer = place(dispatcher, SHORT, now_s)
-            dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.DONE), now_s)
-        assert len(dispatcher.ended_s["llm"]) <= 11
-
-    def test_requests_that_can_be_on_time_precede_late_ones(self):
-        """Guards against a burst in which every request waits behind late ones and is late too."""
-        dispatcher = make_dispatcher(engines=1, slots=2)
-        first, _ = [place(dispatcher, SHORT) for _ in range(2)]
-        dispatcher.place("entry", "a", SHORT, 10.0)
-        dispatcher.waiting[1000] = replace_call(dispatcher, arrived_s=10.35)
-        dispatcher.record_ended(SendEnded(first.permit, SendOutcome.DONE), 10.4)
-        [(served, answer)] = dispatcher.place_waiting({}, 10.4)
-        assert served == 1000
-        assert answer.permit
-
-    def test_long_queue_refuses_at_once(self):
-        """Guards against a burst that is queued without a chance of being served in time."""
-        dispatcher = make_dispatcher(engines=1, slots=2)
-        for _ in range(2):
-            place(dispatcher, SHORT)
-        assert isinstance(dispatcher.place("entry", "a", SHORT, 10.0), int)
-        assert place(dispatcher, SHORT).refusal == ErrorKind.CONCURRENCY_LIMITED
-
-
 class TestLimits:
     def test_cold_upstream_gets_no_more_than_its_limit(self):
         """Guards against a cold upstream that all instances together overload."""
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -4,7 +4,6 @@
 import random
 import time
 import zlib
-from dataclasses import dataclass
 
 from eliot import log_message
 from result import Err, Ok, Result
@@ -22,9 +21,12 @@
     UpstreamDirectory,
     UpstreamReport,
     UpstreamState,
+    WithdrawCall,
 )
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.metrics import NodeMetrics
+from laburnumrock.nodes._decision_log import log_decision, log_upstream
+from laburnumrock.nodes._departures import confirm_departure
 from laburnumrock.nodes._messages import (
     ConfirmDeparture,
     DepartureConfirmed,
@@ -40,11 +42,6 @@
 from laburnumrock.routing import RouteDocument, RouteSet, SetDrain, StoreAnswer, StoreRoutes
 from laburnumrock.transport import PeerNetwork
 
-CONFIRM_TIMEOUT_S = 0.8
-"""Time limit for the leader's confirmation of a departure. An upstream that gets no acknowledgement
-within a second reports to another core."""
-CONFIRM_RETRY_S = 0.1
-"""Delay before the confirmation is requested again while there is no leader."""
 PLACE_WAITING_INTERVAL_S = 0.05
 """Interval at which queued requests are placed or refused."""
 PLACE_WAITING_DELAY_S = 0.01
@@ -65,14 +62,6 @@
 """Shorter than the one second after which an operator asks another core."""
 
 
-@dataclass(slots=True)
-class _WaitingCall:
-    """Queued call that is decided once an upstream is free."""
-
-    entry: str
-    call: DispatchCall
-
-
 class CoreNode:
     """Core node with a durable replica of the log.
 
@@ -105,7 +94,6 @@
         self.metrics.leading.set_function(lambda: int(self.is_leading))
         self.views = ViewPublisher(self.network, self.directory)
         self.reports = ReportExchange(settings.instance_id, self.network, self._all_cores)
-        self.waiting: dict[int, _WaitingCall] = {}
         self.leading_term = 0
         self.applied_version = -1
         self.applied_drained: list[str] = []
@@ -124,6 +112,7 @@
         network.handle(SendStalled, self._receive_stalled)
         network.handle(SendEnded, self._receive_ended)
         network.handle(UpstreamNews, self._receive_reports)
+        network.handle(WithdrawCall, self._receive_withdrawal)
         network.handle(ConfirmDeparture, self._receive_departure)
         self.log.on_applied(lambda *_: self._schedule_state_update())
         self.log.on_restored(self._apply_state)
@@ -236,19 +225,9 @@
         return await self._confirm_departure(ConfirmDeparture(upstream_id, report))
 
     async def _confirm_departure(self, request: ConfirmDeparture) -> bool:
-        """Wait until the leader has stopped placing requests on an upstream."""
-        deadline_s = time.monotonic() + CONFIRM_TIMEOUT_S
-        while (left_s := deadline_s - time.monotonic()) > 0:
-            if self.is_leading:
-                return True
-            leader = self._find_leader()
-            if leader is not None and leader != self.settings.instance_id:
-                answered = await self.network.call(leader, request, left_s)
-                if answered.is_ok() and answered.unwrap().confirmed:
-                    return True
-            await asyncio.sleep(CONFIRM_RETRY_S)
-        log_message("departure_unconfirmed", upstream=request.upstream_id)
-        return False
+        return await confirm_departure(
+            request, self.network, self._find_leader, lambda: self.is_leading
+        )
 
     def _receive_departure(self, sender: str, message: ConfirmDeparture) -> DepartureConfirmed:
         if not self.is_leading:
@@ -259,13 +238,13 @@
         else:
             report = message.report if self.dispatcher.observe(message.report, now_s) else None
         if report is not None:
-            self._log_upstream(report)
+            log_upstream(report)
             self._push_views()
         return DepartureConfirmed(True)
 
     def _propagate_change(self, report: UpstreamReport) -> None:
         """Send a change of an upstream to the other nodes."""
-        self._log_upstream(report)
+        log_upstream(report)
         self.reports.send_change(report, time.monotonic())
         self._push_views()
 
@@ -286,18 +265,6 @@
         )
         return Ok(state.version)
 
-    def _log_upstream(self, report: UpstreamReport) -> None:
-        log_message(
-            "upstream_changed",
-            upstream=report.upstream_id,
-            state=report.state,
-            service=report.service,
-            address=f"{report.host}:{report.port}",
-            incarnation=report.incarnation,
-            sequence=report.sequence,
-            cold_left_s=report.cold_left_s,
-        )
-
     def _current_routes(self) -> RouteDocument:
         return self.log.state.parts["routes"].current
 
@@ -347,10 +314,11 @@
             log_message("leading", term=self.leading_term)
 
     def _refuse_waiting(self) -> None:
+        queue = self.dispatcher.queue
         refusal = DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value)
-        for ticket, waited in self.waiting.items():
-            self.network.send(waited.entry, DispatchDecided(ticket, refusal))
-        self.waiting.clear()
+        for ticket, queued in queue.in_order(time.monotonic()):
+            queue.remove(ticket)
+            self.network.send(queued.entry, DispatchDecided(ticket, refusal))
 
     def _push_views(self) -> None:
         """Send the view to all entry nodes if it changed and this core leads."""
@@ -395,27 +363,15 @@
             "request_waits",
             request_id=message.request_id,
             service=message.service,
-            waiting=len(self.waiting) + 1,
+            waiting=len(self.dispatcher.queue.calls),
         )
-        self.waiting[decided] = _WaitingCall(sender, message)
         return DispatchAnswer(ticket=decided)
 
     def _log_decision(self, call: DispatchCall, answer: DispatchAnswer) -> None:
-        record = self.directory.records.get(answer.upstream_id)
-        load = self.dispatcher.fleet.loads.get(answer.upstream_id)
-        log_message(
-            "placement_decided",
-            request_id=call.request_id,
-            attempt=call.attempt,
-            upstream=answer.upstream_id,
-            expected_first_s=round(answer.expected_first_s, 4),
-            helpers=[helper.upstream_id for helper in answer.helpers],
-            refusal=answer.refusal,
-            report_age_s=round(time.monotonic() - record.last_seen_s, 3) if record else None,
-            sends=len(load.sends) if load else None,
-            pace=round(load.slowdown, 2) if load else None,
-            routes_version=self.applied_version,
-        )
+        log_decision(self.dispatcher, call, answer, self.applied_version)
+
+    def _receive_withdrawal(self, sender: str, message: WithdrawCall) -> None:
+        self.dispatcher.queue.remove(message.ticket)
 
     def _receive_started(self, sender: str, message: SendStarted) -> None:
         self.dispatcher.record_started(message, time.monotonic())
@@ -425,7 +381,7 @@
 
     def _receive_ended(self, sender: str, message: SendEnded) -> None:
         self.dispatcher.record_ended(message, time.monotonic())
-        if self.waiting and self.place_waiting_timer is None:
+        if self.dispatcher.queue.calls and self.place_waiting_timer is None:
             loop = asyncio.get_running_loop()
             self.place_waiting_timer = loop.call_later(PLACE_WAITING_DELAY_S, self._place_waiting)
 
@@ -435,12 +391,12 @@
         for report in message.reports:
             if self.dispatcher.observe(report, now_s):
                 changed = True
-                self._log_upstream(report)
+                log_upstream(report)
         for upstream_id in message.left:
             departed = self.directory.remove(upstream_id, now_s)
             if departed is not None:
                 changed = True
-                self._log_upstream(departed)
+                log_upstream(departed)
         if changed:
             self._push_views()
 
@@ -450,13 +406,13 @@
         # reports.
         self._push_views()
         began_s = time.monotonic()
-        if not self.waiting or began_s < self.next_place_waiting_s:
+        if not self.dispatcher.queue.calls or began_s < self.next_place_waiting_s:
             return
-        for ticket, answer in self.dispatcher.place_waiting(self.views.list_domains(), began_s):
-            waited = self.waiting.pop(ticket, None)
-            if waited is not None:
-                self._log_decision(waited.call, answer)
-                self.network.send(waited.entry, DispatchDecided(ticket, answer))
+        for decision in self.dispatcher.place_waiting(self.views.list_domains(), began_s):
+            queued = decision.queued
+            self._log_decision(queued.call, decision.answer)
+            message = DispatchDecided(decision.ticket, decision.answer)
+            self.network.send(queued.entry, message)
         ended_s = time.monotonic()
         self.next_place_waiting_s = ended_s + PLACE_WAITING_PAUSE_RATIO * (ended_s - began_s)
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -23,6 +23,7 @@
     StallAdvice,
     UpstreamDirectory,
     UpstreamState,
+    WithdrawCall,
     max_queue_wait_s,
 )
 from laburnumrock.errors import ErrorKind
@@ -36,15 +37,15 @@
 from laburnumrock.metrics import NodeMetrics
 from laburnumrock.nodes._messages import EntryHello, EntryWelcome, View
 from laburnumrock.nodes._periodic import log_failed_work, run_every
+from laburnumrock.nodes._reachability import (
+    HELLO_INTERVAL_S,
+    compute_hello_interval_s,
+    infer_unreachable_domains,
+)
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.routing import RouteTable
 from laburnumrock.transport import PeerNetwork
 
-HELLO_INTERVAL_S = 0.5
-MAX_HELLOS_PER_S = 150.0
-"""Hellos that all entry nodes together send to the leader per second. Each costs it 0.2 ms of CPU
-time, so 200 entry nodes that send two per second would take an eighth of a small core."""
-MAX_HELLO_INTERVAL_S = 1.5
 MAX_HELLO_AGE_S = 2.5
 """Time since the last finished hello after which a node was probably paused; longer than the
 longest interval and the time limit of a hello together."""
@@ -76,11 +77,6 @@
 """Time reserved for closing connections before the process is killed."""
 
 
-def compute_hello_interval_s(entry_count: int) -> float:
-    """Return the interval of the hellos of each of `entry_count` entry nodes, in seconds."""
-    return min(MAX_HELLO_INTERVAL_S, max(HELLO_INTERVAL_S, entry_count / MAX_HELLOS_PER_S))
-
-
 @dataclass(slots=True)
 class _ActiveSend:
     """Send that has not ended yet, as recorded by the entry node that placed it."""
@@ -229,19 +225,26 @@
         self.place_failures = 0
         answer = answered.unwrap()
         if answer.ticket:
-            answer = await self._await_decision(answer.ticket, call)
+            answer = await self._await_decision(leader, answer.ticket, call)
         if answer is None or answer.refusal == ErrorKind.OWNER_UNAVAILABLE.value:
             self._drop_leader(leader, "leader made no decision")
             return None
         return answer
 
-    async def _await_decision(self, ticket: int, call: DispatchCall) -> DispatchAnswer | None:
+    async def _await_decision(
+        self, leader: str, ticket: int, call: DispatchCall
+    ) -> DispatchAnswer | None:
         max_wait_s = max_queue_wait_s(self.settings.dispatch, call)
         future = self._find_decision(ticket)
         try:
             return await asyncio.wait_for(future, max_wait_s + DECISION_GRACE_S)
         except TimeoutError:
+            self.network.send(leader, WithdrawCall(ticket))
             return None
+        except asyncio.CancelledError:
+            # The caller has left, so its place in the queue belongs to another request.
+            self.network.send(leader, WithdrawCall(ticket))
+            raise
         finally:
             self.pending_decisions.pop(ticket, None)
 
@@ -332,19 +335,8 @@
         self._update_unreachable(dict(zip(cores, answered, strict=True)))
 
     def _update_unreachable(self, answered: dict[str, bool]) -> None:
-        """Infer from the cores that did not answer which failure domains are partitioned.
-
-        Notes
-        -----
-        If the core of the own domain does not answer either, the cores rather than the links have
-        failed, and nothing is inferred about the upstreams of a domain.
-        """
         own_domain = self.settings.failure_domain
-        reached = {self.core_domains.get(core, "") for core, answer in answered.items() if answer}
-        silent = {
-            self.core_domains.get(core, "") for core, answer in answered.items() if not answer
-        }
-        unreachable = silent - reached - {"", own_domain} if own_domain in reached else set()
+        unreachable = infer_unreachable_domains(own_domain, self.core_domains, answered)
         if unreachable != self.unreachable_domains:
             self.unreachable_domains = unreachable
             log_message("domains_unreachable", failure_domains=sorted(unreachable))
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -1,135 +1,31 @@
 """Tests of core and entry nodes in one process, on loopback addresses."""
 
 import asyncio
-import contextlib
 import json
-import socket
 import time
 
-import pytest
-from result import Err
-
-from laburnumrock.dispatch import DispatchCall, UpstreamReport, UpstreamState
-from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.dispatch import UpstreamState
 from laburnumrock.forwarding.tests.scripted import (
     ScriptedUpstream,
     answer,
-    make_request,
-    read_response,
 )
-from laburnumrock.nodes import CoreNode, EntryNode, NodeListen, NodeSettings, View
-from laburnumrock.nodes._entry import compute_hello_interval_s
-from laburnumrock.nodes._views import MIN_VIEW_INTERVAL_S
+from laburnumrock.nodes import CoreNode
+from laburnumrock.nodes.tests.deployment import (
+    CORES,
+    ENTRY,
+    KEY,
+    WAIT_S,
+    Deployment,
+    fail_call,
+    make_call,
+    make_report,
+    open_deployment,
+    request,
+    wait_until,
+)
 from laburnumrock.platform._routes import decode_routes
-from laburnumrock.platform._wire import PlatformWire
 from laburnumrock.platform.tests.samples import make_config
 
-CORES = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
-ENTRY = "127.0.0.21"
-KEY = b"key"
-WAIT_S = 8.0
-
-
-def find_ports() -> tuple[int, int]:
-    """Return two ports that are free on all loopback addresses."""
-    with socket.socket() as first, socket.socket() as second:
-        first.bind(("", 0))
-        second.bind(("", 0))
-        return first.getsockname()[1], second.getsockname()[1]
-
-
-async def wait_until(condition) -> None:
-    async with asyncio.timeout(WAIT_S):
-        while not condition():
-            await asyncio.sleep(0.02)
-
-
-class Deployment:
-    """Three cores and an entry node in one event loop."""
-
-    def __init__(self, folder) -> None:
-        self.folder = folder
-        self.ports = find_ports()
-        self.cores: dict[str, CoreNode] = {}
-        self.entry: EntryNode | None = None
-
-    def make_settings(self, name: str, **values) -> NodeSettings:
-        listen = NodeListen(name, *self.ports)
-        return NodeSettings(name, "a", listen, CORES, shutdown_timeout_s=4.0, **values)
-
-    async def start_core(self, name: str, may_bootstrap: bool = True) -> CoreNode:
-        settings = self.make_settings(
-            name, data_folder=self.folder / name, may_bootstrap=may_bootstrap
-        )
-        core = CoreNode(settings, KEY, decode_routes)
-        assert (await core.start()).is_ok()
-        self.cores[name] = core
-        return core
-
-    async def start_entry(self) -> EntryNode:
-        self.entry = EntryNode(self.make_settings(ENTRY), KEY, decode_routes, PlatformWire())
-        await self.entry.start()
-        return self.entry
-
-    def leader(self) -> CoreNode | None:
-        return next((core for core in self.cores.values() if core.is_leading), None)
-
-    async def store(self, version: int) -> None:
-        def change(config):
-            config["version"] = version
-
-        document = make_config(change)
-        core = next(iter(self.cores.values()))
-        stored = await core.store_routes(decode_routes(document).unwrap(), document)
-        assert stored.is_ok()
-
-    async def stop(self) -> None:
-        if self.entry is not None:
-            for task in self.entry.tasks:
-                task.cancel()
-            self.entry.frontend.stop_listening()
-            self.entry.pool.close()
-            await self.entry.network.stop()
-        for core in list(self.cores.values()):
-            await core.stop()
-
-
-@contextlib.asynccontextmanager
-async def open_deployment(folder):
-    """Start three cores and an entry node, and stop them on exit."""
-    deployment = Deployment(folder)
-    for name in CORES:
-        await deployment.start_core(name)
-    await deployment.start_entry()
-    try:
-        await wait_until(deployment.leader)
-        yield deployment
-    finally:
-        await deployment.stop()
-
-
-def make_report(port: int, **values) -> UpstreamReport:
-    fields = {
-        "upstream_id": "u1",
-        "service": "llm",
-        "host": "127.0.0.1",
-        "port": port,
-        "failure_domain": "a",
-        "incarnation": 1,
-        "sequence": 1,
-        "slots": 8,
-        "state": UpstreamState.READY,
-    }
-    return UpstreamReport(**{**fields, **values})
-
-
-async def request(deployment: Deployment) -> int:
-    reader, writer = await asyncio.open_connection(ENTRY, deployment.ports[0])
-    writer.write(make_request("/x/1", "POST", b"{}", {}))
-    response = await asyncio.wait_for(read_response(reader), 5.0)
-    writer.close()
-    return response.status
-
 
 class TestRoutes:
     def test_entry_follows_the_highest_version(self, tmp_path):
@@ -400,147 +296,27 @@
         asyncio.run(run())
 
 
-async def fail_call(peer, message, timeout_s):
-    return Err(Failure(ErrorKind.PEER_UNREACHABLE))
-
-
-def make_call():
-    return DispatchCall("r1", 1, "llm", "one", 1, 5000, 800, 0.3, 0.2, 10.0)
-
-
-class TestViews:
-    def test_changes_of_many_upstreams_share_views(self, tmp_path):
-        """Guards against a leader that sends each entry node one view per starting engine."""
-
-        async def run():
-            async with open_deployment(tmp_path) as deployment:
-                await deployment.store(7)
-                entry, leader = deployment.entry, deployment.leader()
-                await wait_until(lambda: entry.is_ready)
-                revision = leader.views.revision
-                for number in range(30):
-                    report = make_report(1000 + number, upstream_id=f"u{number}")
-                    await leader.observe_upstream(report)
-                    await asyncio.sleep(0.01)
-                await wait_until(lambda: len(entry.directory.usable("llm", 0.0)) == 30)
-                assert leader.views.revision - revision <= 4
-
-        asyncio.run(run())
-
-    def test_change_is_sent_without_the_other_upstreams(self, tmp_path):
-        """Guards against views that contain all upstreams for each change of one of them."""
-
-        async def run():
-            async with open_deployment(tmp_path) as deployment:
-                await deployment.store(7)
-                entry, leader = deployment.entry, deployment.leader()
-                for number in range(100):
-                    await leader.observe_upstream(
-                        make_report(1000 + number, upstream_id=f"u{number}")
-                    )
-                await wait_until(lambda: len(entry.directory.usable("llm", 0.0)) == 100)
-                await asyncio.sleep(2 * MIN_VIEW_INTERVAL_S)
-                sent = leader.network.traffic.sent["View"]
-                messages, frame_bytes = sent.messages, sent.frame_bytes
-                leaving = make_report(1000, upstream_id="u0", sequence=2, state=UpstreamState.GONE)
-                await leader.observe_upstream(leaving)
-                await wait_until(lambda: len(entry.directory.usable("llm", 0.0)) == 99)
-                assert sent.messages - messages == 1
-                assert sent.frame_bytes - frame_bytes < 300
-
-        asyncio.run(run())
-
-    def test_lost_change_is_followed_by_a_whole_view(self, tmp_path):
-        """Guards against an entry node that misses a change and never learns of it."""
-
-        async def run():
-            async with open_deployment(tmp_path) as deployment:
-                await deployment.store(7)
-                entry, leader = deployment.entry, deployment.leader()
-                for number in range(3):
-                    await leader.observe_upstream(
-                        make_report(1000 + number, upstream_id=f"u{number}")
-                    )
-                await wait_until(lambda: len(entry.directory.usable("llm", 0.0)) == 3)
-                await asyncio.sleep(2 * MIN_VIEW_INTERVAL_S)
-                broadcast, leader.network.broadcast = leader.network.broadcast, lambda *_: None
-                await leader.remove_upstream("u0")
-                leader.network.broadcast = broadcast
-                await asyncio.sleep(2 * MIN_VIEW_INTERVAL_S)
-                await leader.remove_upstream("u1")
-                await wait_until(lambda: len(entry.directory.usable("llm", 0.0)) == 1)
-
-        asyncio.run(run())
-
-
-class TestPartition:
-    def make_entry(self, tmp_path) -> EntryNode:
-        listen = NodeListen(ENTRY, 1, 2)
-        settings = NodeSettings(ENTRY, "a", listen, CORES)
-        entry = EntryNode(settings, KEY, decode_routes, PlatformWire())
-        entry.core_domains = dict(zip(CORES, "abc", strict=True))
-        return entry
-
-    def test_domains_whose_cores_are_silent_get_no_requests(self, tmp_path):
-        """Guards against requests of a partitioned domain that wait for a second at upstreams that
-        cannot be reached.
-        """
-
-        async def run():
-            entry = self.make_entry(tmp_path)
-            for number, domain in enumerate("abc"):
-                report = make_report(1000 + number, upstream_id=f"u{number}", failure_domain=domain)
-                entry.directory.observe(report, 0.0)
-            entry._update_unreachable(dict.fromkeys(CORES, False) | {CORES[0]: True})
-            placed = {entry._place_locally(make_call()).upstream_id for _ in range(20)}
-            assert placed == {"u0"}
-            entry._update_unreachable(dict.fromkeys(CORES, True))
-            placed = {entry._place_locally(make_call()).upstream_id for _ in range(20)}
-            assert placed - {"u0"} == {"u1", "u2"}
-
-        asyncio.run(run())
-
-    def test_paused_node_looks_for_the_leader_before_it_places_alone(self, tmp_path):
-        """Guards against a request to an upstream that left while the entry node was paused."""
+class TestWaiting:
+    def test_request_of_a_caller_that_left_is_withdrawn(self, tmp_path):
+        """Guards against a slot that is given to a queued request whose caller has left."""
 
         async def run():
             async with open_deployment(tmp_path) as deployment:
                 await deployment.store(7)
                 entry, leader = deployment.entry, deployment.leader()
-                await leader.observe_upstream(make_report(9, upstream_id="gone"))
-                await leader.observe_upstream(make_report(10, upstream_id="here"))
-                await wait_until(lambda: len(entry.directory.usable("llm", 0.0)) == 2)
-                await wait_until(lambda: entry.leader is not None)
-                for task in entry.tasks:
-                    task.cancel()
-                # The state of a node that is resumed after a pause in which one upstream left.
-                entry.leader = None
-                entry.last_hello_s -= 60.0
-                entry.network.handle(View, lambda sender, view: None)
-                await leader.remove_upstream("gone")
-                answers = await asyncio.gather(*(entry.place(make_call()) for _ in range(5)))
-                assert {answer.upstream_id for answer in answers} == {"here"}
-                assert all(answer.permit > 0 for answer in answers)
+                await leader.observe_upstream(make_report(9, slots=1))
+                await wait_until(lambda: entry.is_ready and entry.leader is not None)
+                assert (await entry.place(make_call())).permit > 0
+                queue = leader.dispatcher.queue
+                waiting = asyncio.create_task(entry.place(make_call()))
+                await wait_until(lambda: queue.calls)
+                waiting.cancel()
+                began_s = time.monotonic()
+                await wait_until(lambda: not queue.calls)
+                assert time.monotonic() - began_s < 0.3
 
         asyncio.run(run())
 
-    def test_failed_cores_exclude_no_domain(self, tmp_path):
-        """Guards against upstreams that are avoided because all cores were killed."""
-        entry = self.make_entry(tmp_path)
-        entry._update_unreachable(dict.fromkeys(CORES, False))
-        assert entry.unreachable_domains == set()
-
-
-class TestHellos:
-    @pytest.mark.parametrize("count", [1, 15, 94, 195, 400])
-    def test_rate_at_the_leader_is_bounded(self, count):
-        """Guards against hellos that take a share of the leader's CPU that grows with the fleet."""
-        interval_s = compute_hello_interval_s(count)
-        assert 0.5 <= interval_s <= 1.5
-        assert count / interval_s <= max(150.0, count / 1.5) + 1e-6
-
-
-class TestWaiting:
     def test_passes_use_a_limited_share_of_the_cpu(self, tmp_path, monkeypatch):
         """Guards against a leader that spends all its time on queued requests."""
         settings = Deployment(tmp_path).make_settings(CORES[0], data_folder=tmp_path / "core")
@@ -554,7 +330,7 @@
 
         monkeypatch.setattr(CoreNode, "is_leading", True)
         monkeypatch.setattr(core.dispatcher, "place_waiting", place_waiting)
-        core.waiting[1] = None
+        core.dispatcher.queue.add(ENTRY, make_call(), time.monotonic())
         began_s = time.monotonic()
         while time.monotonic() - began_s < 0.5:
             core._place_waiting()
