--- a/laburnumrock/platform/soak/__init__.py
+++ b/laburnumrock/platform/soak/__init__.py
@@ -6,7 +6,8 @@
 """
 
 from laburnumrock.platform.soak._findings import Findings
-from laburnumrock.platform.soak._run import SoakSettings, run_soak
+from laburnumrock.platform.soak._run import run_soak
 from laburnumrock.platform.soak._schedule import ACTIONS, Step, make_schedule
+from laburnumrock.platform.soak._state import SoakSettings
 
 __all__ = ["ACTIONS", "Findings", "SoakSettings", "Step", "make_schedule", "run_soak"]
--- /dev/null
+++ b/laburnumrock/platform/soak/_faults.py
@@ -0,0 +1,146 @@
+"""Faults that a soak run injects, and its planned stops."""
+
+import asyncio
+import shutil
+import signal
+import time
+
+from laburnumrock.platform.soak._schedule import Step
+from laburnumrock.platform.soak._state import ZONES, Node, RunState
+from laburnumrock.platform.soak._upstreams import HEARTBEAT_S
+from laburnumrock.standins import FaultyProxy
+
+LINK_DELAY_S = 0.15
+"""Delay of a slow link: above every round-trip time, below the timeouts between nodes."""
+STOP_TIMEOUT_S = 9.5
+"""Timeout of a graceful stop, which may take 8 s."""
+TORN_FRAME = b"LRF1\xff\x00"
+"""Incomplete frame, as left by a power loss during a write."""
+
+
+async def apply_step(soak: RunState, step: Step) -> None:
+    """Perform a step of the schedule."""
+    operator = soak.operator
+    if step.action == "change_routes":
+        await operator.change_routes()
+        entries = [node for node in soak.nodes.values() if node.role == "entry"]
+        await operator.check_propagation([(entry.host, soak.ports[0]) for entry in entries])
+    elif step.action == "race_routes":
+        await asyncio.gather(operator.change_routes(), operator.change_routes())
+    elif step.action == "invalid_routes":
+        await operator.send_invalid_routes()
+    elif step.action == "evacuate":
+        await operator.evacuate(ZONES[0], step.duration_s)
+    elif step.action == "kill_all_cores":
+        soak.findings.record_fault(step.action, step.duration_s + 1.0)
+        cores = [node for node in soak.nodes.values() if node.role == "core"]
+        await asyncio.gather(*(_kill_and_restart(core, step.duration_s) for core in cores))
+    elif step.target.startswith(("engine", "server")):
+        await _inject_upstream_fault(soak, step)
+    else:
+        await _inject_node_fault(soak, step, soak.nodes[step.target])
+
+
+async def _kill_and_restart(node: Node, down_s: float, while_down=None) -> None:
+    if node.killed or node.graceful_stop:
+        return
+    node.killed = True
+    node.process.send(signal.SIGCONT)
+    node.process.kill()
+    if while_down is not None:
+        while_down()
+    await asyncio.sleep(down_s)
+    node.process.start()
+    node.killed = False
+
+
+async def _inject_node_fault(soak: RunState, step: Step, node: Node) -> None:
+    action = step.action
+    if action == "stop":
+        await _stop_and_restart(soak, node)
+        return
+    if action == "reload":
+        node.process.send(signal.SIGHUP)
+        return
+    soak.findings.record_fault(action, step.duration_s + 1.0)
+    if action == "kill":
+        await _kill_and_restart(node, step.duration_s)
+    elif action == "lose_disk":
+        data = node.process.data_folder
+        await _kill_and_restart(
+            node, step.duration_s, lambda: shutil.rmtree(data, ignore_errors=True)
+        )
+    elif action == "torn_write":
+        await _kill_and_restart(node, step.duration_s, lambda: _append_torn_frame(node))
+    elif action == "pause":
+        node.process.send(signal.SIGSTOP)
+        await asyncio.sleep(step.duration_s)
+        node.process.send(signal.SIGCONT)
+    else:
+        await _inject_link_fault(node.proxy, step)
+    soak.findings.record_fault(action)
+
+
+def _append_torn_frame(node: Node) -> None:
+    log = node.process.data_folder / "log" / "log"
+    if log.exists():
+        with log.open("ab") as file:
+            file.write(TORN_FRAME)
+
+
+async def _stop_and_restart(soak: RunState, node: Node) -> None:
+    """Stop a node gracefully and start it again."""
+    if node.killed or node.graceful_stop or node.process.process.poll() is not None:
+        return
+    node.graceful_stop = True
+    soak.findings.counts["planned stop"] += 1
+    if node.role == "core":
+        soak.findings.record_fault("core stop", 2.0)
+    soak.stopping.add(node.host)
+    node.process.send(signal.SIGTERM)
+    deadline_s = time.monotonic() + STOP_TIMEOUT_S
+    while node.process.is_running and time.monotonic() < deadline_s:
+        await asyncio.sleep(0.05)
+    if node.process.is_running:
+        soak.findings.report("graceful stops finish in time", node.name)
+        node.process.kill()
+    elif node.process.process.returncode != 0:
+        status = node.process.process.returncode
+        soak.findings.report("graceful stops exit with 0", f"{node.name}: {status}")
+    soak.stopping.discard(node.host)
+    node.process.start()
+    node.graceful_stop = False
+
+
+async def _inject_link_fault(proxy: FaultyProxy, step: Step) -> None:
+    if step.action in ("reset", "abandon"):
+        proxy.reset() if step.action == "reset" else proxy.abandon()
+        return
+    if step.action == "delay":
+        proxy.delay_s = LINK_DELAY_S
+    else:
+        proxy.pause_forwarding(one_way=step.action == "silence_one_way")
+    await asyncio.sleep(step.duration_s)
+    proxy.heal()
+
+
+async def _inject_upstream_fault(soak: RunState, step: Step) -> None:
+    upstream = soak.upstreams[step.target]
+    if upstream.mode:
+        return
+    soak.findings.record_fault(step.action, step.duration_s)
+    if step.action == "engine_crash":
+        upstream.crash()
+        await asyncio.sleep(step.duration_s)
+        await upstream.start()
+    elif step.action == "engine_drains":
+        upstream.state = "draining"
+        await asyncio.sleep(step.duration_s + HEARTBEAT_S)
+        upstream.crash()
+        await upstream.start()
+    elif step.action in ("silence", "silence_one_way", "reset", "abandon", "delay"):
+        await _inject_link_fault(soak.engine_proxies[upstream.name], step)
+    else:
+        upstream.mode = step.action
+        await asyncio.sleep(step.duration_s)
+        upstream.mode = ""
--- a/laburnumrock/platform/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -3,14 +3,13 @@
 import asyncio
 import json
 import random
-import shutil
 import signal
 import socket
 import time
-from dataclasses import dataclass, field
 from pathlib import Path
 
 from laburnumrock.platform.soak._callers import Caller
+from laburnumrock.platform.soak._faults import apply_step
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._operator import Operator, call_core
 from laburnumrock.platform.soak._schedule import (
@@ -18,16 +17,13 @@
     ENGINES,
     ENTRIES,
     SERVERS,
-    Step,
     make_schedule,
 )
-from laburnumrock.platform.soak._upstreams import HEARTBEAT_S, RequestTracker, Upstream
+from laburnumrock.platform.soak._state import ZONES, Node, RunState, SoakSettings
+from laburnumrock.platform.soak._upstreams import HEARTBEAT_S, Upstream
 from laburnumrock.scenarios import ManagedProcess
 from laburnumrock.standins import FaultyProxy
 
-LINK_DELAY_S = 0.15
-"""Delay of a slow link: above every round-trip time, below the timeouts between nodes."""
-ZONES = ("zone-a", "zone-b", "zone-c")
 START_TIMEOUT_S = 20.0
 FINAL_FAULT_FREE_S = 9.0
 """Time without new faults at the end of a run.
@@ -40,70 +36,6 @@
 """Number of loopback networks among which a run chooses."""
 CLAIM_PORT = 9_099
 """Port, unused by nodes, that a run binds on the first address of its network to claim it."""
-STOP_TIMEOUT_S = 9.5
-"""Timeout of a graceful stop, which may take 8 s."""
-TORN_FRAME = b"LRF1\xff\x00"
-"""Incomplete frame, as left by a power loss during a write."""
-
-
-@dataclass(frozen=True, slots=True)
-class SoakSettings:
-    """Settings of a run.
-
-    Parameters
-    ----------
-    seed : int
-        Seed of the schedule and of all random sources.
-    length_s : float, > 0
-        Period in which faults start.
-    folder : Path
-        Folder for settings, data and logs of the processes.
-    callers : int
-        Number of concurrent callers.
-    """
-
-    seed: int
-    length_s: float
-    folder: Path
-    callers: int = 8
-
-
-@dataclass(slots=True)
-class _Node:
-    """One process of the system with the proxy in front of it."""
-
-    name: str
-    host: str
-    role: str
-    process: ManagedProcess
-    proxy: FaultyProxy
-    graceful_stop: bool = False
-    paused: bool = False
-    killed: bool = False
-
-
-@dataclass(slots=True)
-class _RunState:
-    """State of a run."""
-
-    settings: SoakSettings
-    findings: Findings = field(default_factory=Findings)
-    tracker: RequestTracker = field(default_factory=RequestTracker)
-    nodes: dict[str, _Node] = field(default_factory=dict)
-    upstreams: dict[str, Upstream] = field(default_factory=dict)
-    engine_proxies: dict[str, FaultyProxy] = field(default_factory=dict)
-    rejected_ids: set[str] = field(default_factory=set)
-    stopping: set[str] = field(default_factory=set)
-    tasks: set[asyncio.Task] = field(default_factory=set)
-    operator: Operator | None = None
-    ports: list[int] = field(default_factory=list)
-    network: str = ""
-
-    def start_task(self, coroutine) -> None:
-        """Run a coroutine concurrently with the schedule."""
-        task = asyncio.create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
 
 
 def run_soak(settings: SoakSettings) -> Findings:
@@ -113,10 +45,10 @@
     -----
     Signals go only to processes that this function started, by process id.
     """
-    return asyncio.run(_run(_RunState(settings)))
+    return asyncio.run(_run(RunState(settings)))
 
 
-async def _run(soak: _RunState) -> Findings:
+async def _run(soak: RunState) -> Findings:
     settings = soak.settings
     rng = random.Random(settings.seed)
     soak.ports = _find_free_ports(6)
@@ -138,7 +70,7 @@
     return soak.findings
 
 
-def _make_nodes(soak: _RunState) -> None:
+def _make_nodes(soak: RunState) -> None:
     front, control, target, bind, _, ready = soak.ports
     cores = [f"{soak.network}.{10 + number}" for number in range(CORES)]
     entries = [f"{soak.network}.{20 + number}" for number in range(ENTRIES)]
@@ -177,7 +109,7 @@
                 variables={"LABURNUMROCK_CONFIG": str(folder / "settings.toml")},
             )
             proxy = FaultyProxy(host, target, bind)
-            soak.nodes[name] = _Node(name, host, kind, process, proxy)
+            soak.nodes[name] = Node(name, host, kind, process, proxy)
 
 
 def _write_settings(folder: Path, document: dict) -> None:
@@ -191,7 +123,7 @@
 TOML_TABLES = ("listen", "bounds")
 
 
-def _make_upstreams(soak: _RunState, rng: random.Random) -> None:
+def _make_upstreams(soak: RunState, rng: random.Random) -> None:
     host = f"{soak.network}.90"
     ports = _find_free_ports(2 * (ENGINES + SERVERS))
     names = [f"engine{number}" for number in range(ENGINES)]
@@ -213,7 +145,7 @@
         soak.engine_proxies[name] = FaultyProxy(host, proxy_port, port)
 
 
-async def _start_all(soak: _RunState, rng: random.Random) -> None:
+async def _start_all(soak: RunState, rng: random.Random) -> None:
     for node in soak.nodes.values():
         await node.proxy.start()
         node.process.start()
@@ -235,7 +167,7 @@
     await asyncio.sleep(2.5)
 
 
-async def _send_heartbeats(soak: _RunState, upstream: Upstream, rng: random.Random) -> None:
+async def _send_heartbeats(soak: RunState, upstream: Upstream, rng: random.Random) -> None:
     """Send heartbeats at intervals, each to up to two random cores until one acknowledges it."""
     while True:
         await asyncio.sleep(HEARTBEAT_S)
@@ -255,7 +187,7 @@
                 break
 
 
-async def _run_schedule(soak: _RunState, rng: random.Random) -> list[Caller]:
+async def _run_schedule(soak: RunState, rng: random.Random) -> list[Caller]:
     settings = soak.settings
     started_s = time.monotonic()
     until_s = started_s + settings.length_s + FINAL_FAULT_FREE_S
@@ -278,12 +210,12 @@
     soak.start_task(_monitor(soak, until_s))
     for step in make_schedule(settings.seed, settings.length_s):
         await asyncio.sleep(max(0.0, started_s + step.at_s - time.monotonic()))
-        soak.start_task(_apply_step(soak, step))
+        soak.start_task(apply_step(soak, step))
     await asyncio.sleep(max(0.0, until_s - time.monotonic()))
     return callers
 
 
-async def _monitor(soak: _RunState, until_s: float) -> None:
+async def _monitor(soak: RunState, until_s: float) -> None:
     """Check the route configuration, and restart processes that exit unexpectedly."""
     while time.monotonic() < until_s:
         await soak.operator.check_routes()
@@ -296,7 +228,7 @@
         await asyncio.sleep(0.3)
 
 
-async def _check_final_state(soak: _RunState, callers: list[Caller]) -> None:
+async def _check_final_state(soak: RunState, callers: list[Caller]) -> None:
     for caller in callers:
         caller.close()
     version = await soak.operator.check_routes()
@@ -313,7 +245,7 @@
     _check_runs(soak)
 
 
-def _check_runs(soak: _RunState) -> None:
+def _check_runs(soak: RunState) -> None:
     runs = soak.tracker.runs
     for name in sorted(soak.rejected_ids):
         if runs.get(name, 0):
@@ -325,135 +257,7 @@
         soak.findings.report("service", "no stream request or no non-idempotent request succeeded")
 
 
-async def _apply_step(soak: _RunState, step: Step) -> None:
-    """Perform a step of the schedule."""
-    operator = soak.operator
-    if step.action == "change_routes":
-        await operator.change_routes()
-        entries = [node for node in soak.nodes.values() if node.role == "entry"]
-        await operator.check_propagation([(entry.host, soak.ports[0]) for entry in entries])
-    elif step.action == "race_routes":
-        await asyncio.gather(operator.change_routes(), operator.change_routes())
-    elif step.action == "invalid_routes":
-        await operator.send_invalid_routes()
-    elif step.action == "evacuate":
-        await operator.evacuate(ZONES[0], step.duration_s)
-    elif step.action == "kill_all_cores":
-        soak.findings.record_fault(step.action, step.duration_s + 1.0)
-        cores = [node for node in soak.nodes.values() if node.role == "core"]
-        await asyncio.gather(*(_kill_and_restart(core, step.duration_s) for core in cores))
-    elif step.target.startswith(("engine", "server")):
-        await _inject_upstream_fault(soak, step)
-    else:
-        await _inject_node_fault(soak, step, soak.nodes[step.target])
-
-
-async def _kill_and_restart(node: _Node, down_s: float, while_down=None) -> None:
-    if node.killed or node.graceful_stop:
-        return
-    node.killed = True
-    node.process.send(signal.SIGCONT)
-    node.process.kill()
-    if while_down is not None:
-        while_down()
-    await asyncio.sleep(down_s)
-    node.process.start()
-    node.killed = False
-
-
-async def _inject_node_fault(soak: _RunState, step: Step, node: _Node) -> None:
-    action = step.action
-    if action == "stop":
-        await _stop_and_restart(soak, node)
-        return
-    if action == "reload":
-        node.process.send(signal.SIGHUP)
-        return
-    soak.findings.record_fault(action, step.duration_s + 1.0)
-    if action == "kill":
-        await _kill_and_restart(node, step.duration_s)
-    elif action == "lose_disk":
-        data = node.process.data_folder
-        await _kill_and_restart(
-            node, step.duration_s, lambda: shutil.rmtree(data, ignore_errors=True)
-        )
-    elif action == "torn_write":
-        await _kill_and_restart(node, step.duration_s, lambda: _append_torn_frame(node))
-    elif action == "pause":
-        node.process.send(signal.SIGSTOP)
-        await asyncio.sleep(step.duration_s)
-        node.process.send(signal.SIGCONT)
-    else:
-        await _inject_link_fault(node.proxy, step)
-    soak.findings.record_fault(action)
-
-
-def _append_torn_frame(node: _Node) -> None:
-    log = node.process.data_folder / "log" / "log"
-    if log.exists():
-        with log.open("ab") as file:
-            file.write(TORN_FRAME)
-
-
-async def _stop_and_restart(soak: _RunState, node: _Node) -> None:
-    """Stop a node gracefully and start it again."""
-    if node.killed or node.graceful_stop or node.process.process.poll() is not None:
-        return
-    node.graceful_stop = True
-    soak.findings.counts["planned stop"] += 1
-    if node.role == "core":
-        soak.findings.record_fault("core stop", 2.0)
-    soak.stopping.add(node.host)
-    node.process.send(signal.SIGTERM)
-    deadline_s = time.monotonic() + STOP_TIMEOUT_S
-    while node.process.is_running and time.monotonic() < deadline_s:
-        await asyncio.sleep(0.05)
-    if node.process.is_running:
-        soak.findings.report("graceful stops finish in time", node.name)
-        node.process.kill()
-    elif node.process.process.returncode != 0:
-        status = node.process.process.returncode
-        soak.findings.report("graceful stops exit with 0", f"{node.name}: {status}")
-    soak.stopping.discard(node.host)
-    node.process.start()
-    node.graceful_stop = False
-
-
-async def _inject_link_fault(proxy: FaultyProxy, step: Step) -> None:
-    if step.action in ("reset", "abandon"):
-        proxy.reset() if step.action == "reset" else proxy.abandon()
-        return
-    if step.action == "delay":
-        proxy.delay_s = LINK_DELAY_S
-    else:
-        proxy.pause_forwarding(one_way=step.action == "silence_one_way")
-    await asyncio.sleep(step.duration_s)
-    proxy.heal()
-
-
-async def _inject_upstream_fault(soak: _RunState, step: Step) -> None:
-    upstream = soak.upstreams[step.target]
-    if upstream.mode:
-        return
-    soak.findings.record_fault(step.action, step.duration_s)
-    if step.action == "engine_crash":
-        upstream.crash()
-        await asyncio.sleep(step.duration_s)
-        await upstream.start()
-    elif step.action == "engine_drains":
-        upstream.state = "draining"
-        await asyncio.sleep(step.duration_s + HEARTBEAT_S)
-        upstream.crash()
-        await upstream.start()
-    elif step.action in ("silence", "silence_one_way", "reset", "abandon", "delay"):
-        await _inject_link_fault(soak.engine_proxies[upstream.name], step)
-    else:
-        upstream.mode = step.action
-        await asyncio.sleep(step.duration_s)
-        upstream.mode = ""
-
-
-def _claim_network(soak: _RunState) -> socket.socket:
+def _claim_network(soak: RunState) -> socket.socket:
     """Claim a loopback network for a run, and return the bound socket that holds the claim.
 
     Notes
--- a/laburnumrock/platform/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -3,8 +3,9 @@
 import pytest
 
 from laburnumrock.platform.soak import ACTIONS, Findings, SoakSettings, make_schedule, run_soak
-from laburnumrock.platform.soak._run import _claim_network, _RunState
+from laburnumrock.platform.soak._run import _claim_network
 from laburnumrock.platform.soak._schedule import CORE_RECOVERY_S
+from laburnumrock.platform.soak._state import RunState
 
 # Seeds that once failed, each with the cause.
 REGRESSIONS: dict[int, str] = {}
@@ -45,7 +46,7 @@
 class TestNetworks:
     def test_two_runs_of_a_seed(self, tmp_path):
         """Guards against concurrent runs whose nodes share addresses."""
-        runs = [_RunState(SoakSettings(1, 8.0, tmp_path)) for _ in range(2)]
+        runs = [RunState(SoakSettings(1, 8.0, tmp_path)) for _ in range(2)]
         claims = [_claim_network(run) for run in runs]
         for claim in claims:
             claim.close()
