Drop the result of a search for the leader once it is over

Domains that a search did not reach stayed excluded for requests that are placed alone after a leader was found again, for example while it answers slowly. They are now avoided for 1 s after a search, which a node without a leader repeats several times a second. The test failed before.

--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -6,13 +6,11 @@
 import random
 import time
 import zlib
-from dataclasses import dataclass
 
 from eliot import log_message
 from result import Result
 
 from laburnumrock.dispatch import (
-    ActiveSendReport,
     DispatchAnswer,
     DispatchCall,
     DispatchDecided,
@@ -42,6 +40,7 @@
     compute_hello_interval_s,
     infer_unreachable_domains,
 )
+from laburnumrock.nodes._send_records import ActiveSendRecord, describe_send
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.routing import RouteTable
 from laburnumrock.transport import PeerNetwork
@@ -51,6 +50,9 @@
 longest interval and the time limit of a hello together."""
 HELLO_TIMEOUT_S = 0.4
 """Longer than a round trip to a core under load, shorter than the hello interval."""
+MAX_SEARCH_AGE_S = 1.0
+"""Time for which the domains that a search for the leader did not reach are avoided; a node without
+a leader searches several times a second."""
 PLACE_TIMEOUT_S, MAX_PLACE_TIMEOUT_S = 0.12, 0.5
 """Bounds of the time limit for the first answer of the leader, which takes a few ms when idle."""
 PLACE_TIMEOUT_GOALS = 0.5
@@ -77,16 +79,6 @@
 """Time reserved for closing connections before the process is killed."""
 
 
-@dataclass(slots=True)
-class _ActiveSend:
-    """Send that has not ended yet, as recorded by the entry node that placed it."""
-
-    call: DispatchCall
-    answer: DispatchAnswer
-    sent_s: float
-    writing: bool = False
-
-
 class EntryNode:
     """Node that accepts requests of callers.
 
@@ -128,7 +120,7 @@
         self.view_version = (0, 0)
         self.routes_version = 0
         self.drained: set[str] = set()
-        self.sends: dict[int, _ActiveSend] = {}
+        self.sends: dict[int, ActiveSendRecord] = {}
         self.tasks: list[asyncio.Task] = []
         self.hello_requested = asyncio.Event()
         self.hello_interval_s = HELLO_INTERVAL_S
@@ -136,6 +128,7 @@
         self.search_lock = asyncio.Lock()
         self.core_domains: dict[str, str] = {}
         self.unreachable_domains: set[str] = set()
+        self.searched_s = -math.inf
         self.place_failures = 0
         self.pending_decisions: dict[int, asyncio.Future] = {}
         self.stopping = False
@@ -261,7 +254,7 @@
 
     def record_sent(self, call: DispatchCall, answer: DispatchAnswer) -> None:
         """Record a new active send."""
-        self.sends[answer.permit] = _ActiveSend(call, answer, time.monotonic())
+        self.sends[answer.permit] = ActiveSendRecord(call, answer, time.monotonic())
 
     def record_started(self, message: SendStarted) -> None:
         """Record the first event of a send and report it to the leader."""
@@ -295,8 +288,10 @@
             for record in self.directory.usable(call.service, now_s)
             if record.report.failure_domain not in self.drained
         ]
+        is_current = now_s - self.searched_s < MAX_SEARCH_AGE_S
+        unreachable = self.unreachable_domains if is_current else ()
         answer = self.local_dispatcher.place(
-            self.settings.failure_domain, upstreams, call, now_s, self.unreachable_domains
+            self.settings.failure_domain, upstreams, call, now_s, unreachable
         )
         log_message(
             "placed_alone",
@@ -332,6 +327,7 @@
     async def _find_leader(self) -> None:
         cores = list(self.cores)
         answered = await asyncio.gather(*(self._send_hello(core) for core in cores))
+        self.searched_s = time.monotonic()
         self._update_unreachable(dict(zip(cores, answered, strict=True)))
 
     def _update_unreachable(self, answered: dict[str, bool]) -> None:
@@ -370,7 +366,7 @@
         reports = []
         if with_sends:
             now_s = time.monotonic()
-            reports = [_make_send_report(sent, now_s) for sent in self.sends.values()]
+            reports = [describe_send(sent, now_s) for sent in self.sends.values()]
         term, revision = self.view_version
         return EntryHello(
             self.settings.failure_domain,
@@ -434,17 +430,3 @@
         self.pool.close_idle()
         opened, self.pool.opened = self.pool.opened, 0
         self.metrics.upstream_connections.inc(opened)
-
-
-def _make_send_report(sent: _ActiveSend, now_s: float) -> ActiveSendReport:
-    call = sent.call
-    return ActiveSendReport(
-        sent.answer.permit,
-        sent.answer.upstream_id,
-        call.prompt_tokens,
-        call.output_tokens,
-        call.gap_goal_s,
-        now_s - sent.sent_s,
-        sent.writing,
-        [helper.upstream_id for helper in sent.answer.helpers],
-    )
--- a/laburnumrock/nodes/tests/test_views.py
+++ b/laburnumrock/nodes/tests/test_views.py
@@ -1,6 +1,7 @@
 """Tests of the views and hellos between entry nodes and the leader, and of partitions."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -114,8 +115,13 @@
                 report = make_report(1000 + number, upstream_id=f"u{number}", failure_domain=domain)
                 entry.directory.observe(report, 0.0)
             entry._update_unreachable(dict.fromkeys(CORES, False) | {CORES[0]: True})
+            entry.searched_s = time.monotonic()
             placed = {entry._place_locally(make_call()).upstream_id for _ in range(20)}
             assert placed == {"u0"}
+            # After the search is over, its result no longer holds.
+            entry.searched_s -= 2.0
+            placed = {entry._place_locally(make_call()).upstream_id for _ in range(20)}
+            assert placed - {"u0"} == {"u1", "u2"}
             entry._update_unreachable(dict.fromkeys(CORES, True))
             placed = {entry._place_locally(make_call()).upstream_id for _ in range(20)}
             assert placed - {"u0"} == {"u1", "u2"}
