Log the shared prompt parts of placed and broken requests

The platform's wire format now decodes the ids of all prompt parts but the last one, which belongs to a single request or session. The lines request_placed and upstream_broke contain up to eight of them. Nothing is decided by them yet.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -23,6 +23,8 @@
 an older placement belongs to a process that was paused; its upstream may have left meanwhile."""
 ROUTE_WAIT_FRACTION = 0.25
 """Fraction of its remaining time for which a request waits for the first routes of an instance."""
+MAX_LOGGED_PARTS = 8
+"""Maximum number of parts of a prompt in a log line; the header that lists them may have 16 KiB."""
 REFUSED_RETRY_AFTER_S = 0.3
 """Retry-After time if all upstreams refused a request; their queues change within the duration of
 one response."""
@@ -204,6 +206,7 @@
             attempt=call.attempt,
             service=call.service,
             upstream=placement.upstream_id,
+            parts=self.request.shared_parts[:MAX_LOGGED_PARTS],
             expected_first_s=round(placement.expected_first_s, 4),
             helpers=len(placement.helpers),
             refusal=placement.refusal,
@@ -285,7 +288,12 @@
             return SendOutcome.SILENT
         response = result.answer
         if not result.complete:
-            writer.log("upstream_broke", upstream=upstream, detail=result.detail)
+            writer.log(
+                "upstream_broke",
+                upstream=upstream,
+                detail=result.detail,
+                parts=self.request.shared_parts[:MAX_LOGGED_PARTS],
+            )
             self.progress.events.discard_incomplete()
             return SendOutcome.BROKEN
         if response.facts.proves_not_run:
--- a/laburnumrock/forwarding/_wire.py
+++ b/laburnumrock/forwarding/_wire.py
@@ -28,6 +28,9 @@
         Time until the deadline of the caller, counted from the arrival of the request.
     prompt_tokens, output_tokens : int
         Size of a generation; 0 for requests that are not for a model.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may contain too, in order. The last part
+        of a prompt is omitted, as it belongs to the request itself or to its session.
     last_event_id : str, optional
         Identifier of the last event of a stream that the caller has received.
     body : bytes
@@ -45,6 +48,7 @@
     remaining_s: float | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
     last_event_id: str | None = None
     body: bytes = b""
     arrived_s: float = 0.0
--- a/laburnumrock/platform/_wire.py
+++ b/laburnumrock/platform/_wire.py
@@ -50,6 +50,7 @@
             remaining_s=None if deadline_ms is None else max(0.0, float(deadline_ms) / 1000),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
+            shared_parts=_decode_shared_parts(headers.get("Prefix-Hash")),
             last_event_id=headers.get("Last-Event-Id"),
         )
 
@@ -115,6 +116,14 @@
     return sizes
 
 
+def _decode_shared_parts(prefix: str | None) -> tuple[str, ...]:
+    """Decode the ids of all parts of a prompt but the last, from ``ID:TOKENS,ID:TOKENS``."""
+    if prefix is None:
+        return ()
+    ids = (entry.partition(":")[0].strip().lower() for entry in prefix.split(",")[:-1])
+    return tuple(part for part in ids if part)
+
+
 def _decode_api_key(authorization: str | None) -> str | None:
     if authorization is None or not authorization.lower().startswith(_KEY_SCHEME):
         return None
--- a/laburnumrock/platform/tests/test_wire.py
+++ b/laburnumrock/platform/tests/test_wire.py
@@ -38,6 +38,20 @@
         with pytest.raises(ValueError):
             decode(**headers)
 
+    @pytest.mark.parametrize(
+        "prefix, parts",
+        [
+            ("5c1e07a2:800,91BD3F06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+            ("e4402b7d:250", ()),
+            ("", ()),
+            (",, 5c1e07a2:800 ,:5,e4402b7d", ("5c1e07a2",)),
+        ],
+    )
+    def test_shared_parts(self, prefix, parts):
+        """Guards against logs that do not show which parts the broken requests have in common."""
+        assert decode(Prefix_Hash=prefix).shared_parts == parts
+        assert decode().shared_parts == ()
+
     def test_other_schemes_give_no_key(self):
         """Guards against credentials of another scheme that are used as an API key."""
         assert decode(Authorization="Basic abc").key is None
