Add a failing test of prompts that crash one engine after the other

After three calm seconds a tenth of the streams contain a part that crashes each engine which begins to answer it; the other streams share their caller, their first part and their subjects.

The soak draws the same trouble, and an engine that ended now refuses connections as a process does: its proxy used to accept them.

--- a/laburnumrock/platform/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from laburnumrock.platform.soak._findings import Findings
+from laburnumrock.platform.soak._prompts import make_prefix
 from laburnumrock.platform.soak._upstreams import STREAM_EVENTS, RequestTracker, make_event
 
 HOSTNAME = "soak.example"
@@ -38,6 +39,9 @@
         Ids of the requests whose response stated that they were not run.
     stopping : set of str
         Hosts of entries that are stopping gracefully.
+    crashing_share : float
+        Share of the streams that contain the part of a prompt that crashes engines, if there is
+        one.
     """
 
     number: int
@@ -47,6 +51,7 @@
     source: random.Random
     rejected_ids: set[str]
     stopping: set[str]
+    crashing_share: float = 0.1
     sent: int = 0
     connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
     host: str = ""
@@ -80,8 +85,17 @@
         self.tracker.sent.add(request_id)
         if kind == "once":
             self.tracker.once.add(request_id)
-        tokens = self.source.choice((1_000, 5_000, 200_000, 700_000))
-        writer.write(_make_request(kind, request_id, tokens if kind == "stream" else 0))
+        headers = {}
+        if kind == "stream":
+            tokens = self.source.choice((1_000, 5_000, 200_000, 700_000))
+            crashing_part = self._draw_crashing_part()
+            headers["Token-Usage"] = f"{tokens},400"
+            headers["Prefix-Hash"] = make_prefix(self.source, tokens, crashing_part)
+            if crashing_part:
+                kind = "crashing stream"
+            else:
+                self.tracker.streams_sent_s[request_id] = time.monotonic()
+        writer.write(_make_request(kind.split()[-1], request_id, headers))
         sent_s = time.monotonic()
         abandons = kind != "once" and self.source.random() < 0.05
         timeout_s = 0.03 if abandons else DEADLINE_S + RESPONSE_MARGIN_S
@@ -104,6 +118,10 @@
                     "no requests lost in graceful stops", f"{request_id} at {self.host}"
                 )
 
+    def _draw_crashing_part(self) -> str:
+        part = self.tracker.prompts.part
+        return part if part and self.source.random() < self.crashing_share else ""
+
     async def _read_response(
         self, reader: asyncio.StreamReader, kind: str, request_id: str
     ) -> None:
@@ -146,7 +164,7 @@
             self.findings.report("responses are complete", f"{request_id}: {body[-80:]!r}")
 
 
-def _make_request(kind: str, request_id: str, tokens: int) -> bytes:
+def _make_request(kind: str, request_id: str, headers: dict[str, str]) -> bytes:
     lines = [
         f"POST /{kind}/x HTTP/1.1",
         f"Host: {HOSTNAME}",
@@ -155,8 +173,7 @@
         f"Authorization: Token {API_KEY}",
         "Content-Length: 2",
     ]
-    if tokens:
-        lines.append(f"Token-Usage: {tokens},400")
+    lines += [f"{name}: {value}" for name, value in headers.items()]
     return "\r\n".join(lines).encode() + b"\r\n\r\n{}"
 
 
--- a/laburnumrock/platform/soak/_faults.py
+++ b/laburnumrock/platform/soak/_faults.py
@@ -5,6 +5,7 @@
 import signal
 import time
 
+from laburnumrock.platform.soak._prompts import MAX_ARRIVALS
 from laburnumrock.platform.soak._schedule import Step
 from laburnumrock.platform.soak._state import ZONES, Node, RunState
 from laburnumrock.platform.soak._upstreams import HEARTBEAT_S
@@ -31,6 +32,8 @@
         await operator.send_invalid_routes()
     elif step.action == "evacuate":
         await operator.evacuate(ZONES[0], step.duration_s)
+    elif step.action == "crashing_prompt":
+        await _let_prompts_crash_engines(soak, step)
     elif step.action == "kill_all_cores":
         soak.findings.record_fault(step.action, step.duration_s + 1.0)
         cores = [node for node in soak.nodes.values() if node.role == "core"]
@@ -41,6 +44,22 @@
         await _inject_node_fault(soak, step, soak.nodes[step.target])
 
 
+async def _let_prompts_crash_engines(soak: RunState, step: Step) -> None:
+    """Let a part of prompts crash engines, and check that it is soon kept from them."""
+    prompts = soak.tracker.prompts
+    if prompts.part:
+        return
+    started_s = time.monotonic()
+    soak.findings.counts["crashing prompt"] += 1
+    prompts.start(f"c{int(step.at_s * 1000):x}")
+    await asyncio.sleep(step.duration_s)
+    late = prompts.list_late_arrivals()
+    prompts.part = ""
+    if len(late) > MAX_ARRIVALS and soak.findings.is_fault_free_since(started_s):
+        detail = f"{len(late)} arrivals after {len(prompts.crashes_s)} crashes"
+        soak.findings.report("prompts that crash engines are quarantined", detail)
+
+
 async def _kill_and_restart(node: Node, down_s: float, while_down=None) -> None:
     if node.killed or node.graceful_stop:
         return
@@ -139,7 +158,7 @@
         upstream.crash()
         await upstream.start()
     elif step.action in ("silence", "silence_one_way", "reset", "abandon", "delay"):
-        await _inject_link_fault(soak.engine_proxies[upstream.name], step)
+        await _inject_link_fault(upstream.proxy, step)
     else:
         upstream.mode = step.action
         await asyncio.sleep(step.duration_s)
--- a/laburnumrock/platform/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -1,11 +1,13 @@
 """Execution of one soak run."""
 
 import asyncio
+import contextlib
 import json
 import random
 import signal
 import socket
 import time
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 from laburnumrock.platform.soak._callers import Caller
@@ -14,7 +16,6 @@
 from laburnumrock.platform.soak._operator import Operator, call_core
 from laburnumrock.platform.soak._schedule import (
     CORES,
-    ENGINES,
     ENTRIES,
     SERVERS,
     make_schedule,
@@ -49,16 +50,23 @@
 
 
 async def _run(soak: RunState) -> Findings:
-    settings = soak.settings
-    rng = random.Random(settings.seed)
+    rng = random.Random(soak.settings.seed)
+    async with open_deployment(soak, rng):
+        callers = await _run_schedule(soak, rng)
+        await _check_final_state(soak, callers)
+    return soak.findings
+
+
+@contextlib.asynccontextmanager
+async def open_deployment(soak: RunState, rng: random.Random) -> AsyncIterator[None]:
+    """Start the processes and upstreams of a run, and end them on exit."""
     soak.ports = _find_free_ports(6)
     claim = _claim_network(soak)
     try:
         _make_nodes(soak)
         _make_upstreams(soak, rng)
         await _start_all(soak, rng)
-        callers = await _run_schedule(soak, rng)
-        await _check_final_state(soak, callers)
+        yield
     finally:
         for node in soak.nodes.values():
             node.process.send(signal.SIGCONT)
@@ -67,7 +75,6 @@
         for task in list(soak.tasks):
             task.cancel()
         claim.close()
-    return soak.findings
 
 
 def _make_nodes(soak: RunState) -> None:
@@ -125,8 +132,9 @@
 
 def _make_upstreams(soak: RunState, rng: random.Random) -> None:
     host = f"{soak.network}.90"
-    ports = _find_free_ports(2 * (ENGINES + SERVERS))
-    names = [f"engine{number}" for number in range(ENGINES)]
+    engines = soak.settings.engines
+    ports = _find_free_ports(2 * (engines + SERVERS))
+    names = [f"engine{number}" for number in range(engines)]
     names += [f"server{number}" for number in range(SERVERS)]
     for number, name in enumerate(names):
         service = "llm" if name.startswith("engine") else "app"
@@ -137,12 +145,11 @@
             ZONES[number % len(ZONES)],
             host,
             port,
-            proxy_port,
+            FaultyProxy(host, proxy_port, port),
             soak.findings,
             soak.tracker,
             random.Random(rng.random()),
         )
-        soak.engine_proxies[name] = FaultyProxy(host, proxy_port, port)
 
 
 async def _start_all(soak: RunState, rng: random.Random) -> None:
@@ -151,7 +158,6 @@
         node.process.start()
     for upstream in soak.upstreams.values():
         await upstream.start()
-        await soak.engine_proxies[upstream.name].start()
         soak.start_task(_send_heartbeats(soak, upstream, random.Random(rng.random())))
     cores = [node for node in soak.nodes.values() if node.role == "core"]
     addresses = [(core.host, soak.ports[1]) for core in cores]
@@ -187,14 +193,12 @@
                 break
 
 
-async def _run_schedule(soak: RunState, rng: random.Random) -> list[Caller]:
-    settings = soak.settings
-    started_s = time.monotonic()
-    until_s = started_s + settings.length_s + FINAL_FAULT_FREE_S
+def start_callers(soak: RunState, rng: random.Random, until_s: float) -> list[Caller]:
+    """Start the callers of a run, which send requests until a time of the monotonic clock."""
     entries = [node for node in soak.nodes.values() if node.role == "entry"]
     addresses = [(entry.host, soak.ports[0]) for entry in entries]
     callers = []
-    for number in range(settings.callers):
+    for number in range(soak.settings.callers):
         caller_rng = random.Random(rng.random())
         caller = Caller(
             number,
@@ -207,6 +211,14 @@
         )
         callers.append(caller)
         soak.start_task(caller.run(until_s))
+    return callers
+
+
+async def _run_schedule(soak: RunState, rng: random.Random) -> list[Caller]:
+    settings = soak.settings
+    started_s = time.monotonic()
+    until_s = started_s + settings.length_s + FINAL_FAULT_FREE_S
+    callers = start_callers(soak, rng, until_s)
     soak.start_task(_monitor(soak, until_s))
     for step in make_schedule(settings.seed, settings.length_s):
         await asyncio.sleep(max(0.0, started_s + step.at_s - time.monotonic()))
--- a/laburnumrock/platform/soak/_state.py
+++ b/laburnumrock/platform/soak/_state.py
@@ -6,6 +6,7 @@
 
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._operator import Operator
+from laburnumrock.platform.soak._schedule import ENGINES
 from laburnumrock.platform.soak._upstreams import RequestTracker, Upstream
 from laburnumrock.scenarios import ManagedProcess
 from laburnumrock.standins import FaultyProxy
@@ -27,12 +28,15 @@
         Folder for settings, data and logs of the processes.
     callers : int
         Number of concurrent callers.
+    engines : int
+        Number of engines; faults of the schedule affect the first four.
     """
 
     seed: int
     length_s: float
     folder: Path
     callers: int = 8
+    engines: int = ENGINES
 
 
 @dataclass(slots=True)
@@ -58,7 +62,6 @@
     tracker: RequestTracker = field(default_factory=RequestTracker)
     nodes: dict[str, Node] = field(default_factory=dict)
     upstreams: dict[str, Upstream] = field(default_factory=dict)
-    engine_proxies: dict[str, FaultyProxy] = field(default_factory=dict)
     rejected_ids: set[str] = field(default_factory=set)
     stopping: set[str] = field(default_factory=set)
     tasks: set[asyncio.Task] = field(default_factory=set)
--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -8,12 +8,16 @@
 from dataclasses import dataclass, field
 
 from laburnumrock.platform.soak._findings import Findings
+from laburnumrock.platform.soak._prompts import CrashingPrompts
+from laburnumrock.standins import FaultyProxy
 
 HEARTBEAT_S = 0.6
 EVENT_INTERVAL_S = 0.02
 STREAM_EVENTS = 8
 ACCOUNT = "one"
 SLOTS = 16
+CRASH_DOWN_S = 1.5
+"""Time after which an engine that a prompt crashed starts again."""
 DRAIN_LIMIT_S = 2.0
 """Time after the acknowledgement of a drain from which no request may arrive."""
 
@@ -30,11 +34,17 @@
         Ids of the requests that callers sent.
     once : set of str
         Ids of those requests that may run at most once.
+    streams_sent_s : dict of str to float
+        Monotonic clock readings at which the streams without a crashing part were sent.
+    prompts : CrashingPrompts
+        Part of a prompt that crashes engines, with its arrivals and crashes.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
     sent: set[str] = field(default_factory=set)
     once: set[str] = field(default_factory=set)
+    streams_sent_s: dict[str, float] = field(default_factory=dict)
+    prompts: CrashingPrompts = field(default_factory=CrashingPrompts)
 
 
 def make_event(request_id: str, number: int) -> bytes:
@@ -56,8 +66,11 @@
         Failure domain.
     host : str
         IP address.
-    port, proxy_port : int
-        Port on which it listens, and port that its heartbeats announce.
+    port : int
+        Port on which it listens.
+    proxy : FaultyProxy
+        Proxy whose port its heartbeats announce; it stops with the upstream, since an engine whose
+        process has ended refuses connections.
     findings : Findings
         Records violated guarantees.
     tracker : RequestTracker
@@ -71,7 +84,7 @@
     zone: str
     host: str
     port: int
-    proxy_port: int
+    proxy: FaultyProxy
     findings: Findings
     tracker: RequestTracker
     source: random.Random
@@ -83,6 +96,7 @@
     reservations: dict[str, float] = field(default_factory=dict)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     server: asyncio.Server | None = None
+    restart: asyncio.Task | None = None
 
     @property
     def upstream_id(self) -> str:
@@ -98,21 +112,27 @@
         self.drain_acknowledged_s = float("inf")
         self.reservations.clear()
         self.server = await asyncio.start_server(self._serve, self.host, self.port)
+        await self.proxy.start()
 
     def crash(self) -> None:
         """Stop abruptly: close the server and abort all connections."""
         self.mode = "down"
+        self.proxy.close()
         if self.server is not None:
             self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def _restart_after_crash(self) -> None:
+        await asyncio.sleep(CRASH_DOWN_S)
+        await self.start()
+
     def make_heartbeat(self) -> dict:
         """Return the next heartbeat."""
         self.sequence += 1
         return {
             "service": self.service,
-            "address": f"{self.host}:{self.proxy_port}",
+            "address": f"{self.host}:{self.proxy.port}",
             "zone": self.zone,
             "version": "v1",
             "slots": SLOTS,
@@ -152,6 +172,7 @@
             return
         request_id = headers.get("request-id", "")
         self._check_received(request_id, headers)
+        is_crashing = self.tracker.prompts.record_arrival(request_id, headers.get("prefix-hash"))
         if headers.get("expect-instance") != self.upstream_id:
             writer.write(_encode_head(421, "", 0, {"Not-Executed": "1"}))
         elif self.mode == "engine_refuses":
@@ -159,7 +180,7 @@
         elif self.mode == "engine_mute":
             await asyncio.sleep(30)
         else:
-            await self._run(writer, line, request_id, headers)
+            await self._run(writer, line, request_id, headers, is_crashing)
         await writer.drain()
 
     def _check_received(self, request_id: str, headers: dict[str, str]) -> None:
@@ -176,7 +197,12 @@
             )
 
     async def _run(
-        self, writer: asyncio.StreamWriter, line: str, request_id: str, headers: dict[str, str]
+        self,
+        writer: asyncio.StreamWriter,
+        line: str,
+        request_id: str,
+        headers: dict[str, str],
+        is_crashing: bool,
     ) -> None:
         self.tracker.runs[request_id] = self.tracker.runs.get(request_id, 0) + 1
         if self.mode == "engine_fails" and self.source.random() < 0.5:
@@ -202,8 +228,18 @@
             _write_chunk(writer, event)
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
+            if is_crashing:
+                self._crash_under_prompt()
+                return
         writer.write(b"0\r\n\r\n")
 
+    def _crash_under_prompt(self) -> None:
+        if self.mode == "down":
+            return
+        self.tracker.prompts.crashes_s.append(time.monotonic())
+        self.crash()
+        self.restart = asyncio.create_task(self._restart_after_crash())
+
     def _handle_order(self, writer: asyncio.StreamWriter, order: dict) -> None:
         if order["op"] == "reserve":
             self.reservations[order["id"]] = time.monotonic() + order["hold_ms"] / 1000
