Quarantine parts of prompts under which upstreams crash

Sound streams on these engines broke with them and came late.

Cause: failures were counted by engine, failure domain, service and request, but nothing kept what the requests behind them had in common, so a retry or a new request took the same content to the next engine. Overload of cold engines is ruled out: the first four engines were warm. The class of fault is a repeated input that takes down whoever works on it.

Change: an entry opens a connection to the upstream of a broken send. If it is refused, the process has ended, and the send is reported as crashed with the parts of its prompt. A part whose upstreams crashed twice in succession without a success is suspected: its requests are sent one at a time, on an engine of their own if one is idle. After two such crashes the part is quarantined for ten minutes and requests with it get 503 prompt_quarantined with Retry-After. A success clears a part at once, and parts that occur only together are refused only together, so sound requests with the same caller and the other parts go on. The leader replicates the quarantine through the log; entries that place alone and later leaders follow it.

A replay with a virtual clock, 25 sound requests a second and 0.4 to 12 harmful ones, finds only the harmful part, also right after a start when no request has succeeded yet.

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -26,6 +26,8 @@
     UpstreamState,
     WithdrawCall,
 )
+from laburnumrock.dispatch._outcomes import refuse_quarantined
+from laburnumrock.dispatch._quarantine import PromptQuarantine, QuarantineSettings
 
 __all__ = [
     "ActiveSend",
@@ -40,6 +42,8 @@
     "Fleet",
     "Helper",
     "LocalDispatcher",
+    "PromptQuarantine",
+    "QuarantineSettings",
     "RetryBudget",
     "SendEnded",
     "SendOutcome",
@@ -52,6 +56,7 @@
     "UpstreamState",
     "WithdrawCall",
     "max_queue_wait_s",
+    "refuse_quarantined",
 ]
 
 # Entry nodes run no dispatcher, so they do not import its modules.
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -14,6 +14,7 @@
 )
 from laburnumrock.dispatch._load import MIN_PREFILL_LEFT_SHARE, ActiveSend
 from laburnumrock.dispatch._messages import (
+    UNRESPONSIVE_OUTCOMES,
     ActiveSendReport,
     DispatchAnswer,
     DispatchCall,
@@ -25,7 +26,10 @@
     StallAdvice,
     UpstreamReport,
 )
+from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
+from laburnumrock.dispatch._quarantine import PromptQuarantine
 from laburnumrock.dispatch._queue import CallQueue, QueueDecision
+from laburnumrock.dispatch._trials import MAX_HELD_CALLS, PromptTrials
 from laburnumrock.errors import ErrorKind
 from laburnumrock.routing import RouteSet
 
@@ -68,6 +72,8 @@
         self.permits_by_entry: dict[str, set[int]] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.queue = CallQueue(settings)
+        self.quarantine = PromptQuarantine(settings.quarantine)
+        self.trials = PromptTrials(self.quarantine, self.fleet)
         self.next_permit = 1
 
     def start(self, first_permit: int, now_s: float) -> None:
@@ -85,6 +91,7 @@
         self.sends.clear()
         self.permits_by_entry.clear()
         self.budgets.clear()
+        self.trials.clear()
         self.queue.start(first_permit)
         self.next_permit = first_permit
 
@@ -117,12 +124,17 @@
         DispatchAnswer or int
             The answer, or the ticket of the request if it is queued for a free upstream.
         """
+        refusal = refuse_quarantined(self.quarantine, call, now_s)
+        if refusal is not None:
+            return refusal
         budget = self._budget(call.service)
         if call.attempt <= 1:
             budget.record_request(now_s)
         elif call.arrivals > 0 and not budget.try_take_retry(now_s):
             return _refuse(ErrorKind.RATE_LIMITED, self._add_jitter(1.0))
-        choice = self.chooser.choose(domain, call, now_s)
+        if self.trials.must_wait(call):
+            return self._hold(entry, call, now_s)
+        choice = self._choose(domain, call, now_s)
         if choice is not None and not self.chooser.should_wait(choice, call):
             return self._grant_or_refuse(entry, choice, call, now_s)
         if choice is None and not self.fleet.has_upstream(call, now_s):
@@ -146,11 +158,17 @@
         decided = []
         failed = 0
         for ticket, queued in self.queue.in_order(now_s):
+            refusal = refuse_quarantined(self.quarantine, queued.call, now_s)
+            if refusal is not None:
+                decided.append(QueueDecision(ticket, queued, refusal))
+                continue
             expired = now_s >= queued.wait_until_s
             if failed >= MAX_FAILED_PLACEMENTS and not expired:
                 continue
             call = queued.remaining_call(now_s)
-            choice = self.chooser.choose(domains.get(queued.entry, ""), call, now_s)
+            choice = None
+            if not self.trials.must_wait(call):
+                choice = self._choose(domains.get(queued.entry, ""), call, now_s)
             settled = now_s >= queued.improve_until_s
             if choice is not None and (settled or not self.chooser.should_wait(choice, call)):
                 answer = self._grant_or_refuse(queued.entry, choice, call, now_s)
@@ -165,6 +183,20 @@
             self.queue.remove(decision.ticket)
         return decided
 
+    def _choose(self, domain: str, call: DispatchCall, now_s: float) -> Choice | None:
+        separate = self.trials.separate(call, now_s)
+        choice = self.chooser.choose(domain, separate, now_s)
+        if choice is None and separate is not call:
+            choice = self.chooser.choose(domain, call, now_s)
+        return choice
+
+    def _hold(self, entry: str, call: DispatchCall, now_s: float) -> DispatchAnswer | int:
+        """Queue a request until the trial of a part that it contains has ended."""
+        held = sum(self.trials.must_wait(queued.call) for queued in self.queue.calls.values())
+        if held >= MAX_HELD_CALLS:
+            return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._add_jitter(max(0.5, call.goal_s)))
+        return self.queue.add(entry, call, now_s)
+
     def record_started(self, message: SendStarted, now_s: float) -> None:
         """Record the first event of a send."""
         send = self.sends.get(message.permit)
@@ -199,6 +231,7 @@
 
     def record_ended(self, message: SendEnded, now_s: float) -> None:
         """Release the resources of a send and record its outcome."""
+        record_parts(self.quarantine, message, now_s)
         send = self._drop(message.permit, now_s)
         for name in message.unresponsive:
             self.fleet.record_unresponsive(name, now_s)
@@ -216,7 +249,7 @@
             self.fleet.record_alive(send.upstream_id, now_s)
         elif outcome is not SendOutcome.CANCELLED and not message.unresponsive:
             load.record_outcome(True, now_s)
-            if outcome in (SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN):
+            if outcome in UNRESPONSIVE_OUTCOMES:
                 self.fleet.record_unresponsive(send.upstream_id, now_s)
 
     def drop_unlisted_sends(self, entry: str, permits: set[int], now_s: float) -> None:
@@ -350,6 +383,7 @@
             tuple(helper.report.upstream_id for helper, _, _ in choice.helpers),
         )
         self._record_send(send)
+        self.trials.start(permit, report.upstream_id, call)
         choice.load.add(send, now_s)
         self.fleet.record_cold_send(choice.entry, choice.load, now_s)
         helpers = []
@@ -366,6 +400,7 @@
         self.permits_by_entry.setdefault(send.entry, set()).add(send.permit)
 
     def _drop(self, permit: int, now_s: float) -> ActiveSend | None:
+        self.trials.end(permit)
         send = self.sends.pop(permit, None)
         if send is None:
             return None
--- a/laburnumrock/dispatch/_limits.py
+++ b/laburnumrock/dispatch/_limits.py
@@ -3,9 +3,10 @@
 Entry nodes import this module without the dispatcher, which they do not run.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from laburnumrock.dispatch._messages import DispatchCall
+from laburnumrock.dispatch._quarantine import QuarantineSettings
 
 CLIENT_TIMEOUT_S, CLIENT_TIMEOUT_GOALS, CLIENT_TIMEOUT_GAPS = 2.0, 4.0, 8.0
 """Callers abandon a stream without events after the longest of these times, as the users state it:
@@ -30,6 +31,8 @@
         them.
     max_wait_ratio : float
         Share of its latency target for which a request may be queued for a free upstream.
+    quarantine : QuarantineSettings
+        Limits for the parts of prompts that crash upstreams.
     """
 
     retry_ratio: float = 0.2
@@ -39,6 +42,7 @@
     stale_after_s: float = 2.0
     retention_s: float = 30.0
     max_wait_ratio: float = 0.5
+    quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
 
 
 def client_timeout_s(call: DispatchCall) -> float:
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -7,7 +7,15 @@
 from laburnumrock.dispatch._directory import UpstreamRecord
 from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._limits import DispatchSettings
-from laburnumrock.dispatch._messages import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
+from laburnumrock.dispatch._messages import (
+    UNRESPONSIVE_OUTCOMES,
+    DispatchAnswer,
+    DispatchCall,
+    SendEnded,
+    SendOutcome,
+)
+from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
+from laburnumrock.dispatch._quarantine import PromptQuarantine
 from laburnumrock.dispatch._rank import engine_rank
 from laburnumrock.errors import ErrorKind
 
@@ -48,6 +56,7 @@
         self.settings = settings
         self.rng = rng
         self.budget = RetryBudget(0.0, 1.0, settings.retry_window_s)
+        self.quarantine = PromptQuarantine(settings.quarantine)
         self.sends: dict[int, tuple[str, int]] = {}
         self.ejected_until_s: dict[str, float] = {}
         self.domain_health: dict[str, DomainHealth] = {}
@@ -86,6 +95,9 @@
             requests: a caller that is refused at once can return, while one whose request may have
             run must not repeat it.
         """
+        refusal = refuse_quarantined(self.quarantine, call, now_s)
+        if refusal is not None:
+            return refusal
         if call.arrivals > 0 and not self.budget.try_take_retry(now_s):
             return DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value, retry_after_s=1.0)
         loads: dict[str, int] = {}
@@ -120,14 +132,11 @@
 
     def record_ended(self, message: SendEnded, now_s: float) -> None:
         """Release a send and record its outcome."""
+        record_parts(self.quarantine, message, now_s)
         name, _ = self.sends.pop(message.permit, ("", 0))
         domain = self.domain_by_upstream.get(name, "")
         if message.outcome is SendOutcome.DONE:
             self.domain_health.pop(domain, None)
-        elif message.outcome in (
-            SendOutcome.UNREACHABLE,
-            SendOutcome.SILENT,
-            SendOutcome.BROKEN,
-        ):
+        elif message.outcome in UNRESPONSIVE_OUTCOMES:
             self.ejected_until_s[name] = now_s + EJECTION_S
             self.domain_health.setdefault(domain, DomainHealth()).record_unresponsive(name, now_s)
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -15,17 +15,29 @@
 
 
 class SendOutcome(StrEnum):
-    """How one send to an upstream ended."""
+    """How one send to an upstream ended.
+
+    Notes
+    -----
+    A send is `CRASHED` if its connection broke and the upstream then refused a new one.
+    """
 
     DONE = "done"
     ERROR = "error"
     REFUSED = "refused"
     BROKEN = "broken"
+    CRASHED = "crashed"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
     CANCELLED = "cancelled"
 
 
+UNRESPONSIVE_OUTCOMES = frozenset(
+    {SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN, SendOutcome.CRASHED}
+)
+"""Outcomes of sends whose upstream did not respond or closed the connection."""
+
+
 @register_message
 @dataclass(frozen=True, slots=True)
 class UpstreamReport:
@@ -97,6 +109,8 @@
     arrivals : int
         Earlier sends that may have reached an upstream; only these make the request a retry that
         counts against the retry budget.
+    parts : list of str
+        Parts of the prompt that other requests may contain too.
     """
 
     request_id: str
@@ -111,6 +125,7 @@
     remaining_s: float
     excluded: list[str] = field(default_factory=list)
     arrivals: int = 0
+    parts: list[str] = field(default_factory=list)
 
 
 @register_message
@@ -235,11 +250,18 @@
         How it ended.
     unresponsive : list of str
         Helpers that did not answer when memory was to be reserved.
+    parts : list of str
+        Parts of the prompt that other requests may contain too, if the send succeeded or crashed
+        the upstream.
+    duration_s : float
+        Time since the send began.
     """
 
     permit: int
     outcome: SendOutcome
     unresponsive: list[str] = field(default_factory=list)
+    parts: list[str] = field(default_factory=list)
+    duration_s: float = 0.0
 
 
 @register_message
--- /dev/null
+++ b/laburnumrock/dispatch/_outcomes.py
@@ -0,0 +1,23 @@
+"""Use of the quarantine of prompts by both kinds of dispatchers."""
+
+from laburnumrock.dispatch._messages import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
+from laburnumrock.dispatch._quarantine import PromptQuarantine
+from laburnumrock.errors import ErrorKind
+
+
+def refuse_quarantined(
+    quarantine: PromptQuarantine, call: DispatchCall, now_s: float
+) -> DispatchAnswer | None:
+    """Return the refusal of a request whose prompt is quarantined, or None."""
+    release_s = quarantine.find_release_s(call.parts, now_s)
+    if release_s <= 0:
+        return None
+    return DispatchAnswer(refusal=ErrorKind.PROMPT_QUARANTINED.value, retry_after_s=release_s)
+
+
+def record_parts(quarantine: PromptQuarantine, message: SendEnded, now_s: float) -> None:
+    """Record what the end of a send shows about the parts of its prompt."""
+    if message.outcome is SendOutcome.DONE:
+        quarantine.record_success(message.parts)
+    elif message.outcome is SendOutcome.CRASHED:
+        quarantine.record_crash(message.parts, now_s - message.duration_s, now_s)
--- /dev/null
+++ b/laburnumrock/dispatch/tests/test_quarantine.py
@@ -0,0 +1,324 @@
+"""Tests of the quarantine of prompt parts that crash upstreams."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from laburnumrock.dispatch import (
+    DispatchAnswer,
+    DispatchCall,
+    DispatchSettings,
+    LocalDispatcher,
+    PromptQuarantine,
+    QuarantineSettings,
+    SendEnded,
+    SendOutcome,
+    SendStarted,
+)
+from laburnumrock.dispatch.tests.builders import (
+    SHORT,
+    make_dispatcher,
+    make_report,
+    place,
+    place_waiting,
+)
+from laburnumrock.errors import ErrorKind
+
+LIMIT = QuarantineSettings().max_crashes
+DURATION_S = QuarantineSettings().duration_s
+
+
+def crash(quarantine: PromptQuarantine, *requests: str, start_s: float = 0.0) -> float:
+    """Crash the upstreams of requests one after the other; each letter of a request is a part."""
+    for number, parts in enumerate(requests):
+        quarantine.record_crash(parts, start_s + number, start_s + number + 0.5)
+    return start_s + len(requests)
+
+
+class TestEvidence:
+    def test_successive_crashes_lead_to_quarantine(self):
+        """Guards against a part that crashes upstreams without end."""
+        quarantine = PromptQuarantine(QuarantineSettings())
+        now_s = crash(quarantine, *["x"] * (LIMIT - 1))
+        assert quarantine.find_release_s("x", now_s) == 0.0
+        now_s = crash(quarantine, "x", start_s=now_s)
+        assert quarantine.find_release_s("x", now_s) == pytest.approx(DURATION_S, abs=1.0)
+        assert quarantine.find_release_s("y", now_s) == 0.0
+
+    def test_simultaneous_crashes_count_once(self):
+        """Guards against a part in quarantine because many upstreams failed together."""
+        quarantine = PromptQuarantine(QuarantineSettings())
+        for number in range(20):
+            quarantine.record_crash("x", 0.01 * number, 1.0 + 0.01 * number)
+        assert quarantine.groups == []
+
+    def test_success_clears_a_part(self):
+        """Guards against sound requests that are refused since they share parts with others."""
+        quarantine = PromptQuarantine(QuarantineSettings())
+        now_s = 0.0
+        for _ in range(5 * LIMIT):
+            now_s = crash(quarantine, "ax", start_s=now_s)
+            quarantine.record_success("ab")
+        assert quarantine.groups == [frozenset("x")]
+        assert quarantine.find_release_s("ab", now_s) == 0.0
+
+    def test_parts_that_occur_together_are_refused_together(self):
+        """Guards against a sound part in quarantine because it never occurred without another."""
+        quarantine = PromptQuarantine(QuarantineSettings())
+        now_s = crash(quarantine, *["abx"] * LIMIT)
+        assert quarantine.groups == [frozenset("abx")]
+        assert quarantine.find_release_s("ab", now_s) == 0.0
+        quarantine.record_success("a")
+        assert quarantine.groups == [frozenset("bx")]
+        crash(quarantine, "acx", start_s=now_s)
+        assert quarantine.groups == [frozenset("x")]
+        assert quarantine.find_release_s("b", now_s) == 0.0
+
+    def test_other_parts_of_the_requests_vary(self):
+        """Guards against a part that is not found because no two of its requests are alike."""
+        quarantine = PromptQuarantine(QuarantineSettings())
+        crash(quarantine, "xab", "cxd", "efx", "xag")
+        assert quarantine.groups == [frozenset("x")]
+
+    def test_two_harmful_parts(self):
+        """Guards against the second harmful part being hidden by the first."""
+        quarantine = PromptQuarantine(QuarantineSettings())
+        now_s = crash(quarantine, *["ax"] * LIMIT)
+        quarantine.record_success("a")
+        crash(quarantine, *["ay"] * LIMIT, start_s=now_s)
+        quarantine.record_success("a")
+        assert quarantine.list_groups() == [["x"], ["y"]]
+
+    def test_release_and_relapse(self):
+        """Guards against a part that is refused for ever, or that is as harmful after a release."""
+        quarantine = PromptQuarantine(QuarantineSettings())
+        now_s = crash(quarantine, *["x"] * LIMIT) + DURATION_S
+        quarantine.expire(now_s - 2.0)
+        assert quarantine.groups != []
+        quarantine.expire(now_s)
+        assert quarantine.groups == []
+        crash(quarantine, "x", start_s=now_s)
+        assert quarantine.groups == [frozenset("x")]
+
+    def test_old_suspicions_end(self):
+        """Guards against crashes of different days that add up to a quarantine."""
+        quarantine = PromptQuarantine(QuarantineSettings())
+        now_s = 0.0
+        for _ in range(3 * LIMIT):
+            now_s = crash(quarantine, "x", start_s=now_s) + DURATION_S
+            quarantine.expire(now_s)
+        assert quarantine.suspects == {}
+
+    def test_number_of_suspects_is_limited(self):
+        """Guards against memory that grows with the number of parts, and a harmful part lost."""
+        quarantine = PromptQuarantine(QuarantineSettings(max_suspects=50))
+        now_s = crash(quarantine, *["x"] * LIMIT)
+        for number in range(500):
+            quarantine.record_crash([f"part{number}"], now_s + number, now_s + number)
+        assert len(quarantine.suspects) == 50
+        assert quarantine.groups == [frozenset("x")]
+
+    def test_restore(self):
+        """Guards against another dispatcher that forgets a group or prolongs its quarantine."""
+        first = PromptQuarantine(QuarantineSettings())
+        crash(first, *["abx"] * LIMIT, *["y"] * LIMIT)
+        second = PromptQuarantine(QuarantineSettings())
+        second.restore(first.list_groups(), 100.0)
+        assert second.list_groups() == first.list_groups()
+        release_s = second.find_release_s("y", 100.0)
+        second.restore([["y"]], 150.0)
+        assert second.list_groups() == [["y"]]
+        assert second.find_release_s("y", 100.0) == release_s
+
+
+class TestDispatchers:
+    """Both dispatchers keep quarantined prompts from all upstreams."""
+
+    def test_dispatcher(self):
+        """Guards against new requests and repeats that go on crashing engines."""
+        dispatcher = make_dispatcher()
+        call = replace(SHORT, parts=["a", "x"])
+        for number in range(LIMIT):
+            answer = place(dispatcher, call, 10.0 + number)
+            ended = SendEnded(answer.permit, SendOutcome.CRASHED, [], call.parts, 0.2)
+            dispatcher.record_ended(ended, 10.5 + number)
+        other = place(dispatcher, replace(SHORT, parts=["a"]), 14.0)
+        assert other.permit
+        dispatcher.record_ended(SendEnded(other.permit, SendOutcome.DONE, [], ["a"], 0.2), 14.2)
+        retries = len(dispatcher.budgets["llm"].retries)
+        for attempt in (1, 2):
+            answer = place(dispatcher, replace(call, attempt=attempt, arrivals=attempt - 1), 15.0)
+            assert answer.refusal == ErrorKind.PROMPT_QUARANTINED
+            assert answer.retry_after_s > 100.0
+        assert len(dispatcher.budgets["llm"].retries) == retries
+
+    def test_waiting_request_is_refused(self):
+        """Guards against queued requests that are sent after their part was found harmful."""
+        dispatcher = make_dispatcher(engines=1, slots=1)
+        assert place(dispatcher, SHORT).permit
+        call = replace(SHORT, parts=["x"])
+        ticket = dispatcher.place("entry", "a", call, 10.0)
+        assert isinstance(ticket, int)
+        dispatcher.quarantine.restore([["x"]], 10.0)
+        ((decided, answer),) = place_waiting(dispatcher, 10.1)
+        assert (decided, answer.refusal) == (ticket, ErrorKind.PROMPT_QUARANTINED)
+
+    def test_local_dispatcher(self):
+        """Guards against an entry node without a leader whose requests crash all engines."""
+        local = LocalDispatcher(DispatchSettings(), random.Random(1))
+        directory = make_dispatcher().directory
+        call = replace(SHORT, parts=["x"])
+        for number in range(LIMIT):
+            answer = local.place("a", directory.usable("llm", 10.0), call, 10.0 + number)
+            ended = SendEnded(answer.permit, SendOutcome.CRASHED, [], call.parts, 0.2)
+            local.record_ended(ended, 10.5 + number)
+        answer = local.place("a", directory.usable("llm", 10.0), call, 14.0)
+        assert answer.refusal == ErrorKind.PROMPT_QUARANTINED
+
+
+ENGINES = 23
+STREAM_S = 1.5
+RESTART_S = 3.0
+WAITING_INTERVAL_S = 0.05
+START_S = 10.0
+
+
+class Trouble:
+    """Replay of streams, some with a part that crashes their engine, under a virtual clock.
+
+    Parameters
+    ----------
+    sound_per_s, harmful_per_s : float
+        Rates of the requests without and with the part.
+    length_s : float
+        Duration.
+    seed : int
+        Seed of all random draws.
+    calm_s : float
+        Time before the first request with the part.
+    """
+
+    def __init__(
+        self,
+        sound_per_s: float,
+        harmful_per_s: float,
+        length_s: float,
+        seed: int,
+        calm_s: float = 0.0,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.dispatcher = make_dispatcher(engines=ENGINES, retry_slack=200.0)
+        self.until_s = START_S + length_s
+        self.numbers = itertools.count()
+        self.events: list[tuple] = []
+        self.sends: dict[int, tuple[DispatchCall, str, float]] = {}
+        self.crashes_s: list[float] = []
+        self.harmful_sent_s: list[float] = []
+        self.sound = Counter()
+        self.add_arrivals(sound_per_s, START_S, "")
+        self.add_arrivals(harmful_per_s, START_S + calm_s, "dead")
+        for number in range(ENGINES):
+            self.add_event(START_S + 1.0, self.report, number, 1)
+        self.add_event(START_S, self.place_waiting)
+
+    def add_arrivals(self, rate: float, at_s: float, part: str) -> None:
+        while rate and (at_s := at_s + self.rng.expovariate(rate)) < self.until_s:
+            parts = ["common", f"subject{int(self.rng.expovariate(0.2))}"]
+            if part:
+                parts.insert(self.rng.randint(0, 2), part)
+            self.add_event(at_s, self.place, replace(SHORT, parts=parts))
+
+    def add_event(self, at_s: float, handle, *values) -> None:
+        heapq.heappush(self.events, (at_s, next(self.numbers), handle, values))
+
+    def play(self) -> None:
+        """Play the whole load."""
+        while self.events:
+            now_s, _, handle, values = heapq.heappop(self.events)
+            handle(now_s, *values)
+
+    def place(self, now_s: float, call: DispatchCall) -> None:
+        answer = self.dispatcher.place("entry", "a", call, now_s)
+        if isinstance(answer, DispatchAnswer):
+            self.accept(now_s, call, answer)
+
+    def place_waiting(self, now_s: float) -> None:
+        for decision in self.dispatcher.place_waiting({}, now_s):
+            self.accept(now_s, decision.queued.call, decision.answer)
+        if now_s < self.until_s:
+            self.add_event(now_s + WAITING_INTERVAL_S, self.place_waiting)
+
+    def accept(self, now_s: float, call: DispatchCall, answer: DispatchAnswer) -> None:
+        is_harmful = "dead" in call.parts
+        if not is_harmful and call.attempt == 1:
+            self.sound[answer.refusal or "sent"] += 1
+        if not answer.permit:
+            return
+        self.sends[answer.permit] = (call, answer.upstream_id, now_s)
+        self.add_event(now_s + 0.1, self.start_writing, answer.permit)
+        if is_harmful:
+            self.harmful_sent_s.append(now_s)
+            self.add_event(now_s + self.rng.uniform(0.1, 0.8), self.crash, answer.permit)
+        else:
+            self.add_event(now_s + STREAM_S, self.end, answer.permit, SendOutcome.DONE)
+
+    def start_writing(self, now_s: float, permit: int) -> None:
+        if permit in self.sends:
+            self.dispatcher.record_started(SendStarted(permit, 0.1), now_s)
+
+    def end(self, now_s: float, permit: int, outcome: SendOutcome) -> None:
+        if permit not in self.sends:
+            return
+        call, engine, began_s = self.sends.pop(permit)
+        ended = SendEnded(permit, outcome, [], call.parts, now_s - began_s)
+        self.dispatcher.record_ended(ended, now_s)
+        if outcome is SendOutcome.CRASHED and call.attempt < 2:
+            again = replace(call, attempt=2, arrivals=1, excluded=[engine])
+            self.add_event(now_s + 0.005, self.place, again)
+
+    def crash(self, now_s: float, permit: int) -> None:
+        if permit not in self.sends:
+            return
+        engine = self.sends[permit][1]
+        self.crashes_s.append(now_s)
+        for broken in [name for name, send in self.sends.items() if send[1] == engine]:
+            self.end(now_s, broken, SendOutcome.CRASHED)
+        number = int(engine.removeprefix("llm"))
+        self.add_event(now_s + RESTART_S, self.report, number, int(now_s * 1000))
+
+    def report(self, now_s: float, number: int, incarnation: int) -> None:
+        known = self.dispatcher.directory.records[f"llm{number}"].report
+        if known.incarnation > incarnation:
+            return
+        values = {"incarnation": incarnation, "sequence": known.sequence + 1}
+        self.dispatcher.observe(replace(make_report("llm", number, 8), **values), now_s)
+        if now_s < self.until_s:
+            self.add_event(now_s + 1.0, self.report, number, incarnation)
+
+
+class TestReplay:
+    @pytest.mark.parametrize("seed", range(8))
+    @pytest.mark.parametrize("calm_s", [0.0, 5.0])
+    @pytest.mark.parametrize("harmful_per_s", [0.4, 3.0, 12.0])
+    def test_harmful_part_is_found_while_sound_requests_run(self, harmful_per_s, calm_s, seed):
+        """Guards against engines that crash one after the other, and sound requests refused."""
+        trouble = Trouble(25.0, harmful_per_s, 30.0, seed, calm_s)
+        trouble.play()
+        assert trouble.dispatcher.quarantine.list_groups() == [["dead"]]
+        if len(trouble.crashes_s) >= 5:
+            limit_s = trouble.crashes_s[4] + 3.0
+            assert sum(sent_s > limit_s for sent_s in trouble.harmful_sent_s) <= 3
+        assert trouble.sound["prompt_quarantined"] == 0
+        assert trouble.sound["sent"] >= 0.5 * trouble.sound.total()
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_no_quarantine_without_a_harmful_part(self, seed):
+        """Guards against a quarantine under ordinary load."""
+        trouble = Trouble(40.0, 0.0, 30.0, seed)
+        trouble.play()
+        assert trouble.sound["sent"] > 1_000
+        assert trouble.dispatcher.quarantine.suspects == {}
--- a/laburnumrock/errors/_kinds.py
+++ b/laburnumrock/errors/_kinds.py
@@ -67,6 +67,7 @@
     CONCURRENCY_LIMITED = "concurrency_limited"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     NO_UPSTREAM = "no_upstream"
     OWNER_UNAVAILABLE = "owner_unavailable"
     QUORUM_UNAVAILABLE = "quorum_unavailable"
@@ -176,6 +177,9 @@
         _BACKOFF,
         "The request did not finish before its deadline",
     ),
+    ErrorKind.PROMPT_QUARANTINED: _refuse(
+        503, _ADMISSION, _BACKOFF, "A part of the prompt crashed several upstreams"
+    ),
     ErrorKind.NO_UPSTREAM: _refuse(503, _PLACEMENT, _BACKOFF, "No upstream is available"),
     ErrorKind.OWNER_UNAVAILABLE: _refuse(
         503, _PLACEMENT, _BACKOFF, "The owner of the upstream pool is unreachable"
--- a/laburnumrock/forwarding/_connections.py
+++ b/laburnumrock/forwarding/_connections.py
@@ -147,23 +147,43 @@
         reused = self._take_idle((host, port))
         if reused is not None:
             return Ok(reused)
+        try:
+            return Ok(await self._connect(host, port, timeout_s))
+        except (OSError, TimeoutError) as error:
+            detail = f"cannot connect to {host}:{port}: {error or 'timeout'}"
+            return Err(Failure(ErrorKind.CONNECTION_FAILED, detail))
+
+    async def is_refused(self, host: str, port: int, timeout_s: float) -> bool:
+        """Return whether an upstream refuses a new connection, as one that has crashed does.
+
+        Notes
+        -----
+        A connection that is accepted joins the pool.
+        """
+        try:
+            connection = await self._connect(host, port, timeout_s)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        self.release(connection, None)
+        return False
+
+    async def _connect(self, host: str, port: int, timeout_s: float) -> UpstreamConnection:
         stream = UpstreamStream(
             socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=MAX_BUFFER_BYTES
         )
         _set_options(stream.socket)
-        limit_s = min(timeout_s, self.settings.connect_timeout_s)
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout(min(timeout_s, self.settings.connect_timeout_s)):
                 await stream.connect((host, port))
-        except (OSError, TimeoutError, StreamClosedError) as error:
-            stream.close()
-            detail = f"cannot connect to {host}:{port}: {error or 'timeout'}"
-            return Err(Failure(ErrorKind.CONNECTION_FAILED, detail))
+        except StreamClosedError as error:
+            raise error.real_error or ConnectionError("closed while connecting") from error
         except BaseException:
             stream.close()
             raise
         self.opened += 1
-        return Ok(UpstreamConnection(host, port, stream))
+        return UpstreamConnection(host, port, stream)
 
     def release(self, connection: UpstreamConnection, keep_alive_s: float | None) -> None:
         """Return a connection to the pool after its response was read completely.
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -23,6 +23,9 @@
 an older placement belongs to a process that was paused; its upstream may have left meanwhile."""
 ROUTE_WAIT_FRACTION = 0.25
 """Fraction of its remaining time for which a request waits for the first routes of an instance."""
+MAX_CRASH_CHECK_S = 0.1
+"""Time limit for the connection that shows whether the upstream of a broken send has crashed; a
+crashed one refuses it within a round trip."""
 MAX_LOGGED_PARTS = 8
 """Maximum number of parts of a prompt in a log line; the header that lists them may have 16 KiB."""
 REFUSED_RETRY_AFTER_S = 0.3
@@ -192,6 +195,7 @@
             self.deadline_s - now_s,
             list(self.attempts.excluded),
             self.attempts.sent,
+            list(request.shared_parts),
         )
 
     async def _place(self, call: DispatchCall) -> DispatchAnswer:
@@ -217,12 +221,16 @@
         """Send the request, and record the end of the send even if the caller disconnects."""
         attempts = self.attempts
         self.context.dispatcher.record_sent(call, placement)
+        began_s = time.monotonic()
         outcome = SendOutcome.CANCELLED
         try:
             outcome = await self._send(placement)
         finally:
             unresponsive, attempts.unresponsive = attempts.unresponsive, []
-            self.context.dispatcher.record_ended(SendEnded(placement.permit, outcome, unresponsive))
+            parts = call.parts if outcome in (SendOutcome.DONE, SendOutcome.CRASHED) else []
+            duration_s = time.monotonic() - began_s
+            ended = SendEnded(placement.permit, outcome, unresponsive, parts, duration_s)
+            self.context.dispatcher.record_ended(ended)
             self.context.metrics.sends.labels(self.service, outcome.value).inc()
         if not unresponsive and outcome is not SendOutcome.CANCELLED:
             attempts.excluded.append(placement.upstream_id)
@@ -264,7 +272,24 @@
             finally:
                 if not released:
                     connection.close()
-            return self._evaluate_result(placement, result)
+            outcome = self._evaluate_result(placement, result)
+            if outcome is SendOutcome.BROKEN and self.request.shared_parts:
+                outcome = await self._find_crash(placement)
+            return outcome
+
+    async def _find_crash(self, placement: DispatchAnswer) -> SendOutcome:
+        """Find out whether the upstream of a broken send has crashed."""
+        refused = await self.context.pool.is_refused(
+            placement.host, placement.port, MAX_CRASH_CHECK_S
+        )
+        if not refused:
+            return SendOutcome.BROKEN
+        self.writer.log(
+            "upstream_crashed",
+            upstream=placement.upstream_id,
+            parts=self.request.shared_parts[:MAX_LOGGED_PARTS],
+        )
+        return SendOutcome.CRASHED
 
     def _may_send(self, placement: DispatchAnswer) -> bool:
         """Whether neither the placement nor the deadline of the request has expired."""
--- a/laburnumrock/metrics/_node_metrics.py
+++ b/laburnumrock/metrics/_node_metrics.py
@@ -47,6 +47,11 @@
         self.routes_version = Gauge(
             "laburnumrock_routes_version", "Version of the routes in force", registry=registry
         )
+        self.quarantined = Gauge(
+            "laburnumrock_quarantined_groups",
+            "Groups of prompt parts whose requests are refused",
+            registry=registry,
+        )
         self.leading = Gauge("laburnumrock_leading", "1 while this core leads", registry=registry)
 
     def render(self) -> bytes:
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -39,7 +39,14 @@
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.nodes._views import ViewBase, ViewPublisher
 from laburnumrock.replication import VoterPolicy
-from laburnumrock.routing import RouteDocument, RouteSet, SetDrain, StoreAnswer, StoreRoutes
+from laburnumrock.routing import (
+    RouteDocument,
+    RouteSet,
+    SetDrain,
+    SetQuarantine,
+    StoreAnswer,
+    StoreRoutes,
+)
 from laburnumrock.transport import PeerNetwork
 
 PLACE_WAITING_INTERVAL_S = 0.05
@@ -92,11 +99,14 @@
         self.voter_policy = VoterPolicy(settings.tolerated_losses)
         self.metrics = NodeMetrics()
         self.metrics.leading.set_function(lambda: int(self.is_leading))
+        self.metrics.quarantined.set_function(lambda: len(self.dispatcher.quarantine.groups))
         self.views = ViewPublisher(self.network, self.directory)
         self.reports = ReportExchange(settings.instance_id, self.network, self._all_cores)
         self.leading_term = 0
         self.applied_version = -1
         self.applied_drained: list[str] = []
+        self.applied_quarantined: list[list[str]] = []
+        self.quarantine_task: asyncio.Task | None = None
         self.known_cores = list(settings.cores)
         self.state_update_handle: asyncio.Handle | None = None
         self.place_waiting_timer: asyncio.TimerHandle | None = None
@@ -301,8 +311,31 @@
             self.applied_drained = list(current.drained)
             self.dispatcher.set_drained(set(current.drained))
             self.views.mark_changed()
+        if current.quarantined != self.applied_quarantined:
+            self.applied_quarantined = current.quarantined
+            if not self.is_leading:
+                self.dispatcher.quarantine.restore(current.quarantined, time.monotonic())
+            self.views.mark_changed()
         self._push_views()
 
+    def _store_quarantine(self) -> None:
+        """Commit the quarantined prompt parts if they differ from the replicated ones.
+
+        Notes
+        -----
+        This core refuses them meanwhile; the replicated state reaches entry nodes that place
+        requests alone, and later leaders. Housekeeping repeats a change that was not committed.
+        """
+        is_storing = self.quarantine_task is not None and not self.quarantine_task.done()
+        groups = self.dispatcher.quarantine.list_groups()
+        if self.is_leading and not is_storing and groups != self._current_routes().quarantined:
+            self.quarantine_task = asyncio.create_task(self._propose_quarantine(groups))
+
+    async def _propose_quarantine(self, groups: list[list[str]]) -> None:
+        with self.metrics.commits.labels("quarantine").time():
+            answer = await self.log.propose(SetQuarantine(groups), PROPOSE_TIMEOUT_S)
+        self._log_change("quarantine", str(groups), answer)
+
     def _update_role(self) -> None:
         if not self.log.is_leader:
             self._refuse_waiting()
@@ -381,6 +414,7 @@
 
     def _receive_ended(self, sender: str, message: SendEnded) -> None:
         self.dispatcher.record_ended(message, time.monotonic())
+        self._store_quarantine()
         if self.dispatcher.queue.calls and self.place_waiting_timer is None:
             loop = asyncio.get_running_loop()
             self.place_waiting_timer = loop.call_later(PLACE_WAITING_DELAY_S, self._place_waiting)
@@ -426,6 +460,8 @@
             log_message("upstream_expired", upstream=name)
         for name in self.views.expire(now_s):
             self.dispatcher.drop_unlisted_sends(name, set(), now_s)
+        self.dispatcher.quarantine.expire(now_s)
+        self._store_quarantine()
         self._push_views()
         self._plan_voters(now_s)
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -23,6 +23,7 @@
     UpstreamState,
     WithdrawCall,
     max_queue_wait_s,
+    refuse_quarantined,
 )
 from laburnumrock.errors import ErrorKind
 from laburnumrock.forwarding import (
@@ -69,7 +70,7 @@
 """Time after the start for which requests wait for the first routes. It suffices if all cores start
 at the same time: they take up to 0.5 s longer than an entry node, and an election takes 0.4 to
 0.8 s."""
-IDLE_CONNECTION_CHECK_S = 1.0
+HOUSEKEEPING_INTERVAL_S = 1.0
 """Interval at which idle upstream connections are closed; upstreams state idle timeouts in whole
 seconds."""
 BALANCER_GRACE_S = 2.6
@@ -106,6 +107,7 @@
         # Upstreams never expire here, so that a partitioned node continues with its last view.
         self.directory = UpstreamDirectory(math.inf, math.inf)
         self.local_dispatcher = LocalDispatcher(dispatch, rng)
+        self.quarantine = self.local_dispatcher.quarantine
         self.pool = ConnectionPool(settings.upstream_connections)
         reservations = Reservations(self.pool, wire)
         self.metrics = NodeMetrics()
@@ -148,7 +150,7 @@
         self.frontend.listen(listen.host, listen.caller_port)
         self.tasks = [
             asyncio.create_task(self._run_hellos()),
-            asyncio.create_task(run_every(IDLE_CONNECTION_CHECK_S, self._close_idle_connections)),
+            asyncio.create_task(run_every(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)),
         ]
         log_message("entry_started", cores=self.cores)
 
@@ -189,6 +191,9 @@
         A node that was paused knows neither the leader nor the upstreams of now, so it looks for a
         leader before it places a request alone. A partitioned node does so all the time.
         """
+        refusal = refuse_quarantined(self.quarantine, call, time.monotonic())
+        if refusal is not None:
+            return refusal
         answer = await self._request_placement(call)
         if answer is None and time.monotonic() - self.last_hello_s > MAX_HELLO_AGE_S:
             await self._search_once()
@@ -382,6 +387,7 @@
         if version < self.view_version:
             return
         self.drained = set(view.drained)
+        self.quarantine.restore(view.quarantined, time.monotonic())
         self.cores = view.cores or self.cores
         self.local_dispatcher.share_budget(view.entry_count)
         self.hello_interval_s = compute_hello_interval_s(view.entry_count)
@@ -426,7 +432,8 @@
         self.metrics.routes_version.set(view.routes_version)
         log_message("routes_in_force", version=view.routes_version, term=view.term)
 
-    def _close_idle_connections(self) -> None:
+    def _run_housekeeping(self) -> None:
+        self.quarantine.expire(time.monotonic())
         self.pool.close_idle()
         opened, self.pool.opened = self.pool.opened, 0
         self.metrics.upstream_connections.inc(opened)
--- a/laburnumrock/nodes/_messages.py
+++ b/laburnumrock/nodes/_messages.py
@@ -83,6 +83,8 @@
         Revision of the view of the same term that this one changes; 0 for a whole view.
     removed : list of str
         Upstreams that the base view contains and this one does not.
+    quarantined : list of list of str
+        Groups of prompt parts; a request whose prompt contains all parts of a group is refused.
     """
 
     term: int
@@ -95,6 +97,7 @@
     entry_count: int = 1
     base_revision: int = 0
     removed: list[str] = field(default_factory=list)
+    quarantined: list[list[str]] = field(default_factory=list)
 
 
 @register_message
--- a/laburnumrock/nodes/_views.py
+++ b/laburnumrock/nodes/_views.py
@@ -38,7 +38,7 @@
     term : int
         Term of the leader.
     routes : RouteDocument
-        Routes in force, with the failure domains that are out of service.
+        Routes in force, with the failure domains and prompt parts that are out of service.
     cores : list of str
         All cores.
     """
@@ -80,7 +80,7 @@
         self.revision += 1
 
     def mark_changed(self) -> None:
-        """Note a change of the routes or of the failure domains that are out of service."""
+        """Note a change of the routes, or of what is out of service."""
         self.revision += 1
 
     def discard_changes(self) -> None:
@@ -170,4 +170,5 @@
             base.cores,
             self.directory.reports(now_s, names),
             len(self.entries),
+            quarantined=base.routes.quarantined,
         )
--- a/laburnumrock/platform/soak/tests/test_crashing_prompts.py
+++ b/laburnumrock/platform/soak/tests/test_crashing_prompts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import time
 
 import pytest
@@ -54,8 +55,36 @@
     assert soak.findings.broken == []
 
 
+async def kill_all_cores(soak: RunState) -> None:
+    """Kill all cores once the part must be known, and start them again."""
+    await asyncio.sleep(TROUBLE_S / 3)
+    cores = [node for node in soak.nodes.values() if node.role == "core"]
+    for core in cores:
+        core.killed = True
+        core.process.kill()
+    await asyncio.sleep(0.5)
+    for core in cores:
+        core.process.start()
+        core.killed = False
+
+
+async def freeze_cores_in_turn(soak: RunState) -> None:
+    """Freeze one core after the other, so that the leader changes before the part is known."""
+    for core in [node for node in soak.nodes.values() if node.role == "core"]:
+        core.process.send(signal.SIGSTOP)
+        await asyncio.sleep(1.5)
+        core.process.send(signal.SIGCONT)
+        await asyncio.sleep(1.5)
+
+
 @pytest.mark.processes
 class TestCrashingPrompts:
+    @pytest.mark.parametrize("during", [kill_all_cores, freeze_cores_in_turn])
+    def test_part_stays_known_while_cores_fail(self, during, tmp_path):
+        """Guards against a part that crashes engines again after each loss of the leader."""
+        soak = RunState(SoakSettings(12, TROUBLE_S, tmp_path / "run", callers=16, engines=8))
+        asyncio.run(play_crashing_prompt(soak, during))
+
     def test_part_that_crashes_engines_reaches_no_more_of_them(self, tmp_path):
         """Guards against requests that crash one engine after the other while sound ones suffer."""
         soak = RunState(SoakSettings(11, TROUBLE_S, tmp_path / "run", callers=16, engines=8))
--- a/laburnumrock/routing/__init__.py
+++ b/laburnumrock/routing/__init__.py
@@ -5,6 +5,7 @@
     RouteDocument,
     RouteDocumentQuery,
     SetDrain,
+    SetQuarantine,
     StoreAnswer,
     StoreRoutes,
 )
@@ -36,6 +37,7 @@
     "Service",
     "ServiceShare",
     "SetDrain",
+    "SetQuarantine",
     "StoreAnswer",
     "StoreRoutes",
     "classify_length",
--- a/laburnumrock/routing/_messages.py
+++ b/laburnumrock/routing/_messages.py
@@ -39,6 +39,20 @@
     drained: bool
 
 
+@register_message
+@dataclass(frozen=True, slots=True)
+class SetQuarantine:
+    """Replaces the quarantined groups of prompt parts.
+
+    Parameters
+    ----------
+    groups : list of list of str
+        A request whose prompt contains all parts of a group is refused.
+    """
+
+    groups: list[list[str]]
+
+
 @register_message
 @dataclass(frozen=True, slots=True)
 class StoreAnswer:
@@ -75,8 +89,11 @@
         Compressed document; empty before the first one.
     drained : list of str
         Failure domains that are out of service.
+    quarantined : list of list of str
+        Groups of prompt parts; a request whose prompt contains all parts of a group is refused.
     """
 
     version: int = 0
     document: bytes = b""
     drained: list[str] = field(default_factory=list)
+    quarantined: list[list[str]] = field(default_factory=list)
--- a/laburnumrock/routing/_part.py
+++ b/laburnumrock/routing/_part.py
@@ -1,10 +1,13 @@
 """Part of the replicated state that holds the routes in force."""
 
+from dataclasses import replace
+
 from laburnumrock.messages import from_plain, to_plain
 from laburnumrock.routing._messages import (
     RouteDocument,
     RouteDocumentQuery,
     SetDrain,
+    SetQuarantine,
     StoreAnswer,
     StoreRoutes,
 )
@@ -13,21 +16,25 @@
 
 @register_part("routes")
 class RoutesPart:
-    """Highest version of the routes, and the failure domains out of service."""
+    """Highest version of the routes, and what is out of service."""
 
-    command_types = (StoreRoutes, SetDrain)
+    command_types = (StoreRoutes, SetDrain, SetQuarantine)
 
     def __init__(self) -> None:
         self.current = RouteDocument()
 
-    def apply(self, command: StoreRoutes | SetDrain, index: int) -> StoreAnswer:
+    def apply(self, command: StoreRoutes | SetDrain | SetQuarantine, index: int) -> StoreAnswer:
         """Apply a command; a version changes something only if it is higher than the stored one."""
         if isinstance(command, SetDrain):
             return self._apply_drain(command)
+        if isinstance(command, SetQuarantine):
+            changed = command.groups != self.current.quarantined
+            self.current = replace(self.current, quarantined=command.groups)
+            return StoreAnswer(self.current.version, changed)
         current = self.current
         if command.version <= current.version:
             return StoreAnswer(current.version, False)
-        self.current = RouteDocument(command.version, command.document, current.drained)
+        self.current = replace(current, version=command.version, document=command.document)
         return StoreAnswer(command.version, True)
 
     def _apply_drain(self, command: SetDrain) -> StoreAnswer:
@@ -38,7 +45,7 @@
         else:
             drained.discard(command.failure_domain)
         changed = sorted(drained) != current.drained
-        self.current = RouteDocument(current.version, current.document, sorted(drained))
+        self.current = replace(current, drained=sorted(drained))
         return StoreAnswer(current.version, changed)
 
     def query(self, request: RouteDocumentQuery) -> RouteDocument:
--- a/laburnumrock/routing/tests/test_part.py
+++ b/laburnumrock/routing/tests/test_part.py
@@ -1,6 +1,13 @@
 """Tests of the replicated routes."""
 
-from laburnumrock.routing import RouteDocument, RoutesPart, SetDrain, StoreAnswer, StoreRoutes
+from laburnumrock.routing import (
+    RouteDocument,
+    RoutesPart,
+    SetDrain,
+    SetQuarantine,
+    StoreAnswer,
+    StoreRoutes,
+)
 
 
 class TestRoutesPart:
@@ -30,6 +37,23 @@
         other.apply(SetDrain("b", False), 4)
         assert other.current.drained == ["a"]
 
+    def test_quarantine_survives_new_routes_drains_and_snapshot(self):
+        """Guards against a quarantined part that returns to service with another change."""
+        part = RoutesPart()
+        assert part.apply(SetQuarantine([["a", "x"]]), 1) == StoreAnswer(0, True)
+        assert not part.apply(SetQuarantine([["a", "x"]]), 2).changed
+        part.apply(StoreRoutes(3, b"three"), 3)
+        part.apply(SetDrain("b", True), 4)
+        other = RoutesPart()
+        other.restore(part.to_plain())
+        assert other.current == RouteDocument(3, b"three", ["b"], [["a", "x"]])
+
+    def test_snapshot_without_quarantine(self):
+        """Guards against a snapshot of an earlier release that cannot be restored."""
+        part = RoutesPart()
+        part.restore({"version": 3, "document": b"three", "drained": ["b"]})
+        assert part.current == RouteDocument(3, b"three", ["b"])
+
     def test_repeated_drain_is_acknowledged(self):
         """Guards against a refusal of a command that is retried after a lost answer."""
         part = RoutesPart()
