Do not take the crash of an upstream for the end of its response

What callers would see: a response may have neither a length nor chunks and end with its connection. The kernel closes the connections of a process that crashes in the same orderly way, so a stream that stopped between two events, and any part of a plain body, was passed on as a whole answer. A crash that looked like a success would also clear the parts of its prompt.

Cause: only a reset and the end inside an event counted as broken off.

Change: when such a response ends, the entry connects to the upstream again, as after a broken send; a refusal means that it has crashed.

--- a/laburnumrock/forwarding/_exchange.py
+++ b/laburnumrock/forwarding/_exchange.py
@@ -71,12 +71,15 @@
         Cause of an incomplete response.
     reusable : bool
         Whether the connection can carry another request.
+    framed : bool
+        Whether a length or chunks delimit the response, which otherwise ends with its connection.
     """
 
     answer: UpstreamResponse | None = None
     complete: bool = False
     detail: str = ""
     reusable: bool = False
+    framed: bool = True
 
 
 HeadersHandler = Callable[[UpstreamResponse], bool]
@@ -223,7 +226,7 @@
         )
     closes = response.headers.get("Connection", "").lower() == "close"
     reusable = reader.framed and not closes and not stream.closed() and not stream.writing()
-    return ExchangeResult(response, True, "", reusable)
+    return ExchangeResult(response, True, "", reusable, reader.framed)
 
 
 def parse_keep_alive_s(response: UpstreamResponse) -> float | None:
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -272,24 +272,29 @@
             finally:
                 if not released:
                     connection.close()
-            outcome = self._evaluate_result(placement, result)
-            if outcome is SendOutcome.BROKEN and self.request.shared_parts:
-                outcome = await self._find_crash(placement)
-            return outcome
+            crashed = result is not None and await self._find_crash(placement, result)
+            return self._evaluate_result(placement, result, crashed)
 
-    async def _find_crash(self, placement: DispatchAnswer) -> SendOutcome:
-        """Find out whether the upstream of a broken send has crashed."""
-        refused = await self.context.pool.is_refused(
+    async def _find_crash(self, placement: DispatchAnswer, result: ExchangeResult) -> bool:
+        """Return whether the upstream has crashed, if the end of its response leaves that open.
+
+        Notes
+        -----
+        A connection that the kernel closes for a crashed process looks like the orderly end of a
+        response without framing.
+        """
+        broken = not result.complete or self.progress.events.incomplete
+        unclear = self.request.shared_parts if broken else not result.framed
+        if not unclear or not await self.context.pool.is_refused(
             placement.host, placement.port, MAX_CRASH_CHECK_S
-        )
-        if not refused:
-            return SendOutcome.BROKEN
+        ):
+            return False
         self.writer.log(
             "upstream_crashed",
             upstream=placement.upstream_id,
             parts=self.request.shared_parts[:MAX_LOGGED_PARTS],
         )
-        return SendOutcome.CRASHED
+        return True
 
     def _may_send(self, placement: DispatchAnswer) -> bool:
         """Whether neither the placement nor the deadline of the request has expired."""
@@ -301,7 +306,7 @@
         return False
 
     def _evaluate_result(
-        self, placement: DispatchAnswer, result: ExchangeResult | None
+        self, placement: DispatchAnswer, result: ExchangeResult | None, crashed: bool
     ) -> SendOutcome:
         """Return the outcome of a send, and write the response if the outcome is final."""
         attempts = self.attempts
@@ -312,15 +317,15 @@
             self.progress.events.discard_incomplete()
             return SendOutcome.SILENT
         response = result.answer
-        if not result.complete:
+        if crashed or not result.complete:
             writer.log(
                 "upstream_broke",
                 upstream=upstream,
-                detail=result.detail,
+                detail=result.detail or "the upstream crashed",
                 parts=self.request.shared_parts[:MAX_LOGGED_PARTS],
             )
             self.progress.events.discard_incomplete()
-            return SendOutcome.BROKEN
+            return SendOutcome.CRASHED if crashed else SendOutcome.BROKEN
         if response.facts.proves_not_run:
             attempts.possible_runs -= 1
             attempts.last_response = response
