Quarantine completions whose prompts crash engines, at the pool owners

What callers would see: a completion of the product's own interface runs on up to four engines one after the other.

Change: after a failed attempt the entry instance connects to the engine; if it is refused, the permit is released as crashed, with the hashes of the prompt's prefixes. The pool owner counts them with the same class as the dispatcher, which moves to a package of its own, and refuses the prompt with 503 prompt_quarantined. Common prefixes are cleared by the requests that succeed. The release precedes the next attempt, so that successive crashes are counted as such.

Evidence: the new tests fail on the code before, which reported the crash as any other failure and granted each permit. What remains: each pool owner counts for itself and a new owner starts at zero, so a prompt may crash four engines in each failure domain; prompts under 256 tokens have no prefix hash.

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -27,7 +27,6 @@
     WithdrawCall,
 )
 from laburnumrock.dispatch._outcomes import refuse_quarantined
-from laburnumrock.dispatch._quarantine import PromptQuarantine, QuarantineSettings
 
 __all__ = [
     "ActiveSend",
@@ -42,8 +41,6 @@
     "Fleet",
     "Helper",
     "LocalDispatcher",
-    "PromptQuarantine",
-    "QuarantineSettings",
     "RetryBudget",
     "SendEnded",
     "SendOutcome",
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -27,10 +27,10 @@
     UpstreamReport,
 )
 from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
-from laburnumrock.dispatch._quarantine import PromptQuarantine
 from laburnumrock.dispatch._queue import CallQueue, QueueDecision
 from laburnumrock.dispatch._trials import MAX_HELD_CALLS, PromptTrials
 from laburnumrock.errors import ErrorKind
+from laburnumrock.quarantine import PromptQuarantine
 from laburnumrock.routing import RouteSet
 
 NO_UPSTREAM_RETRY_S = 2.0
--- a/laburnumrock/dispatch/_limits.py
+++ b/laburnumrock/dispatch/_limits.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from laburnumrock.dispatch._messages import DispatchCall
-from laburnumrock.dispatch._quarantine import QuarantineSettings
+from laburnumrock.quarantine import QuarantineSettings
 
 CLIENT_TIMEOUT_S, CLIENT_TIMEOUT_GOALS, CLIENT_TIMEOUT_GAPS = 2.0, 4.0, 8.0
 """Callers abandon a stream without events after the longest of these times, as the users state it:
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -15,9 +15,9 @@
     SendOutcome,
 )
 from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
-from laburnumrock.dispatch._quarantine import PromptQuarantine
 from laburnumrock.dispatch._rank import engine_rank
 from laburnumrock.errors import ErrorKind
+from laburnumrock.quarantine import PromptQuarantine
 
 LOCAL_SLACK_SHARE = 0.3
 """Share of the retry slack that all entry nodes together may use without the dispatcher."""
--- a/laburnumrock/dispatch/_outcomes.py
+++ b/laburnumrock/dispatch/_outcomes.py
@@ -1,8 +1,8 @@
 """Use of the quarantine of prompts by both kinds of dispatchers."""
 
 from laburnumrock.dispatch._messages import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
-from laburnumrock.dispatch._quarantine import PromptQuarantine
 from laburnumrock.errors import ErrorKind
+from laburnumrock.quarantine import PromptQuarantine
 
 
 def refuse_quarantined(
--- a/laburnumrock/dispatch/_trials.py
+++ b/laburnumrock/dispatch/_trials.py
@@ -11,7 +11,7 @@
 
 from laburnumrock.dispatch._fleet import Fleet
 from laburnumrock.dispatch._messages import DispatchCall
-from laburnumrock.dispatch._quarantine import PromptQuarantine
+from laburnumrock.quarantine import PromptQuarantine
 
 MAX_HELD_CALLS = 8
 """Maximum number of queued requests that wait for the end of a trial. They take places in the queue
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -17,11 +17,14 @@
 )
 from laburnumrock.gateway._interfaces import GatewayServices
 from laburnumrock.gateway._spanning import prepare_segments, release_segments
+from laburnumrock.gateway._upstream_http import is_refused
 from laburnumrock.metrics import Measure
 from laburnumrock.placement import PermitGrant, PermitOutcome, PermitRelease, PermitRequest
 
 MAX_ATTEMPTS = 4
 RETRY_AFTER_FAILURE_S = 1.0
+MAX_CRASH_CHECK_S = 0.1
+"""Time limit for the connection that shows whether the upstream of a failed attempt has crashed."""
 
 _RETRIED_KINDS = (
     ErrorKind.CONNECTION_FAILED,
@@ -190,7 +193,11 @@
             return result
         self.excluded += [placement.upstream_id for placement in grant.placements]
         failure = result.unwrap_err()
-        if failure.kind is ErrorKind.UPSTREAM_REJECTED and len(grant.placements) == 1:
+        if await self._has_crashed(grant, failure):
+            # The next attempt must not begin before the pool owner knows of the crash. Nothing is
+            # left to cancel.
+            self._release(grant, PermitOutcome.CRASHED, None)
+        elif failure.kind is ErrorKind.UPSTREAM_REJECTED and len(grant.placements) == 1:
             # The engine refused without processing anything, so there is nothing to cancel. The
             # pool owner must learn the outcome before the next attempt.
             self._release(grant, _find_permit_outcome(failure), None)
@@ -198,6 +205,21 @@
             self._start_cleanup(grant, _find_permit_outcome(failure))
         return result
 
+    async def _has_crashed(self, grant: PermitGrant, failure: Failure) -> bool:
+        """Return whether the only upstream of an attempt crashed while it worked on the prompt."""
+        if failure.kind is not ErrorKind.UPSTREAM_FAILED or len(grant.placements) > 1:
+            return False
+        placement = grant.placements[0]
+        if not await is_refused(placement.base_url, MAX_CRASH_CHECK_S):
+            return False
+        log_message(
+            "upstream_crashed",
+            request_id=grant.request_id,
+            upstream=placement.upstream_id,
+            prefix_hashes=self.job.prefix_hashes,
+        )
+        return True
+
     async def _call_unless_revoked(self, grant: PermitGrant) -> Result[None, Failure]:
         """Call the engines; stop when the pool owner revokes the permit."""
         revoked = self.services.permits.revocation_event(grant.permit_id) or asyncio.Event()
@@ -259,12 +281,15 @@
     def _release(
         self, grant: PermitGrant, outcome: PermitOutcome, first_token_s: float | None
     ) -> None:
+        shows_quality = outcome in (PermitOutcome.FINISHED, PermitOutcome.CRASHED)
         self.services.permits.release(
             PermitRelease(
                 permit_id=grant.permit_id,
                 outcome=outcome,
                 first_token_s=first_token_s,
                 output_tokens=self.assembler.next_index,
+                prefix_hashes=self.job.prefix_hashes if shows_quality else [],
+                duration_s=time.monotonic() - self.attempt_started_s,
             )
         )
 
--- a/laburnumrock/gateway/_upstream_http.py
+++ b/laburnumrock/gateway/_upstream_http.py
@@ -160,14 +160,31 @@
         return Ok(reader.response)
 
 
+async def is_refused(base_url: str, timeout_s: float) -> bool:
+    """Return whether an upstream refuses a connection, as one that has crashed does."""
+    try:
+        stream = await _open_stream(base_url, timeout_s)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    stream.close()
+    return False
+
+
+async def _open_stream(base_url: str, timeout_s: float) -> IOStream:
+    address = urlsplit(base_url)
+    connecting = TCPClient().connect(address.hostname or "", address.port or 80)
+    try:
+        return await asyncio.wait_for(connecting, timeout_s)
+    except StreamClosedError as error:
+        raise error.real_error or ConnectionError("closed while connecting") from error
+
+
 async def _connect(call: UpstreamCall) -> Result[IOStream, Failure]:
-    address = urlsplit(call.base_url)
     try:
-        stream = await asyncio.wait_for(
-            TCPClient().connect(address.hostname or "", address.port or 80),
-            call.connect_timeout_s,
-        )
-    except (OSError, TimeoutError, StreamClosedError) as error:
+        stream = await _open_stream(call.base_url, call.connect_timeout_s)
+    except (OSError, TimeoutError) as error:
         detail = f"cannot connect to the upstream: {error or 'timeout'}"
         return Err(Failure(ErrorKind.CONNECTION_FAILED, detail, retry_after_s=1.0))
     stream.set_nodelay(True)
--- a/laburnumrock/gateway/tests/fakes.py
+++ b/laburnumrock/gateway/tests/fakes.py
@@ -28,6 +28,7 @@
         self.base_urls = list(base_urls)
         self.requests = []
         self.releases = []
+        self.released_prefixes = []
         self.revoked = asyncio.Event()
 
     async def acquire(self, request):
@@ -40,6 +41,7 @@
 
     def release(self, release):
         self.releases.append(release.outcome)
+        self.released_prefixes.append(release.prefix_hashes)
 
     def revocation_event(self, permit_id):
         return self.revoked
@@ -98,8 +100,9 @@
     count : int
         Number of tokens to send in one attempt.
     end : str
-        ``done``, ``break`` (close the connection without an end marker), ``hang`` (keep it open
-        without sending) or ``refuse`` (respond with 503 and the reason ``cold``).
+        ``done``, ``break`` (close the connection without an end marker), ``crash`` (also stop
+        listening), ``hang`` (keep it open without sending) or ``refuse`` (respond with 503 and the
+        reason ``cold``).
     """
 
     def __init__(self, count, end):
@@ -108,6 +111,7 @@
         self.bodies = []
         self.cancelled = asyncio.Event()
         self.base_url = ""
+        self.server = None
 
     async def serve(self, reader, writer):
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -135,7 +139,9 @@
             token |= {"index": index, "text": f"t{index} "}
             token["finish_reason"] = "length" if last else None
             write_chunk(writer, f"data: {json.dumps(token)}\n\n")
-        if self.end == "break":
+        if self.end == "crash":
+            self.server.close()
+        if self.end in ("break", "crash"):
             # The client may drop tokens that arrive together with the end of the connection.
             await writer.drain()
             await asyncio.sleep(0.1)
@@ -236,6 +242,7 @@
         for engine in engines:
             server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
             await stack.enter_async_context(server)
+            engine.server = server
             engine.base_url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
         gateway = Gateway(engines)
         http = serve_app(make_app(gateway.services), gateway.services)
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -66,6 +66,27 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize(
+        "end, outcome", [("crash", PermitOutcome.CRASHED), ("break", PermitOutcome.FAILED)]
+    )
+    def test_crash_is_reported_with_the_prefixes(self, end, outcome):
+        """Guards against a prompt that crashes one engine after the other, unknown to the owner."""
+
+        async def run():
+            engines = [ScriptedEngine(2, end), ScriptedEngine(4, "done")]
+            async with run_gateway(*engines) as gateway:
+                response = await gateway.complete(prompt="a " * 300)
+                assert extract_text(response) == FULL_TEXT
+                await gateway.wait_for_cleanup()
+                permits = gateway.permits
+                assert sorted(permits.releases) == sorted([outcome, PermitOutcome.FINISHED])
+                hashes = permits.requests[0].prefix_hashes
+                assert len(hashes) == 1
+                crashed = outcome is PermitOutcome.CRASHED
+                assert permits.released_prefixes.count(hashes) == 1 + crashed
+
+        asyncio.run(run())
+
     def test_failed_stream_is_never_framed_as_complete(self):
         """Guards against a partial completion that ends with the end marker."""
 
--- a/laburnumrock/placement/_allocator.py
+++ b/laburnumrock/placement/_allocator.py
@@ -154,7 +154,10 @@
     ) -> Send:
         """Return the message that refuses a request."""
         retry_after_s = None
-        if kind is not ErrorKind.PROMPT_TOO_LONG:
+        if kind is ErrorKind.PROMPT_QUARANTINED:
+            hashes = waiting.request.prefix_hashes
+            retry_after_s = self.scheduler.quarantine.find_release_s(hashes, now_s)
+        elif kind is not ErrorKind.PROMPT_TOO_LONG:
             retry_after_s = max(MIN_RETRY_AFTER_S, self._expected_wait(waiting, now_s))
             retry_after_s = min(MAX_RETRY_AFTER_S, retry_after_s)
         request = waiting.request
@@ -172,6 +175,8 @@
     def _find_refusal_kind(self, waiting: WaitingRequest, now_s: float) -> ErrorKind | None:
         if not self.scheduler.in_service:
             return ErrorKind.NO_UPSTREAM
+        if self.scheduler.quarantine.find_release_s(waiting.request.prefix_hashes, now_s) > 0:
+            return ErrorKind.PROMPT_QUARANTINED
         if len(self.queue) >= self.settings.max_queued:
             return ErrorKind.DEADLINE_UNREACHABLE
         if self.table.count_usable(waiting.request) <= 0:
--- a/laburnumrock/placement/_messages.py
+++ b/laburnumrock/placement/_messages.py
@@ -15,6 +15,7 @@
     CANCELLED = "cancelled"
     OVERLOADED = "overloaded"
     COLD = "cold"
+    CRASHED = "crashed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,12 +226,18 @@
         Time from dispatch to the first token, in seconds.
     output_tokens : int
         Number of tokens received.
+    prefix_hashes : list of str
+        Hashes of the prompt's prefixes, if the attempt finished or crashed its upstream.
+    duration_s : float
+        Time since the attempt began, in seconds.
     """
 
     permit_id: str
     outcome: PermitOutcome
     first_token_s: float | None = None
     output_tokens: int = 0
+    prefix_hashes: list[str] = field(default_factory=list)
+    duration_s: float = 0.0
 
 
 @register_message
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -23,6 +23,7 @@
 from laburnumrock.placement._settings import PoolSettings
 from laburnumrock.placement._spanning import ReservationHolder
 from laburnumrock.placement._table import UpstreamTable
+from laburnumrock.quarantine import PromptQuarantine
 from laburnumrock.upstreams import UpstreamAnnouncement
 
 # Cancels on an upstream that has stopped announcing itself are repeated for this time. If it comes
@@ -66,6 +67,7 @@
         self.spanning_reservation = ReservationHolder(self.table)
         self.long_reservation = ReservationHolder(self.table)
         self.reconciler = EngineReconciler(settings, self.table, self.registry)
+        self.quarantine = PromptQuarantine(settings.quarantine)
         self.allocator = PermitAllocator(self)
 
     def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
@@ -102,6 +104,7 @@
         self.policy.observe(self.table, now_s)
         self.allocator.charge_later_prefills(now_s)
         self.registry.expire(now_s)
+        self.quarantine.expire(now_s)
         effects = self.registry.due_cancels(now_s)
         effects += self.allocator.dispatch(now_s)
         effects += self.allocator.refuse_unreachable(now_s)
@@ -255,6 +258,10 @@
         return self.registry.due_cancels(now_s)
 
     def _release(self, message: PermitRelease, now_s: float) -> list[Effect]:
+        if message.outcome is PermitOutcome.FINISHED:
+            self.quarantine.record_success(message.prefix_hashes)
+        elif message.outcome is PermitOutcome.CRASHED:
+            self.quarantine.record_crash(message.prefix_hashes, now_s - message.duration_s, now_s)
         permit = self.registry.release(message, now_s)
         if permit is None:
             return []
--- a/laburnumrock/placement/_settings.py
+++ b/laburnumrock/placement/_settings.py
@@ -1,6 +1,8 @@
 """Settings of a pool."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from laburnumrock.quarantine import QuarantineSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +37,8 @@
     assumed_output_fraction : float, in (0, 1]
         Fraction of `max_output_tokens` that a request is expected to generate; used only for
         expected waits, never for memory or deadlines.
+    quarantine : QuarantineSettings
+        Limits for the prefixes of prompts that crash upstreams.
     """
 
     pool_id: str
@@ -49,3 +53,4 @@
     cancel_repeat_s: float = 0.5
     max_queued: int = 10_000
     assumed_output_fraction: float = 1.0
+    quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
