Keep requests that wait for a trial out of the queue's limits

What callers would see: while requests with a suspected part wait for the end of a trial, sound requests are refused with 429 although engines are about to be free, or are not placed in time. Found by a test of the trials.

Cause: the waiting ones counted towards the queue's limit and towards the failed placements after which a pass leaves the others for the next one.

Change: both counts leave them out; at most eight of a service wait. The new test of eight waiting requests and one sound one failed before.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -141,8 +141,10 @@
             return _refuse(ErrorKind.NO_UPSTREAM, self._add_jitter(NO_UPSTREAM_RETRY_S))
         if choice is not None and self._exceeds_timeout_after_wait(choice, call, now_s):
             return self._refuse_unreachable(choice)
-        if choice is None and self.queue.is_full(call, self._count_slots(call.service), now_s):
-            predicted_s = min(MAX_RETRY_S, self.queue.predict_wait_s(call.service, now_s))
+        held = self.trials.count_held(self.queue, call.service)
+        slots = self._count_slots(call.service) if choice is None else 0
+        if choice is None and self.queue.is_full(call, slots, now_s, held):
+            predicted_s = min(MAX_RETRY_S, self.queue.predict_wait_s(call.service, now_s, held))
             retry_s = max(0.5, call.goal_s, predicted_s)
             return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._add_jitter(retry_s))
         return self.queue.add(entry, call, now_s)
@@ -163,12 +165,14 @@
                 decided.append(QueueDecision(ticket, queued, refusal))
                 continue
             expired = now_s >= queued.wait_until_s
+            held = self.trials.must_wait(queued.call)
+            if held and not expired:
+                continue
             if failed >= MAX_FAILED_PLACEMENTS and not expired:
                 continue
             call = queued.remaining_call(now_s)
-            choice = None
-            if not self.trials.must_wait(call):
-                choice = self._choose(domains.get(queued.entry, ""), call, now_s)
+            domain = domains.get(queued.entry, "")
+            choice = None if held else self._choose(domain, call, now_s)
             settled = now_s >= queued.improve_until_s
             if choice is not None and (settled or not self.chooser.should_wait(choice, call)):
                 answer = self._grant_or_refuse(queued.entry, choice, call, now_s)
@@ -192,8 +196,7 @@
 
     def _hold(self, entry: str, call: DispatchCall, now_s: float) -> DispatchAnswer | int:
         """Queue a request until the trial of a part that it contains has ended."""
-        held = sum(self.trials.must_wait(queued.call) for queued in self.queue.calls.values())
-        if held >= MAX_HELD_CALLS:
+        if self.trials.count_held(self.queue, call.service) >= MAX_HELD_CALLS:
             return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._add_jitter(max(0.5, call.goal_s)))
         return self.queue.add(entry, call, now_s)
 
--- a/laburnumrock/dispatch/_queue.py
+++ b/laburnumrock/dispatch/_queue.py
@@ -126,7 +126,7 @@
         self.ended_s.setdefault(service, deque()).append(now_s)
         self._count_ended(service, now_s)
 
-    def is_full(self, call: DispatchCall, slots: int, now_s: float) -> bool:
+    def is_full(self, call: DispatchCall, slots: int, now_s: float, held: int = 0) -> bool:
         """Whether a further request would not be placed before its wait ends.
 
         Parameters
@@ -137,6 +137,8 @@
             Slots of all upstreams of its service; half of them may wait until sends have ended.
         now_s : float
             Monotonic clock in seconds.
+        held : int
+            Number of queued requests of the service that do not wait for a free upstream.
         """
         max_wait_s = max_queue_wait_s(self.settings, call)
         if max_wait_s <= 0:
@@ -144,13 +146,13 @@
         if call.attempt > 1:
             return False
         if self._count_ended(call.service, now_s) > 0:
-            return self.predict_wait_s(call.service, now_s) > max_wait_s
-        return self._count(call.service) >= max(1, slots // 2)
+            return self.predict_wait_s(call.service, now_s, held) > max_wait_s
+        return self._count(call.service) - held >= max(1, slots // 2)
 
-    def predict_wait_s(self, service: str, now_s: float) -> float:
+    def predict_wait_s(self, service: str, now_s: float, held: int = 0) -> float:
         """Predict how long a request would wait; 0 if no send has ended recently."""
         rate = self._count_ended(service, now_s) / END_RATE_WINDOW_S
-        return (self._count(service) + 1) / rate if rate > 0 else 0.0
+        return (self._count(service) - held + 1) / rate if rate > 0 else 0.0
 
     def _count(self, service: str) -> int:
         return sum(1 for queued in self.calls.values() if queued.call.service == service)
--- a/laburnumrock/dispatch/_trials.py
+++ b/laburnumrock/dispatch/_trials.py
@@ -11,11 +11,12 @@
 
 from laburnumrock.dispatch._fleet import Fleet
 from laburnumrock.dispatch._messages import DispatchCall
+from laburnumrock.dispatch._queue import CallQueue
 from laburnumrock.quarantine import PromptQuarantine
 
 MAX_HELD_CALLS = 8
-"""Maximum number of queued requests that wait for the end of a trial. They take places in the queue
-of their service from requests that can be placed."""
+"""Maximum number of queued requests of a service that wait for the end of a trial. If their part is
+harmful, all of them are refused in the end."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,13 @@
         suspects = self.quarantine.find_suspects(call.parts)
         return any(not suspects.isdisjoint(trial.suspects) for trial in self.trials.values())
 
+    def count_held(self, queue: CallQueue, service: str) -> int:
+        """Return the number of queued requests of a service that wait for the end of a trial."""
+        if not self.trials:
+            return 0
+        calls = [queued.call for queued in queue.calls.values()]
+        return sum(call.service == service and self.must_wait(call) for call in calls)
+
     def separate(self, call: DispatchCall, now_s: float) -> DispatchCall:
         """Return a call that excludes the engines which would mix a trial with other requests.
 
--- a/laburnumrock/dispatch/tests/test_quarantine.py
+++ b/laburnumrock/dispatch/tests/test_quarantine.py
@@ -11,12 +11,14 @@
 from laburnumrock.dispatch import (
     DispatchAnswer,
     DispatchCall,
+    Dispatcher,
     DispatchSettings,
     LocalDispatcher,
     SendEnded,
     SendOutcome,
     SendStarted,
 )
+from laburnumrock.dispatch._trials import MAX_HELD_CALLS
 from laburnumrock.dispatch.tests.builders import (
     SHORT,
     make_dispatcher,
@@ -75,6 +77,71 @@
         assert answer.refusal == ErrorKind.PROMPT_QUARANTINED
 
 
+class TestTrials:
+    """Requests with a suspected part, known from two crashes."""
+
+    CALL = replace(SHORT, parts=["a", "x"])
+
+    def make_suspicious(self, **values) -> Dispatcher:
+        dispatcher = make_dispatcher(**values)
+        for now_s in (1.0, 2.0):
+            dispatcher.quarantine.record_crash(["x"], now_s, now_s)
+        return dispatcher
+
+    def test_one_at_a_time_on_an_engine_of_its_own(self):
+        """Guards against a harmful part that crashes many engines before it is known."""
+        dispatcher = self.make_suspicious()
+        beside = {place(dispatcher, SHORT).upstream_id for _ in range(5)}
+        trial = place(dispatcher, self.CALL)
+        assert trial.upstream_id not in beside
+        waiting = [dispatcher.place("entry", "a", self.CALL, 10.0) for _ in range(3)]
+        assert all(isinstance(ticket, int) for ticket in waiting)
+        assert trial.upstream_id not in {place(dispatcher, SHORT).upstream_id for _ in range(8)}
+        assert place_waiting(dispatcher, 10.1) == []
+
+    def test_success_releases_the_waiting(self):
+        """Guards against sound requests that wait after their part has been cleared."""
+        dispatcher = self.make_suspicious()
+        trial = place(dispatcher, self.CALL)
+        tickets = [dispatcher.place("entry", "a", self.CALL, 10.0) for _ in range(3)]
+        ended = SendEnded(trial.permit, SendOutcome.DONE, [], self.CALL.parts, 0.1)
+        dispatcher.record_ended(ended, 10.1)
+        decided = place_waiting(dispatcher, 10.1)
+        assert sorted(ticket for ticket, _ in decided) == tickets
+        assert all(answer.permit for _, answer in decided)
+
+    def test_waiting_requests_do_not_block_others(self):
+        """Guards against sound requests that are not placed since suspected ones wait."""
+        dispatcher = self.make_suspicious(engines=2, slots=1)
+        place(dispatcher, self.CALL)
+        busy = place(dispatcher, SHORT)
+        held = [dispatcher.place("entry", "a", self.CALL, 10.0) for _ in range(MAX_HELD_CALLS)]
+        sound = dispatcher.place("entry", "a", SHORT, 10.0)
+        assert isinstance(sound, int)
+        full = place(dispatcher, self.CALL, 10.01)
+        assert full.refusal == ErrorKind.CONCURRENCY_LIMITED
+        dispatcher.record_ended(SendEnded(busy.permit, SendOutcome.DONE), 10.1)
+        ((ticket, answer),) = place_waiting(dispatcher, 10.1)
+        assert (ticket, bool(answer.permit)) == (sound, True)
+        decided = dict(place_waiting(dispatcher, 13.0))
+        assert {decided[ticket].refusal for ticket in held} == {ErrorKind.CONCURRENCY_LIMITED}
+
+    def test_busy_engines_are_used_if_none_is_idle(self):
+        """Guards against suspected requests that are refused although engines have room."""
+        dispatcher = self.make_suspicious(engines=2)
+        used = {place(dispatcher, SHORT).upstream_id for _ in range(12)}
+        assert len(used) == 2
+        assert place(dispatcher, self.CALL).permit
+        assert place(dispatcher, SHORT).permit
+
+    def test_end_of_an_entry_node_ends_its_trial(self):
+        """Guards against requests that wait for a trial whose entry node is gone."""
+        dispatcher = self.make_suspicious()
+        place(dispatcher, self.CALL)
+        dispatcher.drop_unlisted_sends("entry", set(), 12.0)
+        assert place(dispatcher, self.CALL, 12.0).permit
+
+
 ENGINES = 23
 STREAM_S = 1.5
 RESTART_S = 3.0
