Do not take crashed engines for a partition of their failure domain

Cause: each broken send counted as a sign that the domain cannot be reached. An engine that refuses a connection shows the opposite.

Change: a crashed engine is ejected, and its domain is left alone. The new test failed before for crashes; broken connections still count, as it checks beside.

--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -153,6 +153,12 @@
         health = self.domain_health.setdefault(record.report.failure_domain, DomainHealth())
         health.record_unresponsive(upstream_id, now_s)
 
+    def record_crashed(self, upstream_id: str, now_s: float) -> None:
+        """Eject an upstream that refused a connection; its failure domain is reachable."""
+        load = self.loads.get(upstream_id)
+        if load is not None:
+            load.record_unresponsive(now_s)
+
     def has_cold_capacity(self, record: UpstreamRecord, load: UpstreamLoad, now_s: float) -> bool:
         """Whether an upstream is warm, or its cold rate limit allows one more request."""
         if not record.is_cold(now_s):
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -137,6 +137,8 @@
         domain = self.domain_by_upstream.get(name, "")
         if message.outcome is SendOutcome.DONE:
             self.domain_health.pop(domain, None)
+        elif message.outcome is SendOutcome.CRASHED:
+            self.ejected_until_s[name] = now_s + EJECTION_S
         elif message.outcome in UNRESPONSIVE_OUTCOMES:
             self.ejected_until_s[name] = now_s + EJECTION_S
             self.domain_health.setdefault(domain, DomainHealth()).record_unresponsive(name, now_s)
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -32,10 +32,8 @@
     CANCELLED = "cancelled"
 
 
-UNRESPONSIVE_OUTCOMES = frozenset(
-    {SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN, SendOutcome.CRASHED}
-)
-"""Outcomes of sends whose upstream did not respond or closed the connection."""
+UNRESPONSIVE_OUTCOMES = frozenset({SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN})
+"""Outcomes of sends whose upstream, or the path to it, may be at fault."""
 
 
 @register_message
--- a/laburnumrock/dispatch/tests/test_quarantine.py
+++ b/laburnumrock/dispatch/tests/test_quarantine.py
@@ -77,6 +77,31 @@
         assert answer.refusal == ErrorKind.PROMPT_QUARANTINED
 
 
+class TestCrashedEngines:
+    @pytest.mark.parametrize("outcome", [SendOutcome.CRASHED, SendOutcome.BROKEN])
+    def test_failure_domain_stays_in_use(self, outcome):
+        """Guards against a failure domain that is avoided since some of its engines crashed."""
+        dispatcher = make_dispatcher(engines=15)
+        local = LocalDispatcher(DispatchSettings(), random.Random(1))
+        upstreams = dispatcher.directory.usable("llm", 10.0)
+        in_domain = [one for one in upstreams if one.report.failure_domain == "a"]
+        for number, record in enumerate(in_domain[:3]):
+            excluded = [one.report.upstream_id for one in upstreams if one is not record]
+            call = replace(SHORT, excluded=excluded)
+            now_s = 10.0 + 0.1 * number
+            ended = SendEnded(place(dispatcher, call, now_s).permit, outcome)
+            dispatcher.record_ended(ended, now_s)
+            placed = local.place("a", upstreams, call, now_s)
+            local.record_ended(SendEnded(placed.permit, outcome), now_s)
+        is_partition = outcome is SendOutcome.BROKEN
+        assert dispatcher.fleet.find_partitioned(10.3) == ({"a"} if is_partition else set())
+        assert bool(local.domain_health) is is_partition
+        crashed = {record.report.upstream_id for record in in_domain[:3]}
+        used = {place(dispatcher, SHORT, 10.3).upstream_id for _ in range(20)}
+        used |= {local.place("a", upstreams, SHORT, 10.3).upstream_id for _ in range(20)}
+        assert used.isdisjoint(crashed)
+
+
 class TestTrials:
     """Requests with a suspected part, known from two crashes."""
 
