--- a/laburnumrock/dispatch/_outcomes.py
+++ b/laburnumrock/dispatch/_outcomes.py
@@ -12,7 +12,8 @@
     release_s = quarantine.find_release_s(call.parts, now_s)
     if release_s <= 0:
         return None
-    return DispatchAnswer(refusal=ErrorKind.PROMPT_QUARANTINED.value, retry_after_s=release_s)
+    refusal = ErrorKind.PROMPT_QUARANTINED.value
+    return DispatchAnswer(refusal=refusal, retry_after_s=round(release_s, 2))
 
 
 def record_parts(quarantine: PromptQuarantine, message: SendEnded, now_s: float) -> None:
--- a/laburnumrock/platform/_wire.py
+++ b/laburnumrock/platform/_wire.py
@@ -1,5 +1,6 @@
 """HTTP headers and engine orders in the format of the platform."""
 
+import itertools
 import json
 
 from tornado.httputil import HTTPHeaders
@@ -28,6 +29,9 @@
     "Priority-Class",
 )
 _KEY_SCHEME = "token "
+MAX_SHARED_PARTS, MAX_PART_ID_CHARS = 128, 64
+"""Maximum number and length of the part ids of a prompt that are used. They are kept for minutes if
+upstreams crash, and a header may have 16 KiB."""
 MAX_TOKENS = 1_000_000_000
 """Largest number of tokens of a request, a thousand times that of the longest prompts."""
 
@@ -121,7 +125,8 @@
     if prefix is None:
         return ()
     ids = (entry.partition(":")[0].strip().lower() for entry in prefix.split(",")[:-1])
-    return tuple(part for part in ids if part)
+    parts = (part[:MAX_PART_ID_CHARS] for part in ids if part)
+    return tuple(itertools.islice(parts, MAX_SHARED_PARTS))
 
 
 def _decode_api_key(authorization: str | None) -> str | None:
--- a/laburnumrock/platform/tests/test_wire.py
+++ b/laburnumrock/platform/tests/test_wire.py
@@ -45,6 +45,8 @@
             ("e4402b7d:250", ()),
             ("", ()),
             (",, 5c1e07a2:800 ,:5,e4402b7d", ("5c1e07a2",)),
+            ("a:1," * 3_000, ("a",) * 128),
+            (f"{'b' * 9_000}:1,c", ("b" * 64,)),
         ],
     )
     def test_shared_parts(self, prefix, parts):
