Count only answers with output as successes of a prompt's parts

What callers would see: a harmful part is cleared, and crashes engines again, by a send that did not write an answer: a 4xx of the engine that is passed on, or a stream that had been delivered whole before its engine crashed and is resumed with nothing left to write. Found on reading the change.

Cause: every send that ended as done counted as a success of its parts.

Change: the parts are reported only if the upstream answered 2xx and, on a stream, wrote an event in this send; on completions, a token.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -49,6 +49,8 @@
         Helpers that did not respond to a reservation of memory.
     last_response : UpstreamResponse, optional
         Last complete response.
+    has_output : bool
+        Whether the last send succeeded and its upstream wrote an answer or events.
     """
 
     sent: int = 0
@@ -57,6 +59,7 @@
     excluded: list[str] = field(default_factory=list)
     unresponsive: list[str] = field(default_factory=list)
     last_response: UpstreamResponse | None = None
+    has_output: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -227,7 +230,8 @@
             outcome = await self._send(placement)
         finally:
             unresponsive, attempts.unresponsive = attempts.unresponsive, []
-            parts = call.parts if outcome in (SendOutcome.DONE, SendOutcome.CRASHED) else []
+            has_evidence = attempts.has_output or outcome is SendOutcome.CRASHED
+            parts = call.parts if has_evidence else []
             duration_s = time.monotonic() - began_s
             ended = SendEnded(placement.permit, outcome, unresponsive, parts, duration_s)
             self.context.dispatcher.record_ended(ended)
@@ -273,7 +277,11 @@
                 if not released:
                     connection.close()
             crashed = result is not None and await self._find_crash(placement, result)
-            return self._evaluate_result(placement, result, crashed)
+            outcome = self._evaluate_result(placement, result, crashed)
+            has_output = send.received_data or not self.writer.started
+            is_answered = outcome is SendOutcome.DONE and is_success(result.answer)
+            attempts.has_output = is_answered and has_output
+            return outcome
 
     async def _find_crash(self, placement: DispatchAnswer, result: ExchangeResult) -> bool:
         """Return whether the upstream has crashed, if the end of its response leaves that open.
--- a/laburnumrock/forwarding/tests/test_crashes.py
+++ b/laburnumrock/forwarding/tests/test_crashes.py
@@ -61,6 +61,18 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize("script", [answer(status=422), stream(5, 4)])
+    def test_end_without_output_is_no_success(self, script):
+        """Guards against a harmful part that is cleared by a send which wrote no answer."""
+
+        async def run():
+            async with open_frontend(ScriptedUpstream(script)) as frontend:
+                messages = record_ended(frontend)
+                await frontend.request("/s/x", **PREFIX)
+            assert [(one.outcome, one.parts) for one in messages] == [(SendOutcome.DONE, [])]
+
+        asyncio.run(run())
+
     @pytest.mark.parametrize("prefix", [PREFIX, {}])
     def test_broken_connection_is_no_crash(self, prefix):
         """Guards against a sound part in quarantine because connections are reset."""
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -281,14 +281,15 @@
     def _release(
         self, grant: PermitGrant, outcome: PermitOutcome, first_token_s: float | None
     ) -> None:
-        shows_quality = outcome in (PermitOutcome.FINISHED, PermitOutcome.CRASHED)
+        has_output = outcome is PermitOutcome.FINISHED and first_token_s is not None
+        has_evidence = has_output or outcome is PermitOutcome.CRASHED
         self.services.permits.release(
             PermitRelease(
                 permit_id=grant.permit_id,
                 outcome=outcome,
                 first_token_s=first_token_s,
                 output_tokens=self.assembler.next_index,
-                prefix_hashes=self.job.prefix_hashes if shows_quality else [],
+                prefix_hashes=self.job.prefix_hashes if has_evidence else [],
                 duration_s=time.monotonic() - self.attempt_started_s,
             )
         )
