Split the replication of the quarantine from the core node

Proposing and applying the quarantined groups is a class of its own now, and the log line of a change a function beside the other lines of a core. No behaviour changes; the tests of nodes pass.

--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -25,7 +25,7 @@
 )
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.metrics import NodeMetrics
-from laburnumrock.nodes._decision_log import log_decision, log_upstream
+from laburnumrock.nodes._decision_log import log_change, log_decision, log_upstream
 from laburnumrock.nodes._departures import confirm_departure
 from laburnumrock.nodes._messages import (
     ConfirmDeparture,
@@ -35,6 +35,7 @@
     UpstreamNews,
 )
 from laburnumrock.nodes._periodic import run_every
+from laburnumrock.nodes._quarantine import QuarantineReplicator
 from laburnumrock.nodes._report_exchange import ReportExchange
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.nodes._views import ViewBase, ViewPublisher
@@ -43,8 +44,6 @@
     RouteDocument,
     RouteSet,
     SetDrain,
-    SetQuarantine,
-    StoreAnswer,
     StoreRoutes,
 )
 from laburnumrock.transport import PeerNetwork
@@ -99,14 +98,12 @@
         self.voter_policy = VoterPolicy(settings.tolerated_losses)
         self.metrics = NodeMetrics()
         self.metrics.leading.set_function(lambda: int(self.is_leading))
-        self.metrics.quarantined.set_function(lambda: len(self.dispatcher.quarantine.groups))
+        self.quarantine = QuarantineReplicator(self.dispatcher.quarantine, self.log, self.metrics)
         self.views = ViewPublisher(self.network, self.directory)
         self.reports = ReportExchange(settings.instance_id, self.network, self._all_cores)
         self.leading_term = 0
         self.applied_version = -1
         self.applied_drained: list[str] = []
-        self.applied_quarantined: list[list[str]] = []
-        self.quarantine_task: asyncio.Task | None = None
         self.known_cores = list(settings.cores)
         self.state_update_handle: asyncio.Handle | None = None
         self.place_waiting_timer: asyncio.TimerHandle | None = None
@@ -180,13 +177,13 @@
         packed = zlib.compress(document)
         with self.metrics.commits.labels("routes").time():
             answer = await self.log.propose(StoreRoutes(routes.version, packed), PROPOSE_TIMEOUT_S)
-        return self._log_change("routes", routes.version, answer)
+        return log_change("routes", routes.version, answer)
 
     async def set_drain(self, failure_domain: str, drained: bool) -> Result[int, Failure]:
         """Commit that a failure domain is drained, or returned to service."""
         with self.metrics.commits.labels("drain").time():
             answer = await self.log.propose(SetDrain(failure_domain, drained), PROPOSE_TIMEOUT_S)
-        return self._log_change("drain" if drained else "restore", failure_domain, answer)
+        return log_change("drain" if drained else "restore", failure_domain, answer)
 
     async def read_routes(self) -> Result[RouteDocument, Failure]:
         """Return the routes in force, confirmed by a quorum."""
@@ -258,23 +255,6 @@
         self.reports.send_change(report, time.monotonic())
         self._push_views()
 
-    def _log_change(
-        self, change: str, subject: int | str, answer: Result[StoreAnswer, Failure]
-    ) -> Result[int, Failure]:
-        if answer.is_err():
-            failure = answer.unwrap_err()
-            log_message("change_committed", change=change, subject=subject, failure=str(failure))
-            return answer
-        state = answer.unwrap()
-        log_message(
-            "change_committed",
-            change=change,
-            subject=subject,
-            in_force=state.version,
-            changed=state.changed,
-        )
-        return Ok(state.version)
-
     def _current_routes(self) -> RouteDocument:
         return self.log.state.parts["routes"].current
 
@@ -311,31 +291,10 @@
             self.applied_drained = list(current.drained)
             self.dispatcher.set_drained(set(current.drained))
             self.views.mark_changed()
-        if current.quarantined != self.applied_quarantined:
-            self.applied_quarantined = current.quarantined
-            if not self.is_leading:
-                self.dispatcher.quarantine.restore(current.quarantined, time.monotonic())
+        if self.quarantine.apply(current.quarantined, self.is_leading):
             self.views.mark_changed()
         self._push_views()
 
-    def _store_quarantine(self) -> None:
-        """Commit the quarantined prompt parts if they differ from the replicated ones.
-
-        Notes
-        -----
-        This core refuses them meanwhile; the replicated state reaches entry nodes that place
-        requests alone, and later leaders. Housekeeping repeats a change that was not committed.
-        """
-        is_storing = self.quarantine_task is not None and not self.quarantine_task.done()
-        groups = self.dispatcher.quarantine.list_groups()
-        if self.is_leading and not is_storing and groups != self._current_routes().quarantined:
-            self.quarantine_task = asyncio.create_task(self._propose_quarantine(groups))
-
-    async def _propose_quarantine(self, groups: list[list[str]]) -> None:
-        with self.metrics.commits.labels("quarantine").time():
-            answer = await self.log.propose(SetQuarantine(groups), PROPOSE_TIMEOUT_S)
-        self._log_change("quarantine", str(groups), answer)
-
     def _update_role(self) -> None:
         if not self.log.is_leader:
             self._refuse_waiting()
@@ -414,7 +373,8 @@
 
     def _receive_ended(self, sender: str, message: SendEnded) -> None:
         self.dispatcher.record_ended(message, time.monotonic())
-        self._store_quarantine()
+        if self.is_leading:
+            self.quarantine.propose_changes()
         if self.dispatcher.queue.calls and self.place_waiting_timer is None:
             loop = asyncio.get_running_loop()
             self.place_waiting_timer = loop.call_later(PLACE_WAITING_DELAY_S, self._place_waiting)
@@ -461,7 +421,8 @@
         for name in self.views.expire(now_s):
             self.dispatcher.drop_unlisted_sends(name, set(), now_s)
         self.dispatcher.quarantine.expire(now_s)
-        self._store_quarantine()
+        if self.is_leading:
+            self.quarantine.propose_changes()
         self._push_views()
         self._plan_voters(now_s)
 
--- a/laburnumrock/nodes/_decision_log.py
+++ b/laburnumrock/nodes/_decision_log.py
@@ -1,10 +1,32 @@
-"""Log lines of a core about placements and upstreams."""
+"""Log lines of a core about changes, placements and upstreams."""
 
 import time
 
 from eliot import log_message
+from result import Ok, Result
 
 from laburnumrock.dispatch import DispatchAnswer, DispatchCall, Dispatcher, UpstreamReport
+from laburnumrock.errors import Failure
+from laburnumrock.routing import StoreAnswer
+
+
+def log_change(
+    change: str, subject: int | str, answer: Result[StoreAnswer, Failure]
+) -> Result[int, Failure]:
+    """Log the result of a proposed change, and return the version of the routes afterwards."""
+    if answer.is_err():
+        failure = answer.unwrap_err()
+        log_message("change_committed", change=change, subject=subject, failure=str(failure))
+        return answer
+    state = answer.unwrap()
+    log_message(
+        "change_committed",
+        change=change,
+        subject=subject,
+        in_force=state.version,
+        changed=state.changed,
+    )
+    return Ok(state.version)
 
 
 def log_decision(
--- a/laburnumrock/nodes/tests/test_quarantine.py
+++ b/laburnumrock/nodes/tests/test_quarantine.py
@@ -34,7 +34,7 @@
 
 
 def is_stored(core) -> bool:
-    return core.applied_quarantined == [["dead"]]
+    return core.quarantine.applied_groups == [["dead"]]
 
 
 class TestQuarantine:
@@ -94,7 +94,7 @@
                 await wait_until(lambda: entry.quarantine.groups)
                 entry.record_ended(SendEnded(100, SendOutcome.DONE, [], ["dead"], 0.0))
                 cores = deployment.cores.values()
-                await wait_until(lambda: not any(core.applied_quarantined for core in cores))
+                await wait_until(lambda: not any(core.quarantine.applied_groups for core in cores))
                 await wait_until(lambda: not entry.quarantine.groups)
                 quarantines = [core.dispatcher.quarantine for core in cores]
                 assert not any(quarantine.groups for quarantine in quarantines)
