--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -16,6 +16,8 @@
 STREAM_EVENTS = 8
 ACCOUNT = "one"
 SLOTS = 16
+UNFRAMED_SHARE = 0.1
+"""Share of the answers with neither a length nor chunks, which end with their connection."""
 CRASH_DOWN_S = 1.5
 """Time after which an engine that a prompt crashed starts again."""
 DRAIN_LIMIT_S = 2.0
@@ -208,30 +210,38 @@
         if self.mode == "engine_fails" and self.source.random() < 0.5:
             writer.write(_encode_head(500, request_id, 0, {}))
             return
+        unframed = self.source.random() < UNFRAMED_SHARE
         if "/stream/" not in line:
             await asyncio.sleep(0.01)
             body = f"done {request_id}".encode()
-            writer.write(_encode_head(200, request_id, len(body), {}) + body)
+            length = None if unframed else len(body)
+            writer.write(_encode_head(200, request_id, length, {}, unframed) + body)
+            if unframed:
+                writer.close()
             return
         first = int(headers.get("last-event-id", "0")) + 1
         cut = 0
         if self.mode == "engine_cuts" and first <= STREAM_EVENTS:
             cut = self.source.randint(first, STREAM_EVENTS)
-        writer.write(_encode_head(200, request_id, None, {"Content-Type": "text/event-stream"}))
+        content_type = {"Content-Type": "text/event-stream"}
+        writer.write(_encode_head(200, request_id, None, content_type, unframed))
         for number in range(first, STREAM_EVENTS + 1):
             event = make_event(request_id, number)
             if number == cut:
-                _write_chunk(writer, event[: self.source.randrange(1, len(event))])
+                _write_part(writer, event[: self.source.randrange(1, len(event))], unframed)
                 await writer.drain()
                 writer.close()
                 return
-            _write_chunk(writer, event)
+            _write_part(writer, event, unframed)
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
             if is_crashing:
                 self._crash_under_prompt()
                 return
-        writer.write(b"0\r\n\r\n")
+        if unframed:
+            writer.close()
+        else:
+            writer.write(b"0\r\n\r\n")
 
     def _crash_under_prompt(self) -> None:
         if self.mode == "down":
@@ -249,16 +259,22 @@
 
 
 def _encode_head(
-    status: int, request_id: str, length: int | None, headers: dict[str, str]
+    status: int,
+    request_id: str,
+    length: int | None,
+    headers: dict[str, str],
+    unframed: bool = False,
 ) -> bytes:
     lines = [f"HTTP/1.1 {status} Reason"]
     if request_id:
         lines += [f"Request-Id: {request_id}", "Server-Signature: proof"]
-    lines.append("Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}")
+    if not unframed:
+        framing = "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
+        lines.append(framing)
     lines += [f"{name}: {value}" for name, value in headers.items()]
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
-def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+def _write_part(writer: asyncio.StreamWriter, data: bytes, unframed: bool) -> None:
     with contextlib.suppress(RuntimeError):
-        writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        writer.write(data if unframed else f"{len(data):x}\r\n".encode() + data + b"\r\n")
