--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -106,7 +106,9 @@
         return f"{self.name}-{self.incarnation}"
 
     async def start(self) -> None:
-        """Start a new incarnation."""
+        """Start a new incarnation, unless one runs that another fault has started."""
+        if self.incarnation and self.mode != "down":
+            return
         self.incarnation += 1
         self.sequence = 0
         self.state = "ready"
--- a/laburnumrock/platform/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -1,11 +1,16 @@
 """Tests of the fault schedule and of the findings, and short soak runs."""
 
+import asyncio
+import random
+
 import pytest
 
 from laburnumrock.platform.soak import ACTIONS, Findings, SoakSettings, make_schedule, run_soak
-from laburnumrock.platform.soak._run import _claim_network
+from laburnumrock.platform.soak._run import _claim_network, _find_free_ports
 from laburnumrock.platform.soak._schedule import CORE_RECOVERY_S
 from laburnumrock.platform.soak._state import RunState
+from laburnumrock.platform.soak._upstreams import RequestTracker, Upstream
+from laburnumrock.standins import FaultyProxy
 
 # Seeds that once failed, each with the cause.
 REGRESSIONS: dict[int, str] = {}
@@ -53,6 +58,33 @@
         assert runs[0].network != runs[1].network
 
 
+class TestUpstream:
+    def test_two_restarts_at_the_same_time(self):
+        """Guards against a fault that ends with an error since another one restarted its target."""
+
+        async def run():
+            port, proxy_port = _find_free_ports(2)
+            proxy = FaultyProxy("127.0.0.1", proxy_port, port)
+            upstream = Upstream(
+                "engine0",
+                "llm",
+                "zone-a",
+                "127.0.0.1",
+                port,
+                proxy,
+                Findings(),
+                RequestTracker(),
+                random.Random(1),
+            )
+            await upstream.start()
+            upstream.crash()
+            await asyncio.gather(upstream.start(), upstream.start())
+            assert upstream.incarnation == 2
+            upstream.crash()
+
+        asyncio.run(run())
+
+
 @pytest.mark.processes
 class TestRun:
     @pytest.mark.parametrize("seed", [1, 2, *REGRESSIONS])
