Log the limits that upstreams state on their requests

The logs could not show which engine had said what, and to which entry node, so the hypotheses could not be told apart.

Change: the adapter decodes the header, and the entry node writes a line upstream_limited for each response with a limit; header_unreadable for a value that is no limit. Placement is unchanged.

--- a/laburnumrock/forwarding/_send.py
+++ b/laburnumrock/forwarding/_send.py
@@ -13,7 +13,7 @@
 from laburnumrock.forwarding._exchange import ExchangeResult, UpstreamResponse, exchange
 from laburnumrock.forwarding._http_response import ResponseWriter, is_success
 from laburnumrock.forwarding._reservations import HelperReservation
-from laburnumrock.forwarding._wire import SendMetadata
+from laburnumrock.forwarding._wire import ResponseMetadata, SendMetadata
 from laburnumrock.routing import RequestKind
 
 MIN_REMAINING_S = 0.02
@@ -160,11 +160,21 @@
 
     def _start_relay(self, response: UpstreamResponse) -> bool:
         """Start the relay of a stream of events; return whether the response is one."""
+        self._record_limit(response.facts)
         if self.writer.route.kind is not RequestKind.STREAMING or not is_success(response):
             return False
         self.writer.start_stream(response)
         return True
 
+    def _record_limit(self, facts: ResponseMetadata) -> None:
+        """Record the limit that the upstream states on its requests, if there is one."""
+        limit = facts.max_requests_per_s
+        # A misdirected request was answered by another upstream than the one it was placed on.
+        if limit is None or facts.misdirected:
+            return
+        upstream = self.placement.upstream_id
+        self.writer.log("upstream_limited", upstream=upstream, requests_per_s=limit)
+
     async def _relay(self, chunk: bytes) -> None:
         events = self.progress.events
         known = events.count
--- a/laburnumrock/forwarding/_wire.py
+++ b/laburnumrock/forwarding/_wire.py
@@ -96,6 +96,11 @@
         Whether an upstream other than the expected one responded.
     encoded : bool
         Whether the body has a content coding that was not requested.
+    states_limit : bool
+        Whether the upstream states a limit on its requests.
+    max_requests_per_s : float, optional
+        Requests per second that it takes from all instances together; None if it states no limit or
+        one that cannot be read.
     """
 
     request_id: str | None
@@ -103,6 +108,8 @@
     proves_not_run: bool
     misdirected: bool
     encoded: bool
+    states_limit: bool = False
+    max_requests_per_s: float | None = None
 
 
 class WireFormat(Protocol):
--- a/laburnumrock/platform/_wire.py
+++ b/laburnumrock/platform/_wire.py
@@ -2,7 +2,9 @@
 
 import itertools
 import json
+import math
 
+from eliot import log_message
 from tornado.httputil import HTTPHeaders
 
 from laburnumrock.forwarding import CallerRequest, ResponseMetadata, SendMetadata
@@ -35,6 +37,9 @@
 MAX_TOKENS = 1_000_000_000
 """Largest number of tokens of a request, a thousand times that of the longest prompts."""
 
+MAX_LOGGED_CHARS = 50
+"""Maximum length of an unreadable header value in a log line."""
+
 
 class PlatformWire:
     """Encodes and decodes platform headers; see `laburnumrock.forwarding.WireFormat`."""
@@ -77,12 +82,15 @@
 
     def decode_response(self, status: int, headers: HTTPHeaders) -> ResponseMetadata:
         """Decode the headers of an engine response."""
+        limit = headers.get("Server-Limit")
         return ResponseMetadata(
             request_id=headers.get("Request-Id"),
             signed="Server-Signature" in headers,
             proves_not_run="Not-Executed" in headers or status == 421,
             misdirected=status == 421,
             encoded="Content-Encoding" in headers,
+            states_limit=limit is not None,
+            max_requests_per_s=None if limit is None else _decode_limit(limit),
         )
 
     def encode_response(self, headers: HTTPHeaders) -> HTTPHeaders:
@@ -129,6 +137,18 @@
     return tuple(itertools.islice(parts, MAX_SHARED_PARTS))
 
 
+def _decode_limit(value: str) -> float | None:
+    """Decode the requests per second that an engine takes; None if the value is not a limit."""
+    try:
+        limit = float(value)
+    except ValueError:
+        limit = math.nan
+    if not 0.0 <= limit < math.inf:
+        log_message("header_unreadable", header="Server-Limit", value=value[:MAX_LOGGED_CHARS])
+        return None
+    return limit
+
+
 def _decode_api_key(authorization: str | None) -> str | None:
     if authorization is None or not authorization.lower().startswith(_KEY_SCHEME):
         return None
--- a/laburnumrock/platform/tests/test_wire.py
+++ b/laburnumrock/platform/tests/test_wire.py
@@ -84,6 +84,27 @@
         assert not WIRE.decode_response(503, HTTPHeaders()).proves_not_run
         assert WIRE.decode_response(421, HTTPHeaders()).proves_not_run
 
+    @pytest.mark.parametrize(
+        "value, limit",
+        [
+            ("1", 1.0),
+            ("0", 0.0),
+            ("2.50", 2.5),
+            (" 7 ", 7.0),
+            ("", None),
+            ("nan", None),
+            ("inf", None),
+            ("-1", None),
+            ("1,2", None),
+            ("soon", None),
+        ],
+    )
+    def test_stated_limit(self, value, limit):
+        """Guards against logs that do not show how many requests an engine takes."""
+        metadata = WIRE.decode_response(200, HTTPHeaders({"Server-Limit": value}))
+        assert (metadata.states_limit, metadata.max_requests_per_s) == (True, limit)
+        assert not WIRE.decode_response(200, HTTPHeaders()).states_limit
+
     def test_error_headers(self):
         """Guards against an error response without Retry-After."""
         headers = WIRE.encode_error("r1", 1.25)
