Add failing tests of upstreams that state a limit on their requests

One engine of four, all engines, or all servers of a plain service state a limit in their responses.

Requests count as the rule says: from 3 s after the limit was first stated, and from entries that got a response with it at least 0.5 s before. The tests also check that the limit is used, and that the upstreams are in full use again once they state none.

--- a/laburnumrock/platform/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -83,6 +83,7 @@
         kind = self.source.choice(KINDS)
         request_id = f"c{self.number}-{self.sent}"
         self.tracker.sent.add(request_id)
+        self.tracker.entries[request_id] = self.host
         if kind == "once":
             self.tracker.once.add(request_id)
         headers = {}
--- /dev/null
+++ b/laburnumrock/platform/soak/_limits.py
@@ -0,0 +1,71 @@
+"""Limits that simulated upstreams state on their requests, and the requests beyond them."""
+
+import time
+from dataclasses import dataclass, field
+
+CONTACT_S = 3.0
+"""Time after the limit was first stated from which it must be kept."""
+KNOWN_S = 0.5
+"""Age of the first response with the limit from which an entry counts as informed."""
+WINDOW_S = 4.0
+EXCESS_RATIO = 1.5
+EXCESS_REQUESTS = 5
+"""Requests beyond the limit, as a ratio and in addition, that are allowed in a window."""
+
+
+@dataclass(slots=True)
+class StatedLimit:
+    """Limit of one incarnation of an upstream, with the requests that reached it.
+
+    Parameters
+    ----------
+    requests_per_s : float
+        Requests per second that the upstream takes from all entries together.
+    stated_s : float
+        Monotonic clock reading from which the limit is stated.
+    ended_s : float
+        Monotonic clock reading until which it is stated.
+    informed_s : dict of str to float
+        When an entry first got a response with the limit, by host.
+    arrivals : list of tuple of (float, str)
+        Time of each request, and the host of the entry that sent it.
+    """
+
+    requests_per_s: float
+    stated_s: float = field(default_factory=time.monotonic)
+    ended_s: float = float("inf")
+    informed_s: dict[str, float] = field(default_factory=dict)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+
+    @property
+    def max_arrivals(self) -> float:
+        """Number of requests that may arrive in any window of `WINDOW_S`."""
+        return EXCESS_RATIO * WINDOW_S * self.requests_per_s + EXCESS_REQUESTS
+
+    def record(self, host: str) -> None:
+        """Record a request of an entry, whose response will state the limit."""
+        now_s = time.monotonic()
+        self.arrivals.append((now_s, host))
+        self.informed_s.setdefault(host, now_s)
+
+    def excuse(self, host: str) -> None:
+        """Do not count the requests of an entry that was restarted, paused or cut off."""
+        self.informed_s.pop(host, None)
+        self.arrivals = [arrival for arrival in self.arrivals if arrival[1] != host]
+
+    def count_most(self) -> int:
+        """Return the largest number of counted requests in any window."""
+        counted_s = [
+            arrived_s
+            for arrived_s, host in self.arrivals
+            if arrived_s >= self.stated_s + CONTACT_S
+            and arrived_s <= self.ended_s
+            and arrived_s >= self.informed_s[host] + KNOWN_S
+        ]
+        return max(
+            (
+                sum(first_s <= arrived_s < first_s + WINDOW_S for arrived_s in counted_s)
+                for first_s in counted_s
+            ),
+            default=0,
+        )
--- a/laburnumrock/platform/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -16,7 +16,6 @@
 from laburnumrock.platform.soak._operator import Operator, call_core
 from laburnumrock.platform.soak._schedule import (
     CORES,
-    ENTRIES,
     SERVERS,
     make_schedule,
 )
@@ -80,7 +79,7 @@
 def _make_nodes(soak: RunState) -> None:
     front, control, target, bind, _, ready = soak.ports
     cores = [f"{soak.network}.{10 + number}" for number in range(CORES)]
-    entries = [f"{soak.network}.{20 + number}" for number in range(ENTRIES)]
+    entries = [f"{soak.network}.{20 + number}" for number in range(soak.settings.entries)]
     for kind, hosts in (("core", cores), ("entry", entries)):
         for number, host in enumerate(hosts):
             name = f"{kind}{number}"
--- a/laburnumrock/platform/soak/_state.py
+++ b/laburnumrock/platform/soak/_state.py
@@ -6,7 +6,7 @@
 
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._operator import Operator
-from laburnumrock.platform.soak._schedule import ENGINES
+from laburnumrock.platform.soak._schedule import ENGINES, ENTRIES
 from laburnumrock.platform.soak._upstreams import RequestTracker, Upstream
 from laburnumrock.scenarios import ManagedProcess
 from laburnumrock.standins import FaultyProxy
@@ -30,6 +30,8 @@
         Number of concurrent callers.
     engines : int
         Number of engines; faults of the schedule affect the first four.
+    entries : int
+        Number of entries; faults of the schedule affect the first three.
     """
 
     seed: int
@@ -37,6 +39,7 @@
     folder: Path
     callers: int = 8
     engines: int = ENGINES
+    entries: int = ENTRIES
 
 
 @dataclass(slots=True)
--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from laburnumrock.platform.soak._findings import Findings
+from laburnumrock.platform.soak._limits import StatedLimit
 from laburnumrock.platform.soak._prompts import CrashingPrompts
 from laburnumrock.standins import FaultyProxy
 
@@ -40,6 +41,8 @@
         Monotonic clock readings at which the streams without a crashing part were sent.
     prompts : CrashingPrompts
         Part of a prompt that crashes engines, with its arrivals and crashes.
+    entries : dict of str to str
+        Host of the entry to which each request was sent.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -47,6 +50,7 @@
     once: set[str] = field(default_factory=set)
     streams_sent_s: dict[str, float] = field(default_factory=dict)
     prompts: CrashingPrompts = field(default_factory=CrashingPrompts)
+    entries: dict[str, str] = field(default_factory=dict)
 
 
 def make_event(request_id: str, number: int) -> bytes:
@@ -99,6 +103,7 @@
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     server: asyncio.Server | None = None
     restart: asyncio.Task | None = None
+    limit: StatedLimit | None = None
 
     @property
     def upstream_id(self) -> str:
@@ -114,6 +119,7 @@
         self.state = "ready"
         self.mode = ""
         self.drain_acknowledged_s = float("inf")
+        self.limit = None
         self.reservations.clear()
         self.server = await asyncio.start_server(self._serve, self.host, self.port)
         await self.proxy.start()
@@ -146,6 +152,17 @@
             "born": 1_700_000_000_000 + self.incarnation,
         }
 
+    def state_limit(self, requests_per_s: float) -> StatedLimit:
+        """State a limit on the requests per second in all responses from now on."""
+        self.limit = StatedLimit(requests_per_s)
+        return self.limit
+
+    def end_limit(self) -> None:
+        """State no limit in further responses."""
+        if self.limit is not None:
+            self.limit.ended_s = time.monotonic()
+            self.limit = None
+
     def list_active_reservations(self) -> list[str]:
         """Return the names of the reservations whose lease has not expired."""
         now_s = time.monotonic()
@@ -176,11 +193,13 @@
             return
         request_id = headers.get("request-id", "")
         self._check_received(request_id, headers)
+        if self.limit is not None:
+            self.limit.record(self.tracker.entries.get(request_id, ""))
         is_crashing = self.tracker.prompts.record_arrival(request_id, headers.get("prefix-hash"))
         if headers.get("expect-instance") != self.upstream_id:
-            writer.write(_encode_head(421, "", 0, {"Not-Executed": "1"}))
+            writer.write(self._encode_head(421, "", 0, {"Not-Executed": "1"}))
         elif self.mode == "engine_refuses":
-            writer.write(_encode_head(503, "", 0, {"Not-Executed": "1"}))
+            writer.write(self._encode_head(503, "", 0, {"Not-Executed": "1"}))
         elif self.mode == "engine_mute":
             await asyncio.sleep(30)
         else:
@@ -210,14 +229,14 @@
     ) -> None:
         self.tracker.runs[request_id] = self.tracker.runs.get(request_id, 0) + 1
         if self.mode == "engine_fails" and self.source.random() < 0.5:
-            writer.write(_encode_head(500, request_id, 0, {}))
+            writer.write(self._encode_head(500, request_id, 0, {}))
             return
         unframed = self.source.random() < UNFRAMED_SHARE
         if "/stream/" not in line:
             await asyncio.sleep(0.01)
             body = f"done {request_id}".encode()
             length = None if unframed else len(body)
-            writer.write(_encode_head(200, request_id, length, {}, unframed) + body)
+            writer.write(self._encode_head(200, request_id, length, {}, unframed) + body)
             if unframed:
                 writer.close()
             return
@@ -226,7 +245,7 @@
         if self.mode == "engine_cuts" and first <= STREAM_EVENTS:
             cut = self.source.randint(first, STREAM_EVENTS)
         content_type = {"Content-Type": "text/event-stream"}
-        writer.write(_encode_head(200, request_id, None, content_type, unframed))
+        writer.write(self._encode_head(200, request_id, None, content_type, unframed))
         for number in range(first, STREAM_EVENTS + 1):
             event = make_event(request_id, number)
             if number == cut:
@@ -245,6 +264,27 @@
         else:
             writer.write(b"0\r\n\r\n")
 
+    def _encode_head(
+        self,
+        status: int,
+        request_id: str,
+        length: int | None,
+        headers: dict[str, str],
+        unframed: bool = False,
+    ) -> bytes:
+        lines = [f"HTTP/1.1 {status} Reason"]
+        if request_id:
+            lines += [f"Request-Id: {request_id}", "Server-Signature: proof"]
+        if not unframed:
+            framing = (
+                "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
+            )
+            lines.append(framing)
+        if self.limit is not None:
+            lines.append(f"Server-Limit: {self.limit.requests_per_s}")
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
     def _crash_under_prompt(self) -> None:
         if self.mode == "down":
             return
@@ -257,24 +297,7 @@
             self.reservations[order["id"]] = time.monotonic() + order["hold_ms"] / 1000
         else:
             self.reservations.pop(order["id"], None)
-        writer.write(_encode_head(200, "", 2, {}) + b"{}")
-
-
-def _encode_head(
-    status: int,
-    request_id: str,
-    length: int | None,
-    headers: dict[str, str],
-    unframed: bool = False,
-) -> bytes:
-    lines = [f"HTTP/1.1 {status} Reason"]
-    if request_id:
-        lines += [f"Request-Id: {request_id}", "Server-Signature: proof"]
-    if not unframed:
-        framing = "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
-        lines.append(framing)
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+        writer.write(self._encode_head(200, "", 2, {}) + b"{}")
 
 
 def _write_part(writer: asyncio.StreamWriter, data: bytes, unframed: bool) -> None:
