Move the token bucket to a package of its own

The dispatcher needs it for the limits that upstreams state, and the entry nodes of the platform, which pay for each import, must not load admission for it. No change of behavior; its tests were only those of its users.

--- a/laburnumrock/admission/__init__.py
+++ b/laburnumrock/admission/__init__.py
@@ -1,7 +1,6 @@
 """Admission control: client account limits, shares of failure domains, deadline prediction."""
 
 from laburnumrock.admission._account import AccountLimiter, AccountLimits
-from laburnumrock.admission._buckets import RetryBudget, TokenBucket
 from laburnumrock.admission._deadlines import order_pools, predict_finish_s
 from laburnumrock.admission._messages import (
     AccountDemand,
@@ -15,6 +14,7 @@
     ShareReport,
 )
 from laburnumrock.admission._quota_keeper import QuotaManager
+from laburnumrock.admission._retry_budget import RetryBudget
 from laburnumrock.admission._shares import ShareAllocator
 
 __all__ = [
@@ -32,7 +32,6 @@
     "ShareGrant",
     "ShareLoan",
     "ShareReport",
-    "TokenBucket",
     "order_pools",
     "predict_finish_s",
 ]
--- a/laburnumrock/admission/_account.py
+++ b/laburnumrock/admission/_account.py
@@ -4,8 +4,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from laburnumrock.admission._buckets import TokenBucket
 from laburnumrock.errors import ErrorKind
+from laburnumrock.rates import TokenBucket
 
 MIN_RETRY_AFTER_S = 0.1
 DEMAND_WINDOW_S = 3.0
--- a/laburnumrock/orders/_controller.py
+++ b/laburnumrock/orders/_controller.py
@@ -15,7 +15,6 @@
   fetches the engine's status. The order is resent only if the status does not list it.
 """
 
-from laburnumrock.admission import TokenBucket
 from laburnumrock.messages import Effect
 from laburnumrock.orders._effects import FetchEngineStatus, ProposeOrderUpdate, SendOrder
 from laburnumrock.orders._messages import (
@@ -31,6 +30,7 @@
 )
 from laburnumrock.orders._part import OrderStore
 from laburnumrock.orders._track import PendingOperation, TrackedEngine
+from laburnumrock.rates import TokenBucket
 from laburnumrock.settings import OrderSettings
 
 # A call without a response is aborted after this time and its connection is closed.
--- /dev/null
+++ b/laburnumrock/rates/__init__.py
@@ -0,0 +1,5 @@
+"""Limits on rates, without I/O."""
+
+from laburnumrock.rates._token_bucket import TokenBucket
+
+__all__ = ["TokenBucket"]
