Keep to the limits that upstreams state on their requests

Cause: what an upstream says about its own capacity ended at the entry node that got the response, which passed it on to the caller and forgot it. The leader, which chooses the upstreams of all entry nodes, was never told.

Change: the entry node reports each statement to the leader at once, and lists all limits that it knows in its hellos, with their age. A limit ends with a successful response without it to a request that was granted at least 0.5 s after the last statement, or with the process of the upstream. The answers to hellos spread the limits; entry nodes that place alone use half of each limit together, beginning at random times. A new leader knows the limits no later than the entry nodes that were told of them, and starts with empty buckets, so a change of the leader adds nothing.

Why this works: the process that decides knows, and knowledge is repeated until evidence newer than it ends it. Messages that are lost or late only delay.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -8,6 +8,8 @@
 from laburnumrock.dispatch._engine_model import MS_PER_S
 from laburnumrock.dispatch._fleet import Fleet
 from laburnumrock.dispatch._limits import (
+    MAX_RETRY_S,
+    MIN_RETRY_S,
     DispatchSettings,
     client_timeout_s,
     max_queue_wait_s,
@@ -19,6 +21,7 @@
     DispatchAnswer,
     DispatchCall,
     Helper,
+    LimitReport,
     SendEnded,
     SendOutcome,
     SendStalled,
@@ -36,9 +39,6 @@
 NO_UPSTREAM_RETRY_S = 2.0
 """Retry delay for requests to a service without upstreams, which report about every second, also
 after all of them were lost."""
-MAX_RETRY_S = 3.0
-"""Upper bound of the retry delay sent to a refused caller; callers wait for up to a third of their
-remaining time."""
 PERMIT_GRACE_S = 1.0
 """Minimum age at which a send is dropped because its entry node does not list it; the list may have
 been sent before the permit arrived."""
@@ -74,7 +74,7 @@
         self.queue = CallQueue(settings)
         self.quarantine = PromptQuarantine(settings.quarantine)
         self.trials = PromptTrials(self.quarantine, self.fleet)
-        self.next_permit = 1
+        self.first_permit = self.next_permit = 1
 
     def start(self, first_permit: int, now_s: float) -> None:
         """Start with no active sends and an empty queue.
@@ -93,7 +93,7 @@
         self.budgets.clear()
         self.trials.clear()
         self.queue.start(first_permit)
-        self.next_permit = first_permit
+        self.first_permit = self.next_permit = first_permit
 
     def set_routes(self, routes: RouteSet) -> None:
         """Apply the declared services."""
@@ -137,11 +137,17 @@
         choice = self._choose(domain, call, now_s)
         if choice is not None and not self.chooser.should_wait(choice, call):
             return self._grant_or_refuse(entry, choice, call, now_s)
-        if choice is None and not self.fleet.has_upstream(call, now_s):
+        eligible = self.fleet.list_eligible(call, now_s) if choice is None else []
+        if choice is None and not eligible:
             return _refuse(ErrorKind.NO_UPSTREAM, self._add_jitter(NO_UPSTREAM_RETRY_S))
         if choice is not None and self._exceeds_timeout_after_wait(choice, call, now_s):
             return self._refuse_unreachable(choice)
         held = self.trials.count_held(self.queue, call.service)
+        waiting = self.queue.count(call.service) - held
+        limited_s = self.fleet.limits.predict_wait_s(eligible, waiting, now_s)
+        if limited_s > max_queue_wait_s(self.settings, call):
+            retry_s = max(MIN_RETRY_S, self._add_jitter(min(MAX_RETRY_S, limited_s)))
+            return _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)
         slots = self._count_slots(call.service) if choice is None else 0
         if choice is None and self.queue.is_full(call, slots, now_s, held):
             predicted_s = min(MAX_RETRY_S, self.queue.predict_wait_s(call.service, now_s, held))
@@ -240,6 +246,9 @@
             self.fleet.record_unresponsive(name, now_s)
         if send is None:
             return
+        # The age of an adopted send is an estimate, so its response is no evidence.
+        if message.is_unlimited and send.permit >= self.first_permit:
+            self.fleet.limits.record_unlimited(send.upstream_id, send.started_s)
         record = self.directory.records.get(send.upstream_id)
         if record is not None:
             self.queue.record_ended(record.report.service, now_s)
@@ -333,9 +342,14 @@
         known = self.directory.records.get(report.upstream_id)
         changed = self.directory.observe(report, now_s)
         if changed and known is not None and known.report.incarnation != report.incarnation:
-            self.fleet.loads.pop(report.upstream_id, None)
+            self.fleet.forget(report.upstream_id)
         return changed
 
+    def record_limits(self, reports: list[LimitReport], now_s: float) -> None:
+        """Apply limits that upstreams stated to an entry node."""
+        for report in reports:
+            self.fleet.limits.record(report, now_s)
+
     def _grant_or_refuse(
         self, entry: str, choice: Choice, call: DispatchCall, now_s: float
     ) -> DispatchAnswer:
@@ -391,10 +405,12 @@
         self.trials.start(permit, report.upstream_id, call)
         choice.load.add(send, now_s)
         self.fleet.record_cold_send(choice.entry, choice.load, now_s)
+        self.fleet.limits.take(report.upstream_id)
         helpers = []
         for helper, _, tokens in choice.helpers:
             self._add_part(send, helper, tokens, now_s)
             target = helper.report
+            self.fleet.limits.take(target.upstream_id)
             helpers.append(Helper(target.upstream_id, target.host, target.port, tokens))
         return DispatchAnswer(
             permit, report.upstream_id, report.host, report.port, choice.first_s, helpers
--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -8,6 +8,7 @@
 from laburnumrock.dispatch._limits import DispatchSettings
 from laburnumrock.dispatch._load import UpstreamLoad
 from laburnumrock.dispatch._messages import DispatchCall, UpstreamState
+from laburnumrock.dispatch._request_limits import RequestLimits
 from laburnumrock.routing import RouteSet, Service
 
 OUTPUT_TOKENS_WEIGHT = 10.0
@@ -40,12 +41,14 @@
         self.drained: set[str] = set()
         self.loads: dict[str, UpstreamLoad] = {}
         self.domain_health: dict[str, DomainHealth] = {}
+        self.limits = RequestLimits()
         self.started_s = 0.0
 
     def start(self, now_s: float) -> None:
-        """Discard the loads and the health of failure domains."""
+        """Discard the loads and the health of failure domains, but keep the stated limits."""
         self.loads.clear()
         self.domain_health.clear()
+        self.limits.restart(now_s)
         self.started_s = now_s
 
     def set_routes(self, routes: RouteSet) -> None:
@@ -93,6 +96,8 @@
             load = self.find_load(record)
             if now_s < record.cold_until_s and not self.has_cold_capacity(record, load, now_s):
                 continue
+            if self.limits.wait_s(report.upstream_id, now_s) > 0:
+                continue
             if load.summary.pending:
                 load.advance(now_s)
             if now_s < load.ejected_until_s or report.failure_domain in partitioned:
@@ -106,13 +111,14 @@
         if not usable and not stale:
             yield unresponsive
 
-    def has_upstream(self, call: DispatchCall, now_s: float) -> bool:
-        """Whether any upstream is eligible for a request, now or once it has a free slot."""
-        return any(
-            record.report.failure_domain not in self.drained
-            and record.report.upstream_id not in call.excluded
+    def list_eligible(self, call: DispatchCall, now_s: float) -> list[str]:
+        """Return the upstreams that may get a request, now or once they have capacity."""
+        return [
+            record.report.upstream_id
             for record in self.directory.usable(call.service, now_s)
-        )
+            if record.report.failure_domain not in self.drained
+            and record.report.upstream_id not in call.excluded
+        ]
 
     def serves(self, upstream_id: str, service: str) -> bool:
         """Whether an upstream belongs to a service."""
@@ -177,6 +183,18 @@
         load.cold_sends_in(1.0, now_s)
         load.cold_sends.append(now_s)
 
+    def expire_limits(self, now_s: float) -> None:
+        """Remove old limits of upstreams that are unknown; a new core learns of limits first."""
+        oldest_s = now_s - self.settings.retention_s
+        for name, limit in list(self.limits.by_upstream.items()):
+            if name not in self.directory.records and limit.stated_s < oldest_s:
+                self.limits.remove(name)
+
+    def forget(self, upstream_id: str) -> None:
+        """Discard what is known of the process of an upstream, which has ended."""
+        self.loads.pop(upstream_id, None)
+        self.limits.remove(upstream_id)
+
     def request_value(self, service: str, prompt_tokens: int, output_tokens: int) -> float:
         """Return the value of a request relative to the mean of its service."""
         model = self.models.get(service)
--- a/laburnumrock/dispatch/_limits.py
+++ b/laburnumrock/dispatch/_limits.py
@@ -15,6 +15,10 @@
 """Share of the caller's timeout for which a request may wait in the queue. A late answer is worth
 more to the caller than a refusal, after which it competes for the same slots again."""
 
+MIN_RETRY_S, MAX_RETRY_S = 0.05, 3.0
+"""Bounds of the retry delay sent to a refused caller. Callers wait for up to a third of their
+remaining time; a delay of 0 would not be sent."""
+
 
 @dataclass(frozen=True, slots=True)
 class DispatchSettings:
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -6,7 +6,7 @@
 from laburnumrock.dispatch._budget import RetryBudget
 from laburnumrock.dispatch._directory import UpstreamRecord
 from laburnumrock.dispatch._domain_health import DomainHealth
-from laburnumrock.dispatch._limits import DispatchSettings
+from laburnumrock.dispatch._limits import MAX_RETRY_S, MIN_RETRY_S, DispatchSettings
 from laburnumrock.dispatch._messages import (
     UNRESPONSIVE_OUTCOMES,
     DispatchAnswer,
@@ -16,6 +16,7 @@
 )
 from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
 from laburnumrock.dispatch._rank import engine_rank
+from laburnumrock.dispatch._request_limits import RequestLimits
 from laburnumrock.errors import ErrorKind
 from laburnumrock.quarantine import PromptQuarantine
 
@@ -34,6 +35,12 @@
 """Time for which an entry node avoids an upstream, or a failure domain, that did not respond; the
 node finds a dispatcher within a second once the partition ends."""
 
+LIMIT_SHARE = 0.5
+"""Share of a limit stated by an upstream that all entry nodes together use without the dispatcher.
+In a partition, a dispatcher that other entry nodes still reach uses the whole limit as well."""
+ALONE_GAP_S = 1.0
+"""Time without a placement after which an entry node begins to place requests alone anew."""
+
 
 class LocalDispatcher:
     """Balances the requests of one entry node over the upstreams in its last view.
@@ -57,6 +64,8 @@
         self.rng = rng
         self.budget = RetryBudget(0.0, 1.0, settings.retry_window_s)
         self.quarantine = PromptQuarantine(settings.quarantine)
+        self.limits = RequestLimits(LIMIT_SHARE)
+        self.placed_s = float("-inf")
         self.sends: dict[int, tuple[str, int]] = {}
         self.ejected_until_s: dict[str, float] = {}
         self.domain_health: dict[str, DomainHealth] = {}
@@ -65,10 +74,12 @@
         # dispatcher adopts their sends.
         self.next_permit = -rng.getrandbits(48) - 1
 
-    def share_budget(self, entry_count: int) -> None:
-        """Set the retry budget to an equal share among the entry nodes."""
+    def share_budget(self, entry_count: int, now_s: float) -> None:
+        """Use an equal share among the entry nodes of the retry budget and of stated limits."""
+        count = max(1, entry_count)
         slack = LOCAL_SLACK_SHARE * self.settings.retry_slack
-        self.budget.slack = max(1.0, slack / max(1, entry_count))
+        self.budget.slack = max(1.0, slack / count)
+        self.limits.set_share(LIMIT_SHARE / count, now_s)
 
     def place(
         self,
@@ -100,16 +111,26 @@
             return refusal
         if call.arrivals > 0 and not self.budget.try_take_retry(now_s):
             return DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value, retry_after_s=1.0)
+        if now_s - self.placed_s > ALONE_GAP_S:
+            # All entry nodes lose the dispatcher at the same time. Random levels spread the first
+            # requests that they send to a limited upstream.
+            self.limits.restart(now_s, self.rng.random)
+        self.placed_s = now_s
         loads: dict[str, int] = {}
         for name, tokens in self.sends.values():
             loads[name] = loads.get(name, 0) + 1 + tokens // LONG_PROMPT_TOKENS
         best = None
+        limited_s = float("inf")
         for record in upstreams:
             name = record.report.upstream_id
             if name in call.excluded or record.is_cold(now_s):
                 continue
             if record.report.failure_domain in unreachable:
                 continue
+            wait_s = self.limits.wait_s(name, now_s)
+            if wait_s > 0:
+                limited_s = min(limited_s, wait_s)
+                continue
             health = self.domain_health.get(record.report.failure_domain)
             ejected = now_s < self.ejected_until_s.get(name, 0.0)
             ejected = ejected or (health is not None and health.is_partitioned(now_s, EJECTION_S))
@@ -121,6 +142,11 @@
             key = (ejected, load, self.rng.random())
             if best is None or key < best[0]:
                 best = (key, record.report)
+        if best is None and limited_s < float("inf"):
+            retry_s = round(min(max(limited_s, MIN_RETRY_S), MAX_RETRY_S), 2)
+            return DispatchAnswer(
+                refusal=ErrorKind.CONCURRENCY_LIMITED.value, retry_after_s=retry_s
+            )
         if best is None:
             return DispatchAnswer(refusal=ErrorKind.NO_UPSTREAM.value, retry_after_s=1.0)
         report = best[1]
@@ -128,6 +154,7 @@
         self.next_permit -= 1
         self.domain_by_upstream[report.upstream_id] = report.failure_domain
         self.sends[permit] = (report.upstream_id, call.prompt_tokens)
+        self.limits.take(report.upstream_id)
         return DispatchAnswer(permit, report.upstream_id, report.host, report.port, call.goal_s)
 
     def record_ended(self, message: SendEnded, now_s: float) -> None:
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -253,6 +253,8 @@
         the upstream.
     duration_s : float
         Time since the send began.
+    is_unlimited : bool
+        Whether the upstream responded with success and without a limit on its requests.
     """
 
     permit: int
@@ -260,6 +262,27 @@
     unresponsive: list[str] = field(default_factory=list)
     parts: list[str] = field(default_factory=list)
     duration_s: float = 0.0
+    is_unlimited: bool = False
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """Limit that an upstream stated on its requests.
+
+    Parameters
+    ----------
+    upstream_id : str
+        Name of the upstream.
+    requests_per_s : float
+        Requests per second that it takes from all instances together.
+    age_s : float
+        Time since the newest response that stated it.
+    """
+
+    upstream_id: str
+    requests_per_s: float
+    age_s: float = 0.0
 
 
 @register_message
--- a/laburnumrock/dispatch/_queue.py
+++ b/laburnumrock/dispatch/_queue.py
@@ -147,14 +147,15 @@
             return False
         if self._count_ended(call.service, now_s) > 0:
             return self.predict_wait_s(call.service, now_s, held) > max_wait_s
-        return self._count(call.service) - held >= max(1, slots // 2)
+        return self.count(call.service) - held >= max(1, slots // 2)
 
     def predict_wait_s(self, service: str, now_s: float, held: int = 0) -> float:
         """Predict how long a request would wait; 0 if no send has ended recently."""
         rate = self._count_ended(service, now_s) / END_RATE_WINDOW_S
-        return (self._count(service) - held + 1) / rate if rate > 0 else 0.0
+        return (self.count(service) - held + 1) / rate if rate > 0 else 0.0
 
-    def _count(self, service: str) -> int:
+    def count(self, service: str) -> int:
+        """Return the number of queued requests of a service."""
         return sum(1 for queued in self.calls.values() if queued.call.service == service)
 
     def _count_ended(self, service: str, now_s: float) -> int:
--- a/laburnumrock/dispatch/tests/test_local.py
+++ b/laburnumrock/dispatch/tests/test_local.py
@@ -64,7 +64,7 @@
     def test_retries_share_a_budget(self):
         """Guards against more retries than all entry nodes may make together."""
         local = make_local()
-        local.share_budget(15)
+        local.share_budget(15, 0.0)
         second = replace(SHORT, attempt=2, arrivals=1)
         granted = [local.place("a", make_upstreams(), second, 1.0).permit for _ in range(10)]
         assert sum(permit != 0 for permit in granted) == 1
@@ -72,7 +72,7 @@
     def test_send_that_reached_no_upstream_is_no_retry(self):
         """Guards against refusals of requests that no upstream has received."""
         local = make_local()
-        local.share_budget(15)
+        local.share_budget(15, 0.0)
         second = replace(SHORT, attempt=2)
         granted = [local.place("a", make_upstreams(), second, 1.0).permit for _ in range(10)]
         assert all(granted)
--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -9,6 +9,7 @@
 from laburnumrock.dispatch import (
     DispatchAnswer,
     DispatchCall,
+    LimitReport,
     SendEnded,
     SendStalled,
     SendStarted,
@@ -81,6 +82,9 @@
     def record_started(self, message: SendStarted) -> None:
         """Record that the first data of the response has arrived."""
 
+    def record_limit(self, report: LimitReport) -> None:
+        """Record that an upstream has just stated a limit on its requests."""
+
     async def report_stall(self, message: SendStalled) -> StallAdvice:
         """Report a send without data for longer than expected, and return what to do with it."""
 
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -51,6 +51,8 @@
         Last complete response.
     has_output : bool
         Whether the last send succeeded and its upstream wrote an answer or events.
+    is_unlimited : bool
+        Whether the last send succeeded and its upstream stated no limit on its requests.
     """
 
     sent: int = 0
@@ -60,6 +62,7 @@
     unresponsive: list[str] = field(default_factory=list)
     last_response: UpstreamResponse | None = None
     has_output: bool = False
+    is_unlimited: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -223,6 +226,7 @@
     async def _send_and_record(self, call: DispatchCall, placement: DispatchAnswer) -> SendOutcome:
         """Send the request, and record the end of the send even if the caller disconnects."""
         attempts = self.attempts
+        attempts.has_output = attempts.is_unlimited = False
         self.context.dispatcher.record_sent(call, placement)
         began_s = time.monotonic()
         outcome = SendOutcome.CANCELLED
@@ -233,7 +237,9 @@
             has_evidence = attempts.has_output or outcome is SendOutcome.CRASHED
             parts = call.parts if has_evidence else []
             duration_s = time.monotonic() - began_s
-            ended = SendEnded(placement.permit, outcome, unresponsive, parts, duration_s)
+            ended = SendEnded(
+                placement.permit, outcome, unresponsive, parts, duration_s, attempts.is_unlimited
+            )
             self.context.dispatcher.record_ended(ended)
             self.context.metrics.sends.labels(self.service, outcome.value).inc()
         if not unresponsive and outcome is not SendOutcome.CANCELLED:
@@ -281,6 +287,7 @@
             has_output = send.received_data or not self.writer.started
             is_answered = outcome is SendOutcome.DONE and is_success(result.answer)
             attempts.has_output = is_answered and has_output
+            attempts.is_unlimited = is_answered and not result.answer.facts.states_limit
             return outcome
 
     async def _find_crash(self, placement: DispatchAnswer, result: ExchangeResult) -> bool:
--- a/laburnumrock/forwarding/_send.py
+++ b/laburnumrock/forwarding/_send.py
@@ -6,7 +6,7 @@
 
 from tornado.httputil import HTTPInputError
 
-from laburnumrock.dispatch import DispatchAnswer, SendStalled, SendStarted
+from laburnumrock.dispatch import DispatchAnswer, LimitReport, SendStalled, SendStarted
 from laburnumrock.forwarding._connections import UpstreamConnection
 from laburnumrock.forwarding._context import ForwardingContext
 from laburnumrock.forwarding._events import EventBuffer
@@ -174,6 +174,7 @@
             return
         upstream = self.placement.upstream_id
         self.writer.log("upstream_limited", upstream=upstream, requests_per_s=limit)
+        self.context.dispatcher.record_limit(LimitReport(upstream, limit))
 
     async def _relay(self, chunk: bytes) -> None:
         events = self.progress.events
--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -8,7 +8,14 @@
 
 from tornado.iostream import StreamClosedError
 
-from laburnumrock.dispatch import DispatchAnswer, DispatchCall, SendEnded, SendOutcome, StallAdvice
+from laburnumrock.dispatch import (
+    DispatchAnswer,
+    DispatchCall,
+    LimitReport,
+    SendEnded,
+    SendOutcome,
+    StallAdvice,
+)
 from laburnumrock.forwarding import (
     ConnectionPool,
     ConnectionPoolSettings,
@@ -109,12 +116,14 @@
     cut: bytes | None = None,
     pause_s: float = 0.0,
     delay_s: float = 0.0,
+    **headers: str,
 ) -> Script:
     """Send the events `first` to `last`; if `cut` is set, send it and close with the body open."""
 
     async def run(reader, writer, received: ReceivedRequest) -> None:
         await asyncio.sleep(delay_s)
-        head = make_head(200, received, True, None, {"Content-Type": "text/event-stream"})
+        values = {"Content-Type": "text/event-stream", **headers}
+        head = make_head(200, received, True, None, values)
         writer.write(head)
         for number in range(first, last + 1):
             write_chunk(writer, make_event(number))
@@ -173,6 +182,8 @@
         self.upstreams = upstreams
         self.calls: list[DispatchCall] = []
         self.outcomes: list[SendOutcome] = []
+        self.ended: list[SendEnded] = []
+        self.limits: list[LimitReport] = []
         self.refusal: DispatchAnswer | None = None
         self.advises_to_give_up = False
 
@@ -190,11 +201,15 @@
     def record_started(self, message) -> None:
         pass
 
+    def record_limit(self, report: LimitReport) -> None:
+        self.limits.append(report)
+
     async def report_stall(self, message) -> StallAdvice:
         return StallAdvice(self.advises_to_give_up)
 
     def record_ended(self, message: SendEnded) -> None:
         self.outcomes.append(message.outcome)
+        self.ended.append(message)
 
 
 @dataclass(slots=True)
--- a/laburnumrock/forwarding/tests/test_limits.py
+++ b/laburnumrock/forwarding/tests/test_limits.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from laburnumrock.forwarding.tests.scripted import ScriptedUpstream, answer, open_frontend
+from laburnumrock.dispatch import LimitReport
+from laburnumrock.forwarding.tests.scripted import (
+    ScriptedUpstream,
+    answer,
+    open_frontend,
+    stream,
+)
 
 LIMIT = {"Server_Limit": "2.5"}
 
@@ -30,3 +36,44 @@
         assert [(one["upstream"], one["requests_per_s"]) for one in limits] == [
             ("u1", 2.5)
         ] * logged
+
+
+class TestReports:
+    @pytest.mark.parametrize(
+        "path, script, reports, unlimited",
+        [
+            ("/once/x", answer(200, **LIMIT), 1, False),
+            ("/once/x", answer(503, Not_Executed="1", **LIMIT), 1, False),
+            ("/once/x", answer(421, **LIMIT), 0, False),
+            ("/once/x", answer(500), 0, False),
+            ("/once/x", answer(200, Server_Limit="soon"), 0, False),
+            ("/once/x", answer(200), 0, True),
+            ("/s/x", stream(1, 4), 0, True),
+            ("/s/x", stream(1, 4, Server_Limit="2.5"), 1, False),
+        ],
+    )
+    def test_response(self, path, script, reports, unlimited):
+        """Guards against a stated limit that does not reach the dispatcher, or ends too early."""
+
+        async def run():
+            async with open_frontend(ScriptedUpstream(script)) as frontend:
+                await frontend.request(path)
+            dispatcher = frontend.dispatcher
+            assert dispatcher.limits[:1] == [LimitReport("u1", 2.5)] * reports
+            assert dispatcher.ended[-1].is_unlimited is unlimited
+
+        asyncio.run(run())
+
+    def test_success_before_a_failure(self):
+        """Guards against a retry that is taken for as successful as an earlier send."""
+
+        async def run():
+            upstreams = [
+                ScriptedUpstream(stream(1, 2, cut=b"id: 3")),
+                ScriptedUpstream(answer(500)),
+            ]
+            async with open_frontend(*upstreams) as frontend:
+                await frontend.request("/s/x")
+            assert not any(ended.is_unlimited for ended in frontend.dispatcher.ended)
+
+        asyncio.run(run())
--- a/laburnumrock/metrics/_node_metrics.py
+++ b/laburnumrock/metrics/_node_metrics.py
@@ -52,6 +52,11 @@
             "Groups of prompt parts whose requests are refused",
             registry=registry,
         )
+        self.limited_upstreams = Gauge(
+            "laburnumrock_limited_upstreams",
+            "Upstreams that state a limit on their requests",
+            registry=registry,
+        )
         self.leading = Gauge("laburnumrock_leading", "1 while this core leads", registry=registry)
 
     def render(self) -> bytes:
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -14,6 +14,7 @@
     DispatchCall,
     DispatchDecided,
     Dispatcher,
+    LimitReport,
     SendEnded,
     SendStalled,
     SendStarted,
@@ -118,6 +119,7 @@
         network.handle(SendStarted, self._receive_started)
         network.handle(SendStalled, self._receive_stalled)
         network.handle(SendEnded, self._receive_ended)
+        network.handle(LimitReport, self._receive_limit)
         network.handle(UpstreamNews, self._receive_reports)
         network.handle(WithdrawCall, self._receive_withdrawal)
         network.handle(ConfirmDeparture, self._receive_departure)
@@ -330,12 +332,34 @@
         if not self.is_leading:
             self._update_role()
         leads = self.is_leading
+        # A core that does not lead learns of limits as well, since it may be the next leader.
+        self.dispatcher.record_limits(message.limits, now_s)
         if leads:
             for report in message.sends:
                 self.dispatcher.adopt(sender, report, now_s)
             self.dispatcher.drop_unlisted_sends(sender, set(message.permits), now_s)
             self.views.answer_hello(sender, message, self._make_view_base(), now_s)
-        return EntryWelcome(leads, self._find_leader(), self.log.term, self.settings.failure_domain)
+        self._log_limits()
+        return EntryWelcome(
+            leads,
+            self._find_leader(),
+            self.log.term,
+            self.settings.failure_domain,
+            self.dispatcher.fleet.limits.list_reports(now_s) if leads else [],
+        )
+
+    def _receive_limit(self, sender: str, message: LimitReport) -> None:
+        self.dispatcher.record_limits([message], time.monotonic())
+        self._log_limits()
+
+    def _log_limits(self) -> None:
+        """Log the limits of upstreams that changed, and update their number."""
+        limits = self.dispatcher.fleet.limits
+        if not limits.changes:
+            return
+        for upstream, requests_per_s in limits.take_changes().items():
+            log_message("limit_changed", upstream=upstream, requests_per_s=requests_per_s)
+        self.metrics.limited_upstreams.set(len(limits.by_upstream))
 
     def _find_leader(self) -> str | None:
         """Return the name of the leader that this core follows, if there is one."""
@@ -373,6 +397,7 @@
 
     def _receive_ended(self, sender: str, message: SendEnded) -> None:
         self.dispatcher.record_ended(message, time.monotonic())
+        self._log_limits()
         if self.is_leading:
             self.quarantine.propose_changes()
         if self.dispatcher.queue.calls and self.place_waiting_timer is None:
@@ -416,8 +441,10 @@
     def _run_housekeeping(self) -> None:
         now_s = time.monotonic()
         for name in self.directory.expire(now_s):
-            self.dispatcher.fleet.loads.pop(name, None)
+            self.dispatcher.fleet.forget(name)
             log_message("upstream_expired", upstream=name)
+        self.dispatcher.fleet.expire_limits(now_s)
+        self._log_limits()
         for name in self.views.expire(now_s):
             self.dispatcher.drop_unlisted_sends(name, set(), now_s)
         self.dispatcher.quarantine.expire(now_s)
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -14,6 +14,7 @@
     DispatchAnswer,
     DispatchCall,
     DispatchDecided,
+    LimitReport,
     LocalDispatcher,
     SendEnded,
     SendStalled,
@@ -268,6 +269,11 @@
             sent.writing = True
         self._send_to_leader(message)
 
+    def record_limit(self, report: LimitReport) -> None:
+        """Record a limit that an upstream has just stated, and report it to the leader."""
+        self.local_dispatcher.limits.record(report, time.monotonic())
+        self._send_to_leader(report)
+
     async def report_stall(self, message: SendStalled) -> StallAdvice:
         """Report a stalled send to the leader; without an answer the send continues."""
         if self.leader is None:
@@ -277,12 +283,15 @@
 
     def record_ended(self, message: SendEnded) -> None:
         """Record the end of a send and report it to the leader."""
-        self.sends.pop(message.permit, None)
+        sent = self.sends.pop(message.permit, None)
+        if sent is not None and message.is_unlimited:
+            upstream = sent.answer.upstream_id
+            self.local_dispatcher.limits.record_unlimited(upstream, sent.sent_s)
         if message.permit < 0:
             self.local_dispatcher.record_ended(message, time.monotonic())
         self._send_to_leader(message)
 
-    def _send_to_leader(self, message: SendStarted | SendEnded) -> None:
+    def _send_to_leader(self, message: SendStarted | SendEnded | LimitReport) -> None:
         if self.leader is not None:
             self.network.send(self.leader, message)
 
@@ -345,6 +354,7 @@
     async def _send_hello(self, core: str) -> bool:
         """Send a hello to a core, and return whether the core answered."""
         is_current_leader = self.leader == core
+        hello_s = time.monotonic()
         hello = self._make_hello(with_sends=not is_current_leader)
         answered: Result = await self.network.call(core, hello, HELLO_TIMEOUT_S)
         self.last_hello_s = time.monotonic()
@@ -360,6 +370,8 @@
             self.leader = core
             self.leader_term = welcome.term
             self.place_failures = 0
+            limits = self.local_dispatcher.limits
+            limits.replace_known(welcome.limits, hello_s, self.last_hello_s)
             self._update_ready()
         elif is_current_leader:
             self._drop_leader(core, "core is no longer the leader")
@@ -369,8 +381,8 @@
 
     def _make_hello(self, with_sends: bool) -> EntryHello:
         reports = []
+        now_s = time.monotonic()
         if with_sends:
-            now_s = time.monotonic()
             reports = [describe_send(sent, now_s) for sent in self.sends.values()]
         term, revision = self.view_version
         return EntryHello(
@@ -380,6 +392,7 @@
             self.routes_version,
             list(self.sends),
             reports,
+            self.local_dispatcher.limits.list_reports(now_s),
         )
 
     def _receive_view(self, sender: str, view: View) -> None:
@@ -389,7 +402,7 @@
         self.drained = set(view.drained)
         self.quarantine.restore(view.quarantined, time.monotonic())
         self.cores = view.cores or self.cores
-        self.local_dispatcher.share_budget(view.entry_count)
+        self.local_dispatcher.share_budget(view.entry_count, time.monotonic())
         self.hello_interval_s = compute_hello_interval_s(view.entry_count)
         if view.base_revision and self.view_version != (view.term, view.base_revision):
             # An earlier change was lost; the leader answers the next hello with a whole view.
@@ -405,6 +418,9 @@
     def _update_directory(self, view: View) -> None:
         now_s = time.monotonic()
         for report in view.upstreams:
+            known = self.directory.records.get(report.upstream_id)
+            if known is not None and known.report.incarnation != report.incarnation:
+                self.local_dispatcher.limits.remove(report.upstream_id)
             self.directory.observe(report, now_s)
             self.directory.record_alive(report.upstream_id, now_s)
             if report.state is UpstreamState.GONE:
@@ -414,6 +430,7 @@
             gone = self.directory.records.keys() - {item.upstream_id for item in view.upstreams}
         for name in gone & self.directory.records.keys():
             self.directory.delete_record(name)
+            self.local_dispatcher.limits.remove(name)
         self.directory.take_changes()
 
     def _update_ready(self) -> None:
--- a/laburnumrock/nodes/_messages.py
+++ b/laburnumrock/nodes/_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from laburnumrock.dispatch import ActiveSendReport, UpstreamReport
+from laburnumrock.dispatch import ActiveSendReport, LimitReport, UpstreamReport
 from laburnumrock.messages import register_message
 
 
@@ -25,6 +25,8 @@
         Permit numbers of all active sends.
     sends : list of ActiveSendReport
         The active sends in full, for a leader that does not know them.
+    limits : list of LimitReport
+        Limits that upstreams stated, as far as the entry node knows.
     """
 
     failure_domain: str
@@ -33,6 +35,7 @@
     routes_version: int
     permits: list[int] = field(default_factory=list)
     sends: list[ActiveSendReport] = field(default_factory=list)
+    limits: list[LimitReport] = field(default_factory=list)
 
 
 @register_message
@@ -50,12 +53,15 @@
         Current term of the replicated log.
     failure_domain : str
         Failure domain in which the core runs.
+    limits : list of LimitReport
+        Limits that upstreams stated, including those of the hello, if this core leads.
     """
 
     leading: bool
     leader: str | None
     term: int
     failure_domain: str = ""
+    limits: list[LimitReport] = field(default_factory=list)
 
 
 @register_message
