Count the entry nodes for their shares in the answers to hellos

What callers would see: entry nodes that place requests alone divide the retry budget and the stated limits by the number of entry nodes that the last view gave. A view is sent only when something changes, so a node that got its view before the others had started kept a count of one, and all of them together could exceed the limit of an upstream several times. A new leader begins to count at zero, with the same effect after each change of the leader.

Change: the leader states the count in each answer to a hello, and the entry node uses the largest count of the last five seconds. The view does not carry it any more.

Evidence: the test of an entry node that starts later times out on the code before.

--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -346,6 +346,7 @@
             self.log.term,
             self.settings.failure_domain,
             self.dispatcher.fleet.limits.list_reports(now_s) if leads else [],
+            len(self.views.entries),
         )
 
     def _receive_limit(self, sender: str, message: LimitReport) -> None:
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -35,6 +35,7 @@
     WireFormat,
 )
 from laburnumrock.metrics import NodeMetrics
+from laburnumrock.nodes._entry_count import EntryCount
 from laburnumrock.nodes._messages import EntryHello, EntryWelcome, View
 from laburnumrock.nodes._periodic import log_failed_work, run_every
 from laburnumrock.nodes._reachability import (
@@ -127,6 +128,7 @@
         self.tasks: list[asyncio.Task] = []
         self.hello_requested = asyncio.Event()
         self.hello_interval_s = HELLO_INTERVAL_S
+        self.entry_count = EntryCount()
         self.last_hello_s = -math.inf
         self.search_lock = asyncio.Lock()
         self.core_domains: dict[str, str] = {}
@@ -372,6 +374,9 @@
             self.place_failures = 0
             limits = self.local_dispatcher.limits
             limits.replace_known(welcome.limits, hello_s, self.last_hello_s)
+            entry_count = self.entry_count.record(welcome.entry_count, self.last_hello_s)
+            self.local_dispatcher.share_budget(entry_count, self.last_hello_s)
+            self.hello_interval_s = compute_hello_interval_s(entry_count)
             self._update_ready()
         elif is_current_leader:
             self._drop_leader(core, "core is no longer the leader")
@@ -402,8 +407,6 @@
         self.drained = set(view.drained)
         self.quarantine.restore(view.quarantined, time.monotonic())
         self.cores = view.cores or self.cores
-        self.local_dispatcher.share_budget(view.entry_count, time.monotonic())
-        self.hello_interval_s = compute_hello_interval_s(view.entry_count)
         if view.base_revision and self.view_version != (view.term, view.base_revision):
             # An earlier change was lost; the leader answers the next hello with a whole view.
             self.hello_requested.set()
--- a/laburnumrock/nodes/_messages.py
+++ b/laburnumrock/nodes/_messages.py
@@ -55,6 +55,8 @@
         Failure domain in which the core runs.
     limits : list of LimitReport
         Limits that upstreams stated, including those of the hello, if this core leads.
+    entry_count : int
+        Number of entry nodes that send hellos to this core.
     """
 
     leading: bool
@@ -62,6 +64,7 @@
     term: int
     failure_domain: str = ""
     limits: list[LimitReport] = field(default_factory=list)
+    entry_count: int = 1
 
 
 @register_message
@@ -83,8 +86,6 @@
         All cores.
     upstreams : list of UpstreamReport
         All upstreams, or those that changed since the base view.
-    entry_count : int
-        Number of entry nodes that send hellos to the leader.
     base_revision : int
         Revision of the view of the same term that this one changes; 0 for a whole view.
     removed : list of str
@@ -100,7 +101,6 @@
     drained: list[str]
     cores: list[str]
     upstreams: list[UpstreamReport]
-    entry_count: int = 1
     base_revision: int = 0
     removed: list[str] = field(default_factory=list)
     quarantined: list[list[str]] = field(default_factory=list)
--- a/laburnumrock/nodes/_views.py
+++ b/laburnumrock/nodes/_views.py
@@ -169,6 +169,5 @@
             list(base.routes.drained),
             base.cores,
             self.directory.reports(now_s, names),
-            len(self.entries),
             quarantined=base.routes.quarantined,
         )
--- a/laburnumrock/nodes/tests/test_limits.py
+++ b/laburnumrock/nodes/tests/test_limits.py
@@ -3,14 +3,20 @@
 import asyncio
 
 from laburnumrock.dispatch import LimitReport, SendEnded, SendOutcome
+from laburnumrock.dispatch._local import LIMIT_SHARE
+from laburnumrock.nodes import EntryNode
+from laburnumrock.nodes._entry_count import EntryCount
 from laburnumrock.nodes.tests.deployment import (
     CORES,
+    KEY,
     Deployment,
     make_call,
     make_report,
     open_deployment,
     wait_until,
 )
+from laburnumrock.platform._routes import decode_routes
+from laburnumrock.platform._wire import PlatformWire
 
 LIMIT = LimitReport("u1", 0.5)
 
@@ -102,3 +108,34 @@
                 assert not knows_limit(leader)
 
         asyncio.run(run())
+
+
+class TestShares:
+    def test_new_leader_that_has_few_hellos(self):
+        """Guards against shares that grow with each change of the leader."""
+        count = EntryCount()
+        assert [count.record(*one) for one in ((15, 1.0), (1, 2.0), (9, 5.9))] == [15, 15, 15]
+        assert [count.record(*one) for one in ((14, 6.5), (14, 12.0))] == [14, 14]
+
+    def test_entry_node_that_starts_later(self, tmp_path):
+        """Guards against shares that are too large since other entry nodes started later."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await state_limit(deployment)
+                entry = deployment.entry
+                # Changes of the upstreams reach the entry node within this time.
+                await asyncio.sleep(1.0)
+                assert entry.local_dispatcher.limits.share == LIMIT_SHARE
+                settings = deployment.make_settings("127.0.0.22")
+                other = EntryNode(settings, KEY, decode_routes, PlatformWire())
+                await other.start()
+                try:
+                    await wait_until(lambda: entry.local_dispatcher.limits.share < LIMIT_SHARE)
+                finally:
+                    for task in other.tasks:
+                        task.cancel()
+                    other.frontend.stop_listening()
+                    await other.network.stop()
+
+        asyncio.run(run())
