Bring the state of earlier leaders into force before a core leads

What callers would see: for one turn of the event loop a new leader places requests by the routes, drained domains and quarantined prompts of before; a drained domain could get requests, an upstream a harmful prompt.

Cause: commands that are committed together bring the state into force with one deferred call, while the core counts as leader as soon as they are applied to the log. A hello that is handled in between makes it lead.

Not confirmed: that the one failure had this cause, since it did not recur.

Change: a core that is about to lead applies the pending state first.

--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -302,6 +302,11 @@
             self._refuse_waiting()
             return
         if self.leading_term != self.log.term:
+            if self.state_update_handle is not None:
+                # Commands of earlier leaders are applied to the log, but not yet in force here.
+                self.state_update_handle.cancel()
+                self._apply_state()
+                return
             self.leading_term = self.log.term
             self.views.start_term()
             self.dispatcher.start(self.leading_term * PERMITS_PER_TERM, time.monotonic())
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -335,3 +335,24 @@
         while time.monotonic() - began_s < 0.5:
             core._place_waiting()
         assert 2 <= len(passes) <= 5
+
+
+class TestNewLeader:
+    def test_leads_with_the_state_of_earlier_leaders(self, tmp_path):
+        """Guards against a new leader that uses a drained domain until its state is in force."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                leader = deployment.leader()
+                assert (await leader.set_drain("a", True)).is_ok()
+                await wait_until(lambda: leader.dispatcher.fleet.drained == {"a"})
+                # The state of a core that has applied the drain and leads in the same moment.
+                leader.leading_term = 0
+                leader.applied_drained = []
+                leader.dispatcher.set_drained(set())
+                leader._schedule_state_update()
+                leader._update_role()
+                assert leader.is_leading
+                assert leader.dispatcher.fleet.drained == {"a"}
+
+        asyncio.run(run())
