Let upstreams announce limits on their requests, and keep to them

What callers would see: on the product's own interface an upstream in need has no way to say how many requests it takes from all instances together. It can only refuse or fail what comes, so requests fail that others could have served.

Cause: the pool owner learns of an upstream's memory and state from its announcements, but nothing tells it a rate.

Change: announcements may have max_requests_per_s. The pool owner counts all grants of the upstream, parts of spanning prompts included, against the same token bucket as the dispatcher, leaves the upstream out of its indices while it is at its limit, and refuses at once what would wait beyond its deadline for upstreams that are all at their limits, with the predicted wait as Retry-After. A new owner begins with an empty bucket.

The emulators announce limits and count excesses.

--- a/laburnumrock/gateway/_bodies.py
+++ b/laburnumrock/gateway/_bodies.py
@@ -76,6 +76,7 @@
     kv_used_tokens: int = Field(default=0, ge=0)
     measured_age_s: float = Field(default=0.0, ge=0)
     cache_events: list[CacheEventBody] = []
+    max_requests_per_s: float | None = Field(default=None, ge=0, allow_inf_nan=False)
 
     def to_announcement(self) -> UpstreamAnnouncement:
         """Convert to the message exchanged between instances."""
--- a/laburnumrock/placement/_allocator.py
+++ b/laburnumrock/placement/_allocator.py
@@ -69,6 +69,7 @@
         if key in self.queue.by_key:
             self.queue.by_key[key].sender = sender
             return []
+        self.table.refresh_limits(now_s)
         waiting = self._prepare(sender, request, now_s)
         kind = self._find_refusal_kind(waiting, now_s)
         if kind is not None:
@@ -92,6 +93,7 @@
             Upstreams whose state has changed since the last dispatch; None tries all upstreams.
         """
         effects: list[Effect] = []
+        self.table.refresh_limits(now_s)
         if changed is None:
             self.queue.promote_aged(now_s)
         progress = bool(self.queue) and self.scheduler.in_service
@@ -158,8 +160,8 @@
             hashes = waiting.request.prefix_hashes
             retry_after_s = self.scheduler.quarantine.find_release_s(hashes, now_s)
         elif kind is not ErrorKind.PROMPT_TOO_LONG:
-            retry_after_s = max(MIN_RETRY_AFTER_S, self._expected_wait(waiting, now_s))
-            retry_after_s = min(MAX_RETRY_AFTER_S, retry_after_s)
+            wait_s = max(self._expected_wait(waiting, now_s), self._limited_wait_s(waiting, now_s))
+            retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
         request = waiting.request
         message = PermitRefusal(request.request_id, kind, retry_after_s, detail, request.attempt)
         return Send(waiting.sender, message)
@@ -189,6 +191,8 @@
     def _enqueue(self, waiting: WaitingRequest, subqueue: str, now_s: float) -> list[Effect]:
         check_s = waiting.deadline_s
         waiting.order = self.policy.rank(waiting, now_s)
+        if now_s + self._limited_wait_s(waiting, now_s) > waiting.deadline_s:
+            return [self.refuse(waiting, ErrorKind.DEADLINE_UNREACHABLE, now_s)]
         if self.policy.uses_predictions:
             service_s = self.predictor.service_s(waiting)
             waiting.latest_start_s = waiting.deadline_s - service_s - DEADLINE_MARGIN_S
@@ -203,6 +207,10 @@
         self._reserve(self.queue.first(subqueue), now_s)
         return []
 
+    def _limited_wait_s(self, waiting: WaitingRequest, now_s: float) -> float:
+        """Return the wait for upstreams that state limits, if there are no others."""
+        return self.table.predict_limited_wait_s(waiting.request, len(self.queue), now_s)
+
     def _expected_wait(self, waiting: WaitingRequest, now_s: float) -> float:
         subqueue = self.policy.subqueue_name(waiting)
         if not self.queue.subqueues.get(subqueue):
--- a/laburnumrock/placement/_ledger.py
+++ b/laburnumrock/placement/_ledger.py
@@ -5,6 +5,7 @@
 from laburnumrock.placement._messages import PermitGrant, PermitRequest, Placement
 from laburnumrock.placement._prefixes import PrefixHints
 from laburnumrock.placement._settings import PoolSettings
+from laburnumrock.rates import RequestLimit
 from laburnumrock.routing import LengthClass
 from laburnumrock.upstreams import SlowStartLimiter, UpstreamAnnouncement, UpstreamState
 
@@ -130,6 +131,8 @@
         self.assumed_full = False
         self.slow_start = SlowStartLimiter(settings.permits_per_upstream)
         self.prefixes = PrefixHints()
+        self.limit: RequestLimit | None = None
+        self.at_limit = False
         self.permits: dict[str, Placement] = {}
         self.kv_used = 0
         self.unattributed: dict[str, int] = {}
@@ -167,7 +170,7 @@
     @property
     def is_open(self) -> bool:
         """Whether the upstream may receive new requests now."""
-        if self.assumed_full or not self.is_usable:
+        if self.assumed_full or self.at_limit or not self.is_usable:
             return False
         return self.slow_start.admits(len(self.permits))
 
@@ -179,6 +182,28 @@
         self.signature = make_signature(announcement)
         self.slow_start.observe(announcement.incarnation, announcement.state)
 
+    def set_limit(self, requests_per_s: float | None, now_s: float) -> None:
+        """Apply the limit that the upstream states on its requests; None if it states none."""
+        if requests_per_s is None:
+            self.limit = None
+        elif self.limit is None:
+            self.limit = RequestLimit(requests_per_s, now_s, now_s)
+        else:
+            self.limit.restate(requests_per_s, now_s, now_s)
+        self.update_at_limit(now_s)
+
+    def count_request(self, now_s: float) -> None:
+        """Count a request against the stated limit."""
+        if self.limit is not None:
+            self.limit.take()
+            self.update_at_limit(now_s)
+
+    def update_at_limit(self, now_s: float) -> bool:
+        """Update whether the stated limit permits no request now; returns whether that changed."""
+        before = self.at_limit
+        self.at_limit = self.limit is not None and self.limit.wait_s(now_s) > 0
+        return self.at_limit is not before
+
     def room_for(self, waiting: WaitingRequest) -> int:
         """Return the KV memory available to a request, including its own reservation."""
         if self.reserved_for == waiting.key:
--- a/laburnumrock/placement/_permits.py
+++ b/laburnumrock/placement/_permits.py
@@ -55,6 +55,8 @@
             placements=[placement for _, placement in parts],
             ttl_s=settings.permit_ttl_s,
         )
+        for ledger, _ in parts:
+            ledger.count_request(now_s)
         self._insert(waiting.sender, grant, waiting.length_class, now_s)
         return grant
 
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -131,6 +131,7 @@
         if known is None and now_s < self.take_over_until_s:
             ledger.assumed_full = not self.reconciler.has_report(ledger)
         ledger.apply(announcement)
+        self.table.set_limit(ledger, announcement.max_requests_per_s, now_s)
         ledger.in_service = announcement.upstream_id not in self.drained
         self.absent_since_s.pop(announcement.upstream_id, None)
         if known is not None and known.incarnation != announcement.incarnation:
--- a/laburnumrock/placement/_table.py
+++ b/laburnumrock/placement/_table.py
@@ -44,6 +44,7 @@
         self.groups: dict[tuple, UpstreamGroup] = {}
         self.capacities: SortedList = SortedList()
         self.usable_counts: dict[tuple, int] = {}
+        self.limited: set[str] = set()
 
     @property
     def largest_engine_tokens(self) -> int:
@@ -62,6 +63,40 @@
         """Remove an upstream."""
         self._unindex(ledger)
         self.ledgers.pop(ledger.upstream_id, None)
+        self.limited.discard(ledger.upstream_id)
+
+    def set_limit(self, ledger: UpstreamLedger, requests_per_s: float | None, now_s: float) -> None:
+        """Apply the limit that an upstream states on its requests; None if it states none."""
+        ledger.set_limit(requests_per_s, now_s)
+        (self.limited.discard if requests_per_s is None else self.limited.add)(ledger.upstream_id)
+
+    def refresh_limits(self, now_s: float) -> None:
+        """Update the indices for the upstreams whose limits permit a request again."""
+        for upstream_id in self.limited:
+            ledger = self.ledgers[upstream_id]
+            if ledger.update_at_limit(now_s):
+                self.reindex(ledger, now_s)
+
+    def predict_limited_wait_s(self, request: PermitRequest, waiting: int, now_s: float) -> float:
+        """Predict how long a request waits if all its upstreams are at their limits; 0 if not.
+
+        Parameters
+        ----------
+        request : PermitRequest
+            The request.
+        waiting : int
+            Requests that wait already.
+        now_s : float
+            Clock reading in seconds.
+        """
+        at_limit = [
+            ledger
+            for ledger in map(self.ledgers.__getitem__, self.limited)
+            if ledger.at_limit and ledger.is_usable and ledger.serves(request)
+        ]
+        if not at_limit or len(at_limit) < self.count_usable(request):
+            return 0.0
+        return (waiting + 1) / sum(ledger.limit.rate for ledger in at_limit)
 
     def reindex(self, ledger: UpstreamLedger, now_s: float) -> None:
         """Update the indices for a changed ledger."""
--- a/laburnumrock/scenarios/_expectations.py
+++ b/laburnumrock/scenarios/_expectations.py
@@ -92,6 +92,14 @@
     return _matches_count(sum(counts.values()), comparison, count), f"cold overloads {counts}"
 
 
+@register_condition
+def limit_excesses(context: ScenarioContext, tree: Tree) -> tuple[bool, str]:
+    """Compare how often an engine received more requests than the limit that it announces."""
+    counts = {name: load["limit_excess_events"] for name, load in context.engine_loads().items()}
+    comparison, count = tree.children
+    return _matches_count(sum(counts.values()), comparison, count), f"limit excesses {counts}"
+
+
 @register_condition
 def exit_status(context: ScenarioContext, tree: Tree) -> tuple[bool, str]:
     """Compare the exit statuses of stopped instances."""
--- a/laburnumrock/standins/_application.py
+++ b/laburnumrock/standins/_application.py
@@ -62,12 +62,15 @@
         Number of calls that execute and then return 500; -1 for all.
     refuses_connections : bool
         Whether the listening port is closed.
+    max_requests_per_s : float, optional
+        Limit on its calls that the engine announces.
     """
 
     delay_s: float = 0.0
     drop_answers: int = 0
     fail_after: int = 0
     refuses_connections: bool = False
+    max_requests_per_s: float | None = None
 
 
 class ApplicationEngine:
@@ -149,6 +152,7 @@
             "kv_used_tokens": 0,
             "measured_age_s": 0.0,
             "cache_events": [],
+            "max_requests_per_s": self.faults.max_requests_per_s,
         }
 
 
--- a/laburnumrock/standins/_engine.py
+++ b/laburnumrock/standins/_engine.py
@@ -17,6 +17,7 @@
     PrefillFinished,
     RefusalReason,
 )
+from laburnumrock.standins._request_meter import RequestMeter
 from laburnumrock.standins._segments import SegmentTable
 from laburnumrock.upstreams import UpstreamKind, UpstreamState
 
@@ -134,6 +135,7 @@
         self.cold_hidden_until_s = 0.0
         self.streams_to_break = 0
         self.break_after_tokens = 0
+        self.meter = RequestMeter()
         self.wake = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
         self.announcer = Announcer(
@@ -169,6 +171,7 @@
 
     def submit(self, request: EngineRequest) -> RefusalReason | asyncio.Queue[EngineEvent]:
         """Submit a request; return its event queue, or the reason for its refusal."""
+        self.meter.record(time.monotonic())
         refusal = self.model.submit(request, self.now_s())
         self._deliver()
         if refusal is not None:
@@ -237,6 +240,7 @@
             "kv_used_tokens": sample.kv_used_tokens,
             "measured_age_s": round(now_s - sample.taken_s, 3),
             "cache_events": self.model.cache.take_events(self.now_s()),
+            "max_requests_per_s": self.meter.max_requests_per_s,
         }
 
     async def _load(self, order: dict[str, object]) -> None:
--- a/laburnumrock/standins/_engine_http.py
+++ b/laburnumrock/standins/_engine_http.py
@@ -1,5 +1,7 @@
 """HTTP API of the model engine emulator (section 5.2 of the design document)."""
 
+import time
+
 from tornado.web import Application
 
 from laburnumrock.standins._engine import ModelEngine
@@ -49,6 +51,7 @@
                 "holdings": allocations,
                 "waiting_requests": [one.request.request_id for one in engine.model.waiting],
                 "cold_overload_events": engine.model.cold_start.overload_events,
+                "limit_excess_events": engine.meter.excesses,
                 "generated_tokens": engine.model.generated_tokens,
             }
         )
@@ -99,6 +102,10 @@
         elif action == "break-streams":
             self.engine.streams_to_break = int(body.get("count", 1))
             self.engine.break_after_tokens = int(body.get("after_tokens", 1))
+        elif action == "limit":
+            limit = body.get("requests_per_s")
+            limit = None if limit is None else float(limit)
+            self.engine.meter.set_limit(limit, time.monotonic())
         else:
             self.refuse(404, "unknown_action")
             return
--- a/laburnumrock/upstreams/_announcement.py
+++ b/laburnumrock/upstreams/_announcement.py
@@ -77,6 +77,8 @@
         Age of the load figures in seconds.
     cache_events : list of CacheEvent
         Changes of the prefix cache since an earlier announcement.
+    max_requests_per_s : float, optional
+        Requests per second that the upstream takes from all instances together; None for no limit.
     """
 
     upstream_id: str
@@ -98,3 +100,4 @@
     kv_used_tokens: int = 0
     measured_age_s: float = 0.0
     cache_events: list[CacheEvent] = field(default_factory=list)
+    max_requests_per_s: float | None = None
--- a/laburnumrock/upstreams/_relay.py
+++ b/laburnumrock/upstreams/_relay.py
@@ -61,6 +61,7 @@
         announcement.prefill_tokens_per_s,
         announcement.decode_step_s,
         announcement.state.value,
+        announcement.max_requests_per_s,
     )
     return zlib.crc32(repr(static_values).encode())
 
