--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -8,11 +8,8 @@
 from laburnumrock.dispatch._engine_model import MS_PER_S
 from laburnumrock.dispatch._fleet import Fleet
 from laburnumrock.dispatch._limits import (
-    MAX_RETRY_S,
-    MIN_RETRY_S,
     DispatchSettings,
     client_timeout_s,
-    max_queue_wait_s,
 )
 from laburnumrock.dispatch._load import MIN_PREFILL_LEFT_SHARE, ActiveSend
 from laburnumrock.dispatch._messages import (
@@ -31,14 +28,12 @@
 )
 from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
 from laburnumrock.dispatch._queue import CallQueue, QueueDecision
+from laburnumrock.dispatch._refusals import CallRefusals
 from laburnumrock.dispatch._trials import MAX_HELD_CALLS, PromptTrials
 from laburnumrock.errors import ErrorKind
 from laburnumrock.quarantine import PromptQuarantine
 from laburnumrock.routing import RouteSet
 
-NO_UPSTREAM_RETRY_S = 2.0
-"""Retry delay for requests to a service without upstreams, which report about every second, also
-after all of them were lost."""
 PERMIT_GRACE_S = 1.0
 """Minimum age at which a send is dropped because its entry node does not list it; the list may have
 been sent before the permit arrived."""
@@ -74,6 +69,7 @@
         self.queue = CallQueue(settings)
         self.quarantine = PromptQuarantine(settings.quarantine)
         self.trials = PromptTrials(self.quarantine, self.fleet)
+        self.refusals = CallRefusals(self.fleet, self.queue, self.trials, rng)
         self.first_permit = self.next_permit = 1
 
     def start(self, first_permit: int, now_s: float) -> None:
@@ -131,28 +127,18 @@
         if call.attempt <= 1:
             budget.record_request(now_s)
         elif call.arrivals > 0 and not budget.try_take_retry(now_s):
-            return _refuse(ErrorKind.RATE_LIMITED, self._add_jitter(1.0))
+            return self.refusals.refuse(ErrorKind.RATE_LIMITED, 1.0)
         if self.trials.must_wait(call):
             return self._hold(entry, call, now_s)
         choice = self._choose(domain, call, now_s)
         if choice is not None and not self.chooser.should_wait(choice, call):
             return self._grant_or_refuse(entry, choice, call, now_s)
-        eligible = self.fleet.list_eligible(call, now_s) if choice is None else []
-        if choice is None and not eligible:
-            return _refuse(ErrorKind.NO_UPSTREAM, self._add_jitter(NO_UPSTREAM_RETRY_S))
-        if choice is not None and self._exceeds_timeout_after_wait(choice, call, now_s):
-            return self._refuse_unreachable(choice)
-        held = self.trials.count_held(self.queue, call.service)
-        waiting = self.queue.count(call.service) - held
-        limited_s = self.fleet.limits.predict_wait_s(eligible, waiting, now_s)
-        if limited_s > max_queue_wait_s(self.settings, call):
-            retry_s = max(MIN_RETRY_S, self._add_jitter(min(MAX_RETRY_S, limited_s)))
-            return _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)
-        slots = self._count_slots(call.service) if choice is None else 0
-        if choice is None and self.queue.is_full(call, slots, now_s, held):
-            predicted_s = min(MAX_RETRY_S, self.queue.predict_wait_s(call.service, now_s, held))
-            retry_s = max(0.5, call.goal_s, predicted_s)
-            return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._add_jitter(retry_s))
+        if choice is None:
+            refusal = self.refusals.refuse_unplaceable(call, now_s)
+        else:
+            refusal = self.refusals.refuse_late(choice.first_s, call, now_s)
+        if refusal is not None:
+            return refusal
         return self.queue.add(entry, call, now_s)
 
     def place_waiting(self, domains: dict[str, str], now_s: float) -> list[QueueDecision]:
@@ -184,8 +170,8 @@
                 answer = self._grant_or_refuse(queued.entry, choice, call, now_s)
                 decided.append(QueueDecision(ticket, queued, answer))
             elif expired:
-                retry_s = self._add_jitter(max(0.5, queued.call.goal_s))
-                answer = _refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)
+                retry_s = max(0.5, queued.call.goal_s)
+                answer = self.refusals.refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)
                 decided.append(QueueDecision(ticket, queued, answer))
             else:
                 failed += 1
@@ -203,7 +189,7 @@
     def _hold(self, entry: str, call: DispatchCall, now_s: float) -> DispatchAnswer | int:
         """Queue a request until the trial of a part that it contains has ended."""
         if self.trials.count_held(self.queue, call.service) >= MAX_HELD_CALLS:
-            return _refuse(ErrorKind.CONCURRENCY_LIMITED, self._add_jitter(max(0.5, call.goal_s)))
+            return self.refusals.refuse(ErrorKind.CONCURRENCY_LIMITED, max(0.5, call.goal_s))
         return self.queue.add(entry, call, now_s)
 
     def record_started(self, message: SendStarted, now_s: float) -> None:
@@ -355,27 +341,9 @@
     ) -> DispatchAnswer:
         if choice.first_s > client_timeout_s(call):
             # The engine would work for a caller that has disconnected, while others wait.
-            return self._refuse_unreachable(choice)
+            return self.refusals.refuse_unreachable(choice.first_s)
         return self._grant(entry, choice, call, now_s)
 
-    def _exceeds_timeout_after_wait(self, choice: Choice, call: DispatchCall, now_s: float) -> bool:
-        """Whether the caller will have left before the first event, also after a wait.
-
-        Notes
-        -----
-        While an engine has no free slot, the end of a stream may still make room earlier than the
-        prediction, which covers only engines with free slots.
-        """
-        max_wait_s = max_queue_wait_s(self.settings, call)
-        if choice.first_s - max_wait_s <= client_timeout_s(call):
-            return False
-        usable = next(self.fleet.find_candidates(call, now_s))
-        return all(load.free_slots > 0 for _, load in usable)
-
-    def _refuse_unreachable(self, choice: Choice) -> DispatchAnswer:
-        retry_s = self._add_jitter(min(MAX_RETRY_S, max(0.5, choice.first_s / 2)))
-        return _refuse(ErrorKind.DEADLINE_UNREACHABLE, retry_s)
-
     def _grant(
         self, entry: str, choice: Choice, call: DispatchCall, now_s: float
     ) -> DispatchAnswer:
@@ -444,19 +412,3 @@
             )
             self.budgets[service] = budget
         return budget
-
-    def _count_slots(self, service: str) -> int:
-        """Return the number of slots of all known upstreams of a service."""
-        return sum(
-            load.slots
-            for name, load in self.fleet.loads.items()
-            if self.fleet.serves(name, service)
-        )
-
-    def _add_jitter(self, base_s: float) -> float:
-        """Add jitter to a retry delay, so that refused callers do not retry at the same time."""
-        return round(base_s * self.rng.uniform(0.7, 1.5), 2)
-
-
-def _refuse(kind: ErrorKind, retry_after_s: float) -> DispatchAnswer:
-    return DispatchAnswer(refusal=kind.value, retry_after_s=retry_after_s)
--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -111,14 +111,13 @@
         if not usable and not stale:
             yield unresponsive
 
-    def list_eligible(self, call: DispatchCall, now_s: float) -> list[str]:
-        """Return the upstreams that may get a request, now or once they have capacity."""
-        return [
-            record.report.upstream_id
-            for record in self.directory.usable(call.service, now_s)
-            if record.report.failure_domain not in self.drained
-            and record.report.upstream_id not in call.excluded
-        ]
+    def find_eligible(self, call: DispatchCall, now_s: float) -> Iterator[str]:
+        """Yield the upstreams that may get a request, now or once they have capacity."""
+        for record in self.directory.usable(call.service, now_s):
+            report = record.report
+            drained = report.failure_domain in self.drained
+            if not drained and report.upstream_id not in call.excluded:
+                yield report.upstream_id
 
     def serves(self, upstream_id: str, service: str) -> bool:
         """Whether an upstream belongs to a service."""
