Avoid upstreams whose address another one has taken over

What callers saw: an upstream that has ended gets requests until its successor at the address reports to a core. The other upstream refuses each of them, which uses up attempts that the route allows.

The send counted as refused by a full upstream.

Change: such a send ends as misdirected. Both dispatchers avoid the upstream as after a crash, without suspecting its failure domain or the prompt.

Evidence: the new tests fail on the code before: placements went on to the same upstream, and the outcome was 'refused'.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -13,6 +13,7 @@
 )
 from laburnumrock.dispatch._load import MIN_PREFILL_LEFT_SHARE, ActiveSend
 from laburnumrock.dispatch._messages import (
+    ENDED_OUTCOMES,
     UNRESPONSIVE_OUTCOMES,
     ActiveSendReport,
     DispatchAnswer,
@@ -249,8 +250,8 @@
             load.record_outcome(True, now_s)
             if outcome in UNRESPONSIVE_OUTCOMES:
                 self.fleet.record_unresponsive(send.upstream_id, now_s)
-            elif outcome is SendOutcome.CRASHED:
-                self.fleet.record_crashed(send.upstream_id, now_s)
+            elif outcome in ENDED_OUTCOMES:
+                self.fleet.record_process_ended(send.upstream_id, now_s)
 
     def drop_unlisted_sends(self, entry: str, permits: set[int], now_s: float) -> None:
         """Drop the sends of an entry node that are missing from its list of permits."""
--- a/laburnumrock/dispatch/_fleet.py
+++ b/laburnumrock/dispatch/_fleet.py
@@ -158,8 +158,8 @@
         health = self.domain_health.setdefault(record.report.failure_domain, DomainHealth())
         health.record_unresponsive(upstream_id, now_s)
 
-    def record_crashed(self, upstream_id: str, now_s: float) -> None:
-        """Eject an upstream that refused a connection; its failure domain is reachable."""
+    def record_process_ended(self, upstream_id: str, now_s: float) -> None:
+        """Eject an upstream whose process has ended; its failure domain is reachable."""
         load = self.loads.get(upstream_id)
         if load is not None:
             load.record_unresponsive(now_s)
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -8,6 +8,7 @@
 from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._limits import MAX_RETRY_S, MIN_RETRY_S, DispatchSettings
 from laburnumrock.dispatch._messages import (
+    ENDED_OUTCOMES,
     UNRESPONSIVE_OUTCOMES,
     DispatchAnswer,
     DispatchCall,
@@ -164,7 +165,7 @@
         domain = self.domain_by_upstream.get(name, "")
         if message.outcome is SendOutcome.DONE:
             self.domain_health.pop(domain, None)
-        elif message.outcome is SendOutcome.CRASHED:
+        elif message.outcome in ENDED_OUTCOMES:
             self.ejected_until_s[name] = now_s + EJECTION_S
         elif message.outcome in UNRESPONSIVE_OUTCOMES:
             self.ejected_until_s[name] = now_s + EJECTION_S
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -19,7 +19,8 @@
 
     Notes
     -----
-    A send is `CRASHED` if its connection broke and the upstream then refused a new one.
+    A send is `CRASHED` if its connection broke and the upstream then refused a new one, and
+    `MISDIRECTED` if another upstream, which has taken over the address, responded.
     """
 
     DONE = "done"
@@ -27,6 +28,7 @@
     REFUSED = "refused"
     BROKEN = "broken"
     CRASHED = "crashed"
+    MISDIRECTED = "misdirected"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
     CANCELLED = "cancelled"
@@ -35,6 +37,9 @@
 UNRESPONSIVE_OUTCOMES = frozenset({SendOutcome.UNREACHABLE, SendOutcome.SILENT, SendOutcome.BROKEN})
 """Outcomes of sends whose upstream, or the path to it, may be at fault."""
 
+ENDED_OUTCOMES = frozenset({SendOutcome.CRASHED, SendOutcome.MISDIRECTED})
+"""Outcomes of sends that show that the process of the upstream has ended."""
+
 
 @register_message
 @dataclass(frozen=True, slots=True)
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -1,11 +1,14 @@
 """Tests of placement by the dispatcher."""
 
+import random
 from dataclasses import replace
 
 from laburnumrock.dispatch import (
     ActiveSendReport,
     DispatchAnswer,
     DispatchCall,
+    DispatchSettings,
+    LocalDispatcher,
     SendEnded,
     SendOutcome,
     SendStalled,
@@ -319,3 +322,20 @@
         answer = place(dispatcher, replace(LONG, prompt_tokens=900_000))
         dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.CANCELLED), 10.1)
         assert all(not load.sends for load in dispatcher.fleet.loads.values())
+
+
+class TestMisdirectedSends:
+    def test_upstream_whose_address_another_one_has(self):
+        """Guards against requests to an upstream that has ended until its successor reports."""
+        dispatcher = make_dispatcher(engines=3)
+        local = LocalDispatcher(DispatchSettings(), random.Random(1))
+        upstreams = dispatcher.directory.usable("llm", 10.0)
+        answer = place(dispatcher, SHORT)
+        dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.MISDIRECTED), 10.0)
+        used = {place(dispatcher, SHORT, 10.2).upstream_id for _ in range(20)}
+        assert used and answer.upstream_id not in used
+        assert dispatcher.fleet.find_partitioned(10.2) == set()
+        alone = local.place("a", upstreams, SHORT, 10.0)
+        local.record_ended(SendEnded(alone.permit, SendOutcome.MISDIRECTED), 10.0)
+        used = {local.place("a", upstreams, SHORT, 10.2).upstream_id for _ in range(20)}
+        assert used and alone.upstream_id not in used
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -345,7 +345,8 @@
             attempts.possible_runs -= 1
             attempts.last_response = response
             writer.log("upstream_refused", upstream=upstream, status=response.status)
-            return SendOutcome.REFUSED
+            misdirected = response.facts.misdirected
+            return SendOutcome.MISDIRECTED if misdirected else SendOutcome.REFUSED
         if writer.started:
             return self._finish_stream(placement, response)
         if is_success(response):
--- a/laburnumrock/forwarding/tests/test_limits.py
+++ b/laburnumrock/forwarding/tests/test_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from laburnumrock.dispatch import LimitReport
+from laburnumrock.dispatch import LimitReport, SendOutcome
 from laburnumrock.forwarding.tests.scripted import (
     ScriptedUpstream,
     answer,
@@ -77,3 +77,17 @@
             assert not any(ended.is_unlimited for ended in frontend.dispatcher.ended)
 
         asyncio.run(run())
+
+
+class TestMisdirectedSends:
+    def test_outcome(self):
+        """Guards against an address that goes on being used for an upstream which has ended."""
+
+        async def run():
+            upstreams = [ScriptedUpstream(answer(421)), ScriptedUpstream(answer(200))]
+            async with open_frontend(*upstreams) as frontend:
+                response = await frontend.request("/r/x")
+            assert response.status == 200
+            assert frontend.dispatcher.outcomes == [SendOutcome.MISDIRECTED, SendOutcome.DONE]
+
+        asyncio.run(run())
