--- a/laburnumrock/platform/soak/_faults.py
+++ b/laburnumrock/platform/soak/_faults.py
@@ -1,20 +1,24 @@
 """Faults that a soak run injects, and its planned stops."""
 
 import asyncio
+import contextlib
 import shutil
 import signal
 import time
+from collections.abc import Iterator
 
 from laburnumrock.platform.soak._prompts import MAX_ARRIVALS
 from laburnumrock.platform.soak._schedule import Step
 from laburnumrock.platform.soak._state import ZONES, Node, RunState
-from laburnumrock.platform.soak._upstreams import HEARTBEAT_S
+from laburnumrock.platform.soak._upstreams import HEARTBEAT_S, Upstream
 from laburnumrock.standins import FaultyProxy
 
 LINK_DELAY_S = 0.15
 """Delay of a slow link: above every round-trip time, below the timeouts between nodes."""
 STOP_TIMEOUT_S = 9.5
 """Timeout of a graceful stop, which may take 8 s."""
+LIMIT_REQUESTS_PER_S = 2.0
+"""Limit that an upstream states for a while; without it, it gets many times as many requests."""
 TORN_FRAME = b"LRF1\xff\x00"
 """Incomplete frame, as left by a power loss during a write."""
 
@@ -32,6 +36,8 @@
         await operator.send_invalid_routes()
     elif step.action == "evacuate":
         await operator.evacuate(ZONES[0], step.duration_s)
+    elif step.action == "engine_limits":
+        await _let_upstream_state_limit(soak, soak.upstreams[step.target], step.duration_s)
     elif step.action == "crashing_prompt":
         await _let_prompts_crash_engines(soak, step)
     elif step.action == "kill_all_cores":
@@ -39,9 +45,12 @@
         cores = [node for node in soak.nodes.values() if node.role == "core"]
         await asyncio.gather(*(_kill_and_restart(core, step.duration_s) for core in cores))
     elif step.target.startswith(("engine", "server")):
-        await _inject_upstream_fault(soak, step)
+        with _excuse(soak, step.target):
+            await _inject_upstream_fault(soak, step)
     else:
-        await _inject_node_fault(soak, step, soak.nodes[step.target])
+        node = soak.nodes[step.target]
+        with _excuse(soak, node.host):
+            await _inject_node_fault(soak, step, node)
 
 
 async def _let_prompts_crash_engines(soak: RunState, step: Step) -> None:
@@ -60,6 +69,49 @@
         soak.findings.report("prompts that crash engines are quarantined", detail)
 
 
+async def _let_upstream_state_limit(soak: RunState, upstream: Upstream, duration_s: float) -> None:
+    """Let an upstream state a limit on its requests, and check that it is kept."""
+    if upstream.limit is not None or upstream.mode:
+        return
+    soak.findings.counts["stated limit"] += 1
+    limit = upstream.state_limit(LIMIT_REQUESTS_PER_S)
+    await asyncio.sleep(duration_s)
+    if upstream.limit is limit:
+        upstream.end_limit()
+    most = limit.count_most()
+    if most > limit.max_arrivals:
+        detail = f"{most} requests at {upstream.name}, {limit.max_arrivals} allowed"
+        soak.findings.report("stated limits are kept", detail)
+
+
+@contextlib.contextmanager
+def _excuse(soak: RunState, name: str) -> Iterator[None]:
+    """Do not count requests against stated limits during a fault of an entry or an upstream.
+
+    Parameters
+    ----------
+    soak : RunState
+        The run.
+    name : str
+        Host of the entry, whose requests are not counted, or name of the upstream.
+    """
+    _discard_counted(soak, name)
+    soak.tracker.faulty[name] += 1
+    try:
+        yield
+    finally:
+        soak.tracker.faulty[name] -= 1
+
+
+def _discard_counted(soak: RunState, name: str) -> None:
+    for upstream in soak.upstreams.values():
+        if upstream.limit is not None:
+            if upstream.name == name:
+                upstream.limit.excuse_all()
+            else:
+                upstream.limit.excuse(name)
+
+
 async def _kill_and_restart(node: Node, down_s: float, while_down=None) -> None:
     if node.killed or node.graceful_stop:
         return
--- a/laburnumrock/platform/soak/_limits.py
+++ b/laburnumrock/platform/soak/_limits.py
@@ -53,6 +53,11 @@
         self.informed_s.pop(host, None)
         self.arrivals = [arrival for arrival in self.arrivals if arrival[1] != host]
 
+    def excuse_all(self) -> None:
+        """Do not count requests whose responses a fault of the upstream may have kept back."""
+        self.informed_s.clear()
+        self.arrivals.clear()
+
     def count_most(self) -> int:
         """Return the largest number of counted requests in any window."""
         counted_s = [
--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -5,6 +5,7 @@
 import json
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 from laburnumrock.platform.soak._findings import Findings
@@ -43,6 +44,8 @@
         Part of a prompt that crashes engines, with its arrivals and crashes.
     entries : dict of str to str
         Host of the entry to which each request was sent.
+    faulty : Counter of str
+        Number of faults that affect an entry, by host, or an upstream, by name.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -51,6 +54,7 @@
     streams_sent_s: dict[str, float] = field(default_factory=dict)
     prompts: CrashingPrompts = field(default_factory=CrashingPrompts)
     entries: dict[str, str] = field(default_factory=dict)
+    faulty: Counter = field(default_factory=Counter)
 
 
 def make_event(request_id: str, number: int) -> bytes:
@@ -193,8 +197,7 @@
             return
         request_id = headers.get("request-id", "")
         self._check_received(request_id, headers)
-        if self.limit is not None:
-            self.limit.record(self.tracker.entries.get(request_id, ""))
+        self._count_against_limit(self.tracker.entries.get(request_id, ""))
         is_crashing = self.tracker.prompts.record_arrival(request_id, headers.get("prefix-hash"))
         if headers.get("expect-instance") != self.upstream_id:
             writer.write(self._encode_head(421, "", 0, {"Not-Executed": "1"}))
@@ -206,6 +209,12 @@
             await self._run(writer, line, request_id, headers, is_crashing)
         await writer.drain()
 
+    def _count_against_limit(self, entry: str) -> None:
+        """Count a request of an entry, unless a fault excuses the entry."""
+        faulty = self.tracker.faulty
+        if self.limit is not None and not faulty[entry] and not faulty[self.name]:
+            self.limit.record(entry)
+
     def _check_received(self, request_id: str, headers: dict[str, str]) -> None:
         if request_id not in self.tracker.sent:
             self.findings.report(
