Log the limits of upstreams in a module of their own

The limits kept a record of each change until it was logged. Entry nodes log none, so the record grew there with each upstream that ever stated a limit. Now a revision tells that something changed, and the log compares.

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -28,6 +28,7 @@
     WithdrawCall,
 )
 from laburnumrock.dispatch._outcomes import refuse_quarantined
+from laburnumrock.dispatch._request_limits import RequestLimits
 
 __all__ = [
     "ActiveSend",
@@ -43,6 +44,7 @@
     "Helper",
     "LimitReport",
     "LocalDispatcher",
+    "RequestLimits",
     "RetryBudget",
     "SendEnded",
     "SendOutcome",
--- a/laburnumrock/dispatch/_request_limits.py
+++ b/laburnumrock/dispatch/_request_limits.py
@@ -27,12 +27,11 @@
         self.share = share
         self.by_upstream: dict[str, RequestLimit] = {}
         self.lifted_s: dict[str, float] = {}
-        self.changes: dict[str, float | None] = {}
+        self.revision = 0
 
-    def take_changes(self) -> dict[str, float | None]:
-        """Return the limits that changed since the last call; None for one that has ended."""
-        changes, self.changes = self.changes, {}
-        return changes
+    def list_rates(self) -> dict[str, float]:
+        """Return the requests per second that each upstream with a limit takes."""
+        return {name: limit.requests_per_s for name, limit in self.by_upstream.items()}
 
     def record(self, report: LimitReport, now_s: float) -> None:
         """Apply a statement of an upstream, unless a newer one is known."""
@@ -44,7 +43,7 @@
         if limit is not None and stated_s <= limit.stated_s:
             return
         if limit is None or limit.requests_per_s != report.requests_per_s:
-            self.changes[name] = report.requests_per_s
+            self.revision += 1
         if limit is None:
             limit = RequestLimit(report.requests_per_s, stated_s, now_s, self.share)
             self.by_upstream[name] = limit
@@ -62,7 +61,7 @@
         """Remove the limit of an upstream, which has ended or whose process has."""
         self.lifted_s.pop(upstream_id, None)
         if self.by_upstream.pop(upstream_id, None) is not None:
-            self.changes[upstream_id] = None
+            self.revision += 1
 
     def replace_known(self, reports: list[LimitReport], known_s: float, now_s: float) -> None:
         """Apply all limits that the leader knows.
--- a/laburnumrock/dispatch/tests/test_request_limits.py
+++ b/laburnumrock/dispatch/tests/test_request_limits.py
@@ -296,7 +296,7 @@
         assert not limits.by_upstream
         limits.record(LimitReport("u", 2.0), 11.2)
         assert limits.by_upstream
-        assert limits.take_changes() == {"u": 2.0}
+        assert limits.list_rates() == {"u": 2.0}
 
     def test_list_of_the_leader(self):
         """Guards against an entry node that keeps limits which the leader found to have ended."""
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -28,6 +28,7 @@
 from laburnumrock.metrics import NodeMetrics
 from laburnumrock.nodes._decision_log import log_change, log_decision, log_upstream
 from laburnumrock.nodes._departures import confirm_departure
+from laburnumrock.nodes._limit_log import LimitLog
 from laburnumrock.nodes._messages import (
     ConfirmDeparture,
     DepartureConfirmed,
@@ -40,6 +41,7 @@
 from laburnumrock.nodes._report_exchange import ReportExchange
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.nodes._views import ViewBase, ViewPublisher
+from laburnumrock.nodes._voters import plan_voters
 from laburnumrock.replication import VoterPolicy
 from laburnumrock.routing import (
     RouteDocument,
@@ -100,6 +102,7 @@
         self.metrics = NodeMetrics()
         self.metrics.leading.set_function(lambda: int(self.is_leading))
         self.quarantine = QuarantineReplicator(self.dispatcher.quarantine, self.log, self.metrics)
+        self.limit_log = LimitLog(self.dispatcher.fleet.limits, self.metrics)
         self.views = ViewPublisher(self.network, self.directory)
         self.reports = ReportExchange(settings.instance_id, self.network, self._all_cores)
         self.leading_term = 0
@@ -344,7 +347,7 @@
                 self.dispatcher.adopt(sender, report, now_s)
             self.dispatcher.drop_unlisted_sends(sender, set(message.permits), now_s)
             self.views.answer_hello(sender, message, self._make_view_base(), now_s)
-        self._log_limits()
+        self.limit_log.update()
         return EntryWelcome(
             leads,
             self._find_leader(),
@@ -356,16 +359,7 @@
 
     def _receive_limit(self, sender: str, message: LimitReport) -> None:
         self.dispatcher.record_limits([message], time.monotonic())
-        self._log_limits()
-
-    def _log_limits(self) -> None:
-        """Log the limits of upstreams that changed, and update their number."""
-        limits = self.dispatcher.fleet.limits
-        if not limits.changes:
-            return
-        for upstream, requests_per_s in limits.take_changes().items():
-            log_message("limit_changed", upstream=upstream, requests_per_s=requests_per_s)
-        self.metrics.limited_upstreams.set(len(limits.by_upstream))
+        self.limit_log.update()
 
     def _find_leader(self) -> str | None:
         """Return the name of the leader that this core follows, if there is one."""
@@ -403,7 +397,7 @@
 
     def _receive_ended(self, sender: str, message: SendEnded) -> None:
         self.dispatcher.record_ended(message, time.monotonic())
-        self._log_limits()
+        self.limit_log.update()
         if self.is_leading:
             self.quarantine.propose_changes()
         if self.dispatcher.queue.calls and self.place_waiting_timer is None:
@@ -450,21 +444,11 @@
             self.dispatcher.fleet.forget(name)
             log_message("upstream_expired", upstream=name)
         self.dispatcher.fleet.expire_limits(now_s)
-        self._log_limits()
+        self.limit_log.update()
         for name in self.views.expire(now_s):
             self.dispatcher.drop_unlisted_sends(name, set(), now_s)
         self.dispatcher.quarantine.expire(now_s)
         if self.is_leading:
             self.quarantine.propose_changes()
         self._push_views()
-        self._plan_voters(now_s)
-
-    def _plan_voters(self, now_s: float) -> None:
-        runner = self.log.runner
-        change = self.voter_policy.next_change(runner.node, now_s) if runner.node else None
-        if change is None:
-            return
-        effects = change.start(runner.node, now_s)
-        log_message("voter_change", action=change.action, subject=change.instance_id)
-        if effects is not None:
-            runner.enqueue(effects)
+        plan_voters(self.voter_policy, self.log, now_s)
