--- a/laburnumrock/platform/soak/_limits.py
+++ b/laburnumrock/platform/soak/_limits.py
@@ -3,14 +3,10 @@
 import time
 from dataclasses import dataclass, field
 
-CONTACT_S = 3.0
-"""Time after the limit was first stated from which it must be kept."""
+from laburnumrock.standins import LIMIT_SETTLE_S, LIMIT_WINDOW_S, max_limited_requests
+
 KNOWN_S = 0.5
 """Age of the first response with the limit from which an entry counts as informed."""
-WINDOW_S = 4.0
-EXCESS_RATIO = 1.5
-EXCESS_REQUESTS = 5
-"""Requests beyond the limit, as a ratio and in addition, that are allowed in a window."""
 
 
 @dataclass(slots=True)
@@ -39,8 +35,8 @@
 
     @property
     def max_arrivals(self) -> float:
-        """Number of requests that may arrive in any window of `WINDOW_S`."""
-        return EXCESS_RATIO * WINDOW_S * self.requests_per_s + EXCESS_REQUESTS
+        """Number of requests that may arrive in any window."""
+        return max_limited_requests(self.requests_per_s)
 
     def record(self, host: str) -> None:
         """Record a request of an entry, whose response will state the limit."""
@@ -63,13 +59,13 @@
         counted_s = [
             arrived_s
             for arrived_s, host in self.arrivals
-            if arrived_s >= self.stated_s + CONTACT_S
+            if arrived_s >= self.stated_s + LIMIT_SETTLE_S
             and arrived_s <= self.ended_s
             and arrived_s >= self.informed_s[host] + KNOWN_S
         ]
         return max(
             (
-                sum(first_s <= arrived_s < first_s + WINDOW_S for arrived_s in counted_s)
+                sum(first_s <= arrived_s < first_s + LIMIT_WINDOW_S for arrived_s in counted_s)
                 for first_s in counted_s
             ),
             default=0,
--- a/laburnumrock/platform/soak/tests/test_limits.py
+++ b/laburnumrock/platform/soak/tests/test_limits.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from laburnumrock.platform.soak._limits import CONTACT_S, StatedLimit
+from laburnumrock.platform.soak._limits import StatedLimit
 from laburnumrock.platform.soak._run import open_deployment, start_callers
 from laburnumrock.platform.soak._state import RunState, SoakSettings
 from laburnumrock.platform.soak._upstreams import Upstream
+from laburnumrock.standins import LIMIT_SETTLE_S
 
 LIMITED_S = 14.0
 LIFTED_S = 6.0
@@ -48,7 +49,7 @@
     cores = [node for node in soak.nodes.values() if node.role == "core"]
     for core in cores:
         core.process.send(signal.SIGSTOP)
-    await asyncio.sleep(LIMITED_S - CONTACT_S - 3.0)
+    await asyncio.sleep(LIMITED_S - LIMIT_SETTLE_S - 3.0)
     for core in cores:
         core.process.send(signal.SIGCONT)
 
@@ -62,7 +63,7 @@
         await asyncio.sleep(2.0)
         limits = [upstream.state_limit(limit) for upstream in upstreams[:count]]
         ended_s = time.monotonic() + LIMITED_S
-        await asyncio.sleep(CONTACT_S)
+        await asyncio.sleep(LIMIT_SETTLE_S)
         await during(soak)
         await asyncio.sleep(ended_s - time.monotonic())
         for upstream in upstreams:
--- a/laburnumrock/standins/__init__.py
+++ b/laburnumrock/standins/__init__.py
@@ -31,8 +31,15 @@
 )
 from laburnumrock.standins._passes import FleetReplay, ReplayRequest
 from laburnumrock.standins._proxy import FaultyProxy
+from laburnumrock.standins._request_meter import (
+    LIMIT_SETTLE_S,
+    LIMIT_WINDOW_S,
+    max_limited_requests,
+)
 
 __all__ = [
+    "LIMIT_SETTLE_S",
+    "LIMIT_WINDOW_S",
     "AccountProfile",
     "BatchingModel",
     "CallRecord",
@@ -55,6 +62,7 @@
     "hash_prompt",
     "load_command",
     "load_profile",
+    "max_limited_requests",
     "plan_calls",
     "ReplayRequest",
     "read_executions",
--- a/laburnumrock/standins/_request_meter.py
+++ b/laburnumrock/standins/_request_meter.py
@@ -2,14 +2,19 @@
 
 from collections import deque
 
-SETTLE_S = 3.0
+LIMIT_SETTLE_S = 3.0
 """Time after a limit was first stated from which it must be kept."""
-WINDOW_S = 4.0
+LIMIT_WINDOW_S = 4.0
 EXCESS_RATIO = 1.5
 EXCESS_REQUESTS = 5
 """Requests beyond the limit, as a ratio and in addition, that are allowed in a window."""
 
 
+def max_limited_requests(requests_per_s: float) -> float:
+    """Return the number of requests that may arrive in any window of `LIMIT_WINDOW_S`."""
+    return EXCESS_RATIO * LIMIT_WINDOW_S * requests_per_s + EXCESS_REQUESTS
+
+
 class RequestMeter:
     """Counts the requests beyond the limit that an upstream states.
 
@@ -35,10 +40,9 @@
 
     def record(self, now_s: float) -> None:
         """Record a request."""
-        if self.max_requests_per_s is None or now_s < self.stated_s + SETTLE_S:
+        if self.max_requests_per_s is None or now_s < self.stated_s + LIMIT_SETTLE_S:
             return
         self.arrivals_s.append(now_s)
-        while self.arrivals_s[0] <= now_s - WINDOW_S:
+        while self.arrivals_s[0] <= now_s - LIMIT_WINDOW_S:
             self.arrivals_s.popleft()
-        allowed = EXCESS_RATIO * WINDOW_S * self.max_requests_per_s + EXCESS_REQUESTS
-        self.excesses += len(self.arrivals_s) > allowed
+        self.excesses += len(self.arrivals_s) > max_limited_requests(self.max_requests_per_s)
