Parse the sources for the test of log events before other tests run

test_events.py failed once in each of two of six runs beside the tests of forwarding and gateway (pytest -n 3 and -n 6), with another of its tests each time. The traceback kept of the second one is 'SystemError: AST constructor recursion depth mismatch' in ast.parse: the garbage collector ran there and finalized a stream of another test, whose error report parses source code too. CPython 3.11 counts the nested parse wrongly. The sources are now parsed during collection, when no test has left any objects behind. The checks are the same.

--- a/laburnumrock/metrics/tests/test_events.py
+++ b/laburnumrock/metrics/tests/test_events.py
@@ -39,6 +39,11 @@
     return getattr(node.func, "attr", getattr(node.func, "id", ""))
 
 
+# Parsed during collection: CPython 3.11 fails with a SystemError if the garbage collector finalizes
+# an object of another test while it builds an AST.
+LOG_CALLS = list(find_log_calls())
+
+
 def read_event_names(argument: ast.expr) -> list[str]:
     """Return the event names that an argument can evaluate to; none unless it is constant."""
     if isinstance(argument, ast.Constant):
@@ -51,7 +56,7 @@
 class TestEvents:
     def test_every_logged_event_is_listed_with_its_fields(self):
         """Guards against log lines with undocumented events or fields."""
-        for file, argument, fields in find_log_calls():
+        for file, argument, fields in LOG_CALLS:
             for name in read_event_names(argument):
                 assert name in EVENTS, f"{file.name}: {name}"
                 listed = set(EVENTS[name]["fields"]) | COMMON_FIELDS | {None}
@@ -59,9 +64,7 @@
 
     def test_every_listed_event_is_logged(self):
         """Guards against listed events that the code no longer logs."""
-        logged = {
-            name for _, argument, _ in find_log_calls() for name in read_event_names(argument)
-        }
+        logged = {name for _, argument, _ in LOG_CALLS for name in read_event_names(argument)}
         written_by_the_writer = {"lines_dropped", "lines_omitted"}
         assert set(EVENTS) <= logged | written_by_the_writer
 
