Log a digest of placed and broken requests

The logs could not tell whether two requests that end one server after the other are the same one. The digest covers client account, method, host, target and body. The digest of operations in the gateway is computed by the same function; its values are unchanged.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -15,7 +15,11 @@
 from laburnumrock.forwarding._http_response import ResponseWriter, is_success, may_forward
 from laburnumrock.forwarding._send import MIN_REMAINING_S, StreamProgress, UpstreamSend
 from laburnumrock.forwarding._wire import CallerRequest
+from laburnumrock.quarantine import digest_request
 
+DIGEST_DIGITS = 20
+"""Hexadecimal digits of a request's digest that are used. Digests that are compared at a time
+number a few thousand at most."""
 MAX_UNSENT_ATTEMPTS = 3
 """Maximum number of placements that fail before a byte is sent; they do not count as attempts."""
 MAX_PLACEMENT_AGE_S = 1.0
@@ -92,6 +96,7 @@
         self.progress = StreamProgress(request.last_event_id)
         self.attempts = _Attempts()
         self.service = ""
+        self.digest = ""
         self.deadline_s = 0.0
         self.placed_s = 0.0
 
@@ -155,8 +160,16 @@
         if self.deadline_s > self.context.stop_deadline_s:
             return ErrorKind.STOPPING
         self.service = route_table.choose_service(writer.route, self.context.source)
+        self.digest = self._compute_digest()
         return None
 
+    def _compute_digest(self) -> str:
+        """Return a digest that a repeat of this request has too, at any entry node."""
+        request = self.request
+        account = self.writer.account.name if self.writer.account is not None else ""
+        texts = (account, request.method, request.host, request.target)
+        return digest_request(*(text.encode() for text in texts), request.body)[:DIGEST_DIGITS]
+
     async def _run_attempts(self) -> None:
         attempts = self.attempts
         route = self.writer.route
@@ -216,6 +229,7 @@
             attempt=call.attempt,
             service=call.service,
             upstream=placement.upstream_id,
+            digest=self.digest,
             parts=self.request.shared_parts[:MAX_LOGGED_PARTS],
             expected_first_s=round(placement.expected_first_s, 4),
             helpers=len(placement.helpers),
@@ -307,6 +321,7 @@
         self.writer.log(
             "upstream_crashed",
             upstream=placement.upstream_id,
+            digest=self.digest,
             parts=self.request.shared_parts[:MAX_LOGGED_PARTS],
         )
         return True
@@ -337,6 +352,7 @@
                 "upstream_broke",
                 upstream=upstream,
                 detail=result.detail or "the upstream crashed",
+                digest=self.digest,
                 parts=self.request.shared_parts[:MAX_LOGGED_PARTS],
             )
             self.progress.events.discard_incomplete()
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import hashlib
 import time
 from dataclasses import dataclass
 
@@ -17,6 +16,7 @@
 from laburnumrock.gateway._upstream_http import UpstreamCall, UpstreamResponse, exchange
 from laburnumrock.journal import OperationState, RecordedAnswer
 from laburnumrock.placement import PermitGrant, PermitOutcome, PermitRelease, PermitRequest
+from laburnumrock.quarantine import digest_request
 
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 REPLAY_HEADER = "Idempotent-Replay"
@@ -222,11 +222,7 @@
 
     def _fingerprint(self, body: bytes) -> str:
         request = self.request
-        digest = hashlib.sha256()
-        for part in (request.method.encode(), request.uri.encode(), body):
-            digest.update(len(part).to_bytes(8, "big"))
-            digest.update(part)
-        return digest.hexdigest()
+        return digest_request(request.method.encode(), request.uri.encode(), body)
 
     async def _acquire(
         self, call: ServiceCall, attempt: int, excluded: list[str]
--- a/laburnumrock/quarantine/__init__.py
+++ b/laburnumrock/quarantine/__init__.py
@@ -1,5 +1,6 @@
-"""Quarantine of the parts of prompts that crash upstreams, without I/O."""
+"""Quarantine of requests and parts of prompts that crash upstreams, without I/O."""
 
+from laburnumrock.quarantine._digest import digest_request
 from laburnumrock.quarantine._quarantine import PromptQuarantine, QuarantineSettings
 
-__all__ = ["PromptQuarantine", "QuarantineSettings"]
+__all__ = ["PromptQuarantine", "QuarantineSettings", "digest_request"]
