--- a/laburnumrock/platform/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -40,8 +40,8 @@
     stopping : set of str
         Hosts of entries that are stopping gracefully.
     crashing_share : float
-        Share of the streams that contain the part of a prompt that crashes engines, if there is
-        one.
+        Share of the streams that contain the part of a prompt that crashes engines, and of all
+        requests that are the repeated one that crashes upstreams, if there is one.
     """
 
     number: int
@@ -80,25 +80,15 @@
             self.connection = await asyncio.wait_for(opened, 1.0)
         reader, writer = self.connection
         self.sent += 1
-        kind = self.source.choice(KINDS)
         request_id = f"c{self.number}-{self.sent}"
+        kind, target, headers = self._draw_request(request_id)
         self.tracker.sent.add(request_id)
         self.tracker.entries[request_id] = self.host
-        if kind == "once":
+        if kind.endswith("once"):
             self.tracker.once.add(request_id)
-        headers = {}
-        if kind == "stream":
-            tokens = self.source.choice((1_000, 5_000, 200_000, 700_000))
-            crashing_part = self._draw_crashing_part()
-            headers["Token-Usage"] = f"{tokens},400"
-            headers["Prefix-Hash"] = make_prefix(self.source, tokens, crashing_part)
-            if crashing_part:
-                kind = "crashing stream"
-            else:
-                self.tracker.streams_sent_s[request_id] = time.monotonic()
-        writer.write(_make_request(kind.split()[-1], request_id, headers))
+        writer.write(_make_request(target, request_id, headers))
         sent_s = time.monotonic()
-        abandons = kind != "once" and self.source.random() < 0.05
+        abandons = not kind.endswith("once") and self.source.random() < 0.05
         timeout_s = 0.03 if abandons else DEADLINE_S + RESPONSE_MARGIN_S
         try:
             async with asyncio.timeout(timeout_s):
@@ -119,6 +109,27 @@
                     "no requests lost in graceful stops", f"{request_id} at {self.host}"
                 )
 
+    def _draw_request(self, request_id: str) -> tuple[str, str, dict[str, str]]:
+        """Draw a request, and return its kind, target and headers."""
+        repeated = self.tracker.repeated
+        if repeated.kind and self.source.random() < self.crashing_share:
+            return f"crashing {repeated.kind}", repeated.target, repeated.headers
+        kind = self.source.choice(KINDS)
+        target = f"/{kind}/{request_id}"
+        if kind != "stream":
+            self.tracker.plain_sent_s[request_id] = time.monotonic()
+            return kind, target, {}
+        tokens = self.source.choice((1_000, 5_000, 200_000, 700_000))
+        part = self._draw_crashing_part()
+        headers = {
+            "Token-Usage": f"{tokens},400",
+            "Prefix-Hash": make_prefix(self.source, tokens, part),
+        }
+        if part:
+            return "crashing stream", target, headers
+        self.tracker.streams_sent_s[request_id] = time.monotonic()
+        return kind, target, headers
+
     def _draw_crashing_part(self) -> str:
         part = self.tracker.prompts.part
         return part if part and self.source.random() < self.crashing_share else ""
@@ -149,7 +160,7 @@
             self.findings.report(
                 "responses match requests", f"{request_id} got {headers['request-id']}"
             )
-        if status in NOT_RUN_STATUSES and kind == "once":
+        if status in NOT_RUN_STATUSES and kind.endswith("once"):
             self.rejected_ids.add(request_id)
             if "retry-after" not in headers and status in (429, 503):
                 self.findings.report("rejections carry Retry-After", request_id)
@@ -165,9 +176,9 @@
             self.findings.report("responses are complete", f"{request_id}: {body[-80:]!r}")
 
 
-def _make_request(kind: str, request_id: str, headers: dict[str, str]) -> bytes:
+def _make_request(target: str, request_id: str, headers: dict[str, str]) -> bytes:
     lines = [
-        f"POST /{kind}/x HTTP/1.1",
+        f"POST {target} HTTP/1.1",
         f"Host: {HOSTNAME}",
         f"Request-Id: {request_id}",
         f"Deadline-Ms: {int(DEADLINE_S * 1000)}",
--- a/laburnumrock/platform/soak/_faults.py
+++ b/laburnumrock/platform/soak/_faults.py
@@ -62,10 +62,10 @@
     soak.findings.counts["crashing prompt"] += 1
     prompts.start(f"c{int(step.at_s * 1000):x}")
     await asyncio.sleep(step.duration_s)
-    late = prompts.list_late_arrivals()
+    late = prompts.record.list_late_arrivals()
     prompts.part = ""
     if len(late) > MAX_ARRIVALS and soak.findings.is_fault_free_since(started_s):
-        detail = f"{len(late)} arrivals after {len(prompts.crashes_s)} crashes"
+        detail = f"{len(late)} arrivals after {len(prompts.record.crashes_s)} crashes"
         soak.findings.report("prompts that crash engines are quarantined", detail)
 
 
--- a/laburnumrock/platform/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -14,11 +14,7 @@
 from laburnumrock.platform.soak._faults import apply_step
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._operator import Operator, call_core
-from laburnumrock.platform.soak._schedule import (
-    CORES,
-    SERVERS,
-    make_schedule,
-)
+from laburnumrock.platform.soak._schedule import CORES, make_schedule
 from laburnumrock.platform.soak._state import ZONES, Node, RunState, SoakSettings
 from laburnumrock.platform.soak._upstreams import HEARTBEAT_S, Upstream
 from laburnumrock.scenarios import ManagedProcess
@@ -131,10 +127,9 @@
 
 def _make_upstreams(soak: RunState, rng: random.Random) -> None:
     host = f"{soak.network}.90"
-    engines = soak.settings.engines
-    ports = _find_free_ports(2 * (engines + SERVERS))
-    names = [f"engine{number}" for number in range(engines)]
-    names += [f"server{number}" for number in range(SERVERS)]
+    names = [f"engine{number}" for number in range(soak.settings.engines)]
+    names += [f"server{number}" for number in range(soak.settings.servers)]
+    ports = _find_free_ports(2 * len(names))
     for number, name in enumerate(names):
         service = "llm" if name.startswith("engine") else "app"
         port, proxy_port = ports[2 * number : 2 * number + 2]
--- a/laburnumrock/platform/soak/_state.py
+++ b/laburnumrock/platform/soak/_state.py
@@ -6,7 +6,7 @@
 
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._operator import Operator
-from laburnumrock.platform.soak._schedule import ENGINES, ENTRIES
+from laburnumrock.platform.soak._schedule import ENGINES, ENTRIES, SERVERS
 from laburnumrock.platform.soak._upstreams import RequestTracker, Upstream
 from laburnumrock.scenarios import ManagedProcess
 from laburnumrock.standins import FaultyProxy
@@ -32,6 +32,8 @@
         Number of engines; faults of the schedule affect the first four.
     entries : int
         Number of entries; faults of the schedule affect the first three.
+    servers : int
+        Number of servers of plain requests; faults of the schedule affect the first two.
     """
 
     seed: int
@@ -40,6 +42,7 @@
     callers: int = 8
     engines: int = ENGINES
     entries: int = ENTRIES
+    servers: int = SERVERS
 
 
 @dataclass(slots=True)
--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -10,7 +10,7 @@
 
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._limits import StatedLimit
-from laburnumrock.platform.soak._prompts import CrashingPrompts
+from laburnumrock.platform.soak._prompts import CrashingPrompts, CrashRecord, RepeatedRequest
 from laburnumrock.standins import FaultyProxy
 
 HEARTBEAT_S = 0.6
@@ -21,7 +21,7 @@
 UNFRAMED_SHARE = 0.1
 """Share of the answers with neither a length nor chunks, which end with their connection."""
 CRASH_DOWN_S = 1.5
-"""Time after which an engine that a prompt crashed starts again."""
+"""Time after which an upstream that a request crashed starts again."""
 DRAIN_LIMIT_S = 2.0
 """Time after the acknowledgement of a drain from which no request may arrive."""
 
@@ -38,10 +38,13 @@
         Ids of the requests that callers sent.
     once : set of str
         Ids of those requests that may run at most once.
-    streams_sent_s : dict of str to float
-        Monotonic clock readings at which the streams without a crashing part were sent.
+    streams_sent_s, plain_sent_s : dict of str to float
+        Monotonic clock readings at which the streams and the other requests were sent that do not
+        crash upstreams.
     prompts : CrashingPrompts
         Part of a prompt that crashes engines, with its arrivals and crashes.
+    repeated : RepeatedRequest
+        Request that crashes upstreams, with its arrivals and crashes.
     entries : dict of str to str
         Host of the entry to which each request was sent.
     faulty : Counter of str
@@ -52,10 +55,23 @@
     sent: set[str] = field(default_factory=set)
     once: set[str] = field(default_factory=set)
     streams_sent_s: dict[str, float] = field(default_factory=dict)
+    plain_sent_s: dict[str, float] = field(default_factory=dict)
     prompts: CrashingPrompts = field(default_factory=CrashingPrompts)
+    repeated: RepeatedRequest = field(default_factory=RepeatedRequest)
     entries: dict[str, str] = field(default_factory=dict)
     faulty: Counter = field(default_factory=Counter)
 
+    def record_arrival(self, line: str, prefix: str | None) -> CrashRecord | None:
+        """Record the arrival of a request; return its record if it crashes the upstream."""
+        record = None
+        if self.repeated.matches(line):
+            record = self.repeated.record
+        elif self.prompts.matches(prefix):
+            record = self.prompts.record
+        if record is not None:
+            record.arrivals_s.append(time.monotonic())
+        return record
+
 
 def make_event(request_id: str, number: int) -> bytes:
     """Return a server-sent event that contains the id of its request."""
@@ -108,11 +124,12 @@
     server: asyncio.Server | None = None
     restart: asyncio.Task | None = None
     limit: StatedLimit | None = None
+    keeps_id: bool = False
 
     @property
     def upstream_id(self) -> str:
-        """Id of the current incarnation."""
-        return f"{self.name}-{self.incarnation}"
+        """Id of the current incarnation, which is that of the first one if it is kept."""
+        return f"{self.name}-{1 if self.keeps_id else self.incarnation}"
 
     async def start(self) -> None:
         """Start a new incarnation, unless one runs that another fault has started."""
@@ -198,7 +215,7 @@
         request_id = headers.get("request-id", "")
         self._check_received(request_id, headers)
         self._count_against_limit(self.tracker.entries.get(request_id, ""))
-        is_crashing = self.tracker.prompts.record_arrival(request_id, headers.get("prefix-hash"))
+        crashing = self.tracker.record_arrival(line, headers.get("prefix-hash"))
         if headers.get("expect-instance") != self.upstream_id:
             writer.write(self._encode_head(421, "", 0, {"Not-Executed": "1"}))
         elif self.mode == "engine_refuses":
@@ -206,7 +223,7 @@
         elif self.mode == "engine_mute":
             await asyncio.sleep(30)
         else:
-            await self._run(writer, line, request_id, headers, is_crashing)
+            await self._run(writer, line, request_id, headers, crashing)
         await writer.drain()
 
     def _count_against_limit(self, entry: str) -> None:
@@ -234,7 +251,7 @@
         line: str,
         request_id: str,
         headers: dict[str, str],
-        is_crashing: bool,
+        crashing: CrashRecord | None,
     ) -> None:
         self.tracker.runs[request_id] = self.tracker.runs.get(request_id, 0) + 1
         if self.mode == "engine_fails" and self.source.random() < 0.5:
@@ -243,6 +260,9 @@
         unframed = self.source.random() < UNFRAMED_SHARE
         if "/stream/" not in line:
             await asyncio.sleep(0.01)
+            if crashing is not None:
+                self._crash_under_request(crashing)
+                return
             body = f"done {request_id}".encode()
             length = None if unframed else len(body)
             writer.write(self._encode_head(200, request_id, length, {}, unframed) + body)
@@ -265,8 +285,8 @@
             _write_part(writer, event, unframed)
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
-            if is_crashing:
-                self._crash_under_prompt()
+            if crashing is not None:
+                self._crash_under_request(crashing)
                 return
         if unframed:
             writer.close()
@@ -294,10 +314,10 @@
         lines += [f"{name}: {value}" for name, value in headers.items()]
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
-    def _crash_under_prompt(self) -> None:
+    def _crash_under_request(self, record: CrashRecord) -> None:
         if self.mode == "down":
             return
-        self.tracker.prompts.crashes_s.append(time.monotonic())
+        record.crashes_s.append(time.monotonic())
         self.crash()
         self.restart = asyncio.create_task(self._restart_after_crash())
 
--- a/laburnumrock/platform/soak/tests/test_crashing_prompts.py
+++ b/laburnumrock/platform/soak/tests/test_crashing_prompts.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from laburnumrock.platform.soak._prompts import CONTACT_S, COUNTED_CRASHES, MAX_ARRIVALS
+from laburnumrock.platform.soak._prompts import CONTACT_S, MAX_ARRIVALS
 from laburnumrock.platform.soak._run import open_deployment, start_callers
 from laburnumrock.platform.soak._state import RunState, SoakSettings
 
@@ -45,11 +45,12 @@
         await asyncio.sleep(ended_s - time.monotonic())
         for caller in callers:
             caller.close()
-    assert prompts.crashes_s, "no request with the part has reached an engine"
-    late = prompts.list_late_arrivals()
-    crashes = len(prompts.crashes_s)
+    record = prompts.record
+    assert record.crashes_s, "no request with the part has reached an engine"
+    late = record.list_late_arrivals()
+    crashes = len(record.crashes_s)
     assert len(late) <= MAX_ARRIVALS, f"{len(late)} late arrivals, {crashes} crashes"
-    known_s = prompts.crashes_s[:COUNTED_CRASHES][-1] + 2 * CONTACT_S
+    known_s = record.crashes_s[: record.counted_crashes][-1] + 2 * CONTACT_S
     calm = measure_service(soak, started_s, trouble_s)
     assert measure_service(soak, known_s, ended_s - 1.0) >= MIN_SERVICE_RATIO * calm
     assert soak.findings.broken == []
