--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -32,7 +32,7 @@
 from laburnumrock.dispatch._refusals import CallRefusals
 from laburnumrock.dispatch._trials import MAX_HELD_CALLS, PromptTrials
 from laburnumrock.errors import ErrorKind
-from laburnumrock.quarantine import PromptQuarantine
+from laburnumrock.quarantine import CrashQuarantine
 from laburnumrock.routing import RouteSet
 
 PERMIT_GRACE_S = 1.0
@@ -68,7 +68,7 @@
         self.permits_by_entry: dict[str, set[int]] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.queue = CallQueue(settings)
-        self.quarantine = PromptQuarantine(settings.quarantine)
+        self.quarantine = CrashQuarantine(settings.quarantine)
         self.trials = PromptTrials(self.quarantine, self.fleet)
         self.refusals = CallRefusals(self.fleet, self.queue, self.trials, rng)
         self.first_permit = self.next_permit = 1
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -19,7 +19,7 @@
 from laburnumrock.dispatch._rank import engine_rank
 from laburnumrock.dispatch._request_limits import RequestLimits
 from laburnumrock.errors import ErrorKind
-from laburnumrock.quarantine import PromptQuarantine
+from laburnumrock.quarantine import CrashQuarantine
 
 LOCAL_SLACK_SHARE = 0.3
 """Share of the retry slack that all entry nodes together may use without the dispatcher."""
@@ -64,7 +64,7 @@
         self.settings = settings
         self.rng = rng
         self.budget = RetryBudget(0.0, 1.0, settings.retry_window_s)
-        self.quarantine = PromptQuarantine(settings.quarantine)
+        self.quarantine = CrashQuarantine(settings.quarantine)
         self.limits = RequestLimits(LIMIT_SHARE)
         self.placed_s = float("-inf")
         self.sends: dict[int, tuple[str, int]] = {}
--- a/laburnumrock/dispatch/_outcomes.py
+++ b/laburnumrock/dispatch/_outcomes.py
@@ -2,11 +2,11 @@
 
 from laburnumrock.dispatch._messages import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
 from laburnumrock.errors import ErrorKind
-from laburnumrock.quarantine import PromptQuarantine
+from laburnumrock.quarantine import CrashQuarantine
 
 
 def refuse_quarantined(
-    quarantine: PromptQuarantine, call: DispatchCall, now_s: float
+    quarantine: CrashQuarantine, call: DispatchCall, now_s: float
 ) -> DispatchAnswer | None:
     """Return the refusal of a request whose prompt is quarantined, or None."""
     release_s = quarantine.find_release_s(call.parts, now_s)
@@ -16,7 +16,7 @@
     return DispatchAnswer(refusal=refusal, retry_after_s=round(release_s, 2))
 
 
-def record_parts(quarantine: PromptQuarantine, message: SendEnded, now_s: float) -> None:
+def record_parts(quarantine: CrashQuarantine, message: SendEnded, now_s: float) -> None:
     """Record what the end of a send shows about the parts of its prompt."""
     if message.outcome is SendOutcome.DONE:
         quarantine.record_success(message.parts)
--- a/laburnumrock/dispatch/_trials.py
+++ b/laburnumrock/dispatch/_trials.py
@@ -12,7 +12,7 @@
 from laburnumrock.dispatch._fleet import Fleet
 from laburnumrock.dispatch._messages import DispatchCall
 from laburnumrock.dispatch._queue import CallQueue
-from laburnumrock.quarantine import PromptQuarantine
+from laburnumrock.quarantine import CrashQuarantine
 
 MAX_HELD_CALLS = 8
 """Maximum number of queued requests of a service that wait for the end of a trial. If their part is
@@ -32,13 +32,13 @@
 
     Parameters
     ----------
-    quarantine : PromptQuarantine
+    quarantine : CrashQuarantine
         Suspected parts.
     fleet : Fleet
         The upstreams.
     """
 
-    def __init__(self, quarantine: PromptQuarantine, fleet: Fleet) -> None:
+    def __init__(self, quarantine: CrashQuarantine, fleet: Fleet) -> None:
         self.quarantine = quarantine
         self.fleet = fleet
         self.trials: dict[int, _Trial] = {}
--- a/laburnumrock/nodes/_quarantine.py
+++ b/laburnumrock/nodes/_quarantine.py
@@ -6,7 +6,7 @@
 from laburnumrock.daemon import LogTask
 from laburnumrock.metrics import NodeMetrics
 from laburnumrock.nodes._decision_log import log_change
-from laburnumrock.quarantine import PromptQuarantine
+from laburnumrock.quarantine import CrashQuarantine
 from laburnumrock.routing import SetQuarantine
 
 COMMIT_TIMEOUT_S = 2.5
@@ -21,7 +21,7 @@
 
     Parameters
     ----------
-    quarantine : PromptQuarantine
+    quarantine : CrashQuarantine
         Quarantine of the dispatcher of this core.
     log : LogTask
         The replicated log.
@@ -29,7 +29,7 @@
         Counts commits and quarantined groups.
     """
 
-    def __init__(self, quarantine: PromptQuarantine, log: LogTask, metrics: NodeMetrics) -> None:
+    def __init__(self, quarantine: CrashQuarantine, log: LogTask, metrics: NodeMetrics) -> None:
         self.quarantine = quarantine
         self.log = log
         self.metrics = metrics
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -23,7 +23,7 @@
 from laburnumrock.placement._settings import PoolSettings
 from laburnumrock.placement._spanning import ReservationHolder
 from laburnumrock.placement._table import UpstreamTable
-from laburnumrock.quarantine import PromptQuarantine
+from laburnumrock.quarantine import CrashQuarantine
 from laburnumrock.upstreams import UpstreamAnnouncement
 
 # Cancels on an upstream that has stopped announcing itself are repeated for this time. If it comes
@@ -67,7 +67,7 @@
         self.spanning_reservation = ReservationHolder(self.table)
         self.long_reservation = ReservationHolder(self.table)
         self.reconciler = EngineReconciler(settings, self.table, self.registry)
-        self.quarantine = PromptQuarantine(settings.quarantine)
+        self.quarantine = CrashQuarantine(settings.quarantine)
         self.allocator = PermitAllocator(self)
 
     def receive(self, sender: str, message: object, now_s: float) -> list[Effect]:
--- a/laburnumrock/quarantine/_quarantine.py
+++ b/laburnumrock/quarantine/_quarantine.py
@@ -48,7 +48,7 @@
     companions: frozenset[str]
 
 
-class PromptQuarantine:
+class CrashQuarantine:
     """Finds the parts of prompts that crash upstreams, and the requests that must not be sent.
 
     A crash breaks all requests of an upstream, and those that are not at fault share most parts
