Quarantine requests that come again and crash upstreams

A request without a prompt has none, and a broken send of one was not even checked for a crash; a stream that comes again shares all its parts with sound ones, which were held or refused in its place.

Change: the digest of account, method, host, target and body takes the same way as the parts. Three successive crashes quarantine it. Crashes under one request no longer count against the parts of its prompt. Entries keep the evidence of their own requests, hand it to new leaders, and tell each other while there is none. The same on the product's own interface: calls of services are checked for crashes, and pool owners count them and completions by request. Ruled out: overload after a start (the first engines had run since the start), coincidence (only one of two routes began a series).

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -27,7 +27,7 @@
     UpstreamState,
     WithdrawCall,
 )
-from laburnumrock.dispatch._outcomes import refuse_quarantined
+from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
 from laburnumrock.dispatch._request_limits import RequestLimits
 
 __all__ = [
@@ -57,6 +57,7 @@
     "UpstreamState",
     "WithdrawCall",
     "max_queue_wait_s",
+    "record_parts",
     "refuse_quarantined",
 ]
 
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -160,7 +160,7 @@
 
     def record_ended(self, message: SendEnded, now_s: float) -> None:
         """Release a send and record its outcome."""
-        record_parts(self.quarantine, message, now_s)
+        record_parts(self.quarantine, message, now_s, is_shared=False)
         name, _ = self.sends.pop(message.permit, ("", 0))
         domain = self.domain_by_upstream.get(name, "")
         if message.outcome is SendOutcome.DONE:
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -113,7 +113,8 @@
         Earlier sends that may have reached an upstream; only these make the request a retry that
         counts against the retry budget.
     parts : list of str
-        Parts of the prompt that other requests may contain too.
+        Parts of the prompt that other requests may contain too, and the name of the request, which
+        its repeats have too.
     """
 
     request_id: str
@@ -254,8 +255,7 @@
     unresponsive : list of str
         Helpers that did not answer when memory was to be reserved.
     parts : list of str
-        Parts of the prompt that other requests may contain too, if the send succeeded or crashed
-        the upstream.
+        As in `DispatchCall`, if the send succeeded or crashed the upstream.
     duration_s : float
         Time since the send began.
     is_unlimited : bool
--- a/laburnumrock/errors/_kinds.py
+++ b/laburnumrock/errors/_kinds.py
@@ -68,6 +68,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     NO_UPSTREAM = "no_upstream"
     OWNER_UNAVAILABLE = "owner_unavailable"
     QUORUM_UNAVAILABLE = "quorum_unavailable"
@@ -180,6 +181,9 @@
     ErrorKind.PROMPT_QUARANTINED: _refuse(
         503, _ADMISSION, _BACKOFF, "A part of the prompt crashed several upstreams"
     ),
+    ErrorKind.REQUEST_QUARANTINED: _refuse(
+        503, _ADMISSION, _BACKOFF, "The same request crashed several upstreams"
+    ),
     ErrorKind.NO_UPSTREAM: _refuse(503, _PLACEMENT, _BACKOFF, "No upstream is available"),
     ErrorKind.OWNER_UNAVAILABLE: _refuse(
         503, _PLACEMENT, _BACKOFF, "The owner of the upstream pool is unreachable"
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -15,11 +15,8 @@
 from laburnumrock.forwarding._http_response import ResponseWriter, is_success, may_forward
 from laburnumrock.forwarding._send import MIN_REMAINING_S, StreamProgress, UpstreamSend
 from laburnumrock.forwarding._wire import CallerRequest
-from laburnumrock.quarantine import digest_request
+from laburnumrock.quarantine import DIGEST_DIGITS, digest_request, name_request
 
-DIGEST_DIGITS = 20
-"""Hexadecimal digits of a request's digest that are used. Digests that are compared at a time
-number a few thousand at most."""
 MAX_UNSENT_ATTEMPTS = 3
 """Maximum number of placements that fail before a byte is sent; they do not count as attempts."""
 MAX_PLACEMENT_AGE_S = 1.0
@@ -214,7 +211,7 @@
             self.deadline_s - now_s,
             list(self.attempts.excluded),
             self.attempts.sent,
-            list(request.shared_parts),
+            [*request.shared_parts, name_request(self.digest)],
         )
 
     async def _place(self, call: DispatchCall) -> DispatchAnswer:
@@ -305,7 +302,7 @@
             return outcome
 
     async def _find_crash(self, placement: DispatchAnswer, result: ExchangeResult) -> bool:
-        """Return whether the upstream has crashed, if the end of its response leaves that open.
+        """Return whether the upstream has crashed, unless its response was framed and complete.
 
         Notes
         -----
@@ -313,7 +310,7 @@
         response without framing.
         """
         broken = not result.complete or self.progress.events.incomplete
-        unclear = self.request.shared_parts if broken else not result.framed
+        unclear = broken or not result.framed
         if not unclear or not await self.context.pool.is_refused(
             placement.host, placement.port, MAX_CRASH_CHECK_S
         ):
--- a/laburnumrock/forwarding/tests/test_crashes.py
+++ b/laburnumrock/forwarding/tests/test_crashes.py
@@ -17,6 +17,7 @@
     stream,
     write_chunk,
 )
+from laburnumrock.quarantine import is_request
 
 PREFIX = {"Prefix_Hash": "a1:40,dead:300,91bd3f06:4000"}
 PARTS = ["a1", "dead"]
@@ -55,9 +56,45 @@
                 messages = record_ended(frontend)
                 response = await frontend.request("/s/x", **PREFIX)
             assert response.complete
+            *parts, request = frontend.dispatcher.calls[0].parts
+            assert (parts, is_request(request)) == (PARTS, True)
             outcomes = [(message.outcome, message.parts) for message in messages]
-            assert outcomes == [(SendOutcome.CRASHED, PARTS), (SendOutcome.DONE, PARTS)]
-            assert frontend.dispatcher.calls[0].parts == PARTS
+            names = [*PARTS, request]
+            assert outcomes == [(SendOutcome.CRASHED, names), (SendOutcome.DONE, names)]
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("path", ["/r/x", "/once/x"])
+    def test_crash_under_a_plain_request(self, path):
+        """Guards against crashes that are not counted since their requests have no prompt."""
+
+        async def run():
+            upstreams = []
+            upstreams += [ScriptedUpstream(crash(upstreams)), ScriptedUpstream(answer())]
+            async with open_frontend(*upstreams) as frontend:
+                messages = record_ended(frontend)
+                await frontend.request(path)
+            assert messages[0].outcome is SendOutcome.CRASHED
+            (request,) = messages[0].parts
+            assert is_request(request)
+
+        asyncio.run(run())
+
+    def test_repeats_have_the_same_name(self):
+        """Guards against a repeat that is not recognized, or that passes for another request."""
+
+        async def run():
+            async with open_frontend(ScriptedUpstream(answer())) as frontend:
+                await frontend.request("/r/x")
+                await frontend.request("/r/x", Request_Id="r2", Deadline_Ms="900", X_Other="1")
+                await frontend.request("/r/x", body=b"{ }")
+                await frontend.request("/r/x?y")
+                await frontend.request("/r/x", method="PUT")
+                await frontend.request("/open/x")
+                await frontend.request("/open/x", body=b"{ }")
+            first, *others = [call.parts[-1] for call in frontend.dispatcher.calls]
+            assert others[0] == first
+            assert len({first, *others}) == 6
 
         asyncio.run(run())
 
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -23,8 +23,6 @@
 
 MAX_ATTEMPTS = 4
 RETRY_AFTER_FAILURE_S = 1.0
-MAX_CRASH_CHECK_S = 0.1
-"""Time limit for the connection that shows whether the upstream of a failed attempt has crashed."""
 
 _RETRIED_KINDS = (
     ErrorKind.CONNECTION_FAILED,
@@ -57,6 +55,8 @@
         Time limit for the whole completion in seconds.
     prefix_hashes : list of str
         Hashes of the prompt's prefixes, shortest first.
+    request_name : str
+        Name of the request in the quarantine, which its repeats have too.
     """
 
     work: CompletionRequest
@@ -66,6 +66,7 @@
     length_class: str
     timeout_s: float
     prefix_hashes: list[str] = field(default_factory=list)
+    request_name: str = ""
 
 
 class CompletionRun:
@@ -94,6 +95,7 @@
         self.attempt_first_token_s: float | None = None
         self.last_token_s: float | None = None
         self.excluded: list[str] = []
+        self.crash_names: list[str] = []
 
     async def run(self) -> Result[None, Failure]:
         """Run attempts until the completion succeeds, is refused or exceeds its deadline."""
@@ -133,23 +135,24 @@
         # A resumed attempt processes the tokens delivered so far as part of its prompt.
         delivered_tokens = self.assembler.next_index
         requested_s = time.monotonic()
-        granted = await self.services.permits.acquire(
-            PermitRequest(
-                request_id=request.request_id,
-                attempt=attempt,
-                client_account=self.job.client_account,
-                caller=self.job.caller,
-                model=request.model,
-                prompt_tokens=self.job.prompt_tokens + delivered_tokens,
-                max_output_tokens=request.max_tokens - delivered_tokens,
-                remaining_s=max(self._remaining_s(), 0.0),
-                priority=request.priority,
-                adapter=request.adapter,
-                version=request.version,
-                prefix_hashes=self.job.prefix_hashes,
-                excluded_upstreams=list(self.excluded),
-            )
+        permit_request = PermitRequest(
+            request_id=request.request_id,
+            attempt=attempt,
+            client_account=self.job.client_account,
+            caller=self.job.caller,
+            model=request.model,
+            prompt_tokens=self.job.prompt_tokens + delivered_tokens,
+            max_output_tokens=request.max_tokens - delivered_tokens,
+            remaining_s=max(self._remaining_s(), 0.0),
+            priority=request.priority,
+            adapter=request.adapter,
+            version=request.version,
+            prefix_hashes=self.job.prefix_hashes,
+            request_name=self.job.request_name,
+            excluded_upstreams=list(self.excluded),
         )
+        self.crash_names = permit_request.crash_names
+        granted = await self.services.permits.acquire(permit_request)
         self._record(Measure.QUEUE_WAIT, time.monotonic() - requested_s)
         if granted.is_err():
             log_message(
@@ -210,13 +213,14 @@
         if failure.kind is not ErrorKind.UPSTREAM_FAILED or len(grant.placements) > 1:
             return False
         placement = grant.placements[0]
-        if not await is_refused(placement.base_url, MAX_CRASH_CHECK_S):
+        if not await is_refused(placement.base_url):
             return False
         log_message(
             "upstream_crashed",
             request_id=grant.request_id,
             upstream=placement.upstream_id,
             prefix_hashes=self.job.prefix_hashes,
+            request_name=self.job.request_name,
         )
         return True
 
@@ -289,7 +293,7 @@
                 outcome=outcome,
                 first_token_s=first_token_s,
                 output_tokens=self.assembler.next_index,
-                prefix_hashes=self.job.prefix_hashes if has_evidence else [],
+                crash_names=self.crash_names if has_evidence else [],
                 duration_s=time.monotonic() - self.attempt_started_s,
             )
         )
--- a/laburnumrock/gateway/_completions.py
+++ b/laburnumrock/gateway/_completions.py
@@ -101,6 +101,7 @@
                 length_class=str(length_class),
                 timeout_s=timeout.unwrap(),
                 prefix_hashes=[prefix_hash for _, prefix_hash in hash_prefixes(words)],
+                request_name=self.name_request(template.client_account),
             )
         )
 
--- a/laburnumrock/gateway/_handler.py
+++ b/laburnumrock/gateway/_handler.py
@@ -8,6 +8,7 @@
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._interfaces import GatewayServices
 from laburnumrock.gateway._problem_handler import ProblemHandler
+from laburnumrock.quarantine import digest_request, name_request
 
 
 class GatewayHandler(ProblemHandler):
@@ -53,6 +54,12 @@
             return Err(Failure(ErrorKind.BODY_TOO_LARGE, detail))
         return Ok(b"".join(self.body_chunks))
 
+    def name_request(self, client_account: str) -> str:
+        """Return the name of the request in the quarantine, which its repeats have too."""
+        texts = (client_account, self.request.method or "", self.request.uri or "")
+        body = b"".join(self.body_chunks)
+        return name_request(digest_request(*(text.encode() for text in texts), body))
+
 
 class UnknownPathHandler(GatewayHandler):
     """Handles all paths without a handler of their own."""
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -13,7 +13,7 @@
 from laburnumrock.gateway._accounts import identify_account
 from laburnumrock.gateway._handler import BodyHandler
 from laburnumrock.gateway._interfaces import Dispatch
-from laburnumrock.gateway._upstream_http import UpstreamCall, UpstreamResponse, exchange
+from laburnumrock.gateway._upstream_http import UpstreamCall, UpstreamResponse, exchange, is_refused
 from laburnumrock.journal import OperationState, RecordedAnswer
 from laburnumrock.placement import PermitGrant, PermitOutcome, PermitRelease, PermitRequest
 from laburnumrock.quarantine import digest_request
@@ -239,6 +239,7 @@
                 remaining_s=max(call.remaining_s(), 0.0),
                 priority=call.template.priority,
                 excluded_upstreams=list(excluded),
+                request_name=self.name_request(call.template.client_account),
             )
         )
 
@@ -246,16 +247,37 @@
         self, call: ServiceCall, grant: PermitGrant, send_deadline_s: float | None
     ) -> Result[RecordedAnswer, Failure]:
         outcome = PermitOutcome.FAILED
+        began_s = time.monotonic()
         try:
             async with asyncio.timeout(call.remaining_s()):
                 result = await exchange(self._make_call(call, grant, send_deadline_s))
             if result.is_ok():
                 outcome = PermitOutcome.FINISHED
+            elif await self._has_crashed(grant, result.unwrap_err()):
+                outcome = PermitOutcome.CRASHED
             return result.map(_to_recorded_answer)
         except TimeoutError:
             return Err(Failure(ErrorKind.DEADLINE_EXCEEDED, retry_after_s=RETRY_AFTER_FAILURE_S))
         finally:
-            self.services.permits.release(PermitRelease(grant.permit_id, outcome))
+            has_evidence = outcome in (PermitOutcome.FINISHED, PermitOutcome.CRASHED)
+            release = PermitRelease(
+                grant.permit_id,
+                outcome,
+                crash_names=(
+                    [self.name_request(call.template.client_account)] if has_evidence else []
+                ),
+                duration_s=time.monotonic() - began_s,
+            )
+            self.services.permits.release(release)
+
+    async def _has_crashed(self, grant: PermitGrant, failure: Failure) -> bool:
+        """Return whether the upstream of a call crashed while it worked on it."""
+        placement = grant.placements[0]
+        sent = failure.kind is ErrorKind.UPSTREAM_FAILED
+        if not sent or not await is_refused(placement.base_url):
+            return False
+        log_message("upstream_crashed", request_id=self.request_id, upstream=placement.upstream_id)
+        return True
 
     def _make_call(
         self, call: ServiceCall, grant: PermitGrant, send_deadline_s: float | None
--- a/laburnumrock/gateway/_upstream_http.py
+++ b/laburnumrock/gateway/_upstream_http.py
@@ -29,6 +29,8 @@
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 READ_CHUNK_BYTES = 64 * 1024
+MAX_CRASH_CHECK_S = 0.1
+"""Time limit for the connection that shows whether the upstream of a failed attempt has crashed."""
 
 DataHandler = Callable[[bytes], Awaitable[None]]
 
@@ -160,10 +162,10 @@
         return Ok(reader.response)
 
 
-async def is_refused(base_url: str, timeout_s: float) -> bool:
+async def is_refused(base_url: str) -> bool:
     """Return whether an upstream refuses a connection, as one that has crashed does."""
     try:
-        stream = await _open_stream(base_url, timeout_s)
+        stream = await _open_stream(base_url, MAX_CRASH_CHECK_S)
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError):
--- a/laburnumrock/gateway/tests/fakes.py
+++ b/laburnumrock/gateway/tests/fakes.py
@@ -28,7 +28,7 @@
         self.base_urls = list(base_urls)
         self.requests = []
         self.releases = []
-        self.released_prefixes = []
+        self.released_names = []
         self.revoked = asyncio.Event()
 
     async def acquire(self, request):
@@ -41,7 +41,7 @@
 
     def release(self, release):
         self.releases.append(release.outcome)
-        self.released_prefixes.append(release.prefix_hashes)
+        self.released_names.append(release.crash_names)
 
     def revocation_event(self, permit_id):
         return self.revoked
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -18,6 +18,7 @@
 )
 from laburnumrock.journal import OperationState, RecordedAnswer
 from laburnumrock.placement import PermitOutcome
+from laburnumrock.quarantine import is_request
 
 
 class FailingOnce(FakeOperations):
@@ -69,7 +70,7 @@
     @pytest.mark.parametrize(
         "end, outcome", [("crash", PermitOutcome.CRASHED), ("break", PermitOutcome.FAILED)]
     )
-    def test_crash_is_reported_with_the_prefixes(self, end, outcome):
+    def test_crash_is_reported_with_request_and_prefixes(self, end, outcome):
         """Guards against a prompt that crashes one engine after the other, unknown to the owner."""
 
         async def run():
@@ -80,10 +81,11 @@
                 await gateway.wait_for_cleanup()
                 permits = gateway.permits
                 assert sorted(permits.releases) == sorted([outcome, PermitOutcome.FINISHED])
-                hashes = permits.requests[0].prefix_hashes
-                assert len(hashes) == 1
+                names = permits.requests[0].crash_names
+                assert len(names) == 2
+                assert is_request(names[-1])
                 crashed = outcome is PermitOutcome.CRASHED
-                assert permits.released_prefixes.count(hashes) == 1 + crashed
+                assert permits.released_names.count(names) == 1 + crashed
 
         asyncio.run(run())
 
@@ -232,6 +234,28 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize("path", ["place", "stock"])
+    def test_crash_is_reported_with_the_request(self, path):
+        """Guards against a call that crashes one upstream after the other, unknown to the owner."""
+
+        async def run():
+            async with run_gateway(*(ScriptedEngine(0, "crash") for _ in range(2))) as gateway:
+                permits = gateway.permits
+                url = f"/v1/services/orders/{path}"
+                body = {"resume_from": 0, "max_tokens": 1}
+                await gateway.post(url, body, Idempotency_Key="k1")
+                permits.base_urls.clear()
+                await gateway.post(url, body, Idempotency_Key="k2")
+                await gateway.post(url, {**body, "item": 2}, Idempotency_Key="k3")
+                assert set(permits.releases) == {PermitOutcome.CRASHED}
+                first, *_, repeat, other = [one.request_name for one in permits.requests]
+                assert is_request(first)
+                assert all(names == [first] for names in permits.released_names)
+                assert repeat == first
+                assert other != first
+
+        asyncio.run(run())
+
 
 class TestRefusedResend:
     @pytest.mark.parametrize(
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -346,6 +346,7 @@
             for report in message.sends:
                 self.dispatcher.adopt(sender, report, now_s)
             self.dispatcher.drop_unlisted_sends(sender, set(message.permits), now_s)
+            self.quarantine.adopt(message.crashed_requests)
             self.views.answer_hello(sender, message, self._make_view_base(), now_s)
         self.limit_log.update()
         return EntryWelcome(
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -35,8 +35,9 @@
     WireFormat,
 )
 from laburnumrock.metrics import NodeMetrics
+from laburnumrock.nodes._crash_evidence import CrashEvidence
 from laburnumrock.nodes._entry_count import EntryCount
-from laburnumrock.nodes._messages import EntryHello, EntryWelcome, View
+from laburnumrock.nodes._messages import CrashedRequests, EntryHello, EntryWelcome, View
 from laburnumrock.nodes._periodic import log_failed_work, run_every
 from laburnumrock.nodes._reachability import (
     HELLO_INTERVAL_S,
@@ -110,6 +111,7 @@
         self.directory = UpstreamDirectory(math.inf, math.inf)
         self.local_dispatcher = LocalDispatcher(dispatch, rng)
         self.quarantine = self.local_dispatcher.quarantine
+        self.crash_evidence = CrashEvidence(self.quarantine, self.network, rng)
         self.pool = ConnectionPool(settings.upstream_connections)
         reservations = Reservations(self.pool, wire)
         self.metrics = NodeMetrics()
@@ -147,6 +149,7 @@
         """Open the ports and start looking for the leader."""
         self.network.handle(View, self._receive_view)
         self.network.handle(DispatchDecided, self._receive_decision)
+        self.network.handle(CrashedRequests, self.crash_evidence.receive)
         await self.network.start()
         self.context.ready_deadline_s = time.monotonic() + STARTUP_WAIT_S
         listen = self.settings.listen
@@ -291,6 +294,9 @@
             self.local_dispatcher.limits.record_unlimited(upstream, sent.sent_s)
         if message.permit < 0:
             self.local_dispatcher.record_ended(message, time.monotonic())
+            self.crash_evidence.tell_others(message)
+        else:
+            self.crash_evidence.record(message)
         self._send_to_leader(message)
 
     def _send_to_leader(self, message: SendStarted | SendEnded | LimitReport) -> None:
@@ -372,6 +378,8 @@
             self.leader = core
             self.leader_term = welcome.term
             self.place_failures = 0
+            if hello.crashed_requests:
+                self.quarantine.mark_shared()
             limits = self.local_dispatcher.limits
             limits.replace_known(welcome.limits, hello_s, self.last_hello_s)
             entry_count = self.entry_count.record(welcome.entry_count, self.last_hello_s)
@@ -398,6 +406,7 @@
             list(self.sends),
             reports,
             self.local_dispatcher.limits.list_reports(now_s),
+            self.crash_evidence.list_for_leader() if with_sends else [],
         )
 
     def _receive_view(self, sender: str, view: View) -> None:
@@ -407,6 +416,7 @@
         self.drained = set(view.drained)
         self.quarantine.restore(view.quarantined, time.monotonic())
         self.cores = view.cores or self.cores
+        self.crash_evidence.entries = view.entries or self.crash_evidence.entries
         if view.base_revision and self.view_version != (view.term, view.base_revision):
             # An earlier change was lost; the leader answers the next hello with a whole view.
             self.hello_requested.set()
--- a/laburnumrock/nodes/_messages.py
+++ b/laburnumrock/nodes/_messages.py
@@ -4,6 +4,7 @@
 
 from laburnumrock.dispatch import ActiveSendReport, LimitReport, UpstreamReport
 from laburnumrock.messages import register_message
+from laburnumrock.quarantine import CrashedRequest
 
 
 @register_message
@@ -27,6 +28,8 @@
         The active sends in full, for a leader that does not know them.
     limits : list of LimitReport
         Limits that upstreams stated, as far as the entry node knows.
+    crashed_requests : list of CrashedRequest
+        Requests under which upstreams crashed, for a leader that does not know them.
     """
 
     failure_domain: str
@@ -36,6 +39,21 @@
     permits: list[int] = field(default_factory=list)
     sends: list[ActiveSendReport] = field(default_factory=list)
     limits: list[LimitReport] = field(default_factory=list)
+    crashed_requests: list[CrashedRequest] = field(default_factory=list)
+
+
+@register_message
+@dataclass(frozen=True, slots=True)
+class CrashedRequests:
+    """Tells other entry nodes under which requests upstreams crashed, while there is no leader.
+
+    Parameters
+    ----------
+    requests : list of CrashedRequest
+        The requests.
+    """
+
+    requests: list[CrashedRequest]
 
 
 @register_message
@@ -91,7 +109,10 @@
     removed : list of str
         Upstreams that the base view contains and this one does not.
     quarantined : list of list of str
-        Groups of prompt parts; a request whose prompt contains all parts of a group is refused.
+        Groups of prompt parts, and requests that come again; a request whose prompt contains all
+        parts of a group is refused.
+    entries : list of str
+        All entry nodes; empty if they are those of the base view.
     """
 
     term: int
@@ -104,6 +125,7 @@
     base_revision: int = 0
     removed: list[str] = field(default_factory=list)
     quarantined: list[list[str]] = field(default_factory=list)
+    entries: list[str] = field(default_factory=list)
 
 
 @register_message
--- a/laburnumrock/nodes/_quarantine.py
+++ b/laburnumrock/nodes/_quarantine.py
@@ -1,4 +1,4 @@
-"""Replication of the quarantined prompt parts by the cores."""
+"""Replication of the quarantined requests and prompt parts by the cores."""
 
 import asyncio
 import time
@@ -6,7 +6,7 @@
 from laburnumrock.daemon import LogTask
 from laburnumrock.metrics import NodeMetrics
 from laburnumrock.nodes._decision_log import log_change
-from laburnumrock.quarantine import CrashQuarantine
+from laburnumrock.quarantine import CrashedRequest, CrashQuarantine
 from laburnumrock.routing import SetQuarantine
 
 COMMIT_TIMEOUT_S = 2.5
@@ -46,6 +46,12 @@
             self.quarantine.restore(groups, time.monotonic())
         return True
 
+    def adopt(self, reports: list[CrashedRequest]) -> None:
+        """Apply what an entry node that had no leader, or another one, knows of requests."""
+        now_s = time.monotonic()
+        if any([self.quarantine.merge(report, now_s) for report in reports]):
+            self.propose_changes()
+
     def propose_changes(self) -> None:
         """Propose the groups of this core, which leads, if they differ from the replicated ones."""
         is_proposing = self.proposal is not None and not self.proposal.done()
--- a/laburnumrock/nodes/_views.py
+++ b/laburnumrock/nodes/_views.py
@@ -73,6 +73,7 @@
         self.previous_revision = 0
         self.pushed_s = float("-inf")
         self.directory_revision = -1
+        self.pushed_entries: list[str] = []
 
     def start_term(self) -> None:
         """Begin a term with a whole view, as views of different terms have no common base."""
@@ -106,7 +107,9 @@
     def push(self, base: ViewBase, now_s: float) -> None:
         """Send the changes since the previous push to all entry nodes, if there are any."""
         view_is_due = now_s >= self.pushed_s + MIN_VIEW_INTERVAL_S
-        if self.directory.revision != self.directory_revision and view_is_due:
+        changed = self.directory.revision != self.directory_revision
+        changed = changed or self.pushed_entries != sorted(self.entries)
+        if changed and view_is_due:
             self.directory_revision = self.directory.revision
             self.revision += 1
         if self.revision == self.pushed_revision:
@@ -146,12 +149,16 @@
     def _make_changes(self, base: ViewBase, now_s: float) -> View:
         """Return the changes since the previous view, or a whole view if there is none."""
         changed, removed = self.directory.take_changes()
+        entries = sorted(self.entries)
+        is_same = entries == self.pushed_entries
+        self.pushed_entries = entries
         if self.previous_revision == 0:
             return self._make_view(base, now_s)
         return replace(
             self._make_view(base, now_s, names=changed),
             base_revision=self.previous_revision,
             removed=removed,
+            entries=[] if is_same else entries,
         )
 
     def _make_view(
@@ -170,4 +177,5 @@
             base.cores,
             self.directory.reports(now_s, names),
             quarantined=base.routes.quarantined,
+            entries=sorted(self.entries),
         )
--- a/laburnumrock/placement/_allocator.py
+++ b/laburnumrock/placement/_allocator.py
@@ -156,9 +156,9 @@
     ) -> Send:
         """Return the message that refuses a request."""
         retry_after_s = None
-        if kind is ErrorKind.PROMPT_QUARANTINED:
-            hashes = waiting.request.prefix_hashes
-            retry_after_s = self.scheduler.quarantine.find_release_s(hashes, now_s)
+        if kind in (ErrorKind.PROMPT_QUARANTINED, ErrorKind.REQUEST_QUARANTINED):
+            names = waiting.request.crash_names
+            retry_after_s = self.scheduler.quarantine.find_release_s(names, now_s)
         elif kind is not ErrorKind.PROMPT_TOO_LONG:
             wait_s = max(self._expected_wait(waiting, now_s), self._limited_wait_s(waiting, now_s))
             retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
@@ -177,7 +177,10 @@
     def _find_refusal_kind(self, waiting: WaitingRequest, now_s: float) -> ErrorKind | None:
         if not self.scheduler.in_service:
             return ErrorKind.NO_UPSTREAM
-        if self.scheduler.quarantine.find_release_s(waiting.request.prefix_hashes, now_s) > 0:
+        names = waiting.request.crash_names
+        if self.scheduler.quarantine.is_quarantined_request(names):
+            return ErrorKind.REQUEST_QUARANTINED
+        if self.scheduler.quarantine.find_release_s(names, now_s) > 0:
             return ErrorKind.PROMPT_QUARANTINED
         if len(self.queue) >= self.settings.max_queued:
             return ErrorKind.DEADLINE_UNREACHABLE
--- a/laburnumrock/placement/_messages.py
+++ b/laburnumrock/placement/_messages.py
@@ -67,6 +67,8 @@
         Upstreams on which earlier attempts failed.
     pool_id : str
         Requested pool; empty if the receiver owns a single pool.
+    request_name : str
+        Name of the request in the quarantine, which its repeats have too.
     """
 
     request_id: str
@@ -83,6 +85,12 @@
     prefix_hashes: list[str] = field(default_factory=list)
     excluded_upstreams: list[str] = field(default_factory=list)
     pool_id: str = ""
+    request_name: str = ""
+
+    @property
+    def crash_names(self) -> list[str]:
+        """Names under which the quarantine knows the request and the prefixes of its prompt."""
+        return [*self.prefix_hashes, self.request_name] if self.request_name else self.prefix_hashes
 
 
 @register_message
@@ -226,8 +234,8 @@
         Time from dispatch to the first token, in seconds.
     output_tokens : int
         Number of tokens received.
-    prefix_hashes : list of str
-        Hashes of the prompt's prefixes, if the attempt finished or crashed its upstream.
+    crash_names : list of str
+        As in `PermitRequest`, if the attempt finished or crashed its upstream.
     duration_s : float
         Time since the attempt began, in seconds.
     """
@@ -236,7 +244,7 @@
     outcome: PermitOutcome
     first_token_s: float | None = None
     output_tokens: int = 0
-    prefix_hashes: list[str] = field(default_factory=list)
+    crash_names: list[str] = field(default_factory=list)
     duration_s: float = 0.0
 
 
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -260,9 +260,9 @@
 
     def _release(self, message: PermitRelease, now_s: float) -> list[Effect]:
         if message.outcome is PermitOutcome.FINISHED:
-            self.quarantine.record_success(message.prefix_hashes)
+            self.quarantine.record_success(message.crash_names)
         elif message.outcome is PermitOutcome.CRASHED:
-            self.quarantine.record_crash(message.prefix_hashes, now_s - message.duration_s, now_s)
+            self.quarantine.record_crash(message.crash_names, now_s - message.duration_s, now_s)
         permit = self.registry.release(message, now_s)
         if permit is None:
             return []
--- a/laburnumrock/placement/tests/test_quarantine.py
+++ b/laburnumrock/placement/tests/test_quarantine.py
@@ -3,14 +3,14 @@
 from laburnumrock.errors import ErrorKind
 from laburnumrock.placement import PermitGrant, PermitOutcome, PermitRefusal, PermitRelease
 from laburnumrock.placement.tests.test_scheduler import make_request, make_scheduler
-from laburnumrock.quarantine import QuarantineSettings
+from laburnumrock.quarantine import QuarantineSettings, name_request
 
 LIMIT = QuarantineSettings().max_crashes
 
 
-def ask(scheduler, name, now_s, prefix_hashes):
+def ask(scheduler, name, now_s, prefix_hashes, request_name=""):
     """Request a permit and return the answer."""
-    request = make_request(name, prefix_hashes=prefix_hashes)
+    request = make_request(name, prefix_hashes=prefix_hashes, request_name=request_name)
     (effect,) = scheduler.receive("entry", request, now_s)
     return effect.message
 
@@ -38,6 +38,20 @@
         assert refusal.retry_after_s > 100.0
         assert isinstance(ask(scheduler, "sound", 20.0, ["common", "third"]), PermitGrant)
 
+    def test_request_that_crashes_upstreams_is_refused(self):
+        """Guards against a plain call that crashes one upstream after the other."""
+        scheduler = make_scheduler()
+        name = name_request("5a" * 32)
+        for number in range(QuarantineSettings().max_request_crashes):
+            permit = ask(scheduler, f"r{number}", 10.0 + number, [], name)
+            assert isinstance(permit, PermitGrant)
+            end(scheduler, permit, 10.5 + number, PermitOutcome.CRASHED, [name])
+        refusal = ask(scheduler, "last", 20.0, [], name)
+        assert refusal.kind is ErrorKind.REQUEST_QUARANTINED
+        assert refusal.retry_after_s > 100.0
+        other = ask(scheduler, "other", 20.0, [], name_request("5b" * 32))
+        assert isinstance(other, PermitGrant)
+
     def test_quarantine_ends(self):
         """Guards against a prompt that is refused for ever."""
         scheduler = make_scheduler()
--- a/laburnumrock/quarantine/tests/test_quarantine.py
+++ b/laburnumrock/quarantine/tests/test_quarantine.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from laburnumrock.quarantine import CrashQuarantine, QuarantineSettings
+from laburnumrock.quarantine import (
+    CrashedRequest,
+    CrashQuarantine,
+    QuarantineSettings,
+    name_request,
+)
 
 LIMIT = QuarantineSettings().max_crashes
 DURATION_S = QuarantineSettings().duration_s
@@ -109,3 +114,92 @@
         second.restore([["y"]], 150.0)
         assert second.list_groups() == [["y"]]
         assert second.find_release_s("y", 100.0) == release_s
+
+
+R, S, T = (name_request(letter) for letter in "rst")
+"""Names of three requests."""
+
+
+class TestRepeatedRequests:
+    """Requests that come again, among sound ones that share the parts of their prompts."""
+
+    def test_three_crashes_lead_to_quarantine(self):
+        """Guards against a request without a prompt that crashes upstreams without end."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        now_s = crash(quarantine, [R], [R])
+        assert quarantine.find_release_s([R], now_s) == 0.0
+        assert quarantine.find_suspects([R]) == {R}
+        now_s = crash(quarantine, [R], start_s=now_s)
+        assert quarantine.find_release_s([R], now_s) == pytest.approx(DURATION_S, abs=1.0)
+        assert quarantine.is_quarantined_request([R])
+        assert not quarantine.is_quarantined_request([S])
+
+    def test_shared_parts_stay_in_use(self):
+        """Guards against sound requests that are refused, or held for trials, beside a repeat."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        crash(quarantine, *[[R, "a", "b"]] * 6)
+        assert quarantine.groups == [frozenset({R})]
+        assert quarantine.find_suspects([S, "a", "b"]) == frozenset()
+
+    def test_other_requests_on_the_crashed_upstreams(self):
+        """Guards against parts under suspicion since sound requests broke beside the repeat."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        for number, other in enumerate((S, T, S)):
+            quarantine.record_crash([other, "a"], number + 0.1, number + 0.50)
+            quarantine.record_crash([R, "a"], number, number + 0.51)
+        assert quarantine.groups == [frozenset({R})]
+        assert quarantine.find_suspects([T, "a"]) == frozenset()
+
+    def test_part_under_different_requests(self):
+        """Guards against a harmful part that passes for a number of harmful requests."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        crash(quarantine, [R, "x"], [R, "x"], [S, "x"])
+        assert quarantine.find_suspects(["x"]) == {"x"}
+        crash(quarantine, [S, "x"], start_s=10.0)
+        assert quarantine.groups == [frozenset("x")]
+
+    def test_success_clears_a_request(self):
+        """Guards against a sound request in quarantine after crashes that had other causes."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        now_s = crash(quarantine, [R], [R])
+        quarantine.record_success([R])
+        crash(quarantine, [R], [R], start_s=now_s)
+        assert quarantine.groups == []
+
+
+class TestHandOver:
+    """Evidence that nodes tell each other."""
+
+    def test_larger_count_replaces_a_smaller_one(self):
+        """Guards against a request that each node lets crash as many upstreams anew."""
+        teller, listener = (CrashQuarantine(QuarantineSettings()) for _ in range(2))
+        now_s = crash(teller, [R], [R], [R, "a"])
+        crash(listener, [R])
+        (report,) = teller.list_crashed_requests(now_s)
+        assert listener.merge(report, now_s)
+        assert not listener.merge(report, now_s)
+        assert listener.groups == [frozenset({R})]
+
+    def test_only_requests_are_handed_over(self):
+        """Guards against parts whose successes at other nodes are not known."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        crash(quarantine, "x", "x")
+        assert quarantine.list_crashed_requests(2.0) == []
+        assert not quarantine.merge(CrashedRequest("x", 9, 0.0), 2.0)
+
+    def test_groups_of_the_leader_keep_unshared_evidence(self):
+        """Guards against evidence of a time without a leader that the first view deletes."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        quarantine.merge(CrashedRequest(R, 3, 0.0), 1.0)
+        quarantine.restore([["x"]], 1.0)
+        assert sorted(map(sorted, quarantine.groups)) == [[R], ["x"]]
+        quarantine.mark_shared()
+        quarantine.restore([], 2.0)
+        assert quarantine.groups == []
+
+    def test_groups_of_the_leader_keep_suspects(self):
+        """Guards against counts that start at zero with each request that the leader finds."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        crash(quarantine, [S], [S])
+        quarantine.restore([[R]], 2.0)
+        assert quarantine.find_suspects([S]) == {S}
