End a relayed stream at text that is none of its events

A stream had begun and broke off, and the next engine answered with an error: callers would get the error's text, or the whole head of a response, in the middle of their stream, or a stream that ended as if it were whole.

Text that is part of the body (an unframed response on a connection in use again) passed as well.

Change: a resumption must have the media type of the stream; an event consists of fields, and its id is larger than the last one. Anything else ends the send as a broken connection does, so the stream is resumed from the last event or broken off.

Evidence: four of eleven errors in test_broken_streams.py and the new test of events failed before (signed 200 with and without a body, an error text and a head amid events); the errors with other statuses were never relayed.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -374,7 +374,7 @@
 
     def _finish_stream(self, placement: DispatchAnswer, response: UpstreamResponse) -> SendOutcome:
         progress = self.progress
-        if not is_success(response):
+        if not self.writer.may_continue(response):
             self.writer.log(
                 "upstream_error", upstream=placement.upstream_id, status=response.status
             )
--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -42,6 +42,7 @@
         self.route: Route | None = None
         self.account: AccountEntry | None = None
         self.started = False
+        self.media_type = ""
         self.caller_disconnected = False
 
     def start_stream(self, response: UpstreamResponse) -> None:
@@ -49,11 +50,18 @@
         if self.started:
             return
         self.started = True
+        self.media_type = read_media_type(response)
         headers = self.context.wire.encode_response(response.headers)
         for name in ("Content-Length", "Transfer-Encoding"):
             headers.pop(name, None)
         self._write_headers(response.status, response.reason, headers)
 
+    def may_continue(self, response: UpstreamResponse) -> bool:
+        """Return whether a response is a success that continues the stream, if it has begun."""
+        if not is_success(response):
+            return False
+        return not self.started or read_media_type(response) == self.media_type
+
     @property
     def is_blocked(self) -> bool:
         """Whether the caller has not yet taken all bytes that were written."""
@@ -160,6 +168,11 @@
     return 200 <= response.status < 300 and response.facts.signed and not response.facts.encoded
 
 
+def read_media_type(response: UpstreamResponse) -> str:
+    """Return the media type of a response without its parameters."""
+    return response.headers.get("Content-Type", "").partition(";")[0].strip().lower()
+
+
 def may_forward(response: UpstreamResponse) -> bool:
     """Return whether an error response of an upstream can be forwarded to the caller unchanged."""
     if response.facts.encoded or response.facts.proves_not_run:
--- a/laburnumrock/forwarding/_send.py
+++ b/laburnumrock/forwarding/_send.py
@@ -11,7 +11,7 @@
 from laburnumrock.forwarding._context import ForwardingContext
 from laburnumrock.forwarding._events import EventBuffer
 from laburnumrock.forwarding._exchange import ExchangeResult, UpstreamResponse, exchange
-from laburnumrock.forwarding._http_response import ResponseWriter, is_success
+from laburnumrock.forwarding._http_response import ResponseWriter
 from laburnumrock.forwarding._reservations import HelperReservation
 from laburnumrock.forwarding._wire import ResponseMetadata, SendMetadata
 from laburnumrock.routing import RequestKind
@@ -161,7 +161,8 @@
     def _start_relay(self, response: UpstreamResponse) -> bool:
         """Start the relay of a stream of events; return whether the response is one."""
         self._record_limit(response.facts)
-        if self.writer.route.kind is not RequestKind.STREAMING or not is_success(response):
+        is_streaming = self.writer.route.kind is RequestKind.STREAMING
+        if not is_streaming or not self.writer.may_continue(response):
             return False
         self.writer.start_stream(response)
         return True
@@ -186,6 +187,8 @@
             self._record_progress()
         if complete_events:
             await self._write_events(complete_events)
+        if events.is_invalid:
+            raise HTTPInputError("text in the stream that is none of its events")
 
     def _record_progress(self) -> None:
         """Record that a whole event arrived; bytes and comments do not extend the timeout."""
--- /dev/null
+++ b/laburnumrock/forwarding/tests/test_broken_streams.py
@@ -0,0 +1,87 @@
+"""Tests of what callers get when upstreams end in the middle of a stream or of a head."""
+
+import asyncio
+
+import pytest
+
+from laburnumrock.forwarding.tests.scripted import (
+    ScriptedUpstream,
+    answer,
+    make_event,
+    open_frontend,
+    respond_raw,
+    stream,
+)
+
+WHOLE_STREAM = b"".join(make_event(number) for number in range(1, 5))
+SIGNED = b"Request-Id: {id}\r\nServer-Signature: proof\r\n"
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
+JSON = b"Content-Type: application/json\r\n"
+ERROR_TEXT = b'{"error": "engine lost"}\n\n'
+ERRORS = {
+    "signed 500": answer(500, ERROR_TEXT),
+    "unsigned 500": answer(500, ERROR_TEXT, signed=False),
+    "signed 404": answer(404, ERROR_TEXT),
+    "not executed": answer(503, ERROR_TEXT, signed=False, Not_Executed="1"),
+    "unframed 500": respond_raw(b"HTTP/1.1 500 Error\r\n" + SIGNED + b"\r\n" + ERROR_TEXT),
+    "signed 200 with an error text": answer(200, ERROR_TEXT, Content_Type="application/json"),
+    "signed 200 without a body": answer(200, b"", Content_Type="application/json"),
+    "unsigned 200": answer(200, make_event(3), signed=False, Content_Type="text/event-stream"),
+    "error text amid events": respond_raw(
+        b"HTTP/1.1 200 OK\r\n" + SIGNED + EVENT_STREAM + b"\r\n" + make_event(3) + ERROR_TEXT
+    ),
+    "head amid events": respond_raw(
+        b"HTTP/1.1 200 OK\r\n"
+        + SIGNED
+        + EVENT_STREAM
+        + b"\r\n"
+        + make_event(3)
+        + b"HTTP/1.1 500 Error\r\n"
+        + SIGNED
+        + b"\r\n"
+        + ERROR_TEXT
+    ),
+    "part of a head": respond_raw(b"HTTP/1.1 200 OK\r\n" + SIGNED + EVENT_STREAM),
+}
+HEAD = b"HTTP/1.1 200 OK\r\n" + SIGNED + b"Content-Length: 4\r\n\r\n"
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\n" + EVENT_STREAM + SIGNED + b"\r\n"
+
+
+class TestErrorsInTheMiddleOfStreams:
+    """A stream has begun and broke off, and the next upstream answers with an error."""
+
+    @pytest.mark.parametrize("error", ERRORS)
+    def test_error_is_not_part_of_the_stream(self, error):
+        """Guards against error texts or heads amid events, and a cut stream that looks whole."""
+
+        async def run():
+            first = ScriptedUpstream(stream(1, 2, cut=b"id: 3\nda"))
+            second = ScriptedUpstream(ERRORS[error])
+            async with open_frontend(first, second) as frontend:
+                response = await frontend.request("/s/x")
+            assert WHOLE_STREAM.startswith(response.body)
+            assert (response.status, response.complete) == (200, False)
+            assert len(second.received) == 1
+
+        asyncio.run(run())
+
+
+class TestTruncatedHeads:
+    """An upstream stops in the middle of the head of its answer and closes the connection."""
+
+    @pytest.mark.parametrize("path", ["/r/x", "/once/x", "/s/x"])
+    def test_no_success_is_made_of_it(self, path):
+        """Guards against a 200 with an empty or short body that is framed as whole."""
+
+        async def run(data: bytes):
+            async with open_frontend(ScriptedUpstream(respond_raw(data))) as frontend:
+                response = await frontend.request(path)
+            assert response.status == 502, data
+
+        async def run_all():
+            head = STREAM_HEAD if path == "/s/x" else HEAD
+            cuts = range(1, len(head) - 1)
+            for first in range(0, len(cuts), 20):
+                await asyncio.gather(*(run(head[:cut]) for cut in cuts[first : first + 20]))
+
+        asyncio.run(run_all())
--- a/laburnumrock/forwarding/tests/test_events.py
+++ b/laburnumrock/forwarding/tests/test_events.py
@@ -30,6 +30,32 @@
         assert buffer.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
         assert buffer.last_id == "2"
 
+    def test_text_that_is_no_event(self):
+        """Guards against the head of another response, or an error text, amid relayed events."""
+        for text in (
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nid: 2\ndata: b\n\n",
+            b"internal error\nid: 2\ndata: b\n\n",
+            b"data: error\n\n",
+            b"id: 1\ndata: a\n\n",
+        ):
+            buffer = EventBuffer()
+            assert buffer.feed(b"id: 1\ndata: a\n\n" + text + b"id: 3\ndata: c\n\n") == (
+                b"id: 1\ndata: a\n\n"
+            )
+            assert (buffer.is_invalid, buffer.last_id) == (True, "1")
+            buffer.discard_incomplete()
+            assert buffer.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+    def test_other_forms_of_events(self):
+        """Guards against valid streams that are cut since they use more than ids and data."""
+        stream = (
+            b": comment\n\nid: 1\nevent: piece\ndata: a\ndata\n\n:\n\n"
+            b"weight-versions: 2\nid: 2\nretry: 10\ndata:b\n\nid: last\ndata: c\n\n"
+        )
+        assert EventBuffer().feed(stream) == stream
+        assert EventBuffer().feed(b"data: a\n\ndata: b\n\n") == b"data: a\n\ndata: b\n\n"
+
     def test_id_in_the_data_is_ignored(self):
         """Guards against taking text inside an event's data for its id."""
         buffer = EventBuffer()
