Do not take a response without an id for that of a request on a used connection

A faulty engine wrote an earlier refusal once more on a kept connection; the next request on it was told 'not run' although the engine ran it, or ran at a second engine.

Cause: copies are told from responses by their Request-Id, and a refusal without one counted for whichever request was waiting.

Change: on a connection that has carried an earlier request, a response without an id ends the send as a broken connection, with an unknown outcome. The first response on a connection needs no id.

The soak's upstreams now state the id in refusals, and draw such copies.

--- a/laburnumrock/forwarding/_exchange.py
+++ b/laburnumrock/forwarding/_exchange.py
@@ -14,7 +14,7 @@
 from tornado.httputil import HTTPHeaders, HTTPInputError, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
-from laburnumrock.forwarding._connections import UpstreamConnection, UpstreamStream
+from laburnumrock.forwarding._connections import UpstreamConnection
 from laburnumrock.forwarding._wire import CallerRequest, ResponseMetadata, WireFormat
 
 MAX_STREAM_BYTES = 64 * 1024 * 1024
@@ -102,7 +102,7 @@
 
     wire: WireFormat
     request_id: str
-    stream: UpstreamStream
+    connection: UpstreamConnection
     on_headers: HeadersHandler | None
     on_data: DataHandler | None
     answer: UpstreamResponse | None = None
@@ -119,8 +119,11 @@
         """Store status and headers, and decide whether the body is relayed."""
         if 100 <= start_line.code < 200:
             return
-        self.parsed_head_bytes = self.stream.parsed_bytes
+        self.parsed_head_bytes = self.connection.stream.parsed_bytes
         metadata = self.wire.decode_response(start_line.code, headers)
+        if metadata.request_id is None and self.request_id and self.connection.reused:
+            # It may be a second copy of the response to an earlier request.
+            raise HTTPInputError(f"response {start_line.code} without the id of its request")
         if metadata.request_id is not None and metadata.request_id != self.request_id:
             self.mismatched = True
             return
@@ -137,7 +140,9 @@
         self.received_bytes += len(chunk)
         if self.received_bytes > MAX_RESPONSE_BYTES:
             raise HTTPInputError(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
-        framing_bytes = self.stream.parsed_bytes - self.parsed_head_bytes - self.received_bytes
+        framing_bytes = (
+            self.connection.stream.parsed_bytes - self.parsed_head_bytes - self.received_bytes
+        )
         if framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self.received_bytes:
             raise HTTPInputError(f"{self.received_bytes} bytes came in too many chunks")
         if self.mismatched:
@@ -194,7 +199,7 @@
             _send(http_connection, request, headers)
         else:
             http_connection.finish()
-        reader = _ResponseReader(wire, request.request_id, connection.stream, on_headers, on_data)
+        reader = _ResponseReader(wire, request.request_id, connection, on_headers, on_data)
         try:
             await http_connection.read_response(reader)
         except (StreamClosedError, UnsatisfiableReadError, HTTPInputError, OSError) as error:
--- a/laburnumrock/forwarding/tests/test_duplicates.py
+++ b/laburnumrock/forwarding/tests/test_duplicates.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from laburnumrock.dispatch import SendOutcome
 from laburnumrock.forwarding.tests.scripted import (
     ScriptedUpstream,
     make_head,
     make_request,
     open_frontend,
     read_response,
+    respond_raw,
 )
 
 SCHEDULES_PER_TEST = 40
@@ -129,3 +131,75 @@
             assert whole >= 0.5 * SCHEDULES_PER_TEST * REQUESTS
 
         asyncio.run(run())
+
+
+def refuse_then_answer(status: int, copy_id: bool, pause_s: float) -> list:
+    """Refuse the first request; for the second one, write the refusal again, then the answer."""
+    refusals = []
+
+    async def refuse(reader, writer, received) -> None:
+        head = make_head(status, received, False, 0, {"Not-Executed": "1"})
+        if not copy_id:
+            head = head.replace(f"Request-Id: {received.headers['Request-Id']}\r\n".encode(), b"")
+        refusals.append(head)
+        writer.write(make_head(status, received, False, 0, {"Not-Executed": "1"}))
+        await writer.drain()
+
+    async def repeat_and_run(reader, writer, received) -> None:
+        writer.write(refusals[0])
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+        writer.write(make_head(200, received, True, 4, {}) + b"done")
+        await writer.drain()
+
+    return [refuse, repeat_and_run]
+
+
+class TestSecondCopiesOfRefusals:
+    """An upstream that writes an earlier refusal again as it begins to run the next request."""
+
+    @pytest.mark.parametrize("pause_s", [0.0, 0.05])
+    @pytest.mark.parametrize("copy_id", [True, False])
+    @pytest.mark.parametrize("status", [503, 429, 421, 400])
+    def test_request_that_runs_is_not_refused(self, status, copy_id, pause_s):
+        """Guards against "not run" for a request that an upstream runs."""
+
+        async def run():
+            upstream = ScriptedUpstream(*refuse_then_answer(status, copy_id, pause_s))
+            async with open_frontend(upstream) as frontend:
+                first = await frontend.request("/once/x", Request_Id="r1")
+                assert (first.status, first.headers["Request-Id"]) == (503, "r1")
+                second = await frontend.request("/once/x", Request_Id="r2")
+                # The check for a crash opens a second one.
+                assert upstream.connections == (1 if copy_id else 2)
+                assert second.status == (200 if copy_id else 502)
+                assert len(upstream.received) == 2
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("path", ["/r/x", "/s/x"])
+    def test_request_that_may_be_repeated(self, path):
+        """Guards against a refusal that counts for a request to which it does not belong."""
+
+        async def run():
+            upstream = ScriptedUpstream(*refuse_then_answer(503, False, 0.05))
+            async with open_frontend(upstream) as frontend:
+                await frontend.request("/once/x", Request_Id="r1")
+                frontend.dispatcher.outcomes.clear()
+                response = await frontend.request(path, Request_Id="r2")
+                assert response.status != 503
+                assert frontend.dispatcher.outcomes[0] is SendOutcome.BROKEN
+
+        asyncio.run(run())
+
+    def test_first_response_of_a_connection_needs_no_id(self):
+        """Guards against a true refusal without an id that is reported as a failure."""
+
+        async def run():
+            refusal = respond_raw(
+                b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", close=False
+            )
+            async with open_frontend(ScriptedUpstream(refusal)) as frontend:
+                assert (await frontend.request("/once/x")).status == 503
+
+        asyncio.run(run())
--- a/laburnumrock/platform/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -248,10 +248,11 @@
     for upstream in soak.upstreams.values():
         for name in upstream.list_active_reservations():
             soak.findings.report("reservations are released", f"{name} on {upstream.name}")
-    _check_runs(soak)
+    check_runs(soak)
 
 
-def _check_runs(soak: RunState) -> None:
+def check_runs(soak: RunState) -> None:
+    """Check that requests ran as often as they may, and not after they were rejected."""
     runs = soak.tracker.runs
     for name in sorted(soak.rejected_ids):
         if runs.get(name, 0):
--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -22,6 +22,8 @@
 """Share of the answers with neither a length nor chunks, which end with their connection."""
 CRASH_DOWN_S = 1.5
 """Time after which an upstream that a request crashed starts again."""
+MAX_COPY_DELAY_S = 0.3
+"""Maximum delay of the second copy of a refusal."""
 DRAIN_LIMIT_S = 2.0
 """Time after the acknowledgement of a drain from which no request may arrive."""
 
@@ -217,9 +219,11 @@
         self._count_against_limit(self.tracker.entries.get(request_id, ""))
         crashing = self.tracker.record_arrival(line, headers.get("prefix-hash"))
         if headers.get("expect-instance") != self.upstream_id:
-            writer.write(self._encode_head(421, "", 0, {"Not-Executed": "1"}))
+            writer.write(self._encode_refusal(421, request_id))
         elif self.mode == "engine_refuses":
-            writer.write(self._encode_head(503, "", 0, {"Not-Executed": "1"}))
+            writer.write(self._encode_refusal(503, request_id))
+        elif self.mode == "engine_repeats_refusals" and self.source.random() < 0.5:
+            self._refuse_twice(writer, request_id)
         elif self.mode == "engine_mute":
             await asyncio.sleep(30)
         else:
@@ -314,6 +318,18 @@
         lines += [f"{name}: {value}" for name, value in headers.items()]
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
+    def _encode_refusal(self, status: int, request_id: str) -> bytes:
+        return self._encode_head(status, "", 0, {"Not-Executed": "1", "Request-Id": request_id})
+
+    def _refuse_twice(self, writer: asyncio.StreamWriter, request_id: str) -> None:
+        """Refuse a request, and write the refusal again when the connection may be in use again."""
+        writer.write(self._encode_refusal(503, request_id))
+        copy = self._encode_refusal(503, request_id)
+        if self.source.random() < 0.5:
+            copy = self._encode_head(503, "", 0, {"Not-Executed": "1"})
+        delay_s = self.source.uniform(0.0, MAX_COPY_DELAY_S)
+        asyncio.get_running_loop().call_later(delay_s, _write_if_open, writer, copy)
+
     def _crash_under_request(self, record: CrashRecord) -> None:
         if self.mode == "down":
             return
@@ -329,6 +345,11 @@
         writer.write(self._encode_head(200, "", 2, {}) + b"{}")
 
 
+def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
 def _write_part(writer: asyncio.StreamWriter, data: bytes, unframed: bool) -> None:
     with contextlib.suppress(RuntimeError):
         writer.write(data if unframed else f"{len(data):x}\r\n".encode() + data + b"\r\n")
