Test heads that end early and failed resumptions on the product's own interface

Responses there are taken as whole only by their framing, tokens by request and attempt, and connections are not used twice, so that there is no copy of an earlier refusal. Heads behind an interim response are covered for forwarded requests too.

--- a/laburnumrock/forwarding/tests/test_broken_streams.py
+++ b/laburnumrock/forwarding/tests/test_broken_streams.py
@@ -69,12 +69,13 @@
 class TestTruncatedHeads:
     """An upstream stops in the middle of the head of its answer and closes the connection."""
 
+    @pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"])
     @pytest.mark.parametrize("path", ["/r/x", "/once/x", "/s/x"])
-    def test_no_success_is_made_of_it(self, path):
+    def test_no_success_is_made_of_it(self, path, interim):
         """Guards against a 200 with an empty or short body that is framed as whole."""
 
         async def run(data: bytes):
-            async with open_frontend(ScriptedUpstream(respond_raw(data))) as frontend:
+            async with open_frontend(ScriptedUpstream(respond_raw(interim + data))) as frontend:
                 response = await frontend.request(path)
             assert response.status == 502, data
 
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -89,13 +89,18 @@
 
         asyncio.run(run())
 
-    def test_failed_stream_is_never_framed_as_complete(self):
-        """Guards against a partial completion that ends with the end marker."""
+    @pytest.mark.parametrize("next_end", [None, "refuse", "break"])
+    def test_failed_stream_is_never_framed_as_complete(self, next_end):
+        """Guards against a partial completion that ends with the end marker, or an error's text."""
 
         async def run():
-            async with run_gateway(ScriptedEngine(2, "break")) as gateway:
+            engines = [ScriptedEngine(2, "break")]
+            if next_end is not None:
+                engines.append(ScriptedEngine(0, next_end))
+            async with run_gateway(*engines) as gateway:
                 response = await gateway.complete()
                 assert b"[DONE]" not in response.body
+                assert b"cold" not in response.body.partition(b"event: error")[0]
                 problem = json.loads(response.body.decode().split("event: error\ndata: ")[1])
                 assert problem["outcome"] == "unknown"
                 assert gateway.quotas.held == 0
--- a/laburnumrock/gateway/tests/test_upstream_http.py
+++ b/laburnumrock/gateway/tests/test_upstream_http.py
@@ -53,6 +53,17 @@
         failure = asyncio.run(_exchange(answer, [])).unwrap_err()
         assert failure.kind is ErrorKind.UPSTREAM_FAILED
 
+    def test_head_that_ends_early(self):
+        """Guards against a success made of an answer whose upstream stopped in its head."""
+
+        async def run():
+            head = FULL_RESPONSE[:-5]
+            for cut in range(1, len(head) - 1):
+                failure = (await _exchange(head[:cut], [])).unwrap_err()
+                assert failure.kind is ErrorKind.UPSTREAM_FAILED, head[:cut]
+
+        asyncio.run(run())
+
     def test_refused_connection_proves_not_run(self):
         """Guards against an unknown outcome when nothing can have been sent."""
 
