--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -302,7 +302,7 @@
             return outcome
 
     async def _find_crash(self, placement: DispatchAnswer, result: ExchangeResult) -> bool:
-        """Return whether the upstream has crashed, unless its response was framed and complete.
+        """Return whether the upstream, or a helper of it, has crashed, if a response is unclear.
 
         Notes
         -----
@@ -311,9 +311,16 @@
         """
         broken = not result.complete or self.progress.events.incomplete
         unclear = broken or not result.framed
-        if not unclear or not await self.context.pool.is_refused(
-            placement.host, placement.port, MAX_CRASH_CHECK_S
-        ):
+        if not unclear:
+            return False
+        # A crashed helper breaks the send too, and the engine itself goes on.
+        involved = (placement, *placement.helpers) if broken else (placement,)
+        addresses = {(one.host, one.port) for one in involved}
+        pool = self.context.pool
+        refused = await asyncio.gather(
+            *(pool.is_refused(host, port, MAX_CRASH_CHECK_S) for host, port in addresses)
+        )
+        if not any(refused):
             return False
         self.writer.log(
             "upstream_crashed",
--- a/laburnumrock/forwarding/tests/test_crashes.py
+++ b/laburnumrock/forwarding/tests/test_crashes.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
 
 import pytest
 
-from laburnumrock.dispatch import DispatchAnswer, SendEnded, SendOutcome
+from laburnumrock.dispatch import DispatchAnswer, Helper, SendEnded, SendOutcome
 from laburnumrock.errors import ErrorKind
 from laburnumrock.forwarding.tests.scripted import (
+    HOST,
     Script,
     ScriptedUpstream,
     answer,
@@ -80,6 +82,32 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize("cut", [b"id: 3", None])
+    def test_crash_of_a_helper(self, cut):
+        """Guards against a long prompt that crashes one helper after the other, and against a
+        whole answer that counts as broken since a helper has ended since.
+        """
+
+        async def run():
+            upstream, ended = ScriptedUpstream(stream(1, 2, cut=cut)), ScriptedUpstream()
+            await ended.start()
+            ended.server.close()
+            async with open_frontend(upstream) as frontend:
+                messages = record_ended(frontend)
+                place = frontend.dispatcher.place
+
+                async def place_with_helper(call):
+                    helper = Helper("u9", HOST, ended.port)
+                    return replace(await place(call), helpers=[helper])
+
+                frontend.dispatcher.place = place_with_helper
+                await frontend.request("/s/x")
+            crashed = cut is not None
+            assert (messages[0].outcome is SendOutcome.CRASHED) == crashed
+            assert (messages[0].outcome is SendOutcome.DONE) != crashed
+
+        asyncio.run(run())
+
     def test_repeats_have_the_same_name(self):
         """Guards against a repeat that is not recognized, or that passes for another request."""
 
