Name the entry nodes in a view only when one is new

The check for new names sorted all of them at each push, twenty times a second and more. A flag replaces it; names of stopped entries are dropped with the next new one. A test holds that a change of an upstream is sent without the names.

--- a/laburnumrock/nodes/_messages.py
+++ b/laburnumrock/nodes/_messages.py
@@ -112,7 +112,7 @@
         Groups of prompt parts, and requests that come again; a request whose prompt contains all
         parts of a group is refused.
     entries : list of str
-        All entry nodes; empty if they are those of the base view.
+        All entry nodes, perhaps with some that have stopped; empty if the base view names them.
     """
 
     term: int
--- a/laburnumrock/nodes/_views.py
+++ b/laburnumrock/nodes/_views.py
@@ -73,7 +73,7 @@
         self.previous_revision = 0
         self.pushed_s = float("-inf")
         self.directory_revision = -1
-        self.pushed_entries: list[str] = []
+        self.has_new_entries = False
 
     def start_term(self) -> None:
         """Begin a term with a whole view, as views of different terms have no common base."""
@@ -95,6 +95,7 @@
     def record_hello(self, sender: str, hello: EntryHello, now_s: float) -> None:
         """Record the state of an entry node."""
         if sender not in self.entries:
+            self.has_new_entries = True
             log_message("entry_seen", entry=sender, failure_domain=hello.failure_domain)
         self.entries[sender] = EntryState(hello.failure_domain, now_s, hello.routes_version)
 
@@ -107,8 +108,7 @@
     def push(self, base: ViewBase, now_s: float) -> None:
         """Send the changes since the previous push to all entry nodes, if there are any."""
         view_is_due = now_s >= self.pushed_s + MIN_VIEW_INTERVAL_S
-        changed = self.directory.revision != self.directory_revision
-        changed = changed or self.pushed_entries != sorted(self.entries)
+        changed = self.has_new_entries or self.directory.revision != self.directory_revision
         if changed and view_is_due:
             self.directory_revision = self.directory.revision
             self.revision += 1
@@ -149,16 +149,14 @@
     def _make_changes(self, base: ViewBase, now_s: float) -> View:
         """Return the changes since the previous view, or a whole view if there is none."""
         changed, removed = self.directory.take_changes()
-        entries = sorted(self.entries)
-        is_same = entries == self.pushed_entries
-        self.pushed_entries = entries
+        had_new_entries, self.has_new_entries = self.has_new_entries, False
         if self.previous_revision == 0:
             return self._make_view(base, now_s)
         return replace(
             self._make_view(base, now_s, names=changed),
             base_revision=self.previous_revision,
             removed=removed,
-            entries=[] if is_same else entries,
+            entries=sorted(self.entries) if had_new_entries else [],
         )
 
     def _make_view(
--- a/laburnumrock/nodes/tests/test_crash_evidence.py
+++ b/laburnumrock/nodes/tests/test_crash_evidence.py
@@ -1,11 +1,15 @@
 """Tests of the crash evidence that entry nodes share while there is no leader."""
 
+import asyncio
 import random
+import time
 from types import SimpleNamespace
 
 from laburnumrock.dispatch import SendEnded, SendOutcome
 from laburnumrock.nodes._crash_evidence import MAX_TOLD_ENTRIES, CrashEvidence
-from laburnumrock.nodes._messages import CrashedRequests
+from laburnumrock.nodes._messages import CrashedRequests, EntryHello
+from laburnumrock.nodes._views import MIN_VIEW_INTERVAL_S
+from laburnumrock.nodes.tests.deployment import ENTRY, make_report, open_deployment, wait_until
 from laburnumrock.quarantine import (
     CrashedRequest,
     CrashQuarantine,
@@ -69,3 +73,25 @@
         evidence.record(SendEnded(1, SendOutcome.CRASHED, [], [REQUEST, "a1"], 0.1))
         assert set(evidence.quarantine.suspects) == {REQUEST}
         assert [one.name for one in evidence.list_for_leader()] == [REQUEST]
+
+
+class TestEntryNames:
+    def test_views_name_the_entries_when_one_is_new(self, tmp_path):
+        """Guards against entries that cannot tell each other, and names in each view."""
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await deployment.store(7)
+                entry, leader = deployment.entry, deployment.leader()
+                await wait_until(lambda: entry.crash_evidence.entries == [ENTRY])
+                hello = EntryHello("b", 0, 0, 0)
+                leader.views.record_hello("127.0.0.9", hello, time.monotonic())
+                await wait_until(lambda: len(entry.crash_evidence.entries) == 2)
+                await asyncio.sleep(2 * MIN_VIEW_INTERVAL_S)
+                views = []
+                leader.views.network.broadcast = lambda names, view: views.append(view)
+                await leader.observe_upstream(make_report(1000, upstream_id="u5"))
+                await wait_until(lambda: views)
+                assert views[0].entries == []
+
+        asyncio.run(run())
