--- a/laburnumrock/platform/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -7,12 +7,11 @@
 
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._prompts import make_prefix
+from laburnumrock.platform.soak._schedule import REQUEST_KINDS
 from laburnumrock.platform.soak._upstreams import STREAM_EVENTS, RequestTracker, make_event
 
 HOSTNAME = "soak.example"
 API_KEY = "soak-key"
-KINDS = ("stream", "once", "again")
-"""Path prefixes of streaming, non-idempotent and idempotent requests."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 DEADLINE_S = 4.0
 RESPONSE_MARGIN_S = 1.0
@@ -114,7 +113,7 @@
         repeated = self.tracker.repeated
         if repeated.kind and self.source.random() < self.crashing_share:
             return f"crashing {repeated.kind}", repeated.target, repeated.headers
-        kind = self.source.choice(KINDS)
+        kind = self.source.choice(REQUEST_KINDS)
         target = f"/{kind}/{request_id}"
         if kind != "stream":
             self.tracker.plain_sent_s[request_id] = time.monotonic()
--- a/laburnumrock/platform/soak/_faults.py
+++ b/laburnumrock/platform/soak/_faults.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Iterator
 
-from laburnumrock.platform.soak._prompts import MAX_ARRIVALS
+from laburnumrock.platform.soak._prompts import MAX_ARRIVALS, CrashRecord
 from laburnumrock.platform.soak._schedule import Step
 from laburnumrock.platform.soak._state import ZONES, Node, RunState
 from laburnumrock.platform.soak._upstreams import HEARTBEAT_S, Upstream
@@ -40,6 +40,8 @@
         await _let_upstream_state_limit(soak, soak.upstreams[step.target], step.duration_s)
     elif step.action == "crashing_prompt":
         await _let_prompts_crash_engines(soak, step)
+    elif step.action == "repeated_request":
+        await _let_request_crash_upstreams(soak, step)
     elif step.action == "kill_all_cores":
         soak.findings.record_fault(step.action, step.duration_s + 1.0)
         cores = [node for node in soak.nodes.values() if node.role == "core"]
@@ -62,11 +64,28 @@
     soak.findings.counts["crashing prompt"] += 1
     prompts.start(f"c{int(step.at_s * 1000):x}")
     await asyncio.sleep(step.duration_s)
-    late = prompts.record.list_late_arrivals()
     prompts.part = ""
+    _check_arrivals(soak, prompts.record, started_s, "prompts that crash engines are quarantined")
+
+
+async def _let_request_crash_upstreams(soak: RunState, step: Step) -> None:
+    """Let a request come again and crash upstreams, and check that it is soon kept from them."""
+    repeated = soak.tracker.repeated
+    if repeated.kind:
+        return
+    started_s = time.monotonic()
+    soak.findings.counts["repeated request"] += 1
+    repeated.start(step.target, f"r{int(step.at_s * 1000):x}")
+    await asyncio.sleep(step.duration_s)
+    repeated.stop()
+    _check_arrivals(soak, repeated.record, started_s, "requests that crash upstreams are kept back")
+
+
+def _check_arrivals(soak: RunState, record: CrashRecord, started_s: float, guarantee: str) -> None:
+    late = record.list_late_arrivals()
     if len(late) > MAX_ARRIVALS and soak.findings.is_fault_free_since(started_s):
-        detail = f"{len(late)} arrivals after {len(prompts.record.crashes_s)} crashes"
-        soak.findings.report("prompts that crash engines are quarantined", detail)
+        detail = f"{len(late)} arrivals after {len(record.crashes_s)} crashes"
+        soak.findings.report(guarantee, detail)
 
 
 async def _let_upstream_state_limit(soak: RunState, upstream: Upstream, duration_s: float) -> None:
--- a/laburnumrock/platform/soak/_schedule.py
+++ b/laburnumrock/platform/soak/_schedule.py
@@ -8,6 +8,8 @@
 CORES = 3
 ENGINES = 4
 SERVERS = 2
+REQUEST_KINDS = ("stream", "once", "again")
+"""Path prefixes of streaming, non-idempotent and idempotent requests."""
 CORE_RECOVERY_S = 6.0
 """Minimum time between the end of a core fault and the start of the next one."""
 
@@ -26,7 +28,7 @@
     action : str
         Name in `ACTIONS`.
     target : str
-        Node or upstream that is affected; empty if there is none.
+        Node, upstream or kind of request that is affected; empty if there is none.
     duration_s : float
         Duration.
     """
@@ -78,6 +80,11 @@
     return steps
 
 
+@register_action("repeated_request")
+def _make_repeated_request(rng: random.Random, at_s: float) -> Step:
+    return Step(at_s, "repeated_request", rng.choice(REQUEST_KINDS), rng.uniform(5.0, 9.0))
+
+
 def _draw_target(rng: random.Random, kind: str) -> str:
     count = {"core": CORES, "entry": ENTRIES, "engine": ENGINES, "server": SERVERS}[kind]
     return f"{kind}{rng.randrange(count)}"
