Count each upstream that crashes under overlapping repeats of a request

Crashes counted only if the later request was sent after the earlier crash. That keeps upstreams that fail together from adding up against a part, but repeats of one request that arrive together at several machines counted as one crash, however many upstreams they ended, so the next burst was sent in full. Now a crash under a request counts for each upstream, and for the same upstream as before. Found on reading; the new test failed before (no suspicion after two upstreams).

--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -260,6 +260,8 @@
         Time since the send began.
     is_unlimited : bool
         Whether the upstream responded with success and without a limit on its requests.
+    crashed_upstream : str
+        The upstream, if it crashed.
     """
 
     permit: int
@@ -268,6 +270,7 @@
     parts: list[str] = field(default_factory=list)
     duration_s: float = 0.0
     is_unlimited: bool = False
+    crashed_upstream: str = ""
 
 
 @register_message
--- a/laburnumrock/dispatch/_outcomes.py
+++ b/laburnumrock/dispatch/_outcomes.py
@@ -46,4 +46,6 @@
         quarantine.record_success(message.parts)
     elif message.outcome is SendOutcome.CRASHED:
         names = [name for name in message.parts if is_counted is None or is_counted(name)]
-        quarantine.record_crash(names, now_s - message.duration_s, now_s, is_shared)
+        started_s = now_s - message.duration_s
+        upstream = message.crashed_upstream
+        quarantine.record_crash(names, started_s, now_s, is_shared, upstream)
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -164,7 +164,7 @@
         """Return a digest that a repeat of this request has too, at any entry node."""
         request = self.request
         account = self.writer.account.name if self.writer.account is not None else ""
-        texts = (account, request.method, request.host, request.target)
+        texts = (account, request.method, request.host.lower(), request.target)
         return digest_request(*(text.encode() for text in texts), request.body)[:DIGEST_DIGITS]
 
     async def _run_attempts(self) -> None:
@@ -246,10 +246,14 @@
         finally:
             unresponsive, attempts.unresponsive = attempts.unresponsive, []
             has_evidence = attempts.has_output or outcome is SendOutcome.CRASHED
-            parts = call.parts if has_evidence else []
-            duration_s = time.monotonic() - began_s
             ended = SendEnded(
-                placement.permit, outcome, unresponsive, parts, duration_s, attempts.is_unlimited
+                placement.permit,
+                outcome,
+                unresponsive,
+                call.parts if has_evidence else [],
+                time.monotonic() - began_s,
+                attempts.is_unlimited,
+                placement.upstream_id if outcome is SendOutcome.CRASHED else "",
             )
             self.context.dispatcher.record_ended(ended)
             self.context.metrics.sends.labels(self.service, outcome.value).inc()
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -258,11 +258,17 @@
         self.registry.end(permit, now_s)
         return self.registry.due_cancels(now_s)
 
+    def _record_crash(self, message: PermitRelease, now_s: float) -> None:
+        permit = self.registry.permits.get(message.permit_id)
+        upstream = permit.grant.placements[-1].upstream_id if permit is not None else ""
+        started_s = now_s - message.duration_s
+        self.quarantine.record_crash(message.crash_names, started_s, now_s, upstream=upstream)
+
     def _release(self, message: PermitRelease, now_s: float) -> list[Effect]:
         if message.outcome is PermitOutcome.FINISHED:
             self.quarantine.record_success(message.crash_names)
         elif message.outcome is PermitOutcome.CRASHED:
-            self.quarantine.record_crash(message.crash_names, now_s - message.duration_s, now_s)
+            self._record_crash(message, now_s)
         permit = self.registry.release(message, now_s)
         if permit is None:
             return []
--- a/laburnumrock/quarantine/_quarantine.py
+++ b/laburnumrock/quarantine/_quarantine.py
@@ -91,6 +91,8 @@
         was already suspected. Earlier ones may have been broken by another request.
     crashes_by_request : Counter of str
         How many of the crashes of a part each request with it was in.
+    upstreams : set of str
+        Upstreams that crashed under a request.
     is_shared : bool
         Whether the leader has this evidence, so that its decision replaces it.
     """
@@ -99,6 +101,7 @@
     last_crash_s: float
     companions: frozenset[str]
     crashes_by_request: Counter[str] = field(default_factory=Counter)
+    upstreams: set[str] = field(default_factory=set)
     is_shared: bool = True
 
     @property
@@ -123,7 +126,8 @@
     Notes
     -----
     Crashes are successive if the request of the later one was sent after the earlier one. Upstreams
-    that fail together therefore count once, however many requests they break.
+    that fail together therefore count once, however many requests they break. Repeats of a request
+    on several upstreams count for each of them, as nothing else connects these upstreams.
 
     The first crashes only make a part suspected, as they also break requests beside a harmful one.
     A dispatcher sends requests with a suspected part one at a time, each on an engine of its own if
@@ -145,7 +149,12 @@
         self.groups: list[frozenset[str]] = []
 
     def record_crash(
-        self, parts: Iterable[str], started_s: float, now_s: float, is_shared: bool = True
+        self,
+        parts: Iterable[str],
+        started_s: float,
+        now_s: float,
+        is_shared: bool = True,
+        upstream: str = "",
     ) -> None:
         """Record that the upstream of a request crashed.
 
@@ -159,17 +168,34 @@
             Monotonic clock in seconds.
         is_shared : bool
             Whether the leader learns of this crash too.
+        upstream : str
+            The upstream.
         """
         names = frozenset(parts)
         requests = frozenset(filter(is_request, names))
         prompt_parts = names - requests
-        counted = [name for name in requests if self._count(name, requests, (), started_s, now_s)]
+        counted = [
+            name
+            for name in requests
+            if self._count_request(name, requests, started_s, now_s, upstream)
+        ]
         for part in prompt_parts:
             self._count(part, prompt_parts, counted, started_s, now_s)
         for name in names:
             self.suspects[name].is_shared = is_shared
         self._update_groups()
 
+    def _count_request(
+        self, name: str, companions: frozenset[str], started_s: float, now_s: float, upstream: str
+    ) -> bool:
+        """Count a crash under a request, whose repeats on several upstreams may overlap."""
+        history = self.suspects.get(name)
+        if history is not None and upstream and upstream not in history.upstreams:
+            started_s = max(started_s, history.last_crash_s)
+        is_counted = self._count(name, companions, (), started_s, now_s)
+        self.suspects[name].upstreams.add(upstream)
+        return is_counted
+
     def _count(
         self,
         name: str,
--- a/laburnumrock/quarantine/tests/test_quarantine.py
+++ b/laburnumrock/quarantine/tests/test_quarantine.py
@@ -134,6 +134,16 @@
         assert quarantine.is_quarantined_request([R])
         assert not quarantine.is_quarantined_request([S])
 
+    def test_repeats_that_arrive_together(self):
+        """Guards against a burst of repeats that counts as one crash, so that more are sent."""
+        quarantine = CrashQuarantine(QuarantineSettings())
+        for number, upstream in enumerate(("u1", "u1", "u2")):
+            quarantine.record_crash([R], 0.01 * number, 0.5 + 0.01 * number, upstream=upstream)
+        assert quarantine.find_suspects([R]) == {R}
+        assert quarantine.groups == []
+        quarantine.record_crash([R], 0.03, 0.6, upstream="u3")
+        assert quarantine.groups == [frozenset({R})]
+
     def test_shared_parts_stay_in_use(self):
         """Guards against sound requests that are refused, or held for trials, beside a repeat."""
         quarantine = CrashQuarantine(QuarantineSettings())
