Let the fault proxy reset connections instead of closing them

A reset is what the fault stands for, and the product tells it apart. The new test fails on the old proxy. Closing the proxy with its upstream stays orderly, as for a process that ended.

--- a/laburnumrock/standins/_proxy.py
+++ b/laburnumrock/standins/_proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from dataclasses import dataclass, field
 
 BLOCK_BYTES = 64 * 1024
@@ -60,11 +62,17 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in list(self.writers):
+            # Without this option, a connection that is closed with nothing unread ends in order.
+            option = struct.pack("ii", 1, 0)
+            with contextlib.suppress(OSError):
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
             writer.transport.abort()
 
     def close(self) -> None:
-        """Close the port and all connections."""
-        self.reset()
+        """Close the port and all connections, as the kernel does for a process that ended."""
+        for writer in list(self.writers):
+            writer.transport.abort()
         if self.server is not None:
             self.server.close()
 
--- a/laburnumrock/standins/tests/test_proxy.py
+++ b/laburnumrock/standins/tests/test_proxy.py
@@ -99,3 +99,32 @@
 
         asyncio.run(check())
         assert reported == []
+
+
+class TestReset:
+    def test_both_sides_see_a_reset(self):
+        """Guards against a cut response without a length that looks like a whole one."""
+
+        async def run():
+            accepted = asyncio.Queue()
+
+            async def serve(reader, writer):
+                writer.write(b"part")
+                await writer.drain()
+                accepted.put_nowait(reader)
+
+            server = await asyncio.start_server(serve, HOST, 0)
+            proxy = FaultyProxy(HOST, 0, server.sockets[0].getsockname()[1])
+            await proxy.start()
+            port = proxy.server.sockets[0].getsockname()[1]
+            reader, _ = await asyncio.open_connection(HOST, port)
+            assert await reader.readexactly(4) == b"part"
+            proxy.reset()
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            with pytest.raises(ConnectionResetError):
+                await (await accepted.get()).read()
+            proxy.close()
+            server.close()
+
+        asyncio.run(run())
