Log why a response is discarded

A response without the id of its request, or text amid the events of a stream, ended its send with the line 'incomplete or unreadable response', as the HTTP library does not pass the reason on. The new test failed before.

--- a/laburnumrock/dispatch/_limits.py
+++ b/laburnumrock/dispatch/_limits.py
@@ -36,7 +36,7 @@
     max_wait_ratio : float
         Share of its latency target for which a request may be queued for a free upstream.
     quarantine : QuarantineSettings
-        Limits for the parts of prompts that crash upstreams.
+        Limits for the requests and parts of prompts that crash upstreams.
     """
 
     retry_ratio: float = 0.2
--- a/laburnumrock/forwarding/_events.py
+++ b/laburnumrock/forwarding/_events.py
@@ -29,6 +29,7 @@
         self.last_id: str | None = None
         # Complete events with an id or data; comments and blank lines are no progress of a stream.
         self.count = 0
+        # Whether text arrived that is none of the stream's events.
         self.is_invalid = False
 
     @property
--- a/laburnumrock/forwarding/_exchange.py
+++ b/laburnumrock/forwarding/_exchange.py
@@ -106,6 +106,7 @@
     on_headers: HeadersHandler | None
     on_data: DataHandler | None
     answer: UpstreamResponse | None = None
+    problem: str = ""
     mismatched: bool = False
     relayed: bool = False
     finished: bool = False
@@ -123,7 +124,8 @@
         metadata = self.wire.decode_response(start_line.code, headers)
         if metadata.request_id is None and self.request_id and self.connection.reused:
             # It may be a second copy of the response to an earlier request.
-            raise HTTPInputError(f"response {start_line.code} without the id of its request")
+            self.problem = f"response {start_line.code} without the id of its request"
+            raise HTTPInputError(self.problem)
         if metadata.request_id is not None and metadata.request_id != self.request_id:
             self.mismatched = True
             return
@@ -135,7 +137,11 @@
     async def data_received(self, chunk: bytes) -> None:
         """Relay or store a chunk of the body."""
         if self.relayed:
-            await self.on_data(chunk)
+            try:
+                await self.on_data(chunk)
+            except HTTPInputError as error:
+                self.problem = str(error)
+                raise
             return
         self.received_bytes += len(chunk)
         if self.received_bytes > MAX_RESPONSE_BYTES:
@@ -221,7 +227,8 @@
 def _make_result(connection: UpstreamConnection, reader: _ResponseReader) -> ExchangeResult:
     response = reader.answer
     if response is None or not reader.finished:
-        return ExchangeResult(response, False, "incomplete or unreadable response")
+        detail = reader.problem or "incomplete or unreadable response"
+        return ExchangeResult(response, False, detail)
     response.body = bytes(reader.body)
     stream = connection.stream
     if not reader.framed and stream.error is not None:
--- a/laburnumrock/forwarding/tests/test_broken_streams.py
+++ b/laburnumrock/forwarding/tests/test_broken_streams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from laburnumrock.forwarding._http_response import ResponseWriter
 from laburnumrock.forwarding.tests.scripted import (
     ScriptedUpstream,
     answer,
@@ -86,3 +87,33 @@
                 await asyncio.gather(*(run(head[:cut]) for cut in cuts[first : first + 20]))
 
         asyncio.run(run_all())
+
+
+class TestReasons:
+    """The log tells why a send was given up."""
+
+    @pytest.mark.parametrize(
+        "path, script, detail",
+        [
+            ("/s/x", ERRORS["head amid events"], "text in the stream that is none of its events"),
+            (
+                "/r/x",
+                respond_raw(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+                "response 503 without the id of its request",
+            ),
+        ],
+    )
+    def test_reason_is_logged(self, path, script, detail, monkeypatch):
+        """Guards against responses that are discarded without a line that says why."""
+        lines = []
+        monkeypatch.setattr(
+            ResponseWriter, "log", lambda self, event, **values: lines.append((event, values))
+        )
+
+        async def run():
+            async with open_frontend(ScriptedUpstream(answer(), script)) as frontend:
+                await frontend.request("/r/x")
+                await frontend.request(path)
+
+        asyncio.run(run())
+        assert detail in [values["detail"] for event, values in lines if event == "upstream_broke"]
