Let the benchmark of placements clear the queue that the dispatcher has

benchmarks/dispatch_cost.py failed with an AttributeError since the queue became a class of its own.

--- a/benchmarks/dispatch_cost.py
+++ b/benchmarks/dispatch_cost.py
@@ -68,7 +68,7 @@
         cpu_s += time.process_time() - started_s
         if isinstance(answer, DispatchAnswer) and answer.permit:
             dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.DONE), now_s + 0.01)
-        dispatcher.waiting.clear()
+        dispatcher.queue.start(1)
     return cpu_s / rounds * 1e6
 
 
