Let overlapping repeats of a request lead to a trial, not to quarantine

A frequent sound request is on all upstreams of a service that fail together, for example in a failure domain without power, and would have been refused for ten minutes with no success that could clear it. Such crashes now count up to the suspicion only; the trial after them tells.

--- a/laburnumrock/quarantine/_quarantine.py
+++ b/laburnumrock/quarantine/_quarantine.py
@@ -126,8 +126,9 @@
     Notes
     -----
     Crashes are successive if the request of the later one was sent after the earlier one. Upstreams
-    that fail together therefore count once, however many requests they break. Repeats of a request
-    on several upstreams count for each of them, as nothing else connects these upstreams.
+    that fail together therefore count once, however many requests they break. Overlapping repeats
+    of a request on several upstreams make it suspected, and the trial after them tells whether it
+    is harmful or only frequent.
 
     The first crashes only make a part suspected, as they also break requests beside a harmful one.
     A dispatcher sends requests with a suspected part one at a time, each on an engine of its own if
@@ -190,7 +191,11 @@
     ) -> bool:
         """Count a crash under a request, whose repeats on several upstreams may overlap."""
         history = self.suspects.get(name)
-        if history is not None and upstream and upstream not in history.upstreams:
+        if (
+            history is not None
+            and history.crashes < self.settings.suspect_crashes
+            and upstream not in history.upstreams
+        ):
             started_s = max(started_s, history.last_crash_s)
         is_counted = self._count(name, companions, (), started_s, now_s)
         self.suspects[name].upstreams.add(upstream)
