--- a/laburnumrock/platform/soak/tests/test_crashing_prompts.py
+++ b/laburnumrock/platform/soak/tests/test_crashing_prompts.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 import time
 
 import pytest
@@ -10,6 +9,7 @@
 from laburnumrock.platform.soak._prompts import CONTACT_S, MAX_ARRIVALS
 from laburnumrock.platform.soak._run import open_deployment, start_callers
 from laburnumrock.platform.soak._state import RunState, SoakSettings
+from laburnumrock.platform.soak.tests.core_faults import freeze_cores_in_turn, list_cores
 
 CALM_S = 3.0
 TROUBLE_S = 12.0
@@ -59,7 +59,7 @@
 async def kill_all_cores(soak: RunState) -> None:
     """Kill all cores once the part must be known, and start them again."""
     await asyncio.sleep(TROUBLE_S / 3)
-    cores = [node for node in soak.nodes.values() if node.role == "core"]
+    cores = list_cores(soak)
     for core in cores:
         core.killed = True
         core.process.kill()
@@ -69,15 +69,6 @@
         core.killed = False
 
 
-async def freeze_cores_in_turn(soak: RunState) -> None:
-    """Freeze one core after the other, so that the leader changes before the part is known."""
-    for core in [node for node in soak.nodes.values() if node.role == "core"]:
-        core.process.send(signal.SIGSTOP)
-        await asyncio.sleep(1.5)
-        core.process.send(signal.SIGCONT)
-        await asyncio.sleep(1.5)
-
-
 @pytest.mark.processes
 class TestCrashingPrompts:
     @pytest.mark.parametrize("during", [kill_all_cores, freeze_cores_in_turn])
--- a/laburnumrock/platform/soak/tests/test_limits.py
+++ b/laburnumrock/platform/soak/tests/test_limits.py
@@ -11,6 +11,11 @@
 from laburnumrock.platform.soak._run import open_deployment, start_callers
 from laburnumrock.platform.soak._state import RunState, SoakSettings
 from laburnumrock.platform.soak._upstreams import Upstream
+from laburnumrock.platform.soak.tests.core_faults import (
+    freeze_cores_in_turn,
+    keep_cores,
+    list_cores,
+)
 from laburnumrock.standins import LIMIT_SETTLE_S
 
 LIMITED_S = 14.0
@@ -20,22 +25,9 @@
 """Minimum use of the limits while all upstreams of a service state one, as a share."""
 
 
-async def keep_cores(soak: RunState) -> None:
-    """Leave the leader alone."""
-
-
-async def freeze_cores_in_turn(soak: RunState) -> None:
-    """Freeze one core after the other, so that the leader changes several times."""
-    for core in [node for node in soak.nodes.values() if node.role == "core"]:
-        core.process.send(signal.SIGSTOP)
-        await asyncio.sleep(1.5)
-        core.process.send(signal.SIGCONT)
-        await asyncio.sleep(1.5)
-
-
 async def kill_cores_in_turn(soak: RunState) -> None:
     """Kill one core after the other, so that a core leads that has just started."""
-    for core in [node for node in soak.nodes.values() if node.role == "core"]:
+    for core in list_cores(soak):
         core.killed = True
         core.process.kill()
         await asyncio.sleep(0.5)
@@ -46,7 +38,7 @@
 
 async def stop_all_cores(soak: RunState) -> None:
     """Freeze all cores, so that the entries place requests alone."""
-    cores = [node for node in soak.nodes.values() if node.role == "core"]
+    cores = list_cores(soak)
     for core in cores:
         core.process.send(signal.SIGSTOP)
     await asyncio.sleep(LIMITED_S - LIMIT_SETTLE_S - 3.0)
--- a/laburnumrock/platform/soak/tests/test_repeated_requests.py
+++ b/laburnumrock/platform/soak/tests/test_repeated_requests.py
@@ -9,7 +9,12 @@
 
 from laburnumrock.platform.soak._prompts import CONTACT_S, MAX_ARRIVALS
 from laburnumrock.platform.soak._run import open_deployment, start_callers
-from laburnumrock.platform.soak._state import Node, RunState, SoakSettings
+from laburnumrock.platform.soak._state import RunState, SoakSettings
+from laburnumrock.platform.soak.tests.core_faults import (
+    freeze_cores_in_turn,
+    keep_cores,
+    list_cores,
+)
 
 CALM_S = 3.0
 TROUBLE_S = 15.0
@@ -19,23 +24,6 @@
 calm times."""
 
 
-def list_cores(soak: RunState) -> list[Node]:
-    return [node for node in soak.nodes.values() if node.role == "core"]
-
-
-async def keep_cores(soak: RunState) -> None:
-    """Leave the leader alone."""
-
-
-async def freeze_cores_in_turn(soak: RunState) -> None:
-    """Freeze one core after the other, so that the leader changes before the request is known."""
-    for core in list_cores(soak):
-        core.process.send(signal.SIGSTOP)
-        await asyncio.sleep(1.5)
-        core.process.send(signal.SIGCONT)
-        await asyncio.sleep(1.5)
-
-
 async def kill_all_cores(soak: RunState) -> None:
     """Kill all cores soon after the first crashes, and start them again."""
     await asyncio.sleep(2.0)
