Compare the ids of events as numbers only up to 18 digits

An upstream that sent an id of more than 4,300 digits ended the forwarding task with a ValueError, since compares ids as numbers. Longer ids are not compared, like ids that are no numbers.

--- a/laburnumrock/forwarding/_events.py
+++ b/laburnumrock/forwarding/_events.py
@@ -6,6 +6,8 @@
 _ID_FIELD = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 _FIELDS = re.compile(rb"(?:[a-z_-]*(?::[^\r\n]*)?(?:\r?\n|\Z))*")
 _DATA_FIELD = re.compile(rb"^data:", re.MULTILINE)
+MAX_ID_DIGITS = 18
+"""Maximum length of ids that are compared as numbers; Python converts up to 4,300 digits."""
 MAX_EVENT_BYTES = 64 * 1024
 """Maximum size of one event; events of the services of the users have less than 1 KiB."""
 
@@ -69,8 +71,11 @@
         if found is None:
             # Only comments may come between events with ids.
             return _DATA_FIELD.search(event) is None
-        last_id, event_id = self.last_id, found[1].decode("latin1")
-        return not (last_id.isdecimal() and event_id.isdecimal()) or int(event_id) > int(last_id)
+        ids = self.last_id, found[1].decode("latin1")
+        if not all(one.isdecimal() and len(one) <= MAX_ID_DIGITS for one in ids):
+            return True
+        last_number, number = map(int, ids)
+        return number > last_number
 
     def discard_incomplete(self) -> None:
         """Discard the incomplete or invalid event of an upstream that failed."""
--- a/laburnumrock/forwarding/tests/test_events.py
+++ b/laburnumrock/forwarding/tests/test_events.py
@@ -1,5 +1,7 @@
 """Tests of the buffering of server-sent events."""
 
+import time
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -56,6 +58,16 @@
         assert EventBuffer().feed(stream) == stream
         assert EventBuffer().feed(b"data: a\n\ndata: b\n\n") == b"data: a\n\ndata: b\n\n"
 
+    def test_hostile_events(self):
+        """Guards against an exception, or seconds of work, for an id or event of extreme size."""
+        digits = b"9" * 5_000
+        stream = b"id: 1\ndata: a\n\nid: " + digits + b"\ndata: b\n\n"
+        assert EventBuffer().feed(stream) == stream
+        for text in (b"a" * 60_000 + b"!", b"a:\n" * 20_000 + b"!", b":" * 60_000, b"a\n" * 30_000):
+            started_s = time.process_time()
+            EventBuffer().feed(text + b"\n\n")
+            assert time.process_time() - started_s < 0.5
+
     def test_id_in_the_data_is_ignored(self):
         """Guards against taking text inside an event's data for its id."""
         buffer = EventBuffer()
