Log the requests that a planned stop cuts, and idle connections that are closed

entry_stopped now holds the ids of the requests that were still running (at most 100), and caller_connection_idle reports the idle time of each connection that the idle timeout closes. Both are bounded: one line per stop and one per closed connection.

--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -70,11 +70,15 @@
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Remove a closed connection."""
-        self.connections.pop(server_conn, None)
+        reader = self.connections.pop(server_conn, None)
+        if reader is not None and reader.request is None:
+            idle_s = time.monotonic() - reader.waiting_since_s
+            if idle_s >= IDLE_TIMEOUT_S:
+                log_message("caller_connection_idle", idle_s=round(idle_s, 2))
 
     def start_forwarding(self, connection: HTTP1Connection, request: CallerRequest) -> asyncio.Task:
         """Start a task that forwards a request."""
-        task = asyncio.create_task(self._forward(connection, request))
+        task = asyncio.create_task(self._forward(connection, request), name=request.request_id)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
@@ -169,6 +173,7 @@
         self.server_conn = server_conn
         self.connection = connection
         self.request: CallerRequest | None = None
+        self.waiting_since_s = time.monotonic()
         self.chunks: list[bytes] = []
         self.task: asyncio.Task | None = None
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -76,6 +76,8 @@
 HOUSEKEEPING_INTERVAL_S = 1.0
 """Interval at which idle upstream connections are closed; upstreams state idle timeouts in whole
 seconds."""
+MAX_LOGGED_REQUESTS = 100
+"""Maximum number of ids of unanswered requests in the log line at the end of a shutdown."""
 BALANCER_GRACE_S = 2.6
 """Time for the load balancer to stop sending connections; it probes once a second and removes an
 instance after two failed probes."""
@@ -181,7 +183,10 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.pool.close()
         await self.network.stop()
-        log_message("entry_stopped", runs=len(self.frontend.tasks))
+        unanswered = sorted(task.get_name() for task in self.frontend.tasks)
+        log_message(
+            "entry_stopped", runs=len(unanswered), requests=unanswered[:MAX_LOGGED_REQUESTS]
+        )
 
     def reload(self, settings: NodeSettings) -> None:
         """Apply changed settings; only the known cores can change while a node runs."""
