--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -185,12 +185,15 @@
         self.ended: list[SendEnded] = []
         self.limits: list[LimitReport] = []
         self.refusal: DispatchAnswer | None = None
+        # Answers to single calls, by their number from 1.
+        self.refused: dict[int, DispatchAnswer] = {}
         self.advises_to_give_up = False
 
     async def place(self, call: DispatchCall) -> DispatchAnswer:
         self.calls.append(call)
-        if self.refusal is not None:
-            return self.refusal
+        refusal = self.refused.get(len(self.calls), self.refusal)
+        if refusal is not None:
+            return refusal
         number = min(len(self.calls), len(self.upstreams))
         port = self.upstreams[number - 1].port
         return DispatchAnswer(len(self.calls), f"u{number}", HOST, port, 0.01)
