Let a send go on until another one of its request makes progress

Callers saw a stream closed without an end, or 502 for a request that may be repeated, while their sound upstream was silent for about a second and no other one was free. The upstream went on 0.3 s later.

Cause: the time limits for the first event and between events, and the leader's advice on a stall, ended the send before the entry knew whether anything could replace it. The next placement was refused, and nothing was left to answer with. The class of fault: something that works is given up before there is something better.

Ruled out: longer time limits (a dead upstream is then noticed later, and a silence that is longer by one event is cut again).

Now an overdue send goes on while another placement is sought, and a refused placement is repeated. The first send to deliver a whole event or a whole response ends the other one before it writes, so that events come once and in order. Attempts, retry budget and deadline bound both.

--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -30,15 +30,15 @@
     ----------
     first_event_timeout_s : float, > 0
         Time limit for the first event of a send, beyond the multiple of the predicted time that
-        `first_event_expected_factor` sets; then the request is sent to another upstream.
+        `first_event_expected_factor` sets; then the request is sent to another upstream too.
     first_event_timeout_goals : float, > 0
         The same limit as a multiple of the latency target of the route, if that is shorter.
     first_event_expected_factor : float, >= 1
         Multiple of the predicted time to the first event that is added to the limit; first
         events arrive within 1.5 times the predicted time in 95 of 100 cases.
     gap_timeout_s : float, > 0
-        Time without data after which a stream is resumed on another upstream; callers disconnect
-        after 2 s without an event.
+        Time without an event after which a stream is resumed on another upstream, unless the
+        first one goes on before; callers disconnect after 2 s without an event.
     gap_timeout_factor : float, > 0
         The same limit as a multiple of the latency target for the time between events, if that is
         longer.
@@ -53,6 +53,9 @@
     long_prompt_timeout_s, long_prompt_expected_factor : float
         Time limit for the first event with a long prompt, and multiple of the predicted time that
         is added to it.
+    placement_retry_s : float, > 0
+        Minimum time from a refused placement to the next one, while an earlier send of the request
+        is overdue.
     default_timeout_s : float, > 0
         Time limit of requests whose route sets none.
     """
@@ -67,6 +70,7 @@
     long_prompt_tokens: int = 30_000
     long_prompt_timeout_s: float = 3.0
     long_prompt_expected_factor: float = 4.0
+    placement_retry_s: float = 0.5
     default_timeout_s: float = 30.0
 
 
--- a/laburnumrock/forwarding/_send.py
+++ b/laburnumrock/forwarding/_send.py
@@ -39,11 +39,16 @@
         if self.handle is None and not self.cancelled:
             self.handle = self.loop.call_at(self.due_s, self._fire)
 
+    def pause(self) -> None:
+        """Stop the timer until it is set again."""
+        if self.handle is not None:
+            self.handle.cancel()
+            self.handle = None
+
     def cancel(self) -> None:
         """Cancel the timer and a notification in progress."""
         self.cancelled = True
-        if self.handle is not None:
-            self.handle.cancel()
+        self.pause()
         if self.task is not None:
             self.task.cancel()
 
@@ -65,10 +70,11 @@
     """
 
     def __init__(self, last_id: str | None) -> None:
-        self.events = EventBuffer()
-        self.events.last_id = last_id
+        self.last_id = last_id
         self.last_event_s = 0.0
         self.longest_pause_s = 0.0
+        # Send that wrote the last event; the comments of another one are discarded.
+        self.writing_send: UpstreamSend | None = None
 
 
 class UpstreamSend:
@@ -88,6 +94,15 @@
         Number of the send, from 1.
     deadline_s : float
         Reading of the monotonic clock at the deadline of the request.
+    take_over : callable
+        Called before an event is written; ends the other sends of the request.
+    notify : callable
+        Called when the upstream is overdue.
+
+    Notes
+    -----
+    A send whose upstream is overdue goes on, since a sound upstream may be silent for a while. It
+    ends when another send makes progress, or at the deadline.
     """
 
     def __init__(
@@ -98,6 +113,8 @@
         placement: DispatchAnswer,
         number: int,
         deadline_s: float,
+        take_over: Callable[[], None],
+        notify: Callable[[], None],
     ) -> None:
         self.context = context
         self.writer = writer
@@ -105,24 +122,29 @@
         self.placement = placement
         self.number = number
         self.deadline_s = deadline_s
+        self.take_over = take_over
+        self.notify = notify
         self.sent_s = time.monotonic()
         self.received_data = False
+        self.is_overdue = False
+        self.events = EventBuffer()
+        self.events.last_id = progress.last_id
         self.loop = asyncio.get_running_loop()
         route = writer.route
         self.may_retry = route.may_retry and number < route.max_attempts
-        self.timeout = asyncio.timeout(self._compute_first_event_timeout_s())
+        self.overdue_timer = StallTimer(self.loop, self._on_overdue)
         self.stall_timer = StallTimer(self.loop, self._on_stall)
 
     async def run(
         self, connection: UpstreamConnection, helpers: list[HelperReservation]
-    ) -> ExchangeResult | None:
-        """Send the request and relay the response; return None if the upstream timed out."""
+    ) -> ExchangeResult:
+        """Send the request and relay the response."""
         account = self.writer.account
         metadata = SendMetadata(
             self.placement.upstream_id,
             account.name if account is not None else None,
             self.deadline_s - self.sent_s,
-            self.progress.events.last_id,
+            self.progress.last_id,
             helpers,
         )
         wire = self.context.wire
@@ -130,22 +152,18 @@
         headers = wire.encode_request(request, metadata)
         settings = self.context.settings
         self.stall_timer.set(self.placement.expected_first_s + settings.stall_report_delay_s)
+        if self.may_retry:
+            self.overdue_timer.set(self._compute_first_event_timeout_s())
         try:
-            async with self.timeout:
-                return await exchange(
-                    connection, request, headers, wire, self._start_relay, self._relay
-                )
-        except TimeoutError:
-            if time.monotonic() >= self.deadline_s - MIN_REMAINING_S:
-                raise
-            return None
+            return await exchange(
+                connection, request, headers, wire, self._start_relay, self._relay
+            )
         finally:
+            self.overdue_timer.cancel()
             self.stall_timer.cancel()
 
     def _compute_first_event_timeout_s(self) -> float:
-        """Return the time limit for the first event."""
-        if not self.may_retry:
-            return self.deadline_s - self.sent_s
+        """Return the time after which the first event is overdue."""
         settings = self.context.settings
         expected_s = self.placement.expected_first_s
         if self.writer.request.prompt_tokens > settings.long_prompt_tokens:
@@ -178,14 +196,17 @@
         self.context.dispatcher.record_limit(LimitReport(upstream, limit))
 
     async def _relay(self, chunk: bytes) -> None:
-        events = self.progress.events
+        events = self.events
         known = events.count
         complete_events = events.feed(chunk)
         if events.is_oversized:
             raise HTTPInputError("event exceeds the maximum size")
         if events.count > known:
+            self.take_over()
+            self.progress.writing_send = self
+            self.progress.last_id = events.last_id
             self._record_progress()
-        if complete_events:
+        if complete_events and self.progress.writing_send in (None, self):
             await self._write_events(complete_events)
         if events.is_invalid:
             raise HTTPInputError("text in the stream that is none of its events")
@@ -208,16 +229,17 @@
         settings = self.context.settings
         gap_goal_s = self.writer.route.gap_goal_s
         self.stall_timer.set(gap_goal_s + settings.stall_report_delay_s)
+        self.is_overdue = False
         if self.may_retry:
             gap_timeout_s = max(settings.gap_timeout_s, settings.gap_timeout_factor * gap_goal_s)
-            self.timeout.reschedule(self.loop.time() + gap_timeout_s)
+            self.overdue_timer.set(gap_timeout_s)
 
     async def _write_events(self, complete_events: bytes) -> None:
         """Write events to the caller, without blaming the upstream if the caller reads slowly."""
         write = self.writer.start_events(complete_events)
         blocked = self.may_retry and self.writer.is_blocked
         if blocked:
-            self.timeout.reschedule(None)
+            self.overdue_timer.pause()
         await self.writer.finish_events(write)
         if blocked:
             self._expect_next_event()
@@ -239,11 +261,20 @@
             expected_first_s=round(placement.expected_first_s, 4),
         )
 
+    def _on_overdue(self) -> None:
+        """Let another upstream be sought while this send goes on."""
+        if not self.is_overdue:
+            self.is_overdue = True
+            self.writer.log(
+                "upstream_silent", upstream=self.placement.upstream_id, attempt=self.number
+            )
+            self.notify()
+
     def _on_stall(self) -> None:
         self.stall_timer.task = asyncio.create_task(self._report_stall())
 
     async def _report_stall(self) -> None:
-        """Report a stalled send to the dispatcher, and abandon the send on its advice."""
+        """Report a stalled send to the dispatcher, and look for another upstream on its advice."""
         advice = await self.context.dispatcher.report_stall(SendStalled(self.placement.permit))
         self.writer.log(
             "send_stalled",
@@ -252,6 +283,5 @@
             give_up=advice.give_up,
         )
         if advice.give_up and self.may_retry:
-            self.timeout.reschedule(self.loop.time())
-        else:
-            self.stall_timer.set(self.context.settings.stall_report_interval_s)
+            self._on_overdue()
+        self.stall_timer.set(self.context.settings.stall_report_interval_s)
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -76,18 +76,29 @@
             if idle_s >= IDLE_TIMEOUT_S:
                 log_message("caller_connection_idle", idle_s=round(idle_s, 2))
 
-    def start_forwarding(self, connection: HTTP1Connection, request: CallerRequest) -> asyncio.Task:
+    def start_forwarding(
+        self,
+        server_conn: HTTP1ServerConnection,
+        connection: HTTP1Connection,
+        request: CallerRequest,
+    ) -> asyncio.Task:
         """Start a task that forwards a request."""
-        task = asyncio.create_task(self._forward(connection, request), name=request.request_id)
+        forwarding = self._forward(server_conn, connection, request)
+        task = asyncio.create_task(forwarding, name=request.request_id)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
 
-    async def _forward(self, connection: HTTP1Connection, request: CallerRequest) -> None:
+    async def _forward(
+        self,
+        server_conn: HTTP1ServerConnection,
+        connection: HTTP1Connection,
+        request: CallerRequest,
+    ) -> None:
         try:
             await RequestForwarder(self.context, connection, request).run()
             if self.context.stopping:
-                await self._close_after_response(connection)
+                await self._close_after_response(server_conn)
         except Exception as error:
             # An unexpected error must not affect other requests. The connection is closed, which
             # guarantees nothing to the caller about whether the request has run.
@@ -98,7 +109,7 @@
             )
             connection.close()
 
-    async def _close_after_response(self, connection: HTTP1Connection) -> None:
+    async def _close_after_response(self, server_conn: HTTP1ServerConnection) -> None:
         """Close a connection right after the last bytes of the response.
 
         Notes
@@ -106,11 +117,14 @@
         The headers of a stream that began before the shutdown do not announce the close. If the
         connection were closed later, the close could cross the next request of the caller.
         """
-        stream = connection.stream
+        stream = server_conn.stream
         with contextlib.suppress(StreamClosedError):
             # An empty write completes once all earlier bytes are written.
             await stream.write(b"")
-            if not has_unread_data(stream):
+            reader = self.connections.get(server_conn)
+            # The next request may have been read while the response was written.
+            has_next = reader is not None and reader.task is not asyncio.current_task()
+            if not (has_next and reader.is_busy) and not has_unread_data(stream):
                 stream.close()
 
     async def close_idle(self) -> None:
@@ -206,7 +220,7 @@
             return
         self.request.body = b"".join(self.chunks)
         self.chunks.clear()
-        self.task = self.frontend.start_forwarding(self.connection, self.request)
+        self.task = self.frontend.start_forwarding(self.server_conn, self.connection, self.request)
         self.connection.set_close_callback(self._cancel)
 
     def on_connection_close(self) -> None:
--- a/laburnumrock/forwarding/tests/test_expiry.py
+++ b/laburnumrock/forwarding/tests/test_expiry.py
@@ -6,7 +6,7 @@
 import pytest
 
 from laburnumrock.dispatch import SendOutcome
-from laburnumrock.forwarding._forwarder import MAX_PLACEMENT_AGE_S
+from laburnumrock.forwarding._attempt import MAX_PLACEMENT_AGE_S
 from laburnumrock.forwarding.tests.scripted import ScriptedUpstream, answer, open_frontend
 
 
--- a/laburnumrock/forwarding/tests/test_planned_stop.py
+++ b/laburnumrock/forwarding/tests/test_planned_stop.py
@@ -115,6 +115,24 @@
 
         asyncio.run(run())
 
+    def test_request_that_arrives_behind_a_blocked_response_is_answered(self):
+        """Guards against closing a connection whose next request was read during the last write."""
+
+        async def run():
+            body = b"x" * 6_000_000
+            upstream = ScriptedUpstream(answer(body=body), answer(body=b"next"))
+            async with open_frontend(upstream) as frontend:
+                reader, writer = await frontend.connect()
+                writer.write(make_request("/once/x", "POST", b"{}", {}))
+                await asyncio.sleep(0.3)
+                writer.write(make_request("/once/x", "POST", b"{}", {"Request_Id": "r2"}))
+                await asyncio.sleep(0.1)
+                frontend.context.stopping = True
+                assert (await read_response(reader)).body == body
+                assert (await read_response(reader)).body == b"next"
+
+        asyncio.run(run())
+
     @pytest.mark.parametrize(("left_s", "status"), [(0.5, 503), (5.0, 200)])
     def test_request_that_cannot_finish_is_refused(self, left_s, status):
         """Guards against forwarding a request that the end of the process would abort."""
