Answer a request whose run raises an unexpected error

A caller whose request met an unexpected error on the entry saw its connection close without a response (run_failed), with nothing to tell whether the request had run.

Cause: the handler of last resort closed the connection.

The entry now writes 503 with Retry-After if nothing was sent, since that is proved, and 500 otherwise, which promises nothing. Only a response that has begun is still cut, so that it does not look complete.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -73,6 +73,13 @@
             self.writer.record_disconnect(self.state.sent)
             raise
 
+    def fail_unexpectedly(self) -> None:
+        """End a request whose run raised an error, with a response if none has begun."""
+        if self.writer.head_written:
+            self.writer.abort(ErrorKind.INTERNAL, self.state.progress.last_id)
+        else:
+            self._fail(ErrorKind.INTERNAL)
+
     async def _await_routes(self) -> None:
         """Wait for the routes of an instance that has just started.
 
--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -42,6 +42,7 @@
         self.route: Route | None = None
         self.account: AccountEntry | None = None
         self.started = False
+        self.head_written = False
         self.media_type = ""
         self.caller_disconnected = False
 
@@ -103,7 +104,7 @@
         status = ANSWERS[kind].status
         if status in NOT_RUN_STATUSES and may_have_run:
             status = 502
-        if status == 504 and not may_have_run:
+        if status in (500, 504) and not may_have_run:
             status = 503
         if status == 503 and retry_after_s <= 0:
             retry_after_s = STARTUP_RETRY_AFTER_S * self.context.source.uniform(0.8, 1.4)
@@ -160,6 +161,7 @@
         if self.context.stopping:
             headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
+        self.head_written = True
         self.connection.write_headers(start_line, headers, body or None)
 
 
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -95,19 +95,19 @@
         connection: HTTP1Connection,
         request: CallerRequest,
     ) -> None:
+        forwarder = RequestForwarder(self.context, connection, request)
         try:
-            await RequestForwarder(self.context, connection, request).run()
+            await forwarder.run()
             if self.context.stopping:
                 await self._close_after_response(server_conn)
         except Exception as error:
-            # An unexpected error must not affect other requests. The connection is closed, which
-            # guarantees nothing to the caller about whether the request has run.
+            # An unexpected error must not affect other requests.
             log_message(
                 "run_failed",
                 request_id=request.request_id,
                 error=f"{type(error).__name__}: {error}",
             )
-            connection.close()
+            forwarder.fail_unexpectedly()
 
     async def _close_after_response(self, server_conn: HTTP1ServerConnection) -> None:
         """Close a connection right after the last bytes of the response.
--- a/laburnumrock/forwarding/tests/test_forwarding.py
+++ b/laburnumrock/forwarding/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 from laburnumrock.dispatch import DispatchAnswer, SendOutcome
 from laburnumrock.errors import ErrorKind
 from laburnumrock.forwarding.tests.scripted import (
+    ScriptedDispatcher,
     ScriptedUpstream,
     answer,
     hang,
@@ -359,3 +360,46 @@
                 assert (await frontend.request()).status == 200
 
         asyncio.run(run())
+
+
+class TestUnexpectedErrors:
+    """An error in the run of a request that no other rule covers."""
+
+    @staticmethod
+    def fail_after(count: int):
+        """Return a `place` of a dispatcher that fails after a number of calls."""
+
+        async def place(dispatcher, call):
+            if len(dispatcher.calls) >= count:
+                raise ZeroDivisionError("broken dispatcher")
+            return await place_normally(dispatcher, call)
+
+        place_normally = ScriptedDispatcher.place
+        return place
+
+    @pytest.mark.parametrize(("count", "status"), [(0, 503), (1, 500)])
+    def test_caller_gets_an_error_response(self, count, status, monkeypatch):
+        """Guards against a connection that closes without a response."""
+        monkeypatch.setattr(ScriptedDispatcher, "place", self.fail_after(count))
+
+        async def run():
+            upstream = ScriptedUpstream(answer(500))
+            async with open_frontend(upstream) as frontend:
+                return await frontend.request("/r/x")
+
+        response = asyncio.run(run())
+        assert response.status == status
+        assert response.headers["Content-Type"] == "application/problem+json"
+
+    def test_stream_does_not_look_complete(self, monkeypatch):
+        """Guards against an error response inside a stream that has begun."""
+        monkeypatch.setattr(ScriptedDispatcher, "place", self.fail_after(1))
+
+        async def run():
+            upstream = ScriptedUpstream(stream(1, 2, cut=b"id: 3\nda"))
+            async with open_frontend(upstream) as frontend:
+                return await frontend.request("/s/x")
+
+        response = asyncio.run(run())
+        assert (response.status, response.complete) == (200, False)
+        assert response.body == make_event(1) + make_event(2)
