End each request that a planned stop finds running with a final answer

Callers saw a closed connection in place of an answer: when drain_timeout_s ended before their request, and when a large response was still being written as the last request ended. On kept connections nothing announced the close.

Cause: finish_requests closed all connections after the drain, whatever still ran, and a request counted as running only until its response was handed to the connection, not until it was written.

Now the stop sets requests_cut after the drain, and each handler answers for itself: 503 stopping if nothing was sent, otherwise an error event or 502 with an unknown outcome. A request counts as running until its response is written.

Changes to tests: the gateway's fakes take a lifecycle, so that the stop runs with the real one.

--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -10,7 +10,7 @@
 from tornado.httpserver import HTTPServer
 
 from laburnumrock.daemon._declaration_task import DeclarationTask
-from laburnumrock.daemon._lifecycle import Lifecycle
+from laburnumrock.daemon._lifecycle import Lifecycle, finish_requests
 from laburnumrock.daemon._log_task import LogTask
 from laburnumrock.daemon._membership_task import MembershipTask
 from laburnumrock.daemon._operations import OperationClient
@@ -175,7 +175,7 @@
             log_failure_task = asyncio.create_task(self._stop_after_log_failure())
             await self._wait_until_ready()
             await self.stop_requested.wait()
-            await self._finish_requests(server)
+            await finish_requests(self.lifecycle, server, self.settings.timing)
             log_failure_task.cancel()
         self.lifecycle.fire("handed_over")
         return started if self.log.failure is None else Err(self.log.failure)
@@ -197,18 +197,6 @@
                 return
             await asyncio.sleep(READY_POLL_S)
 
-    async def _finish_requests(self, server: HTTPServer) -> None:
-        """Become unready, wait for the balancer to notice, then for the running requests."""
-        timing = self.settings.timing
-        self.lifecycle.fire("stop")
-        if self.lifecycle.state == "unready":
-            await asyncio.sleep(timing.balancer_grace_s)
-            self.lifecycle.fire("balancer_informed")
-            server.stop()
-            await self.lifecycle.wait_for_requests(timing.drain_timeout_s)
-            self.lifecycle.fire("requests_ended")
-        await server.close_all_connections()
-
 
 @contextlib.asynccontextmanager
 async def run_task(task: Task) -> AsyncIterator[None]:
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -96,6 +96,7 @@
         self.last_token_s: float | None = None
         self.excluded: list[str] = []
         self.crash_names: list[str] = []
+        self.may_have_run = False
 
     async def run(self) -> Result[None, Failure]:
         """Run attempts until the completion succeeds, is refused or exceeds its deadline."""
@@ -172,6 +173,7 @@
         return Failure(ErrorKind.UPSTREAM_FAILED, detail, retry_after_s=failure.retry_after_s)
 
     async def _run_attempt(self, grant: PermitGrant, attempt: int) -> Result[None, Failure]:
+        self.may_have_run = True
         self.assembler.start_attempt(attempt)
         self.attempt_started_s = time.monotonic()
         self.attempt_first_token_s = None
--- a/laburnumrock/gateway/_completions.py
+++ b/laburnumrock/gateway/_completions.py
@@ -14,6 +14,7 @@
 from laburnumrock.gateway._completion_run import CompletionJob, CompletionRun
 from laburnumrock.gateway._engine import CompletionRequest
 from laburnumrock.gateway._handler import BodyHandler
+from laburnumrock.gateway._planned_stop import make_cut_failure, run_until_cut
 from laburnumrock.gateway._sse import DONE, format_event
 from laburnumrock.placement import LengthClass, classify_length
 from laburnumrock.upstreams import hash_prefixes
@@ -37,16 +38,20 @@
         if job.is_err():
             self.finish_with_failure(job.unwrap_err())
             return
-        self.services.lifecycle.adjust_request_count(1)
-        self.run_task = asyncio.create_task(self._run(job.unwrap()))
+        lifecycle = self.services.lifecycle
+        run = CompletionRun(self.services, job.unwrap(), self._handle_text)
+        lifecycle.adjust_request_count(1)
         try:
+            self.run_task = asyncio.create_task(run_until_cut(lifecycle, self._run(run)))
             result = await self.run_task
+            if result is None:
+                result = Err(make_cut_failure(run.may_have_run))
+            self._write_response(result, job.unwrap())
+            await self.wait_until_written()
         except asyncio.CancelledError:
             log_message("caller_left", request_id=self.request_id)
-            return
         finally:
-            self.services.lifecycle.adjust_request_count(-1)
-        self._write_response(result, job.unwrap())
+            lifecycle.adjust_request_count(-1)
 
     def on_connection_close(self) -> None:
         """Cancel the completion when the caller disconnects."""
@@ -118,13 +123,14 @@
             return Err(Failure(ErrorKind.INVALID_REQUEST, detail, field_path=TIMEOUT_HEADER))
         return Ok(min(timeout_s, max_timeout_s))
 
-    async def _run(self, job: CompletionJob) -> Result[None, Failure]:
+    async def _run(self, run: CompletionRun) -> Result[None, Failure]:
+        job = run.job
         tokens = job.prompt_tokens + job.work.max_tokens
         quota = await self.services.quotas.acquire(job.client_account, job.caller, tokens)
         if quota.is_err():
             return quota
         try:
-            return await CompletionRun(self.services, job, self._handle_text).run()
+            return await run.run()
         finally:
             self.services.quotas.release(quota.unwrap())
 
--- a/laburnumrock/gateway/_interfaces.py
+++ b/laburnumrock/gateway/_interfaces.py
@@ -55,7 +55,15 @@
 
 
 class Lifecycle(Protocol):
-    """Lifecycle state of the instance as visible to callers."""
+    """Lifecycle state of the instance as visible to callers.
+
+    `requests_cut` is set when a planned stop ends the requests that still run.
+    """
+
+    requests_cut: asyncio.Event
+
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send new requests."""
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -13,6 +13,7 @@
 from laburnumrock.gateway._accounts import identify_account
 from laburnumrock.gateway._handler import BodyHandler
 from laburnumrock.gateway._interfaces import Dispatch
+from laburnumrock.gateway._planned_stop import make_cut_failure, run_until_cut
 from laburnumrock.gateway._upstream_http import UpstreamCall, UpstreamResponse, exchange, is_refused
 from laburnumrock.journal import OperationState, RecordedAnswer
 from laburnumrock.placement import PermitGrant, PermitOutcome, PermitRelease, PermitRequest
@@ -23,6 +24,8 @@
 MAX_KEY_LENGTH = 200
 MAX_ATTEMPTS = 3
 RETRY_AFTER_FAILURE_S = 1.0
+SETTLE_S = 1.0
+"""Time for recording the outcome of an operation that the planned stop cuts."""
 
 # Response headers of an upstream that are forwarded to the caller and recorded for replay.
 FORWARDED_HEADERS = ("Content-Type", "Location", "ETag")
@@ -78,9 +81,28 @@
             return
         self.services.lifecycle.adjust_request_count(1)
         try:
-            result = await self._run(call.unwrap())
+            self._respond(service, await self._run_until_cut(call.unwrap()))
+            await self.wait_until_written()
         finally:
             self.services.lifecycle.adjust_request_count(-1)
+
+    async def _run_until_cut(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
+        lifecycle = self.services.lifecycle
+        self.was_sent = False
+        extra_s = 0.0 if call.path.repeatable else SETTLE_S
+        result = await run_until_cut(lifecycle, self._run(call), extra_s)
+        if result is not None:
+            return result
+        if call.path.repeatable:
+            return Err(make_cut_failure(self.was_sent))
+        # The outcome is not recorded. The operation is closed when the instance starts again, or is
+        # known to be dead.
+        if self.was_sent:
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "this instance stopped meanwhile"))
+        detail = "this instance stopped before the request was sent"
+        return Err(Failure(ErrorKind.JOURNAL_UNAVAILABLE, detail, retry_after_s=SETTLE_S))
+
+    def _respond(self, service: str, result: Result[RecordedAnswer, Failure]) -> None:
         if result.is_err():
             self.finish_with_failure(result.unwrap_err())
             return
@@ -199,12 +221,18 @@
     async def _dispatch(
         self, call: ServiceCall, attempt: int, excluded: list[str]
     ) -> Result[RecordedAnswer, Failure]:
-        granted = await self._acquire(call, attempt, excluded)
+        lifecycle = self.services.lifecycle
+        granted = await run_until_cut(lifecycle, self._acquire(call, attempt, excluded))
+        if granted is None:
+            return Err(make_cut_failure(may_have_run=False))
         if granted.is_err():
             return granted
         # Some time after the deadline, an operator may settle the operation as not run. A process
         # that was frozen until then must not send the request when it resumes.
-        result = await self._call_upstream(call, granted.unwrap(), call.deadline_s)
+        work = self._call_upstream(call, granted.unwrap(), call.deadline_s)
+        result = await run_until_cut(lifecycle, work)
+        if result is None:
+            return Err(make_cut_failure(may_have_run=True))
         if result.is_err():
             excluded.append(granted.unwrap().placements[0].upstream_id)
         return result
@@ -248,6 +276,7 @@
     ) -> Result[RecordedAnswer, Failure]:
         outcome = PermitOutcome.FAILED
         began_s = time.monotonic()
+        self.was_sent = True
         try:
             async with asyncio.timeout(call.remaining_s()):
                 result = await exchange(self._make_call(call, grant, send_deadline_s))
--- a/laburnumrock/gateway/tests/fakes.py
+++ b/laburnumrock/gateway/tests/fakes.py
@@ -81,6 +81,13 @@
     """Lifecycle of an instance that accepts requests."""
 
     accepting = True
+    stopping = False
+
+    def __init__(self):
+        self.requests_cut = asyncio.Event()
+
+    def is_stopping(self):
+        return self.stopping
 
     def is_ready(self):
         return self.accepting
@@ -199,10 +206,11 @@
 class Gateway:
     """Gateway under test with fake services."""
 
-    def __init__(self, engines):
+    def __init__(self, engines, lifecycle=None):
         self.permits = FakePermits(engine.base_url for engine in engines)
         self.quotas = FakeQuotas()
-        self.lifecycle = FakeLifecycle()
+        self.lifecycle = lifecycle or FakeLifecycle()
+        self.http = None
         self.announced = []
         self.services = GatewayServices(
             settings=make_settings(),
@@ -237,17 +245,17 @@
 
 
 @contextlib.asynccontextmanager
-async def run_gateway(*engines):
+async def run_gateway(*engines, lifecycle=None):
     async with contextlib.AsyncExitStack() as stack:
         for engine in engines:
             server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
             await stack.enter_async_context(server)
             engine.server = server
             engine.base_url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        gateway = Gateway(engines)
-        http = serve_app(make_app(gateway.services), gateway.services)
+        gateway = Gateway(engines, lifecycle)
+        gateway.http = serve_app(make_app(gateway.services), gateway.services)
         yield gateway
-        http.stop()
+        gateway.http.stop()
 
 
 def extract_text(response):
