End a completion with an error event when its run raises

Callers saw a stream that ended like a regular one but for the missing end marker, without an error event, and the permit of the attempt stayed held: it was renewed until the process ended, so its engine memory was never granted again.

Cause: tornado finishes a response whose head is written when the handler raises, and CompletionRun released permits only after a result, a timeout or a cancellation.

Evidence: in gateway/tests/test_unexpected_errors.py, test_request_gets_a_final_answer[True] (no error event) and test_permit_is_released (no release) failed before; both pass now. The other tests of the file passed before: exceptions of plain responses already gave a problem document, and an engine's invalid event already ended only its attempt.

Now the handler writes the failure of kind internal in the form that the response has, and the attempt is cleaned up. Events of engines are parsed with the limit on nesting that all other documents have.

--- a/laburnumrock/gateway/_assembler.py
+++ b/laburnumrock/gateway/_assembler.py
@@ -1,10 +1,10 @@
 """Assembly of one completion from the event streams of one or more attempts."""
 
-import json
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
+from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._sse import DONE, ServerEvent
 
@@ -59,7 +59,7 @@
         if event.data == DONE:
             return self._accept_end()
         try:
-            token = json.loads(event.data)
+            token = parse_json(event.data.encode())
             request_id, attempt = token["request_id"], token["attempt"]
             index, text = token["index"], token["text"]
             finish_reason = token["finish_reason"]
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -192,6 +192,10 @@
         except asyncio.CancelledError:
             self._start_cleanup(grant, PermitOutcome.CANCELLED)
             raise
+        except Exception:
+            # A held permit is renewed until it is released.
+            self._start_cleanup(grant, PermitOutcome.FAILED)
+            raise
         if result.is_ok():
             await release_segments(grant)
             self._release(grant, PermitOutcome.FINISHED, self.attempt_first_token_s)
--- a/laburnumrock/gateway/_completions.py
+++ b/laburnumrock/gateway/_completions.py
@@ -50,6 +50,13 @@
             await self.wait_until_written()
         except asyncio.CancelledError:
             log_message("caller_left", request_id=self.request_id)
+        except Exception as error:
+            # Without this, tornado ends a stream that has begun like a regular one.
+            self.log_exception(*sys.exc_info())
+            log_message("request_raised", request_id=self.request_id, error=repr(error))
+            if not self._finished:
+                self._write_failure(Failure(ErrorKind.INTERNAL))
+                await self.wait_until_written()
         finally:
             lifecycle.adjust_request_count(-1)
 
