Answer a spanning completion before its segments are released

Callers got the end of a whole completion late, or not at all within their time limit, while an engine of an earlier segment was silent: the last event waited for the release of the segments, outside the time limit of the completion and without one of its own. Two requests could be promised the same memory: a permit was released although its engine had not confirmed the cancellation, and the pool owner frees a released permit at once.

Now the segments are released in the background, with the retries of a cancellation, and the permit after them. If an engine does not confirm, the permit is no longer renewed: the owner keeps its memory until its own cancellation is confirmed.

--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -149,6 +149,15 @@
         if owner is not None:
             self.network.send(owner.instance_id, release)
 
+    def abandon(self, permit_id: str) -> None:
+        """Stop renewing a permit whose request may still hold memory on an engine.
+
+        A release would free the memory at the pool owner at once. An expired permit keeps it until
+        the owner has cancelled the request on the engine.
+        """
+        if self.held.pop(permit_id, None) is not None:
+            log_message("permit_abandoned", permit=permit_id)
+
     def _find_permit_owner(self, held: HeldPermit) -> tuple[str, PoolOwner | None]:
         upstream_id = held.grant.placements[0].upstream_id
         return self.directory.find_permit_owner(held.pool_id, upstream_id)
--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -197,8 +197,10 @@
             self._start_cleanup(grant, PermitOutcome.FAILED)
             raise
         if result.is_ok():
-            await release_segments(grant)
-            self._release(grant, PermitOutcome.FINISHED, self.attempt_first_token_s)
+            if len(grant.placements) > 1:
+                self._start_cleanup(grant, PermitOutcome.FINISHED)
+            else:
+                self._release(grant, PermitOutcome.FINISHED, self.attempt_first_token_s)
             return result
         self.excluded += [placement.upstream_id for placement in grant.placements]
         failure = result.unwrap_err()
@@ -274,19 +276,27 @@
         task.add_done_callback(self.services.background_tasks.discard)
 
     async def _clean_up_attempt(self, grant: PermitGrant, outcome: PermitOutcome) -> None:
-        """Cancel the request on its engines, then release the permit.
+        """Free the memory of the request on its engines, then release the permit.
 
         The clean-up counts as a running request, so a graceful shutdown waits for it.
         """
         first_token_s = self.attempt_first_token_s
+        freed = False
         self.services.lifecycle.adjust_request_count(1)
         try:
-            await asyncio.gather(
-                *(cancel_on_engine(item.base_url, grant.request_id) for item in grant.placements)
-            )
+            if outcome is PermitOutcome.FINISHED:
+                freed = await release_segments(grant)
+            else:
+                cancels = (
+                    cancel_on_engine(item.base_url, grant.request_id) for item in grant.placements
+                )
+                freed = all(await asyncio.gather(*cancels))
         finally:
             self.services.lifecycle.adjust_request_count(-1)
-            self._release(grant, outcome, first_token_s)
+            if freed:
+                self._release(grant, outcome, first_token_s)
+            else:
+                self.services.permits.abandon(grant.permit_id)
 
     def _release(
         self, grant: PermitGrant, outcome: PermitOutcome, first_token_s: float | None
--- a/laburnumrock/gateway/_engine.py
+++ b/laburnumrock/gateway/_engine.py
@@ -185,7 +185,27 @@
         Whether the engine confirmed the cancellation. If it did not, the pool owner continues to
         cancel the request after the permit has expired.
     """
-    call = make_call(base_url, "/v1/cancel", {"request_id": request_id})
+    return await free_on_engine(base_url, "/v1/cancel", request_id)
+
+
+async def free_on_engine(base_url: str, path: str, request_id: str) -> bool:
+    """Free the memory of a request on an engine, retrying until the engine confirms.
+
+    Parameters
+    ----------
+    base_url : str
+        URL of the engine.
+    path : str
+        ``/v1/cancel`` or ``/v1/kv/release``.
+    request_id : str
+        Id of the request.
+
+    Returns
+    -------
+    bool
+        Whether the engine confirmed.
+    """
+    call = make_call(base_url, path, {"request_id": request_id})
     for _ in range(CANCEL_ATTEMPTS):
         try:
             result = await asyncio.wait_for(exchange(call), CANCEL_TIMEOUT_S)
--- a/laburnumrock/gateway/_interfaces.py
+++ b/laburnumrock/gateway/_interfaces.py
@@ -28,6 +28,9 @@
     def release(self, release: PermitRelease) -> None:
         """Release a permit and report the outcome."""
 
+    def abandon(self, permit_id: str) -> None:
+        """Stop renewing a permit whose request may still hold memory on an engine."""
+
     def revocation_event(self, permit_id: str) -> asyncio.Event | None:
         """Return the event that is set when the pool owner revokes a held permit."""
 
--- a/laburnumrock/gateway/_spanning.py
+++ b/laburnumrock/gateway/_spanning.py
@@ -13,7 +13,12 @@
 
 from laburnumrock.documents import parse_json
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.gateway._engine import CompletionRequest, make_call, read_refusal_reason
+from laburnumrock.gateway._engine import (
+    CompletionRequest,
+    free_on_engine,
+    make_call,
+    read_refusal_reason,
+)
 from laburnumrock.gateway._upstream_http import exchange
 from laburnumrock.placement import PermitGrant, Placement
 
@@ -57,15 +62,21 @@
     return Ok(dataclasses.replace(request, kv_segments=segments))
 
 
-async def release_segments(grant: PermitGrant) -> None:
-    """Release the KV cache of a finished spanning prompt on all engines except the last."""
-    body = {"request_id": grant.request_id}
-    await asyncio.gather(
+async def release_segments(grant: PermitGrant) -> bool:
+    """Release the KV cache of a finished spanning prompt on all engines except the last.
+
+    Returns
+    -------
+    bool
+        Whether all engines confirmed.
+    """
+    confirmed = await asyncio.gather(
         *(
-            exchange(make_call(placement.base_url, "/v1/kv/release", body))
+            free_on_engine(placement.base_url, "/v1/kv/release", grant.request_id)
             for placement in grant.placements[:-1]
         )
     )
+    return all(confirmed)
 
 
 async def _reserve(placement: Placement, request_id: str) -> Result[dict, Failure]:
--- a/laburnumrock/gateway/tests/fakes.py
+++ b/laburnumrock/gateway/tests/fakes.py
@@ -28,6 +28,7 @@
         self.base_urls = list(base_urls)
         self.requests = []
         self.releases = []
+        self.abandoned = []
         self.released_names = []
         self.revoked = asyncio.Event()
 
@@ -43,6 +44,9 @@
         self.releases.append(release.outcome)
         self.released_names.append(release.crash_names)
 
+    def abandon(self, permit_id):
+        self.abandoned.append(permit_id)
+
     def revocation_event(self, permit_id):
         return self.revoked
 
