Keep an overdue permit until another request needs its capacity

Callers saw a sound stream broken off, and resumed or refused: an entry instance that was silent for 1.4 s or more missed its renewals, its permits ended after permit_ttl_s (2 s), and the pool owner cancelled the requests on their engines, although nothing needed the memory. The same happened to requests whose entry heard late of a new pool owner.

Cause: expiry meant cancellation. A permit was given up before there was something better to do with its memory.

Now a permit that misses its renewals is overdue. It keeps its memory, so that nothing is granted twice, and ends when a request cannot be granted at once, when a new attempt of its request arrives, or after 4 s. Unclaimed requests after a takeover are treated alike, and a late renewal of one is accepted while the engine holds it and its memory is not granted to others.

Ruled out: a longer permit_ttl_s. It would delay every takeover and every request that waits for a dead entry's memory.

--- a/laburnumrock/placement/_allocator.py
+++ b/laburnumrock/placement/_allocator.py
@@ -69,6 +69,8 @@
         if key in self.queue.by_key:
             self.queue.by_key[key].sender = sender
             return []
+        # The entry instance has given up the earlier attempts of the request.
+        self.registry.end_overdue(now_s, request.request_id)
         self.table.refresh_limits(now_s)
         waiting = self._prepare(sender, request, now_s)
         kind = self._find_refusal_kind(waiting, now_s)
@@ -192,6 +194,7 @@
         return None
 
     def _enqueue(self, waiting: WaitingRequest, subqueue: str, now_s: float) -> list[Effect]:
+        self.registry.end_overdue(now_s)
         check_s = waiting.deadline_s
         waiting.order = self.policy.rank(waiting, now_s)
         if now_s + self._limited_wait_s(waiting, now_s) > waiting.deadline_s:
--- a/laburnumrock/placement/_permits.py
+++ b/laburnumrock/placement/_permits.py
@@ -34,6 +34,7 @@
         self.table = table
         self.permits: dict[str, Permit] = {}
         self.by_key: dict[tuple[str, int], str] = {}
+        self.overdue: dict[str, Permit] = {}
         self.cancels: list[tuple[float, str, str]] = []
         self._expiries: list[tuple[float, str]] = []
         self._sequence = 0
@@ -87,7 +88,8 @@
         message : PermitRenewal
             Permits in use.
         accepts_unknown : bool
-            Whether to accept unknown permits of an earlier owner, as during a takeover.
+            Whether to accept all unknown permits of an earlier owner, as during a takeover. Later,
+            one is accepted if the engines still hold its request and its memory is not granted.
         now_s : float
             Clock reading in seconds.
         """
@@ -96,7 +98,11 @@
             permit = self.permits.get(grant.permit_id)
             if permit is not None and not permit.ended:
                 self._extend(permit, sender, now_s)
-            elif permit is None and accepts_unknown and self._is_from_earlier_owner(grant):
+            elif (
+                permit is None
+                and self._is_from_earlier_owner(grant)
+                and (accepts_unknown or self._may_adopt_late(grant))
+            ):
                 self._adopt(sender, grant, now_s)
             else:
                 revoked.append(grant.permit_id)
@@ -121,12 +127,16 @@
     def _extend(self, permit: Permit, sender: str, now_s: float) -> None:
         permit.expires_s = now_s + self.settings.permit_ttl_s
         permit.holder = sender
+        permit_id = permit.grant.permit_id
+        if self.overdue.pop(permit_id, None) is not None:
+            heapq.heappush(self._expiries, (permit.expires_s, permit_id))
 
     def end(self, permit: Permit, now_s: float) -> None:
         """End a permit whose request may still run; its memory stays allocated until confirmed."""
         if permit.ended:
             return
         permit.ended = True
+        self.overdue.pop(permit.grant.permit_id, None)
         self.by_key.pop((permit.grant.request_id, permit.grant.attempt), None)
         for placement in permit.grant.placements:
             ledger = self.table.ledgers.get(placement.upstream_id)
@@ -139,8 +149,18 @@
         if not permit.unconfirmed_upstreams:
             self._delete(permit)
 
-    def expire(self, now_s: float) -> None:
-        """End the permits that were not renewed in time."""
+    def expire(self, is_needed: bool, now_s: float) -> None:
+        """End the permits that were not renewed in time.
+
+        Parameters
+        ----------
+        is_needed : bool
+            Whether a request waits for capacity. Otherwise overdue permits are kept for a while: a
+            renewal may be late because its entry instance or a link was silent, and the request may
+            still run.
+        now_s : float
+            Clock reading in seconds.
+        """
         while self._expiries and self._expiries[0][0] <= now_s:
             _, permit_id = heapq.heappop(self._expiries)
             permit = self.permits.get(permit_id)
@@ -149,6 +169,17 @@
             if permit.expires_s > now_s:
                 heapq.heappush(self._expiries, (permit.expires_s, permit_id))
             else:
+                self.overdue[permit_id] = permit
+        if is_needed:
+            self.end_overdue(now_s)
+        for permit in list(self.overdue.values()):
+            if now_s >= permit.expires_s + self.settings.max_overdue_s:
+                self.end(permit, now_s)
+
+    def end_overdue(self, now_s: float, request_id: str | None = None) -> None:
+        """End the overdue permits of a request, or all of them, because of another attempt."""
+        for permit in list(self.overdue.values()):
+            if request_id in (None, permit.grant.request_id):
                 self.end(permit, now_s)
 
     def schedule_cancel(self, upstream_id: str, request_id: str, now_s: float) -> None:
@@ -211,6 +242,17 @@
     def _is_from_earlier_owner(self, grant: PermitGrant) -> bool:
         return grant.owner_epoch < self.settings.owner_epoch
 
+    def _may_adopt_late(self, grant: PermitGrant) -> bool:
+        """Return whether all engines still hold a request, and its memory is not granted."""
+        for placement in grant.placements:
+            ledger = self.table.ledgers.get(placement.upstream_id)
+            if ledger is None or grant.request_id in ledger.cancelling:
+                return False
+            held_tokens = ledger.unattributed.get(grant.request_id)
+            if held_tokens is None or placement.kv_tokens > ledger.free_kv + held_tokens:
+                return False
+        return True
+
     def _adopt(self, sender: str, grant: PermitGrant, now_s: float) -> None:
         tokens = sum(placement.kv_tokens for placement in grant.placements)
         length_class = classify_length(tokens, 0, self.table.largest_engine_tokens)
@@ -250,6 +292,7 @@
 
     def _delete(self, permit: Permit) -> None:
         self.permits.pop(permit.grant.permit_id, None)
+        self.overdue.pop(permit.grant.permit_id, None)
         key = (permit.grant.request_id, permit.grant.attempt)
         if self.by_key.get(key) == permit.grant.permit_id:
             del self.by_key[key]
--- a/laburnumrock/placement/_reconciler.py
+++ b/laburnumrock/placement/_reconciler.py
@@ -26,6 +26,7 @@
         self.table = table
         self.registry = registry
         self.in_take_over = True
+        self.unclaimed_until_s: float | None = None
         self.reported: set[str] = set()
         self.orphan_since_s: dict[tuple[str, str], float] = {}
 
@@ -33,19 +34,29 @@
         """Return whether this upstream has reported its requests since the takeover."""
         return ledger.upstream_id in self.reported
 
-    def finish_take_over(self, now_s: float) -> None:
+    def finish_take_over(self, is_needed: bool, now_s: float) -> None:
         """Cancel unclaimed requests and stop assuming that upstreams without a report are full.
 
-        Entry instances claim their permits within one permit TTL of the takeover.
+        Parameters
+        ----------
+        is_needed : bool
+            Whether a request waits for capacity. Entry instances claim their permits within one
+            permit TTL of the takeover; if one is late, its requests go on until then.
+        now_s : float
+            Clock reading in seconds.
         """
-        if not self.in_take_over:
+        if self.in_take_over:
+            self.in_take_over = False
+            self.unclaimed_until_s = now_s + self.settings.max_overdue_s
+            for ledger in list(self.table.ledgers.values()):
+                ledger.assumed_full = False
+                self.table.reindex(ledger, now_s)
+        if self.unclaimed_until_s is None or not (is_needed or now_s >= self.unclaimed_until_s):
             return
-        self.in_take_over = False
-        for ledger in list(self.table.ledgers.values()):
-            ledger.assumed_full = False
+        self.unclaimed_until_s = None
+        for ledger in self.table.ledgers.values():
             for request_id in ledger.unattributed:
                 self.registry.schedule_cancel(ledger.upstream_id, request_id, now_s)
-            self.table.reindex(ledger, now_s)
 
     def observe(
         self, upstream_id: str, held_tokens: dict[str, int], read_at_s: float, now_s: float
@@ -91,5 +102,6 @@
             ledger.set_unattributed(request_id, held_tokens[request_id])
             seen_s = self.orphan_since_s.setdefault((ledger.upstream_id, request_id), now_s)
             is_overdue = now_s - seen_s >= self.settings.permit_ttl_s
-            if is_overdue and not self.in_take_over and request_id not in ledger.cancelling:
+            in_take_over = self.in_take_over or self.unclaimed_until_s is not None
+            if is_overdue and not in_take_over and request_id not in ledger.cancelling:
                 self.registry.schedule_cancel(ledger.upstream_id, request_id, now_s)
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -99,11 +99,11 @@
     def tick(self, now_s: float) -> list[Effect]:
         """Expire permits, repeat cancels, grant queued requests and refuse late ones."""
         if self.take_over_until_s <= now_s:
-            self.reconciler.finish_take_over(now_s)
+            self.reconciler.finish_take_over(bool(self.queue), now_s)
         self._remove_absent(now_s)
         self.policy.observe(self.table, now_s)
         self.allocator.charge_later_prefills(now_s)
-        self.registry.expire(now_s)
+        self.registry.expire(bool(self.queue), now_s)
         self.quarantine.expire(now_s)
         effects = self.registry.due_cancels(now_s)
         effects += self.allocator.dispatch(now_s)
--- a/laburnumrock/placement/_settings.py
+++ b/laburnumrock/placement/_settings.py
@@ -18,7 +18,11 @@
     policy : str
         Registered name of the placement policy.
     permit_ttl_s : float, > 0
-        Time after which a permit expires unless it is renewed, in seconds.
+        Time after which a permit is overdue unless it is renewed, in seconds. It then ends as soon
+        as another request needs its capacity.
+    max_overdue_s : float, >= 0
+        Time after which an overdue permit ends although nothing needs its capacity, in seconds. The
+        request of an entry instance that has died occupies an engine until then.
     permits_per_upstream : int, >= 1
         Maximum number of concurrent permits on an upstream that has warmed up.
     prefill_chunk_tokens : int, >= 1
@@ -45,6 +49,7 @@
     owner_epoch: int = 1
     policy: str = "length_aware"
     permit_ttl_s: float = 2.0
+    max_overdue_s: float = 4.0
     permits_per_upstream: int = 64
     prefill_chunk_tokens: int = 1024
     decode_growth: float = 0.005
