Keep the slow start of an upstream that misses its announcements

Callers waited, or were refused, at a sound engine that had been silent for more than announcement_expiry_s (2 s): it came back as cold, with one permit at a time, although its incarnation was the same.

Cause: the ledger of an upstream without permits was discarded together with its slow start, limit and prefixes as soon as it expired.

Evidence: test_warm_upstream_is_warm_after_a_silence failed before (the second request got no permit). A restarted engine is still cold (test_absent_upstream_that_was_restarted_is_cold, passed before).

Now the ledger stays for the 60 s for which that of a busy upstream already did. An absent upstream is in no index, so it gets no request. Idle pools no longer tick 20 times a second for an absent upstream; expiry at 60 s needs no more than the idle tick.

--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -26,8 +26,9 @@
 from laburnumrock.quarantine import CrashQuarantine
 from laburnumrock.upstreams import UpstreamAnnouncement
 
-# Cancels on an upstream that has stopped announcing itself are repeated for this time. If it comes
-# back with requests still in memory, `observe_held_requests` detects them.
+# The ledger of an upstream that has stopped announcing itself is kept for this time, with its slow
+# start and prefixes, and cancels on it are repeated. If it comes back later with requests still in
+# memory, `observe_held_requests` detects them.
 ABSENT_TIMEOUT_S = 60.0
 BUSY_TICK_S = 0.05
 """Interval of expiry, ageing and prediction updates while requests wait or run."""
@@ -112,7 +113,7 @@
 
     def next_tick_s(self, now_s: float) -> float:
         """Return the clock reading at which the next tick is due, in seconds."""
-        if self.queue or self.registry.permits or self.registry.cancels or self.absent_since_s:
+        if self.queue or self.registry.permits or self.registry.cancels:
             return now_s + BUSY_TICK_S
         if now_s < self.take_over_until_s:
             return self.take_over_until_s
@@ -148,18 +149,16 @@
         """Stop using an upstream that no longer announces itself.
 
         Its permits stay in the ledger until they are released or expire, because their streams
-        may still run.
+        may still run. An upstream that announces the same incarnation again is used as before.
         """
         ledger = self.table.ledgers.get(upstream_id)
         if ledger is None:
             return []
         ledger.present = False
+        self.table.limited.discard(upstream_id)
         self.absent_since_s.setdefault(upstream_id, now_s)
         self._clear_reservations_on(upstream_id, now_s)
-        if ledger.permits or ledger.cancelling:
-            self.table.reindex(ledger, now_s)
-        else:
-            self.table.discard(ledger)
+        self.table.reindex(ledger, now_s)
         return self.allocator.dispatch(now_s)
 
     def set_in_service(self, upstream_id: str, in_service: bool, now_s: float) -> list[Effect]:
@@ -287,7 +286,4 @@
             ledger.slow_start.record_finish(message.first_token_s, predicted_s)
         elif message.outcome in OVERLOAD_OUTCOMES:
             ledger.slow_start.record_refusal()
-        if not ledger.present and not ledger.permits and not ledger.cancelling:
-            self.table.discard(ledger)
-        else:
-            self.table.reindex(ledger, now_s)
+        self.table.reindex(ledger, now_s)
--- a/laburnumrock/placement/tests/test_length_aware.py
+++ b/laburnumrock/placement/tests/test_length_aware.py
@@ -10,6 +10,7 @@
     release,
     request_permit,
 )
+from laburnumrock.upstreams import CacheEvent
 
 ENGINES = tuple(f"e{number}" for number in range(8))
 
@@ -180,6 +181,29 @@
         scheduler.observe_upstream(make_announcement(), 2.0)
         assert not messages(request_permit(scheduler, 2.0), PermitGrant)
 
+    def test_warm_upstream_is_warm_after_a_silence(self):
+        """Guards against requests that wait for a sound engine as if it had been restarted."""
+        scheduler = make_scheduler(("e1",))
+        scheduler.observe_upstream(
+            make_announcement(cache_events=[CacheEvent(1, "p", "stored")]), 0.5
+        )
+        scheduler.remove_upstream("e1", 2.5)
+        assert not messages(request_permit(scheduler, 2.6, name="early"), PermitGrant)
+        scheduler.tick(2.6)
+        scheduler.observe_upstream(make_announcement(), 3.0)
+        for number in range(3):
+            granted = request_permit(scheduler, 3.1, name=f"r{number}")
+            assert messages(granted, PermitGrant)
+        assert scheduler.table.ledgers["e1"].prefixes.match(["p"]) == 1
+
+    def test_absent_upstream_that_was_restarted_is_cold(self):
+        """Guards against a full load on an engine that was restarted while it was silent."""
+        scheduler = make_scheduler(("e1",))
+        scheduler.remove_upstream("e1", 2.5)
+        scheduler.observe_upstream(make_announcement(incarnation=2), 3.0)
+        assert messages(request_permit(scheduler, 3.1, name="r1"), PermitGrant)
+        assert not messages(request_permit(scheduler, 3.1, name="r2"), PermitGrant)
+
     def test_ledger_of_a_silent_upstream_is_dropped(self):
         """Guards against a leak of ledgers, permits and cancels of an engine that never returns."""
         scheduler = make_scheduler(("e1",))
