Let background loops go on after an exception in one turn

One exception ended a background loop of the daemon without a log line: from then on an instance renewed none of its permits (so that all its requests were cancelled), or none of its quota, or sent no orders, or enforced no limits, until it was started again.

Now run_periodically logs background_turn_failed and runs the next turn. It replaces six loops that slept and worked in turn. DueTimer already survived an exception of the tick, and now survives one in the search of the next due time.

--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -15,6 +15,7 @@
 from laburnumrock.daemon._hold_file import HoldFile
 from laburnumrock.daemon._lagging_instances import INSTANCE_TIMEOUT_S, LaggingInstanceFinder
 from laburnumrock.daemon._log_access import LogAccess, ReplicaAccess
+from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.declarations import (
     ApplyChange,
     ChangeAnswer,
@@ -90,7 +91,7 @@
         self.lagging_finder.register_handlers()
         self.history.register_handlers()
         self.timer.start()
-        self._spawn(self._enter_holds())
+        self._spawn(run_periodically("holds", self._enter_holds, lambda: ENTER_HOLDS_PERIOD_S))
 
     async def stop(self) -> None:
         """Stop synchronizing and cancel the running background tasks."""
@@ -244,15 +245,13 @@
             self.reading = False
 
     async def _enter_holds(self) -> None:
-        while True:
-            await asyncio.sleep(ENTER_HOLDS_PERIOD_S)
-            for hold in self.view.holds.pending():
-                answer = await self.log.propose(EnterHold(hold, self.wall_clock()))
-                if answer.is_err() or answer.unwrap().kind is not None:
-                    continue
-                if self.view.holds.mark_entered(hold, answer.unwrap().revision):
-                    log_message("hold_entered", failure_domain=hold.failure_domain)
-                    self._execute(self.sync.push_holds())
+        for hold in self.view.holds.pending():
+            answer = await self.log.propose(EnterHold(hold, self.wall_clock()))
+            if answer.is_err() or answer.unwrap().kind is not None:
+                continue
+            if self.view.holds.mark_entered(hold, answer.unwrap().revision):
+                log_message("hold_entered", failure_domain=hold.failure_domain)
+                self._execute(self.sync.push_holds())
 
     def _exchange_holds(self, sender: str, exchange: HoldExchange) -> HoldExchange:
         self._execute(self.sync.merge_holds(exchange.holds))
--- a/laburnumrock/daemon/_due_timer.py
+++ b/laburnumrock/daemon/_due_timer.py
@@ -4,6 +4,8 @@
 import time
 from collections.abc import Callable
 
+from eliot import log_message
+
 MIN_DELAY_S = 0.005
 """Limits the wake-up rate when a state machine keeps returning a due time in the past."""
 MAX_DELAY_S = 1.0
@@ -94,7 +96,15 @@
             self.run()
         finally:
             if self.running:
-                self._schedule(self.find_due_s())
+                self._schedule(self._find_next_s())
+
+    def _find_next_s(self) -> float:
+        """Return the due time; after an exception, the latest one at which the timer may run."""
+        try:
+            return self.find_due_s()
+        except Exception as error:
+            log_message("due_time_unknown", error=repr(error))
+            return self.clock() + MAX_DELAY_S
 
     def _schedule(self, due_s: float) -> None:
         if self.handle is not None:
--- a/laburnumrock/daemon/_order_task.py
+++ b/laburnumrock/daemon/_order_task.py
@@ -9,6 +9,7 @@
 
 from laburnumrock.daemon._log_task import LogTask
 from laburnumrock.daemon._order_calls import OrderCalls
+from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.messages import Effect, to_plain
 from laburnumrock.orders import (
@@ -72,7 +73,9 @@
         """Process sightings and run the order controller, if this instance has a replica."""
         if self.log.runner is not None:
             self.network.handle(EngineSighting, self._receive)
-            self.task = asyncio.create_task(self._run())
+            self.task = asyncio.create_task(
+                run_periodically("orders", self._run, self._find_pause_s)
+            )
 
     async def stop(self) -> None:
         """Stop; the next leader continues with the open orders."""
@@ -114,12 +117,13 @@
         return self.log.term if self.log.is_leader else None
 
     async def _run(self) -> None:
-        while True:
-            now_s = time.monotonic()
-            self.controller.observe_leadership(self.leader_term(), now_s)
-            for effect in self.controller.tick(now_s):
-                self._spawn(self._execute(effect))
-            await asyncio.sleep(TICK_S if self.log.is_leader else FOLLOWER_TICK_S)
+        now_s = time.monotonic()
+        self.controller.observe_leadership(self.leader_term(), now_s)
+        for effect in self.controller.tick(now_s):
+            self._spawn(self._execute(effect))
+
+    def _find_pause_s(self) -> float:
+        return TICK_S if self.log.is_leader else FOLLOWER_TICK_S
 
     async def _execute(self, effect: Effect) -> None:
         if isinstance(effect, ProposeOrderUpdate):
--- a/laburnumrock/daemon/_owner_monitor.py
+++ b/laburnumrock/daemon/_owner_monitor.py
@@ -8,6 +8,7 @@
 
 from laburnumrock.daemon._log_task import LogTask
 from laburnumrock.daemon._operations import OperationClient
+from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.journal import JournalPart
 from laburnumrock.membership import DeadInstanceDetector, DomainDigest
 from laburnumrock.settings import InstanceSettings
@@ -59,7 +60,9 @@
     async def start(self) -> None:
         """Start monitoring on instances that can become leader of the log."""
         if self.log.runner is not None:
-            self.task = asyncio.create_task(self._run())
+            self.task = asyncio.create_task(
+                run_periodically("owner_monitor", self._run, lambda: PERIOD_S)
+            )
 
     async def stop(self) -> None:
         """Stop monitoring."""
@@ -80,12 +83,10 @@
         return [owner for owner in owners if self.dead_instance_detector.is_dead(owner, now_s)]
 
     async def _run(self) -> None:
-        while True:
-            now_s = time.monotonic()
-            domain = self.settings.failure_domain
-            self.dead_instance_detector.observe_own_domain(self.live_members(domain), now_s)
-            if self.log.is_leader:
-                for owner in self.find_dead_owners(now_s):
-                    answer = await self.operations.abandon_owner(owner)
-                    log_message("owner_abandoned", owner=owner, accepted=answer.is_ok())
-            await asyncio.sleep(PERIOD_S)
+        now_s = time.monotonic()
+        domain = self.settings.failure_domain
+        self.dead_instance_detector.observe_own_domain(self.live_members(domain), now_s)
+        if self.log.is_leader:
+            for owner in self.find_dead_owners(now_s):
+                answer = await self.operations.abandon_owner(owner)
+                log_message("owner_abandoned", owner=owner, accepted=answer.is_ok())
--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
+from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.daemon._pool_choice import choose_pool
 from laburnumrock.daemon._pool_directory import PoolDirectory
 from laburnumrock.daemon._pool_runner import ServiceStateView
@@ -101,7 +102,9 @@
         self.network.handle(PermitGrant, self._receive_grant)
         self.network.handle(PermitRefusal, self._receive_refusal)
         self.network.handle(PermitRenewalAnswer, self._receive_renewal_answer)
-        self.task = asyncio.create_task(self._renew_permits())
+        pause_s = self.settings.timing.permit_ttl_s / RENEWALS_PER_TTL
+        renewal = run_periodically("permit_renewal", self._renew_permits, lambda: pause_s)
+        self.task = asyncio.create_task(renewal)
 
     async def stop(self) -> None:
         """Stop renewing; permits that are still held expire after their time to live."""
@@ -288,16 +291,14 @@
                 self.on_revoked(held.grant)
 
     async def _renew_permits(self) -> None:
-        while True:
-            await asyncio.sleep(self.settings.timing.permit_ttl_s / RENEWALS_PER_TTL)
-            grants: dict[tuple[PoolOwner, str], list[PermitGrant]] = {}
-            for held in self.held.values():
-                pool_id, owner = self._find_permit_owner(held)
-                if owner is not None:
-                    grants.setdefault((owner, pool_id), []).append(held.grant)
-            for (owner, pool_id), pool_grants in grants.items():
-                renewal = make_renewal(pool_id, owner.epoch, pool_grants)
-                self.network.send(owner.instance_id, renewal)
+        grants: dict[tuple[PoolOwner, str], list[PermitGrant]] = {}
+        for held in self.held.values():
+            pool_id, owner = self._find_permit_owner(held)
+            if owner is not None:
+                grants.setdefault((owner, pool_id), []).append(held.grant)
+        for (owner, pool_id), pool_grants in grants.items():
+            renewal = make_renewal(pool_id, owner.epoch, pool_grants)
+            self.network.send(owner.instance_id, renewal)
 
 
 def _unavailable(awaits_owner: bool) -> Failure:
--- a/laburnumrock/daemon/_quota_task.py
+++ b/laburnumrock/daemon/_quota_task.py
@@ -14,6 +14,7 @@
     ShareReport,
 )
 from laburnumrock.daemon._ownership_task import OwnershipTask
+from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.declarations import DeclarationView, Limits
 from laburnumrock.membership import DomainDigest
 from laburnumrock.messages import Effect, Send
@@ -63,7 +64,7 @@
         self.network.handle(QuotaRequest, self._answer)
         for message_type in (QuotaRelease, QuotaRenewal, ShareReport, ShareGrant):
             self.network.handle(message_type, self._receive)
-        self.task = asyncio.create_task(self._run())
+        self.task = asyncio.create_task(run_periodically("quotas", self._run, lambda: TICK_S))
 
     async def stop(self) -> None:
         """Stop; a new coordinator rebuilds the quotas in use from renewals."""
@@ -77,13 +78,11 @@
             self.coordinators[digest.failure_domain] = (digest.coordinator, time.monotonic())
 
     async def _run(self) -> None:
-        while True:
-            now_s = time.monotonic()
-            manager = self._find_manager(now_s)
-            if manager is not None:
-                manager.set_coordinators(self._live_coordinators(now_s))
-                self._send(manager.tick(now_s))
-            await asyncio.sleep(TICK_S)
+        now_s = time.monotonic()
+        manager = self._find_manager(now_s)
+        if manager is not None:
+            manager.set_coordinators(self._live_coordinators(now_s))
+            self._send(manager.tick(now_s))
 
     def _find_manager(self, now_s: float) -> QuotaManager | None:
         """Return the quota manager, or None if this instance is not the coordinator."""
--- a/laburnumrock/daemon/_quotas.py
+++ b/laburnumrock/daemon/_quotas.py
@@ -14,6 +14,7 @@
     QuotaRenewal,
     QuotaRequest,
 )
+from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
@@ -61,7 +62,9 @@
 
     async def start(self) -> None:
         """Start renewing held quota; a new coordinator rebuilds its state from the renewals."""
-        self.task = asyncio.create_task(self._renew())
+        self.task = asyncio.create_task(
+            run_periodically("quota_renewal", self._renew, lambda: RENEWAL_S)
+        )
 
     async def stop(self) -> None:
         """Stop renewing; quota that is still held expires after its time to live."""
@@ -114,10 +117,8 @@
             self._send(QuotaRelease(quota_id))
 
     async def _renew(self) -> None:
-        while True:
-            await asyncio.sleep(RENEWAL_S)
-            if self.held:
-                self._send(QuotaRenewal(list(self.held.values())))
+        if self.held:
+            self._send(QuotaRenewal(list(self.held.values())))
 
     def _send(self, message: object) -> None:
         coordinator = self.ownership.find_coordinator()
