Refuse a completion as not run when no engine has begun to process it

Callers got 502 with an unknown outcome after an attempt whose connection was refused, or that a cold or full engine refused, when no other engine was free. That the request had not run was proved.

Cause: the outcome was taken from the list of excluded engines, which also holds those that processed nothing.

Evidence: both cases of test_refusal_after_an_unsent_attempt_is_not_run failed before: 502 unknown for 503 not_run. A refusal with a reason that is not in the contract, and each attempt on several engines, still count as processed.

--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -167,13 +167,13 @@
     def _convert_refusal(self, failure: Failure) -> Failure:
         # Once an engine may have processed the request, a later refusal must not be reported as
         # "not run".
-        if not self.excluded:
+        if not self.may_have_run:
             return failure
         detail = f"an attempt failed and no other was possible: {failure.detail or failure.kind}"
         return Failure(ErrorKind.UPSTREAM_FAILED, detail, retry_after_s=failure.retry_after_s)
 
     async def _run_attempt(self, grant: PermitGrant, attempt: int) -> Result[None, Failure]:
-        self.may_have_run = True
+        may_have_run_before, self.may_have_run = self.may_have_run, True
         self.assembler.start_attempt(attempt)
         self.attempt_started_s = time.monotonic()
         self.attempt_first_token_s = None
@@ -204,6 +204,8 @@
             return result
         self.excluded += [placement.upstream_id for placement in grant.placements]
         failure = result.unwrap_err()
+        if _is_unprocessed(failure) and len(grant.placements) == 1:
+            self.may_have_run = may_have_run_before
         if await self._has_crashed(grant, failure):
             # The next attempt must not begin before the pool owner knows of the crash. Nothing is
             # left to cancel.
@@ -323,9 +325,19 @@
         self.services.counters.time(f"{measure}.{job.length_class}", value_s)
 
 
+def _is_unprocessed(failure: Failure) -> bool:
+    """Return whether the engine of a failed attempt provably did not process the request."""
+    if failure.kind is ErrorKind.UPSTREAM_REJECTED:
+        return _read_reason(failure) in _OUTCOME_BY_REASON
+    return failure.kind is ErrorKind.CONNECTION_FAILED
+
+
+def _read_reason(failure: Failure) -> str:
+    return failure.detail.rpartition(": ")[2]
+
+
 def _find_permit_outcome(failure: Failure) -> PermitOutcome:
     """Map a failure to a permit outcome; only some refusal reasons indicate overload."""
     if failure.kind is ErrorKind.UPSTREAM_REJECTED:
-        reason = failure.detail.rpartition(": ")[2]
-        return _OUTCOME_BY_REASON.get(reason, PermitOutcome.FAILED)
+        return _OUTCOME_BY_REASON.get(_read_reason(failure), PermitOutcome.FAILED)
     return PermitOutcome.FAILED
--- a/laburnumrock/gateway/tests/test_gateway.py
+++ b/laburnumrock/gateway/tests/test_gateway.py
@@ -107,6 +107,22 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize("end", ["refuse", "closed"])
+    def test_refusal_after_an_unsent_attempt_is_not_run(self, end):
+        """Guards against an unknown outcome of a request that no engine has begun to process."""
+
+        async def run():
+            engine = ScriptedEngine(0, end)
+            async with run_gateway(engine) as gateway:
+                if end == "closed":
+                    engine.server.close()
+                response = await gateway.complete()
+                document = json.loads(response.body)
+                assert (response.code, document["outcome"]) == (503, "not_run")
+                assert response.headers["Retry-After"] == "3"
+
+        asyncio.run(run())
+
     def test_refusal_is_immediate_and_names_the_time(self):
         """Guards against a refusal without Retry-After, or without the outcome "not run"."""
 
