Ask a coordinator again that does not know a client account yet

Callers of a client account that had just been declared could get 403 unknown_client_account, a refusal that says not to repeat, while the coordinator of their domain was one revision behind the instance that they asked.

Evidence: test_coordinator_that_lags_behind_a_change[True] failed before. An account that stays unknown is still refused, after 1 s.

--- a/laburnumrock/daemon/_quotas.py
+++ b/laburnumrock/daemon/_quotas.py
@@ -21,6 +21,9 @@
 
 COORDINATOR_WAIT_S = 3.0
 """Maximum wait for a coordinator; a new one is elected within this time."""
+ACCOUNT_WAIT_S = 1.0
+"""Maximum wait for a coordinator that does not know the client account. This instance knows it, so
+one of the two has not applied the latest declarations yet."""
 CALL_TIMEOUT_S = 0.5
 RETRY_S = 0.05
 RETRY_AFTER_S = 1.0
@@ -89,7 +92,8 @@
         """
         quota_id = f"{self.settings.instance_id}-{self.random.getrandbits(QUOTA_ID_BITS):x}"
         request = QuotaRequest(quota_id, account, caller, tokens)
-        deadline_s = time.monotonic() + COORDINATOR_WAIT_S
+        started_s = time.monotonic()
+        deadline_s = started_s + COORDINATOR_WAIT_S
         contacted = ""
         decided = False
         try:
@@ -99,7 +103,9 @@
                     contacted = coordinator
                     answer = await self.network.call(coordinator, request, CALL_TIMEOUT_S)
                     result = self._parse_answer(request, answer)
-                    if result is not None:
+                    lags = result is not None and _is_account_unknown(result)
+                    is_final = not lags or time.monotonic() - started_s >= ACCOUNT_WAIT_S
+                    if result is not None and is_final:
                         decided = True
                         return result
                 if time.monotonic() >= deadline_s:
@@ -136,3 +142,7 @@
         if isinstance(message, QuotaRefusal) and message.kind is not ErrorKind.OWNER_UNAVAILABLE:
             return Err(Failure(message.kind, retry_after_s=message.retry_after_s))
         return None
+
+
+def _is_account_unknown(result: Result[str, Failure]) -> bool:
+    return result.is_err() and result.unwrap_err().kind is ErrorKind.UNKNOWN_CLIENT_ACCOUNT
--- a/laburnumrock/daemon/tests/test_quotas.py
+++ b/laburnumrock/daemon/tests/test_quotas.py
@@ -1,6 +1,9 @@
 """Tests of the quota client."""
 
 import asyncio
+import time
+
+import pytest
 
 from laburnumrock.admission import (
     QuotaGrant,
@@ -87,6 +90,30 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize("is_known_later", [True, False])
+    def test_coordinator_that_lags_behind_a_change(self, is_known_later, monkeypatch):
+        """Guards against a permanent refusal of an account that was just declared."""
+        monkeypatch.setattr(_quotas, "ACCOUNT_WAIT_S", 0.3, raising=False)
+
+        async def run():
+            asked = []
+
+            def answer(message):
+                asked.append(message.quota_id)
+                if is_known_later and len(asked) > 2:
+                    return QuotaGrant(message.quota_id, 5.0)
+                return QuotaRefusal(message.quota_id, ErrorKind.UNKNOWN_CLIENT_ACCOUNT)
+
+            client, _ = _make_client(_CoordinatorSequence("a2"), answer)
+            started_s = time.monotonic()
+            result = await client.acquire("acct", "caller", 10)
+            assert result.is_ok() == is_known_later
+            if not is_known_later:
+                assert result.unwrap_err().kind is ErrorKind.UNKNOWN_CLIENT_ACCOUNT
+                assert time.monotonic() - started_s < 1.0
+
+        asyncio.run(run())
+
     def test_lost_answer_frees_the_quota(self):
         """Quota must be released if the caller disconnects before the answer arrives."""
 
