Exit with status 0 when a stop signal is repeated to the end

A supervisor that repeats SIGTERM until the process is gone saw status -15 after a planned stop that was complete: the end of the event loop restores the default action of the signal, and the exit of the interpreter takes some more milliseconds.

A signal before the handlers are installed, while modules are imported, still ends the process; nothing has started then.

The process blocks the signals before the loop ends. The console script calls run_process; main itself, which tests run in their own process, blocks nothing.

--- a/laburnumrock/daemon/__main__.py
+++ b/laburnumrock/daemon/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -16,6 +17,7 @@
 EXIT_INVALID_SETTINGS = 2
 EXIT_CANNOT_START = 3
 EXIT_LOG_FAILED = 4
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 @click.command()
@@ -26,7 +28,8 @@
     required=True,
     help="JSON file with the settings of this instance.",
 )
-def main(settings_path: Path) -> None:
+@click.pass_obj
+def main(on_stopped: Callable[[], object] | None, settings_path: Path) -> None:
     """Run one instance of laburnumrock until SIGTERM or SIGINT.
 
     Exit status: 0 after a graceful shutdown, 2 for invalid settings, 3 when the instance cannot
@@ -36,7 +39,7 @@
     settings = _unwrap(load_settings(settings_path))
     keys = _unwrap(read_keys(settings))
     with open_log(settings), open_counters(settings) as counters:
-        result, has_started = asyncio.run(_run(settings, keys, counters))
+        result, has_started = asyncio.run(_run(settings, keys, counters, on_stopped))
     if result.is_err():
         click.echo(f"laburnumrockd: {result.unwrap_err()}", err=True)
         sys.exit(EXIT_LOG_FAILED if has_started else EXIT_CANNOT_START)
@@ -50,11 +53,14 @@
 
 
 async def _run(
-    settings: InstanceSettings, keys: InstanceKeys, counters: Counters
+    settings: InstanceSettings,
+    keys: InstanceKeys,
+    counters: Counters,
+    on_stopped: Callable[[], object] | None,
 ) -> tuple[Result[None, Failure], bool]:
     instance = Instance(settings, keys, counters)
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, instance.request_stop)
     try:
         return await instance.run(), instance.has_started
@@ -63,7 +69,22 @@
             raise
         detail = f"cannot listen: {error.strerror}"
         return Err(Failure(ErrorKind.INVALID_SETTINGS, detail)), False
+    finally:
+        if on_stopped is not None:
+            on_stopped()
+
+
+def run_process() -> None:
+    """Run one instance as a process of its own.
+
+    Notes
+    -----
+    The end of the event loop restores the default action of the stop signals. A signal that a
+    supervisor repeats then would end the stopped process with a failure status, so the signals stay
+    blocked from there to the exit.
+    """
+    main(obj=lambda: signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS))
 
 
 if __name__ == "__main__":
-    main()
+    run_process()
