--- a/laburnumrock/daemon/_quotas.py
+++ b/laburnumrock/daemon/_quotas.py
@@ -14,12 +14,16 @@
     QuotaRenewal,
     QuotaRequest,
 )
+from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
 COORDINATOR_WAIT_S = 3.0
 """Maximum wait for a coordinator; a new one is elected within this time."""
+ACCOUNT_WAIT_S = 1.0
+"""Maximum wait for a coordinator that does not know the client account. This instance knows it, so
+one of the two has not applied the latest declarations yet."""
 CALL_TIMEOUT_S = 0.5
 RETRY_S = 0.05
 RETRY_AFTER_S = 1.0
@@ -61,7 +65,9 @@
 
     async def start(self) -> None:
         """Start renewing held quota; a new coordinator rebuilds its state from the renewals."""
-        self.task = asyncio.create_task(self._renew())
+        self.task = asyncio.create_task(
+            run_periodically("quota_renewal", self._renew, lambda: RENEWAL_S)
+        )
 
     async def stop(self) -> None:
         """Stop renewing; quota that is still held expires after its time to live."""
@@ -86,7 +92,8 @@
         """
         quota_id = f"{self.settings.instance_id}-{self.random.getrandbits(QUOTA_ID_BITS):x}"
         request = QuotaRequest(quota_id, account, caller, tokens)
-        deadline_s = time.monotonic() + COORDINATOR_WAIT_S
+        started_s = time.monotonic()
+        deadline_s = started_s + COORDINATOR_WAIT_S
         contacted = ""
         decided = False
         try:
@@ -96,7 +103,9 @@
                     contacted = coordinator
                     answer = await self.network.call(coordinator, request, CALL_TIMEOUT_S)
                     result = self._parse_answer(request, answer)
-                    if result is not None:
+                    lags = result is not None and _is_account_unknown(result)
+                    is_final = not lags or time.monotonic() - started_s >= ACCOUNT_WAIT_S
+                    if result is not None and is_final:
                         decided = True
                         return result
                 if time.monotonic() >= deadline_s:
@@ -114,10 +123,8 @@
             self._send(QuotaRelease(quota_id))
 
     async def _renew(self) -> None:
-        while True:
-            await asyncio.sleep(RENEWAL_S)
-            if self.held:
-                self._send(QuotaRenewal(list(self.held.values())))
+        if self.held:
+            self._send(QuotaRenewal(list(self.held.values())))
 
     def _send(self, message: object) -> None:
         coordinator = self.ownership.find_coordinator()
@@ -135,3 +142,7 @@
         if isinstance(message, QuotaRefusal) and message.kind is not ErrorKind.OWNER_UNAVAILABLE:
             return Err(Failure(message.kind, retry_after_s=message.retry_after_s))
         return None
+
+
+def _is_account_unknown(result: Result[str, Failure]) -> bool:
+    return result.is_err() and result.unwrap_err().kind is ErrorKind.UNKNOWN_CLIENT_ACCOUNT
