Add failing tests of disks that refuse writes for seconds

Operators see cores that end one after another while their disks are full for some seconds, at each write and at each start, and a page of HTML with status 500 for the change under way.

Process tests limit the size of files of one core with prlimit, so that writes fail as on a full disk. Tests of the log task use simulated disks that refuse writes, tear them, or hang.

--- a/laburnumrock/metrics/tests/test_log_writer.py
+++ b/laburnumrock/metrics/tests/test_log_writer.py
@@ -1,7 +1,11 @@
 """Tests of the log writer."""
 
+import errno
 import json
+import subprocess
+import sys
 import threading
+import time
 
 from eliot import log_message
 
@@ -76,3 +80,85 @@
         writer.flush()
         assert sink.lines()[-1]["event"] == "lines_dropped"
         assert sink.lines()[-1]["count"] == 3
+
+
+class FullDisk:
+    """Sink that takes a number of bytes and refuses all others while it is full."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.room = 1_000_000
+
+    def __call__(self, data: bytes) -> int:
+        if not self.room:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        taken = data[: self.room]
+        self.room -= len(taken)
+        self.data += taken
+        return len(taken)
+
+
+class TestFullDisk:
+    def test_lines_are_written_once_there_is_room(self):
+        """Guards against a writer that ends at a full disk, and against torn or repeated lines."""
+        disk = FullDisk()
+        disk.room = 70
+        with open_log_writer({}, LogLimits(queued_lines=50), disk) as writer:
+            time.sleep(0.5)
+            for number in range(10):
+                writer({"message_type": "counted", "number": number})
+            time.sleep(0.5)
+            assert len(disk.data) == 70
+            disk.room = 1_000_000
+            time.sleep(0.5)
+            lines = [json.loads(line) for line in disk.data.splitlines()]
+            numbers = [line["number"] for line in lines if line["event"] == "counted"]
+            assert numbers == list(range(10))
+
+    def test_memory_stays_bounded(self):
+        """Guards against memory that grows while the disk is full."""
+        disk = FullDisk()
+        disk.room = 0
+        writer = make_writer(disk, queued_lines=10, lines_per_s=1_000)
+        for _ in range(20):
+            for _ in range(20):
+                writer({"message_type": "busy"})
+            writer.flush()
+        assert len(writer.queue) <= 10
+        assert len(writer.unwritten) < 11 * 100
+        disk.room = 1_000_000
+        writer.flush()
+        writer.flush()
+        lines = [json.loads(line) for line in disk.data.splitlines()]
+        dropped = sum(line["count"] for line in lines if line["event"] == "lines_dropped")
+        assert dropped + sum(line["event"] == "busy" for line in lines) == 400
+
+    def test_daemon_stops_cleanly(self, tmp_path):
+        """Guards against log lines that raise, and an exit that fails, while the disk is full."""
+        program = (
+            "import resource, sys, pathlib\n"
+            "from eliot import log_message\n"
+            "from laburnumrock.metrics import open_log\n"
+            "class Settings:\n"
+            "    instance_id = 'a1'\n"
+            "    failure_domain = 'a'\n"
+            "    log_file = pathlib.Path(sys.argv[1])\n"
+            "hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]\n"
+            "with open_log(Settings):\n"
+            "    log_message('first')\n"
+            "    resource.setrlimit(resource.RLIMIT_FSIZE, (0, hard))\n"
+            "    for number in range(1_000):\n"
+            "        log_message('refused', number=number)\n"
+            "    if sys.argv[2] == 'freed':\n"
+            "        resource.setrlimit(resource.RLIMIT_FSIZE, (hard, hard))\n"
+            "        log_message('last')\n"
+        )
+        for end in ("full", "freed"):
+            file = tmp_path / f"{end}.log"
+            arguments = [sys.executable, "-c", program, str(file), end]
+            ended = subprocess.run(arguments, capture_output=True, text=True, timeout=30)
+            assert (ended.returncode, ended.stderr) == (0, "")
+            events = [json.loads(line) for line in file.read_text().splitlines()]
+            assert events[0]["message_type"] == "first"
+            if end == "freed":
+                assert events[-1]["message_type"] == "last"
--- a/laburnumrock/platform/soak/_operator.py
+++ b/laburnumrock/platform/soak/_operator.py
@@ -20,9 +20,11 @@
 """Time within which an acknowledged change must be in force on every entry."""
 
 
-async def call_core(host: str, port: int, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+async def call_core(
+    host: str, port: int, method: str, path: str, body: bytes, timeout_s: float = CALL_TIMEOUT_S
+) -> tuple[int, bytes]:
     """Send one request to a core; raises OSError or TimeoutError if there is no response."""
-    async with asyncio.timeout(CALL_TIMEOUT_S):
+    async with asyncio.timeout(timeout_s):
         reader, writer = await asyncio.open_connection(host, port)
         try:
             head = f"{method} {path} HTTP/1.1\r\nHost: core\r\nContent-Length: {len(body)}\r\n\r\n"
--- a/laburnumrock/replication/_disk.py
+++ b/laburnumrock/replication/_disk.py
@@ -1,5 +1,6 @@
 """File access of the log store: a real folder, or a fake that can lose unsynced writes."""
 
+import errno
 import os
 import random
 from pathlib import Path
@@ -95,12 +96,24 @@
     honours_sync : bool
         Whether `sync` makes writes durable; False simulates a disk that acknowledges a sync
         without performing it.
+    rng : random.Random, optional
+        Decides what the writes that a full disk refuses leave behind.
+
+    Attributes
+    ----------
+    full : bool
+        While set, all writes fail. A refused append may leave a part of its bytes behind, a refused
+        sync may lose the unsynced bytes, and a refused replacement may be in effect without being
+        durable.
     """
 
-    def __init__(self, honours_sync: bool = True) -> None:
+    def __init__(self, honours_sync: bool = True, rng: random.Random | None = None) -> None:
         self.honours_sync = honours_sync
+        self.rng = rng if rng is not None else random.Random(0)
+        self.full = False
         self.durable: dict[str, bytes] = {}
         self.pending: dict[str, bytes] = {}
+        self.replaced: dict[str, bytes | None] = {}
 
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, or None if it does not exist."""
@@ -110,15 +123,27 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Append bytes to a file; they are durable only after `sync`."""
-        self.pending[name] = self.pending.get(name, b"") + data
+        written = data[: self.rng.randrange(len(data) + 1)] if self.full else data
+        self.pending[name] = self.pending.get(name, b"") + written
+        self._check_room()
 
     def sync(self, name: str) -> None:
         """Make the appended bytes durable."""
+        if self.full and self.rng.random() < 0.5:
+            self.pending.pop(name, None)
+        self._check_room()
         if self.honours_sync and name in self.pending:
             self.durable[name] = self.durable.get(name, b"") + self.pending.pop(name)
 
     def replace(self, name: str, data: bytes) -> None:
         """Atomically replace the content of a file; it is durable on return."""
+        if self.full:
+            if self.rng.random() < 0.3:
+                self.replaced.setdefault(name, self.durable.get(name))
+                self.pending.pop(name, None)
+                self.durable[name] = data
+            self._check_room()
+        self.replaced.clear()
         self.pending.pop(name, None)
         self.durable[name] = data
 
@@ -128,6 +153,16 @@
             kept = data[: rng.randrange(len(data) + 1)]
             self.durable[name] = self.durable.get(name, b"") + kept
         self.pending.clear()
+        for name, data in self.replaced.items():
+            if rng.random() < 0.5:
+                self.durable.pop(name)
+                if data is not None:
+                    self.durable[name] = data
+        self.replaced.clear()
+
+    def _check_room(self) -> None:
+        if self.full:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
 
 def _write_all(handle: int, data: bytes) -> None:
