Keep the log of a process alive when its file refuses writes

After the disk that holds the log of a node was full once, no further line was ever written.

Cause: the thread of the log writer ended with the OSError of the write, in the middle of a line. Bytes that are refused now stay with the writer, which offers them again at its interval; later lines wait in the bounded queue and are counted as dropped beyond it. A write may take a part of the bytes, so lines are neither torn nor repeated.

TestFullDisk::test_lines_are_written_once_there_is_room and test_memory_stays_bounded failed before and pass.

--- a/laburnumrock/metrics/_log_writer.py
+++ b/laburnumrock/metrics/_log_writer.py
@@ -53,7 +53,9 @@
     limits : LogLimits
         Limits on the log volume.
     write : callable
-        Writes bytes; it may block, so it is called on a separate thread.
+        Writes bytes, and returns how many of them it has written, or None for all. It may block, so
+        it is called on a separate thread. Bytes that it refuses with an OSError, for example
+        because the disk is full, are offered again at the next interval.
     clock : callable
         Returns the time in seconds, by which lines are assigned to a second.
 
@@ -64,10 +66,11 @@
 
     place: dict[str, str]
     limits: LogLimits
-    write: Callable[[bytes], None]
+    write: Callable[[bytes], int | None]
     clock: Callable[[], float] = time.monotonic
     queue: deque[bytes] = field(default_factory=deque)
     budgets: dict[str, _EventBudget] = field(default_factory=dict)
+    unwritten: bytes = b""
     dropped: int = 0
     closing: bool = False
     lines_available: threading.Event = field(default_factory=threading.Event)
@@ -99,7 +102,8 @@
     def run(self) -> None:
         """Write queued lines periodically until the writer is closed."""
         while True:
-            self.lines_available.wait()
+            if not self.unwritten:
+                self.lines_available.wait()
             self.lines_available.clear()
             self.flush()
             if self.closing:
@@ -108,6 +112,9 @@
 
     def flush(self) -> None:
         """Write all queued lines, and a line with the number of dropped ones if there are any."""
+        # Lines stay in the queue, whose length is bounded, while earlier ones cannot be written.
+        if self.unwritten and not self._write():
+            return
         lines = []
         while self.queue:
             lines.append(self.queue.popleft())
@@ -115,7 +122,19 @@
             count, self.dropped = self.dropped, 0
             lines.append(self._encode({"message_type": "lines_dropped", "count": count}))
         if lines:
-            self.write(b"".join(lines))
+            self.unwritten = b"".join(lines)
+            self._write()
+
+    def _write(self) -> bool:
+        """Write the bytes taken from the queue; returns whether all of them are written."""
+        while self.unwritten:
+            try:
+                count = self.write(self.unwritten)
+            except OSError:
+                # A line about it would go to the same place.
+                return False
+            self.unwritten = b"" if count is None else self.unwritten[count:]
+        return True
 
     def close(self) -> None:
         """Make `run` return after it has written the queued lines."""
@@ -146,7 +165,9 @@
 
 @contextlib.contextmanager
 def open_log_writer(
-    common_fields: dict[str, str], limits: LogLimits, write: Callable[[bytes], None] | None = None
+    common_fields: dict[str, str],
+    limits: LogLimits,
+    write: Callable[[bytes], int | None] | None = None,
 ) -> Iterator[LogWriter]:
     """Write the log lines of this process to standard output while the context is active.
 
@@ -172,7 +193,5 @@
         thread.join(timeout=5 * FLUSH_INTERVAL_S)
 
 
-def _write_stdout(data: bytes) -> None:
-    view = memoryview(data)
-    while view:
-        view = view[os.write(sys.stdout.fileno(), view) :]
+def _write_stdout(data: bytes) -> int:
+    return os.write(sys.stdout.fileno(), data)
