Answer errors of the control API of a core as JSON

An operator whose change met an unexpected error got a page of HTML with status 500, which tells neither whether to retry nor why; unknown paths and methods got such a page too.

An unexpected error is answered with 503, because another core may serve the request, and logged with its reason as control_refused. Unknown paths and methods keep 404 and 405, with a JSON body.

--- a/laburnumrock/platform/_control.py
+++ b/laburnumrock/platform/_control.py
@@ -1,6 +1,7 @@
 """HTTP API of a core for operators and engines of the platform."""
 
 import json
+from http.client import responses
 from urllib.parse import unquote
 
 from eliot import log_message
@@ -33,6 +34,28 @@
         log_message("control_refused", path=self.request.path, status=status, failure=str(failure))
         self.answer(status, {"error": str(failure)})
 
+    def write_error(self, status_code: int, **context: object) -> None:
+        """Answer an unexpected error, or a method that a path does not have, as JSON.
+
+        An error of this core is answered with 503, since another core may serve the request.
+        """
+        if status_code < 500:
+            self.refuse(status_code, responses.get(status_code, "invalid request"))
+            return
+        error = context.get("exc_info", (None, None, None))[1]
+        self.refuse(503, f"the core failed: {type(error).__name__}: {error}")
+
+    def log_exception(self, *exc_info: object) -> None:
+        """Log nothing: the refusal that `write_error` logs names the error."""
+
+
+class _UnknownPathHandler(_Handler):
+    """Answers all other paths."""
+
+    def prepare(self) -> None:
+        """Respond with 404."""
+        self.refuse(404, f"no resource at {self.request.path}")
+
 
 class _ConfigHandler(_Handler):
     """Reads and stores the route configuration."""
@@ -109,6 +132,8 @@
             (r"/laburnumrock/instances/([^/]+)", _InstanceHandler, arguments),
             (r"/laburnumrock/evacuations/([^/]+)", _EvacuationHandler, arguments),
         ],
+        default_handler_class=_UnknownPathHandler,
+        default_handler_args=arguments,
         log_function=lambda handler: None,
     )
     server = HTTPServer(application, max_buffer_size=MAX_BODY_BYTES, max_body_size=MAX_BODY_BYTES)
