Go on without a vote while the disk of a core or voter refuses writes

Cores ended with status 4 at the first write to a full disk, and again at each start while it was full; the change under way was lost. If ended processes were not started again, no change was acknowledged after the second full disk.

Cause: every error of a save counted as a failure of the log, and the start wrote before the ports were open.

LogRunner now suspends its node on an OSError: a leader steps down without a change of its term and asks the best voter to start an election, pending reads and changes get their uncertain outcome at once, messages are dropped, and no effect runs that the refused write precedes. A node that forgets its leader keeps to its lease. FolderDisk creates its folder at the first write, removes incomplete copies, and reads and appends nothing before new names are durable.

Any other error, a command that cannot be applied, and a damaged log stay fatal.

--- a/laburnumrock/daemon/_log_service.py
+++ b/laburnumrock/daemon/_log_service.py
@@ -143,4 +143,4 @@
 
     def _leader(self) -> str | None:
         node = self.runner.node
-        return node.leader if node is not None and not self.runner.failed else None
+        return node.leader if node is not None and self.runner.is_available else None
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -96,7 +96,7 @@
         that earlier leaders acknowledged.
         """
         node = self.runner.node if self.runner is not None else None
-        if node is None or node.role is not Role.LEADER or self.runner.failed:
+        if node is None or node.role is not Role.LEADER or not self.runner.is_available:
             return False
         if self.runner.applied_index < node.leader_state.term_start_index:
             return False
@@ -108,6 +108,11 @@
         """Whether the log of this instance failed permanently; the process must be restarted."""
         return self.failure is not None
 
+    @property
+    def is_storage_unavailable(self) -> bool:
+        """Whether the disk of this instance refuses access, so that it takes no part in the log."""
+        return self.runner is not None and self.runner.storage_unavailable
+
     @property
     def failure(self) -> Failure | None:
         """Reason why the log of this instance failed permanently, if it did."""
@@ -146,7 +151,7 @@
         if self.runner is None:
             return
         node = self.runner.node
-        if node is not None and node.role is Role.LEADER and not self.runner.failed:
+        if node is not None and node.role is Role.LEADER and self.runner.is_available:
             await self._transfer_leadership()
         await self.runner.stop()
 
@@ -227,7 +232,7 @@
         index = answer.unwrap().index
         deadline_s = time.monotonic() + timeout_s
         while self.runner is not None and self.runner.applied_index < index:
-            if time.monotonic() >= deadline_s or self.runner.failed:
+            if time.monotonic() >= deadline_s or not self.runner.is_available:
                 return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE, "this instance lags"))
             await asyncio.sleep(RETRY_S / 10)
         return Ok(index)
--- a/laburnumrock/metrics/_node_metrics.py
+++ b/laburnumrock/metrics/_node_metrics.py
@@ -58,6 +58,11 @@
             registry=registry,
         )
         self.leading = Gauge("laburnumrock_leading", "1 while this core leads", registry=registry)
+        self.storage_unavailable = Gauge(
+            "laburnumrock_storage_unavailable",
+            "1 while the disk of this core refuses access, so that it takes no part in the log",
+            registry=registry,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -101,6 +101,7 @@
         self.voter_policy = VoterPolicy(settings.tolerated_losses)
         self.metrics = NodeMetrics()
         self.metrics.leading.set_function(lambda: int(self.is_leading))
+        self.metrics.storage_unavailable.set_function(lambda: int(self.log.is_storage_unavailable))
         self.quarantine = QuarantineReplicator(self.dispatcher.quarantine, self.log, self.metrics)
         self.limit_log = LimitLog(self.dispatcher.fleet.limits, self.metrics)
         self.views = ViewPublisher(self.network, self.directory)
@@ -155,8 +156,7 @@
     def reload(self, settings: NodeSettings) -> None:
         """Apply changed settings; only the known cores can change while a node runs."""
         self.known_cores = sorted({*self.known_cores, *settings.cores})
-        if self.log.runner.node is not None:
-            self.log.runner.node.bootstrap.initial_voters = list(settings.cores)
+        self.log.runner.change_initial_voters(list(settings.cores))
         log_message("settings_reloaded", cores=self.known_cores)
 
     @property
--- a/laburnumrock/platform/__main__.py
+++ b/laburnumrock/platform/__main__.py
@@ -44,7 +44,7 @@
     """Run one process until SIGTERM.
 
     Exit status: 0 after a graceful shutdown, 2 for invalid settings, 3 if the process cannot start,
-    4 if its replicated log fails while it runs.
+    4 if its replicated log fails while it runs. A full disk is no failure of the log.
     """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     loaded = load_settings(path)
--- a/laburnumrock/replication/_disk.py
+++ b/laburnumrock/replication/_disk.py
@@ -1,5 +1,6 @@
 """File access of the log store: a real folder, or a fake that can lose unsynced writes."""
 
+import contextlib
 import errno
 import os
 import random
@@ -29,18 +30,18 @@
     Parameters
     ----------
     folder : Path
-        Path of the folder; created if it does not exist.
+        Path of the folder; created at the first write if it does not exist.
     """
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.handles: dict[str, int] = {}
-        if not folder.exists():
-            folder.mkdir(parents=True)
-            _sync_folder(folder.parent)
+        self.has_folder = False
+        self.unsynced_names = False
 
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, or None if it does not exist."""
+        self._sync_names()
         try:
             return (self.folder / name).read_bytes()
         except FileNotFoundError:
@@ -48,14 +49,14 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Append bytes to a file; they are durable only after `sync`."""
+        self._make_folder()
         handle = self.handles.get(name)
         if handle is None:
             path = self.folder / name
-            created = not path.exists()
+            self.unsynced_names = self.unsynced_names or not path.exists()
             handle = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
             self.handles[name] = handle
-            if created:
-                _sync_folder(self.folder)
+        self._sync_names()
         _write_all(handle, data)
 
     def sync(self, name: str) -> None:
@@ -66,22 +67,47 @@
 
     def replace(self, name: str, data: bytes) -> None:
         """Atomically replace the content of a file; it is durable on return."""
+        self._make_folder()
         self._close(name)
         temporary = self.folder / f"{name}.new"
-        handle = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            _write_all(handle, data)
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+            handle = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+            try:
+                _write_all(handle, data)
+                os.fsync(handle)
+            finally:
+                os.close(handle)
+        except OSError:
+            # An incomplete copy would take up the room that the next attempt needs.
+            with contextlib.suppress(OSError):
+                temporary.unlink()
+            raise
+        self.unsynced_names = True
         os.replace(temporary, self.folder / name)
-        _sync_folder(self.folder)
+        self._sync_names()
 
     def close(self) -> None:
         """Close all open files."""
         for name in list(self.handles):
             self._close(name)
 
+    def _make_folder(self) -> None:
+        """Create the folder at the first write, so that a full disk does not prevent a start."""
+        if not self.has_folder:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            _sync_folder(self.folder.parent)
+            self.has_folder = True
+
+    def _sync_names(self) -> None:
+        """Make new names durable; retried with the next access if it fails.
+
+        Without this, a file whose replacement is not durable yet would be read or extended as if it
+        were.
+        """
+        if self.unsynced_names:
+            _sync_folder(self.folder)
+            self.unsynced_names = False
+
     def _close(self, name: str) -> None:
         handle = self.handles.pop(name, None)
         if handle is not None:
@@ -117,6 +143,9 @@
 
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, or None if it does not exist."""
+        if self.replaced:
+            self._check_room()
+            self.replaced.clear()
         if name not in self.durable and name not in self.pending:
             return None
         return self.durable.get(name, b"") + self.pending.get(name, b"")
--- a/laburnumrock/replication/_leading.py
+++ b/laburnumrock/replication/_leading.py
@@ -125,6 +125,17 @@
             self._finish_transfer()
         return self._take_effects()
 
+    def _request_successor(self) -> None:
+        """Ask the best other voter to start an election, even if it lacks entries."""
+        progress = self.leader_state.progress
+        others = [voter_id for voter_id in self.members.voters if voter_id in progress]
+        if others:
+            best = max(
+                others, key=lambda name: (progress[name].match_index, progress[name].acked_s)
+            )
+            message = TransferLeadership(self.term, self.voter_id, best)
+            self._send(self.members.voters[best], message)
+
     def lease_ends_s(self, now_s: float) -> float:
         """End of the leader lease: until then no other node can win an election without a transfer.
 
--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -197,6 +197,39 @@
             due_s = min(due_s, self.leader_state.transfer_ends_s)
         return due_s
 
+    def suspend(self, now_s: float) -> list[Effect]:
+        """Give up any role while the storage is unavailable.
+
+        Until `resume`, the caller must not call any other method. Term, vote and log do not change
+        here, so the effects need no storage.
+
+        Notes
+        -----
+        A leader asks the voter with the longest log to start an election at once, whether or not
+        that voter has all entries: the missing ones are not stored here either. The other voters
+        accept the election as a transfer, since the lease of this leader ends here.
+        """
+        if self.role is Role.LEADER:
+            self._request_successor()
+        elif self.no_vote_until_s is not None:
+            # The leader that this node forgets here may hold a lease until then.
+            lease_end_s = self.leader_contact_s + self.timing.election_min_s
+            self.no_vote_until_s = max(self.no_vote_until_s, lease_end_s)
+        self._become_follower(self.term, None, now_s)
+        return self._take_effects()
+
+    def resume(self, now_s: float) -> None:
+        """Take part again, without an election before a leader had the time to make contact."""
+        if self.election_due_s is not None:
+            self._reset_election_timer(now_s)
+
+    @property
+    def state_to_store(self) -> StoredState:
+        """State that the disk contains once all save effects so far are carried out."""
+        return StoredState(
+            self.voter_id, self.term, self.vote, self.log.snapshot, list(self.log.entries)
+        )
+
     def compact(self, index: int, data: bytes) -> list[Effect]:
         """Replace the entries up to an applied index with a snapshot of the state.
 
--- a/laburnumrock/replication/_store.py
+++ b/laburnumrock/replication/_store.py
@@ -90,6 +90,28 @@
         self.disk.sync(LOG_FILE)
         self.unsynced.clear()
 
+    def rewrite(self, state: StoredState, with_snapshot: bool) -> None:
+        """Replace the stored state after a save has failed; raises OSError if this fails too.
+
+        Parameters
+        ----------
+        state : StoredState
+            State that results from all saves so far, the failed ones included.
+        with_snapshot : bool
+            Whether a failed or pending save contains a snapshot.
+
+        Notes
+        -----
+        Appending again is not possible. A refused write may have left a part of a frame behind,
+        which the next frame would turn into corruption, and after a refused sync the kernel may
+        have dropped the bytes that it had accepted.
+        """
+        self.save(SaveHardState(state.term, state.vote))
+        if with_snapshot:
+            self.disk.replace(SNAPSHOT_FILE, _frame(cbor2.dumps(to_plain(state.snapshot))))
+        self.disk.replace(LOG_FILE, _frame_entries(state.entries) if state.entries else b"")
+        self.unsynced.clear()
+
     def _load(self, make_identity: Callable[[], str]) -> StoredState:
         identity = self._read(IDENTITY_FILE)
         if identity is None:
