--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -14,6 +14,7 @@
 from laburnumrock.standins import FaultyProxy
 
 HEARTBEAT_S = 0.6
+ANSWER_DELAY_S = 0.01
 EVENT_INTERVAL_S = 0.02
 STREAM_EVENTS = 8
 ACCOUNT = "one"
@@ -105,6 +106,9 @@
         Requests that were sent and run, over all callers and upstreams.
     source : random.Random
         Random source for the requests that fail.
+    answer_delay_s, event_interval_s : tuple of (float, float)
+        Bounds between which the duration of each plain request and the interval of the events of
+        each stream are drawn.
     """
 
     name: str
@@ -127,6 +131,8 @@
     restart: asyncio.Task | None = None
     limit: StatedLimit | None = None
     keeps_id: bool = False
+    answer_delay_s: tuple[float, float] = (ANSWER_DELAY_S, ANSWER_DELAY_S)
+    event_interval_s: tuple[float, float] = (EVENT_INTERVAL_S, EVENT_INTERVAL_S)
 
     @property
     def upstream_id(self) -> str:
@@ -263,7 +269,7 @@
             return
         unframed = self.source.random() < UNFRAMED_SHARE
         if "/stream/" not in line:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self._draw(self.answer_delay_s))
             if crashing is not None:
                 self._crash_under_request(crashing)
                 return
@@ -277,6 +283,7 @@
         cut = 0
         if self.mode == "engine_cuts" and first <= STREAM_EVENTS:
             cut = self.source.randint(first, STREAM_EVENTS)
+        interval_s = self._draw(self.event_interval_s)
         content_type = {"Content-Type": "text/event-stream"}
         writer.write(self._encode_head(200, request_id, None, content_type, unframed))
         for number in range(first, STREAM_EVENTS + 1):
@@ -288,7 +295,7 @@
                 return
             _write_part(writer, event, unframed)
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(interval_s)
             if crashing is not None:
                 self._crash_under_request(crashing)
                 return
@@ -297,6 +304,11 @@
         else:
             writer.write(b"0\r\n\r\n")
 
+    def _draw(self, bounds: tuple[float, float]) -> float:
+        low, high = bounds
+        # A fixed value leaves the random source, and so the faults of a seed, as they are.
+        return low if low == high else self.source.uniform(low, high)
+
     def _encode_head(
         self,
         status: int,
