Answer what a planned stop of an entry ends

Responses that callers had not yet read, connections that the kernel had accepted and the entry had not, and the first requests of new connections could be cut as well.

The end of the stop is now known from SIGTERM on. A request whose own deadline lies behind it gets it as its deadline, as its upstream does, if the recent requests of its route were fast enough, and 503 otherwise; after the balancer's grace it always gets 503, with Retry-After 0.2 s instead of 1.4 to 2.5 s, since other instances are ready. Weighed: refusing all such requests from SIGTERM on sends callers back here while the balancer still does; taking all cuts those that take longer. At the end, requests that are still in progress get 502, or 503 if nothing was sent, and streams that have begun are broken off. Their sends are cancelled, and the messages to the leader leave before the links close. Connections are closed in rounds once they are idle and their responses are written; new ones have 0.3 s for their first request; the backlog of the port is accepted before it closes.

--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import time
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -16,10 +17,11 @@
     StallAdvice,
 )
 from laburnumrock.forwarding._connections import ConnectionPool
+from laburnumrock.forwarding._durations import RouteDurations
 from laburnumrock.forwarding._reservations import Reservations
 from laburnumrock.forwarding._wire import WireFormat
 from laburnumrock.metrics import NodeMetrics
-from laburnumrock.routing import RouteTable
+from laburnumrock.routing import Route, RouteTable
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +128,11 @@
         Whether this instance is shutting down.
     stop_deadline_s : float
         Reading of the monotonic clock at which a shutdown ends the requests still in progress.
+    balancer_deadline_s : float
+        Reading of the monotonic clock until which the load balancer may send connections to an
+        instance that is shutting down.
+    durations : RouteDurations
+        Durations of recent requests.
     """
 
     settings: ForwardingSettings
@@ -140,3 +147,34 @@
     ready_deadline_s: float = -math.inf
     stopping: bool = False
     stop_deadline_s: float = math.inf
+    balancer_deadline_s: float = -math.inf
+    durations: RouteDurations = field(default_factory=RouteDurations)
+
+    def begin_stop(self, balancer_grace_s: float, left_s: float) -> None:
+        """Begin a shutdown that ends all requests in progress after a while.
+
+        Parameters
+        ----------
+        balancer_grace_s : float, >= 0
+            Time in which the load balancer may still send connections.
+        left_s : float, >= 0
+            Time until the requests in progress are ended.
+        """
+        now_s = time.monotonic()
+        self.stopping = True
+        self.balancer_deadline_s = now_s + balancer_grace_s
+        self.stop_deadline_s = now_s + left_s
+
+    def may_finish(self, route: Route) -> bool:
+        """Return whether a new request will probably be answered before the end of a shutdown.
+
+        Notes
+        -----
+        While the load balancer still sends connections, a caller that is refused may be sent here
+        again, so a request is taken if recent ones of its route were fast enough. Afterwards other
+        instances serve it at once, which is better for it than any risk of being cut.
+        """
+        now_s = time.monotonic()
+        if now_s >= self.balancer_deadline_s:
+            return False
+        return now_s + self.durations.find_longest(route) <= self.stop_deadline_s
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -23,6 +23,8 @@
 """Maximum number of attempts at the same time: an overdue one, and one that may replace it."""
 ROUTE_WAIT_FRACTION = 0.25
 """Fraction of its remaining time for which a request waits for the first routes of an instance."""
+STOPPING_RETRY_AFTER_S = 0.2
+"""Retry-After time of requests that a shutdown refuses or ends; other instances are ready."""
 REFUSED_RETRY_AFTER_S = 0.3
 """Retry-After time if all upstreams refused a request; their queues change within the duration of
 one response."""
@@ -52,20 +54,24 @@
         self.attempts: list[Attempt] = []
         self.changed = asyncio.Event()
         self.next_start_s = 0.0
+        self.timeout: asyncio.Timeout | None = None
+        # Whether a shutdown ends the request before its own deadline.
+        self.ends_early = False
 
     async def run(self) -> None:
         """Forward the request and write the response."""
         try:
-            if self.context.route_table is None:
-                await self._await_routes()
-            failure = self._admit()
-            if failure is not None:
-                self._fail(failure)
-                return
-            async with asyncio.timeout_at(self._to_loop_time(self.state.deadline_s)):
+            async with asyncio.timeout(0.0 if self.ends_early else None) as self.timeout:
+                if self.context.route_table is None:
+                    await self._await_routes()
+                failure = self._admit()
+                if failure is not None:
+                    self._fail(failure)
+                    return
+                self.timeout.reschedule(self._to_loop_time(self.state.deadline_s))
                 await self._run_attempts()
         except TimeoutError:
-            self._fail(ErrorKind.DEADLINE_EXCEEDED)
+            self._fail_at_deadline()
         except StreamClosedError:
             # The caller has disconnected, so no response can be written.
             self.writer.record_disconnect(self.state.sent)
@@ -73,6 +79,12 @@
             self.writer.record_disconnect(self.state.sent)
             raise
 
+    def end_early(self) -> None:
+        """End the request now, with a response if none has begun, because of a shutdown."""
+        self.ends_early = True
+        if self.timeout is not None and not self.timeout.expired():
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+
     def fail_unexpectedly(self) -> None:
         """End a request whose run raised an error, with a response if none has begun."""
         if self.writer.head_written:
@@ -119,7 +131,10 @@
         state = self.state
         state.deadline_s = request.arrived_s + limit_s
         if state.deadline_s > self.context.stop_deadline_s:
-            return ErrorKind.STOPPING
+            if not self.context.may_finish(writer.route):
+                return ErrorKind.STOPPING
+            state.deadline_s = self.context.stop_deadline_s
+            self.ends_early = True
         state.service = route_table.choose_service(writer.route, self.context.source)
         state.digest = self._compute_digest()
         return None
@@ -178,7 +193,7 @@
         """Write an error response if no send is under way and no other one is possible."""
         state = self.state
         if self.deadline_passed:
-            self._fail(ErrorKind.DEADLINE_EXCEEDED)
+            self._fail_at_deadline()
             return True
         if self.is_exhausted or (state.may_have_run and not self.writer.route.may_retry):
             self._fail_after_attempts()
@@ -274,7 +289,12 @@
         else:
             self._fail(kind, placement.retry_after_s)
 
+    def _fail_at_deadline(self) -> None:
+        self._fail(ErrorKind.STOPPING if self.ends_early else ErrorKind.DEADLINE_EXCEEDED)
+
     def _fail(self, kind: ErrorKind, retry_after_s: float = 0.0) -> None:
+        if kind is ErrorKind.STOPPING:
+            retry_after_s = STOPPING_RETRY_AFTER_S
         if self.writer.started:
             self.writer.abort(kind, self.state.progress.last_id)
         else:
--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -142,8 +142,11 @@
         """Record the end of the request in the metrics; status 0 means a closed connection."""
         labels = self.labels()
         metrics = self.context.metrics
+        duration_s = time.monotonic() - self.request.arrived_s
         metrics.requests.labels(*labels, str(status)).inc()
-        metrics.duration.labels(*labels).observe(time.monotonic() - self.request.arrived_s)
+        metrics.duration.labels(*labels).observe(duration_s)
+        if self.route is not None and 200 <= status < 300:
+            self.context.durations.record(self.route, duration_s)
 
     def log(self, event: str, **values: object) -> None:
         """Write a log line of this request."""
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import time
 
@@ -32,6 +33,13 @@
 """Twice the declared limit, which is checked once the routes are known."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
 BACKLOG = 512
+NEW_CONNECTION_S = 0.3
+"""Time for which the first request of a new connection is awaited during a shutdown; it is usually
+sent within a round trip."""
+CLOSE_INTERVAL_S = 0.05
+"""Interval at which the connections that have become idle are closed during a shutdown."""
+END_TIMEOUT_S = 0.15
+"""Time limit for the responses of the requests that a shutdown ends, which need no upstream."""
 IDLE_RECHECK_DELAY_S = 0.02
 """Time in which the event loop starts a request whose bytes it has already read."""
 
@@ -48,16 +56,17 @@
     def __init__(self, context: ForwardingContext) -> None:
         self.context = context
         self.server: _Listener | None = None
+        self.sockets: list[socket.socket] = []
         self.port = 0
         self.connections: dict[HTTP1ServerConnection, _RequestReader] = {}
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks: dict[asyncio.Task, RequestForwarder] = {}
 
     def listen(self, host: str, port: int) -> None:
         """Open the port and accept connections."""
         self.server = _Listener(self)
-        sockets = bind_sockets(port, host, family=socket.AF_INET, backlog=BACKLOG)
-        self.port = sockets[0].getsockname()[1]
-        self.server.add_sockets(sockets)
+        self.sockets = bind_sockets(port, host, family=socket.AF_INET, backlog=BACKLOG)
+        self.port = self.sockets[0].getsockname()[1]
+        self.server.add_sockets(self.sockets)
 
     def start_request(self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection):
         """Return the reader of the next request on a connection."""
@@ -65,6 +74,7 @@
         # would then wait for acknowledgements.
         server_conn.stream.set_nodelay(True)
         reader = _RequestReader(self, server_conn, request_conn)
+        reader.is_first = server_conn not in self.connections
         self.connections[server_conn] = reader
         return reader
 
@@ -83,19 +93,16 @@
         request: CallerRequest,
     ) -> asyncio.Task:
         """Start a task that forwards a request."""
-        forwarding = self._forward(server_conn, connection, request)
+        forwarder = RequestForwarder(self.context, connection, request)
+        forwarding = self._forward(server_conn, forwarder)
         task = asyncio.create_task(forwarding, name=request.request_id)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks[task] = forwarder
+        task.add_done_callback(self.tasks.pop)
         return task
 
     async def _forward(
-        self,
-        server_conn: HTTP1ServerConnection,
-        connection: HTTP1Connection,
-        request: CallerRequest,
+        self, server_conn: HTTP1ServerConnection, forwarder: RequestForwarder
     ) -> None:
-        forwarder = RequestForwarder(self.context, connection, request)
         try:
             await forwarder.run()
             if self.context.stopping:
@@ -104,7 +111,7 @@
             # An unexpected error must not affect other requests.
             log_message(
                 "run_failed",
-                request_id=request.request_id,
+                request_id=forwarder.request.request_id,
                 error=f"{type(error).__name__}: {error}",
             )
             forwarder.fail_unexpectedly()
@@ -133,7 +140,7 @@
         Notes
         -----
         A connection stays open if a request has arrived on it that the event loop has not yet
-        processed.
+        processed, if a response is still being written, or if it is new.
         """
         idle = [connection for connection in self.connections if self._is_idle(connection)]
         await asyncio.sleep(IDLE_RECHECK_DELAY_S)
@@ -143,14 +150,37 @@
 
     def _is_idle(self, connection: HTTP1ServerConnection) -> bool:
         stream = connection.stream
-        if self.connections[connection].is_busy or stream.closed():
+        reader = self.connections[connection]
+        if reader.is_busy or reader.is_new or stream.closed() or stream.writing():
             return False
         return not has_unread_data(stream)
 
     def stop_listening(self) -> None:
-        """Stop accepting connections."""
-        if self.server is not None:
-            self.server.stop()
+        """Stop accepting connections, after those that the kernel has already accepted."""
+        if self.server is None:
+            return
+        for listening in self.sockets:
+            with contextlib.suppress(OSError):
+                while True:
+                    accepted, address = listening.accept()
+                    self.server.handle_stream(IOStream(accepted), address)
+        self.sockets = []
+        self.server.stop()
+
+    async def close_all(self, timeout_s: float) -> None:
+        """Close each connection once it is idle, until all are closed or the time is over."""
+        deadline_s = time.monotonic() + timeout_s
+        await self.close_idle()
+        while (self.connections or self.tasks) and time.monotonic() < deadline_s:
+            await asyncio.sleep(CLOSE_INTERVAL_S)
+            await self.close_idle()
+
+    async def end_requests(self) -> None:
+        """Refuse new requests, and end those in progress with a response if none has begun."""
+        self.context.stop_deadline_s = -math.inf
+        for forwarder in list(self.tasks.values()):
+            forwarder.end_early()
+        await self.close_all(END_TIMEOUT_S)
 
     async def finish(self, timeout_s: float) -> None:
         """Wait for the requests in progress."""
@@ -188,6 +218,8 @@
         self.connection = connection
         self.request: CallerRequest | None = None
         self.waiting_since_s = time.monotonic()
+        # Whether it reads the first request of its connection.
+        self.is_first = False
         self.chunks: list[bytes] = []
         self.task: asyncio.Task | None = None
 
@@ -196,6 +228,12 @@
         """Whether a request is being read or answered."""
         return self.request is not None and (self.task is None or not self.task.done())
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the connection was accepted a moment ago and has carried no request."""
+        age_s = time.monotonic() - self.waiting_since_s
+        return self.is_first and self.request is None and age_s < NEW_CONNECTION_S
+
     def headers_received(self, start_line, headers: HTTPHeaders) -> None:
         """Decode the request line and headers."""
         wire = self.frontend.context.wire
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -81,8 +81,14 @@
 BALANCER_GRACE_S = 2.6
 """Time for the load balancer to stop sending connections; it probes once a second and removes an
 instance after two failed probes."""
+MAX_BALANCER_SHARE = 0.5
+"""Maximum share of the shutdown for which the load balancer is waited for, so that requests of the
+last connections have time to end."""
 SHUTDOWN_MARGIN_S = 0.8
-"""Time reserved for closing connections before the process is killed."""
+"""Time reserved for the responses of the requests that the shutdown ends, and for closing, before
+the process is killed."""
+RELEASE_TIMEOUT_S, FLUSH_TIMEOUT_S = 0.25, 0.1
+"""Parts of that time for the release of memory on engines, and for telling the leader."""
 
 
 class EntryNode:
@@ -165,19 +171,16 @@
     async def stop(self) -> None:
         """Stop after active requests have finished or the shutdown time has passed."""
         self.stopping = True
-        self.context.stopping = True
         log_message("entry_stopping", runs=len(self.frontend.tasks))
-        began_s = time.monotonic()
-        await asyncio.sleep(BALANCER_GRACE_S)
-        stop_deadline_s = began_s + self.settings.shutdown_timeout_s - SHUTDOWN_MARGIN_S
-        self.context.stop_deadline_s = stop_deadline_s
+        left_s = max(0.0, self.settings.shutdown_timeout_s - SHUTDOWN_MARGIN_S)
+        balancer_grace_s = min(BALANCER_GRACE_S, MAX_BALANCER_SHARE * left_s)
+        self.context.begin_stop(balancer_grace_s, left_s)
+        await asyncio.sleep(balancer_grace_s)
         self.frontend.stop_listening()
-        await self.frontend.close_idle()
-        await self.frontend.finish(max(0.0, stop_deadline_s - time.monotonic()))
-        # Refuses further requests, as there is no time left to wait for an answer of an upstream.
-        self.context.stop_deadline_s = -math.inf
-        await self.frontend.close_idle()
-        await self.context.reservations.finish(0.3)
+        await self.frontend.close_all(self.context.stop_deadline_s - time.monotonic())
+        await self.frontend.end_requests()
+        await self.context.reservations.finish(RELEASE_TIMEOUT_S)
+        await self.network.flush(FLUSH_TIMEOUT_S)
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -28,6 +28,8 @@
 QUEUE_FRAMES = 1_024
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 0.5
+FLUSH_CHECK_S = 0.005
+"""Interval at which the queues are checked while they are flushed."""
 CLOSE_TIMEOUT_S = 0.3
 """Time limit for the closing handshake of an unresponsive link. The default of the library is 10 s,
 during which no new link is opened."""
@@ -108,6 +110,13 @@
             close_timeout=CLOSE_TIMEOUT_S,
         )
 
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until the queued messages are sent, or until the time is over."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while any(link.frames for link in self.links.values()):
+                    await asyncio.sleep(FLUSH_CHECK_S)
+
     async def stop(self) -> None:
         """Close every link and the port."""
         link_tasks = [link.task for link in self.links.values() if link.task is not None]
