Hold signals while a process starts and after its event loop has closed

The event loop handles SIGTERM and SIGHUP only while it runs. Signals are now blocked from the first import until the handlers are installed, which then get those that waited, and again before the loop closes. A signal in the few milliseconds before the interpreter runs the first module still ends the process.

--- a/laburnumrock/platform/__main__.py
+++ b/laburnumrock/platform/__main__.py
@@ -6,17 +6,24 @@
 import os
 import signal
 import sys
+from collections.abc import Coroutine
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import click
-from eliot import log_message
+from laburnumrock.platform._signals import deliver_signals, hold_signals
 
-from laburnumrock.metrics import LogLimits, open_log_writer
-from laburnumrock.nodes import NodeSettings
-from laburnumrock.platform._routes import decode_routes
-from laburnumrock.platform._settings import SETTINGS_VARIABLE, load_settings
-from laburnumrock.platform._status import listen_metrics, listen_readiness
+if __name__ == "__main__":
+    # The imports below take most of the start; a SIGHUP would end the process meanwhile.
+    hold_signals()
+
+import click  # noqa: E402
+from eliot import log_message  # noqa: E402
+
+from laburnumrock.metrics import LogLimits, open_log_writer  # noqa: E402
+from laburnumrock.nodes import NodeSettings  # noqa: E402
+from laburnumrock.platform._routes import decode_routes  # noqa: E402
+from laburnumrock.platform._settings import SETTINGS_VARIABLE, load_settings  # noqa: E402
+from laburnumrock.platform._status import listen_metrics, listen_readiness  # noqa: E402
 
 if TYPE_CHECKING:
     from laburnumrock.nodes import CoreNode, EntryNode
@@ -55,10 +62,18 @@
     common_fields = {"instance": settings.instance_id, "failure_domain": settings.failure_domain}
     run = _run_core if role == "core" else _run_entry
     with open_log_writer(common_fields, LogLimits()):
-        status = asyncio.run(run(settings, path))
+        status = asyncio.run(_run_and_hold_signals(run(settings, path)))
     sys.exit(status)
 
 
+async def _run_and_hold_signals(run: Coroutine[None, None, int]) -> int:
+    """Run a node, and hold signals before the event loop removes their handlers."""
+    try:
+        return await run
+    finally:
+        hold_signals()
+
+
 async def _run_entry(settings: NodeSettings, path: Path) -> int:
     # Each role imports only its own modules, because every import lengthens each restart.
     from laburnumrock.nodes import EntryNode
@@ -102,6 +117,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: _reload_settings(node, path))
+    deliver_signals()
     watch_task = asyncio.create_task(_watch_settings_file(node, path))
     # The event loop keeps only weak references to tasks.
     _WATCH_TASKS.add(watch_task)
--- a/laburnumrock/platform/soak/tests/test_planned_stops.py
+++ b/laburnumrock/platform/soak/tests/test_planned_stops.py
@@ -7,13 +7,14 @@
 import signal
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import pytest
 
 from laburnumrock.platform.soak._callers import API_KEY, HOSTNAME, NOT_RUN_STATUSES, _read_chunks
 from laburnumrock.platform.soak._operator import make_routes
 from laburnumrock.platform.soak._run import open_deployment
-from laburnumrock.platform.soak._state import RunState, SoakSettings
+from laburnumrock.platform.soak._state import Node, RunState, SoakSettings
 from laburnumrock.platform.soak._upstreams import STREAM_EVENTS, make_event
 from laburnumrock.platform.soak.tests.core_faults import list_cores
 
@@ -209,3 +210,44 @@
         assert sorted(one for one in soak.tracker.once if runs.get(one, 0) > 1) == []
         assert list(record.answers.values()).count(200) > 20
         assert soak.findings.broken == []
+
+
+def read_held_signals(process) -> int:
+    """Return the mask of the signals that a process holds."""
+    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
+        if line.startswith("SigBlk:"):
+            return int(line.split()[1], 16)
+    return 0
+
+
+async def open_starting(soak: RunState, kind: str) -> Node:
+    """Start a process again, and return it once its own code runs."""
+    node = soak.nodes[f"{kind}0"]
+    node.process.kill()
+    node.process.start()
+    async with asyncio.timeout(10.0):
+        while not read_held_signals(node.process.process):
+            await asyncio.sleep(0.005)
+    return node
+
+
+@pytest.mark.processes
+class TestSignalsDuringTheStart:
+    """Signals that arrive before the event loop handles them."""
+
+    @pytest.mark.parametrize("kind", ["entry", "core"])
+    def test_process_starts_and_stops(self, kind, tmp_path):
+        """Guards against processes that SIGHUP or SIGTERM kills while they start."""
+
+        async def run():
+            soak = RunState(SoakSettings(32, 0.0, tmp_path / "run"))
+            async with open_deployment(soak, random.Random(1)):
+                node = await open_starting(soak, kind)
+                node.process.send(signal.SIGHUP)
+                await asyncio.sleep(2.0)
+                assert node.process.is_running
+                node = await open_starting(soak, kind)
+                node.process.send(signal.SIGTERM)
+                assert await asyncio.to_thread(node.process.wait, GRACE_S) == 0
+
+        asyncio.run(run())
