Refuse registrations that cannot be used, and let the others hold

Reports with a service that no routes name displace no upstream of a known service; they are kept otherwise, since a change may name the service later. Names of accounts outside Latin-1 are sent as UTF-8 instead of failing each request, and an address that the socket refuses counts as unreachable.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -26,6 +26,7 @@
     SendStarted,
     StallAdvice,
     UpstreamReport,
+    UpstreamState,
 )
 from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
 from laburnumrock.dispatch._queue import CallQueue, QueueDecision
@@ -326,12 +327,26 @@
 
     def observe(self, report: UpstreamReport, now_s: float) -> bool:
         """Apply the report of an upstream; the load of an older incarnation is discarded."""
+        if report.service not in self.fleet.services and self._displaces_upstream(report):
+            return False
         known = self.directory.records.get(report.upstream_id)
         changed = self.directory.observe(report, now_s)
         if changed and known is not None and known.report.incarnation != report.incarnation:
             self.fleet.forget(report.upstream_id)
         return changed
 
+    def _displaces_upstream(self, report: UpstreamReport) -> bool:
+        """Return whether a report has the name or address of an upstream of a known service."""
+        records = self.directory.records
+        holder = self.directory.by_address.get((report.host, report.port), "")
+        for known in (records.get(report.upstream_id), records.get(holder)):
+            if known is None or known.report.service == report.service:
+                continue
+            is_present = known.report.state is not UpstreamState.GONE
+            if is_present and known.report.service in self.fleet.services:
+                return True
+        return False
+
     def record_limits(self, reports: list[LimitReport], now_s: float) -> None:
         """Apply limits that upstreams stated to an entry node."""
         for report in reports:
--- a/laburnumrock/forwarding/_connections.py
+++ b/laburnumrock/forwarding/_connections.py
@@ -149,7 +149,8 @@
             return Ok(reused)
         try:
             return Ok(await self._connect(host, port, timeout_s))
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, OverflowError, ValueError) as error:
+            # The socket raises the last two for an address that does not exist.
             detail = f"cannot connect to {host}:{port}: {error or 'timeout'}"
             return Err(Failure(ErrorKind.CONNECTION_FAILED, detail))
 
--- a/laburnumrock/platform/_fields.py
+++ b/laburnumrock/platform/_fields.py
@@ -8,6 +8,10 @@
 """Largest other number, far above all times, rates and sizes, so that products stay finite."""
 
 
+MAX_TEXT_CHARS = 4096
+"""Maximum length of a text; longer than any name, path or host in use."""
+
+
 def read_text(entry: Mapping, name: str) -> str:
     """Return a text field.
 
@@ -16,14 +20,27 @@
     KeyError
         If the field is missing.
     ValueError
-        If the field is not a text.
+        If the field is not a text that can be sent in messages and headers.
     """
     value = entry[name]
     if not isinstance(value, str):
         raise ValueError(f"{name}: expected a text, got {value!r:.50}")
+    check_text(name, value)
     return value
 
 
+def check_text(name: str, value: str) -> None:
+    """Check that a text can be sent in messages, headers and log lines.
+
+    Raises
+    ------
+    ValueError
+        If the text is too long, or has a control character or a lone surrogate.
+    """
+    if len(value) > MAX_TEXT_CHARS or not value.isprintable():
+        raise ValueError(f"{name}: {value[:50]!a} is too long or not printable")
+
+
 def read_whole(entry: Mapping, name: str, default: int | None = None, *, least: int = 0) -> int:
     """Return a field that is a whole number of at least `least`.
 
--- a/laburnumrock/platform/_wire.py
+++ b/laburnumrock/platform/_wire.py
@@ -71,7 +71,8 @@
         headers["Deadline-Ms"] = str(max(1, int(metadata.remaining_s * 1000)))
         headers["Expect-Instance"] = metadata.upstream_id
         if metadata.account is not None:
-            headers["Tenant"] = metadata.account
+            # Header values are written as Latin-1; other names arrive in UTF-8.
+            headers["Tenant"] = metadata.account.encode().decode("latin1")
         if metadata.last_event_id is not None:
             headers["Last-Event-Id"] = metadata.last_event_id
         if metadata.helpers:
