Check that each whole request is answered beside upstreams that fall silent

The soak counted closed connections, but checked them in planned stops only, and no upstream of it ever fell silent and went on.

The soak draws three new actions (engine_silent, engine_pauses, stop_in_silence), and a close without an answer is a finding unless a fault affects the entry, the cores or an upstream that the request has reached. Silences, changes, planned stops and reloads excuse nothing. A request on a connection in use again may cross its close; it then reaches no upstream. No kind of request may run that was refused as not run; only those that run once at most were checked.

Changes to tests: freeze_all_cores moves from test_repeated_requests.py to core_faults.py; the upstream of test_two_restarts_at_the_same_time is made by a function that other tests share.

--- a/laburnumrock/platform/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import dataclass, field
 
-from laburnumrock.platform.soak._findings import Findings
+from laburnumrock.platform.soak._findings import CORES, Findings
 from laburnumrock.platform.soak._prompts import make_prefix
 from laburnumrock.platform.soak._schedule import REQUEST_KINDS
 from laburnumrock.platform.soak._upstreams import STREAM_EVENTS, RequestTracker, make_event
@@ -100,6 +100,9 @@
                     "response before deadline", f"{request_id} got none from {self.host}"
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
+            if self.connection is None:
+                # The run has ended and closed this caller.
+                return
             self.findings.counts["closed"] += 1
             graceful_stop = self.host in self.stopping and self.findings.is_fault_free_since(sent_s)
             self.close()
@@ -107,6 +110,23 @@
                 self.findings.report(
                     "no requests lost in graceful stops", f"{request_id} at {self.host}"
                 )
+            elif not kind.startswith("crashing"):
+                self._check_closed(request_id, sent_s, reused)
+
+    def _check_closed(self, request_id: str, sent_s: float, reused: bool) -> None:
+        """Check that a fault excuses the close of the connection of a whole request.
+
+        Notes
+        -----
+        A request on a connection in use again may cross its close, and then reaches no upstream.
+        """
+        reached = self.tracker.reached.get(request_id, set())
+        elapsed_s = time.monotonic() - sent_s
+        if (reused and not reached) or elapsed_s >= DEADLINE_S:
+            return
+        if self.findings.are_fault_free_since({self.host, CORES, *reached}, sent_s):
+            detail = f"{request_id} at {self.host} after {elapsed_s:.2f} s, reached {reached}"
+            self.findings.report("whole requests are answered", detail)
 
     def _draw_request(self, request_id: str) -> tuple[str, str, dict[str, str]]:
         """Draw a request, and return its kind, target and headers."""
@@ -159,10 +179,11 @@
             self.findings.report(
                 "responses match requests", f"{request_id} got {headers['request-id']}"
             )
-        if status in NOT_RUN_STATUSES and kind.endswith("once"):
+        if status in NOT_RUN_STATUSES:
             self.rejected_ids.add(request_id)
-            if "retry-after" not in headers and status in (429, 503):
-                self.findings.report("rejections carry Retry-After", request_id)
+        must_state_delay = status in (429, 503) and kind.endswith("once")
+        if must_state_delay and "retry-after" not in headers:
+            self.findings.report("rejections carry Retry-After", request_id)
         if status != 200:
             return
         if "server-signature" not in headers:
--- a/laburnumrock/platform/soak/_faults.py
+++ b/laburnumrock/platform/soak/_faults.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Iterator
 
+from laburnumrock.platform.soak._findings import CORES
 from laburnumrock.platform.soak._prompts import MAX_ARRIVALS, CrashRecord
 from laburnumrock.platform.soak._schedule import Step
 from laburnumrock.platform.soak._state import ZONES, Node, RunState
@@ -36,6 +37,13 @@
         await operator.send_invalid_routes()
     elif step.action == "evacuate":
         await operator.evacuate(ZONES[0], step.duration_s)
+    elif step.action == "engine_silent":
+        soak.findings.counts["silence of an upstream"] += 1
+        soak.upstreams[step.target].fall_silent(step.duration_s)
+    elif step.action == "engine_pauses":
+        await _let_responses_pause(soak, soak.upstreams[step.target], step.duration_s)
+    elif step.action == "stop_in_silence":
+        await _stop_in_silence(soak, soak.nodes[step.target], step.duration_s)
     elif step.action == "engine_limits":
         await _let_upstream_state_limit(soak, soak.upstreams[step.target], step.duration_s)
     elif step.action == "crashing_prompt":
@@ -44,6 +52,7 @@
         await _let_request_crash_upstreams(soak, step)
     elif step.action == "kill_all_cores":
         soak.findings.record_fault(step.action, step.duration_s + 1.0)
+        soak.findings.record_fault_at(CORES, step.duration_s + 1.0)
         cores = [node for node in soak.nodes.values() if node.role == "core"]
         await asyncio.gather(*(_kill_and_restart(core, step.duration_s) for core in cores))
     elif step.target.startswith(("engine", "server")):
@@ -55,6 +64,22 @@
             await _inject_node_fault(soak, step, node)
 
 
+async def _let_responses_pause(soak: RunState, upstream: Upstream, duration_s: float) -> None:
+    """Let single responses of an upstream pause at random places."""
+    soak.findings.counts["pauses of an upstream"] += 1
+    upstream.pauses_responses = True
+    await asyncio.sleep(duration_s)
+    upstream.pauses_responses = False
+
+
+async def _stop_in_silence(soak: RunState, node: Node, silence_s: float) -> None:
+    """Stop an entry gracefully while all upstreams are silent."""
+    soak.findings.counts["silence of an upstream"] += len(soak.upstreams)
+    for upstream in soak.upstreams.values():
+        upstream.fall_silent(silence_s)
+    await _stop_and_restart(soak, node)
+
+
 async def _let_prompts_crash_engines(soak: RunState, step: Step) -> None:
     """Let a part of prompts crash engines, and check that it is soon kept from them."""
     prompts = soak.tracker.prompts
@@ -152,7 +177,9 @@
     if action == "reload":
         node.process.send(signal.SIGHUP)
         return
+    target = CORES if node.role == "core" else node.host
     soak.findings.record_fault(action, step.duration_s + 1.0)
+    soak.findings.record_fault_at(target, step.duration_s + 1.0)
     if action == "kill":
         await _kill_and_restart(node, step.duration_s)
     elif action == "lose_disk":
@@ -169,6 +196,7 @@
     else:
         await _inject_link_fault(node.proxy, step)
     soak.findings.record_fault(action)
+    soak.findings.record_fault_at(target)
 
 
 def _append_torn_frame(node: Node) -> None:
@@ -186,6 +214,7 @@
     soak.findings.counts["planned stop"] += 1
     if node.role == "core":
         soak.findings.record_fault("core stop", 2.0)
+        soak.findings.record_fault_at(CORES, 2.0)
     soak.stopping.add(node.host)
     node.process.send(signal.SIGTERM)
     deadline_s = time.monotonic() + STOP_TIMEOUT_S
@@ -219,6 +248,7 @@
     if upstream.mode:
         return
     soak.findings.record_fault(step.action, step.duration_s)
+    soak.findings.record_fault_at(step.target, step.duration_s)
     if step.action == "engine_crash":
         upstream.crash()
         await asyncio.sleep(step.duration_s)
@@ -234,3 +264,4 @@
         upstream.mode = step.action
         await asyncio.sleep(step.duration_s)
         upstream.mode = ""
+    soak.findings.record_fault_at(step.target)
--- a/laburnumrock/platform/soak/_operator.py
+++ b/laburnumrock/platform/soak/_operator.py
@@ -10,6 +10,8 @@
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._upstreams import ACCOUNT, SLOTS
 
+STREAM_ATTEMPTS = 3
+"""Upstreams on which a stream may run."""
 CALL_TIMEOUT_S = 1.0
 CHANGE_TIMEOUT_S = 12.0
 """Time after which a change without a definite response is abandoned.
@@ -37,7 +39,8 @@
 def make_routes(version: int) -> bytes:
     """Return a route configuration whose last route has the version in its path."""
     common = {"hostname": HOSTNAME, "latency_goal_ms": 500, "timeout_ms": 5000, "priority": 1}
-    stream = {"type": "streaming", "resumable": True, "max_attempts": 3, "gap_target_ms": 200}
+    stream = {"type": "streaming", "resumable": True, "gap_target_ms": 200}
+    stream["max_attempts"] = STREAM_ATTEMPTS
     once = {"type": "non_idempotent", "max_attempts": 1}
     again = {"type": "idempotent", "max_attempts": 3}
     probe = {"type": "idempotent", "max_attempts": 1}
--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -1,7 +1,6 @@
 """Simulated upstreams that count executions, hold reservations and fail on demand."""
 
 import asyncio
-import contextlib
 import json
 import random
 import time
@@ -18,6 +17,10 @@
 STREAM_EVENTS = 8
 ACCOUNT = "one"
 SLOTS = 16
+MIN_PAUSE_S, MAX_PAUSE_S = 0.3, 1.6
+"""Bounds of the pauses of single responses."""
+PAUSE_SHARE = 0.05
+"""Share of the writes that pause while single responses of an upstream pause."""
 UNFRAMED_SHARE = 0.1
 """Share of the answers with neither a length nor chunks, which end with their connection."""
 CRASH_DOWN_S = 1.5
@@ -49,6 +52,8 @@
         Request that crashes upstreams, with its arrivals and crashes.
     entries : dict of str to str
         Host of the entry to which each request was sent.
+    reached : dict of str to set of str
+        Names of the upstreams that each request has reached.
     faulty : Counter of str
         Number of faults that affect an entry, by host, or an upstream, by name.
     """
@@ -61,6 +66,7 @@
     prompts: CrashingPrompts = field(default_factory=CrashingPrompts)
     repeated: RepeatedRequest = field(default_factory=RepeatedRequest)
     entries: dict[str, str] = field(default_factory=dict)
+    reached: dict[str, set[str]] = field(default_factory=dict)
     faulty: Counter = field(default_factory=Counter)
 
     def record_arrival(self, line: str, prefix: str | None) -> CrashRecord | None:
@@ -127,6 +133,8 @@
     restart: asyncio.Task | None = None
     limit: StatedLimit | None = None
     keeps_id: bool = False
+    silent_until_s: float = 0.0
+    pauses_responses: bool = False
 
     @property
     def upstream_id(self) -> str:
@@ -150,6 +158,7 @@
     def crash(self) -> None:
         """Stop abruptly: close the server and abort all connections."""
         self.mode = "down"
+        self.findings.record_fault_at(self.name, CRASH_DOWN_S)
         self.proxy.close()
         if self.server is not None:
             self.server.close()
@@ -186,6 +195,28 @@
             self.limit.ended_s = time.monotonic()
             self.limit = None
 
+    def fall_silent(self, duration_s: float) -> None:
+        """Write nothing more on any connection for a while; heartbeats go on."""
+        self.silent_until_s = time.monotonic() + duration_s
+
+    async def _await_speech(self) -> None:
+        """Wait until the upstream is not silent."""
+        while (left_s := self.silent_until_s - time.monotonic()) > 0:
+            await asyncio.sleep(left_s)
+
+    async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write a part of a response; a silence or a pause cuts it anywhere, also at its ends."""
+        pauses = self.pauses_responses and self.source.random() < PAUSE_SHARE
+        if pauses or self.silent_until_s > time.monotonic():
+            cut = self.source.choice((0, self.source.randrange(len(data)), len(data)))
+            _write_if_open(writer, data[:cut])
+            data = data[cut:]
+            if pauses:
+                await asyncio.sleep(self.source.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+            await self._await_speech()
+        _write_if_open(writer, data)
+        await writer.drain()
+
     def list_active_reservations(self) -> list[str]:
         """Return the names of the reservations whose lease has not expired."""
         now_s = time.monotonic()
@@ -211,10 +242,12 @@
         }
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         if line.startswith("POST /laburnumrock/order"):
+            await self._await_speech()
             self._handle_order(writer, json.loads(body))
             await writer.drain()
             return
         request_id = headers.get("request-id", "")
+        self.tracker.reached.setdefault(request_id, set()).add(self.name)
         self._check_received(request_id, headers)
         self._count_against_limit(self.tracker.entries.get(request_id, ""))
         crashing = self.tracker.record_arrival(line, headers.get("prefix-hash"))
@@ -259,7 +292,7 @@
     ) -> None:
         self.tracker.runs[request_id] = self.tracker.runs.get(request_id, 0) + 1
         if self.mode == "engine_fails" and self.source.random() < 0.5:
-            writer.write(self._encode_head(500, request_id, 0, {}))
+            await self._write(writer, self._encode_head(500, request_id, 0, {}))
             return
         unframed = self.source.random() < UNFRAMED_SHARE
         if "/stream/" not in line:
@@ -269,7 +302,8 @@
                 return
             body = f"done {request_id}".encode()
             length = None if unframed else len(body)
-            writer.write(self._encode_head(200, request_id, length, {}, unframed) + body)
+            head = self._encode_head(200, request_id, length, {}, unframed)
+            await self._write(writer, head + body)
             if unframed:
                 writer.close()
             return
@@ -278,24 +312,24 @@
         if self.mode == "engine_cuts" and first <= STREAM_EVENTS:
             cut = self.source.randint(first, STREAM_EVENTS)
         content_type = {"Content-Type": "text/event-stream"}
-        writer.write(self._encode_head(200, request_id, None, content_type, unframed))
+        await self._write(writer, self._encode_head(200, request_id, None, content_type, unframed))
         for number in range(first, STREAM_EVENTS + 1):
             event = make_event(request_id, number)
             if number == cut:
-                _write_part(writer, event[: self.source.randrange(1, len(event))], unframed)
-                await writer.drain()
+                part = event[: self.source.randrange(1, len(event))]
+                await self._write(writer, _frame_part(part, unframed))
                 writer.close()
                 return
-            _write_part(writer, event, unframed)
-            await writer.drain()
+            await self._write(writer, _frame_part(event, unframed))
             await asyncio.sleep(EVENT_INTERVAL_S)
             if crashing is not None:
                 self._crash_under_request(crashing)
                 return
         if unframed:
+            await self._await_speech()
             writer.close()
         else:
-            writer.write(b"0\r\n\r\n")
+            await self._write(writer, b"0\r\n\r\n")
 
     def _encode_head(
         self,
@@ -350,6 +384,5 @@
         writer.write(data)
 
 
-def _write_part(writer: asyncio.StreamWriter, data: bytes, unframed: bool) -> None:
-    with contextlib.suppress(RuntimeError):
-        writer.write(data if unframed else f"{len(data):x}\r\n".encode() + data + b"\r\n")
+def _frame_part(data: bytes, unframed: bool) -> bytes:
+    return data if unframed else f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- a/laburnumrock/platform/soak/tests/core_faults.py
+++ b/laburnumrock/platform/soak/tests/core_faults.py
@@ -15,6 +15,14 @@
     """Leave the leader alone."""
 
 
+async def freeze_all_cores(soak: RunState) -> None:
+    """Freeze all cores to the end, so that the entries place requests alone."""
+    for core in list_cores(soak):
+        core.process.send(signal.SIGSTOP)
+    # The entries notice within a second that no core answers.
+    await asyncio.sleep(1.0)
+
+
 async def freeze_cores_in_turn(soak: RunState) -> None:
     """Freeze one core after the other, so that the leader changes several times."""
     for core in list_cores(soak):
--- a/laburnumrock/platform/soak/tests/test_repeated_requests.py
+++ b/laburnumrock/platform/soak/tests/test_repeated_requests.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 import time
 
 import pytest
@@ -11,6 +10,7 @@
 from laburnumrock.platform.soak._run import open_deployment, start_callers
 from laburnumrock.platform.soak._state import RunState, SoakSettings
 from laburnumrock.platform.soak.tests.core_faults import (
+    freeze_all_cores,
     freeze_cores_in_turn,
     keep_cores,
     list_cores,
@@ -36,14 +36,6 @@
         core.killed = False
 
 
-async def stop_all_cores(soak: RunState) -> None:
-    """Freeze all cores to the end, so that the entries place requests alone."""
-    for core in list_cores(soak):
-        core.process.send(signal.SIGSTOP)
-    # The entries notice within a second that no core answers.
-    await asyncio.sleep(1.0)
-
-
 def measure_service(soak: RunState, sent: dict[str, float], since_s: float, until_s: float):
     """Return the share of the requests sent in a period that have run."""
     names = [name for name, sent_s in sent.items() if since_s <= sent_s < until_s]
@@ -65,10 +57,10 @@
         ended_s = trouble_s + TROUBLE_S
         callers = start_callers(soak, rng, ended_s)
         await asyncio.sleep(CALM_S)
-        if during is stop_all_cores:
+        if during is freeze_all_cores:
             await during(soak)
         tracker.repeated.start(kind, "repeated")
-        if during is not stop_all_cores:
+        if during is not freeze_all_cores:
             await during(soak)
         await asyncio.sleep(ended_s - time.monotonic())
         for caller in callers:
@@ -114,4 +106,4 @@
     @KINDS
     def test_entries_without_a_leader(self, kind, tmp_path):
         """Guards against a repeated request that each entry sends to upstreams of its own."""
-        play(33, tmp_path, kind, stop_all_cores)
+        play(33, tmp_path, kind, freeze_all_cores)
--- a/laburnumrock/platform/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -69,6 +70,38 @@
         assert self.check("crashing stream", b"done c1-1") != []
 
 
+class TestClosedConnections:
+    """A caller finds its connection closed although its whole request was sent 1 s ago."""
+
+    def check(self, reused=False, reached=("engine0",), elapsed_s=1.0, fault="") -> list:
+        findings = Findings()
+        tracker = RequestTracker()
+        caller = Caller(1, [], findings, tracker, random.Random(1), set(), set(), host="entry")
+        tracker.reached["c1-1"] = set(reached)
+        findings.record_fault("engine_crash")
+        if fault:
+            findings.record_fault_at(fault)
+        caller._check_closed("c1-1", time.monotonic() - elapsed_s, reused)
+        return findings.broken
+
+    def test_request_that_reached_an_upstream(self):
+        """Guards against a check that a fault of another upstream or a silence turns off."""
+        assert self.check() != []
+        assert self.check(reused=True) != []
+        assert self.check(fault="engine1") != []
+
+    def test_new_connection(self):
+        """Guards against a check that misses requests which an entry has read and not sent on."""
+        assert self.check(reached=()) != []
+        assert self.check(reached=(), reused=True) == []
+
+    def test_excuses(self):
+        """Guards against findings that a fault of an involved process explains."""
+        for fault in ("entry", "cores", "engine0"):
+            assert self.check(fault=fault) == []
+        assert self.check(elapsed_s=4.1) == []
+
+
 class TestNetworks:
     def test_two_runs_of_a_seed(self, tmp_path):
         """Guards against concurrent runs whose nodes share addresses."""
@@ -79,24 +112,74 @@
         assert runs[0].network != runs[1].network
 
 
+class _RecordingWriter:
+    """Writer that records when the parts of a response were written."""
+
+    def __init__(self):
+        self.parts = []
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write(self, data: bytes) -> None:
+        self.parts.append((time.monotonic(), data))
+
+    async def drain(self) -> None:
+        await asyncio.sleep(0)
+
+
+def make_upstream(port: int = 1, proxy_port: int = 2) -> Upstream:
+    return Upstream(
+        "engine0",
+        "llm",
+        "zone-a",
+        "127.0.0.1",
+        port,
+        FaultyProxy("127.0.0.1", proxy_port, port),
+        Findings(),
+        RequestTracker(),
+        random.Random(1),
+    )
+
+
+class TestSilence:
+    def test_write_during_a_silence(self):
+        """Guards against silences that cut no response, or always at the same place."""
+
+        async def run():
+            upstream = make_upstream()
+            began_s = time.monotonic()
+            upstream.fall_silent(0.2)
+            writers = [_RecordingWriter() for _ in range(30)]
+            await asyncio.gather(*(upstream._write(one, b"id: 1\n\n") for one in writers))
+            first = [one.parts[0][1] for one in writers]
+            assert {b"", b"id: 1\n\n"} < set(first)
+            for one in writers:
+                assert b"".join(data for _, data in one.parts) == b"id: 1\n\n"
+                assert one.parts[0][0] < began_s + 0.1
+                assert one.parts[1][0] >= began_s + 0.2
+
+        asyncio.run(run())
+
+    def test_pauses_of_single_responses(self):
+        """Guards against pauses that affect no response, or all of them."""
+
+        async def run():
+            upstream = make_upstream()
+            upstream.pauses_responses = True
+            writers = [_RecordingWriter() for _ in range(200)]
+            await asyncio.gather(*(upstream._write(one, b"x") for one in writers))
+            assert 0 < sum(len(one.parts) == 2 for one in writers) < 30
+
+        asyncio.run(run())
+
+
 class TestUpstream:
     def test_two_restarts_at_the_same_time(self):
         """Guards against a fault that ends with an error since another one restarted its target."""
 
         async def run():
-            port, proxy_port = _find_free_ports(2)
-            proxy = FaultyProxy("127.0.0.1", proxy_port, port)
-            upstream = Upstream(
-                "engine0",
-                "llm",
-                "zone-a",
-                "127.0.0.1",
-                port,
-                proxy,
-                Findings(),
-                RequestTracker(),
-                random.Random(1),
-            )
+            upstream = make_upstream(*_find_free_ports(2))
             await upstream.start()
             upstream.crash()
             await asyncio.gather(upstream.start(), upstream.start())
