Count retries against the budget when they are placed, not when they are asked for

An entry whose send is overdue asks for another upstream again and again while none is free. Each ask took a retry from the budget of the service, and in the end callers got 429 for retries although nothing had been sent.

Cause: the leader and the entries that place alone took a retry before they chose an upstream. A retry that waited in the queue and was withdrawn had been counted too. Three tests failed before: five refused asks emptied a budget of two.

Now an ask only checks the budget, and the placement takes the retry, also for queued requests, which are refused when the budget is spent meanwhile. Ruled out: a larger budget, as its size is the operators' limit on what is sent.

--- a/laburnumrock/dispatch/_budget.py
+++ b/laburnumrock/dispatch/_budget.py
@@ -28,10 +28,14 @@
         self.requests.append(now_s)
         self._drop_expired(now_s)
 
-    def try_take_retry(self, now_s: float) -> bool:
-        """Count a retry and return True if the budget allows it."""
+    def allows_retry(self, now_s: float) -> bool:
+        """Whether the budget allows one more retry."""
         self._drop_expired(now_s)
-        if len(self.retries) + 1 > self.ratio * len(self.requests) + self.slack:
+        return len(self.retries) + 1 <= self.ratio * len(self.requests) + self.slack
+
+    def try_take_retry(self, now_s: float) -> bool:
+        """Count a retry, which is about to be sent, and return True if the budget allows it."""
+        if not self.allows_retry(now_s):
             return False
         self.retries.append(now_s)
         return True
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -38,6 +38,8 @@
 PERMIT_GRACE_S = 1.0
 """Minimum age at which a send is dropped because its entry node does not list it; the list may have
 been sent before the permit arrived."""
+RETRY_DELAY_S = 1.0
+"""Retry delay for requests that the retry budget does not allow to be sent again."""
 MAX_FAILED_PLACEMENTS = 6
 """Failed placements after which a pass leaves the other waiting requests for the next one, except
 expired ones. Evaluating a long prompt takes 1 ms, and a pass follows the end of each send."""
@@ -127,8 +129,8 @@
         budget = self._budget(call.service)
         if call.attempt <= 1:
             budget.record_request(now_s)
-        elif call.arrivals > 0 and not budget.try_take_retry(now_s):
-            return self.refusals.refuse(ErrorKind.RATE_LIMITED, 1.0)
+        elif call.arrivals > 0 and not budget.allows_retry(now_s):
+            return self.refusals.refuse(ErrorKind.RATE_LIMITED, RETRY_DELAY_S)
         if self.trials.must_wait(call):
             return self._hold(entry, call, now_s)
         choice = self._choose(domain, call, now_s)
@@ -343,6 +345,9 @@
         if choice.first_s > client_timeout_s(call):
             # The engine would work for a caller that has disconnected, while others wait.
             return self.refusals.refuse_unreachable(choice.first_s)
+        # A retry counts when it is placed: one that is refused or withdrawn sends nothing.
+        if call.arrivals > 0 and not self._budget(call.service).try_take_retry(now_s):
+            return self.refusals.refuse(ErrorKind.RATE_LIMITED, RETRY_DELAY_S)
         return self._grant(entry, choice, call, now_s)
 
     def _grant(
--- a/laburnumrock/dispatch/_local.py
+++ b/laburnumrock/dispatch/_local.py
@@ -110,7 +110,7 @@
         refusal = refuse_quarantined(self.quarantine, call, now_s)
         if refusal is not None:
             return refusal
-        if call.arrivals > 0 and not self.budget.try_take_retry(now_s):
+        if call.arrivals > 0 and not self.budget.allows_retry(now_s):
             return DispatchAnswer(refusal=ErrorKind.OWNER_UNAVAILABLE.value, retry_after_s=1.0)
         if now_s - self.placed_s > ALONE_GAP_S:
             # All entry nodes lose the dispatcher at the same time. Random levels spread the first
@@ -151,6 +151,8 @@
         if best is None:
             return DispatchAnswer(refusal=ErrorKind.NO_UPSTREAM.value, retry_after_s=1.0)
         report = best[1]
+        if call.arrivals > 0:
+            self.budget.try_take_retry(now_s)
         permit = self.next_permit
         self.next_permit -= 1
         self.domain_by_upstream[report.upstream_id] = report.failure_domain
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -280,6 +280,32 @@
         answers = [place(dispatcher, second) for _ in range(20)]
         assert sum(answer.permit > 0 for answer in answers) == 15
 
+    def test_refused_retries_take_nothing_from_the_budget(self):
+        """Guards against a budget that is spent by asking again while nothing is sent."""
+        dispatcher = make_dispatcher(engines=1, retry_ratio=0.0, retry_slack=2.0)
+        first = place(dispatcher, SHORT)
+        second = replace(SHORT, attempt=2, arrivals=1, excluded=[first.upstream_id])
+        for _ in range(5):
+            assert place(dispatcher, second).refusal == ErrorKind.NO_UPSTREAM
+        dispatcher.observe(make_report("llm", 1, 8), 10.0)
+        assert place(dispatcher, second).permit
+
+    def test_queued_retries_take_from_the_budget_when_they_are_placed(self):
+        """Guards against a budget that withdrawn requests have spent, or that queued ones exceed."""
+        dispatcher = make_dispatcher(engines=1, slots=1, retry_ratio=0.0, retry_slack=2.0)
+        running = [place(dispatcher, SHORT)]
+        # Retries may exceed the slots of an engine by two.
+        running += [place(dispatcher, replace(SHORT, attempt=2)) for _ in range(2)]
+        second = replace(SHORT, attempt=2, arrivals=1)
+        tickets = [dispatcher.place("entry", "a", second, 10.0) for _ in range(6)]
+        assert all(isinstance(ticket, int) for ticket in tickets)
+        dispatcher.queue.remove(tickets[0])
+        for answer in running:
+            dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.DONE), 10.1)
+        decided = [answer for _, answer in place_waiting(dispatcher, 10.1)]
+        assert sum(answer.permit > 0 for answer in decided) == 2
+        assert {answer.refusal for answer in decided} == {"", ErrorKind.RATE_LIMITED}
+
     def test_unresponsive_upstream_is_avoided(self):
         """Guards against new requests to an upstream that did not respond."""
         dispatcher = make_dispatcher(engines=2)
--- a/laburnumrock/dispatch/tests/test_local.py
+++ b/laburnumrock/dispatch/tests/test_local.py
@@ -13,6 +13,7 @@
     UpstreamReport,
     UpstreamState,
 )
+from laburnumrock.errors import ErrorKind
 
 SHORT = DispatchCall("s", 1, "llm", "one", 1, 5_000, 1_600, 0.3, 0.2, 10.0)
 LONG = replace(SHORT, prompt_tokens=200_000)
@@ -69,6 +70,16 @@
         granted = [local.place("a", make_upstreams(), second, 1.0).permit for _ in range(10)]
         assert sum(permit != 0 for permit in granted) == 1
 
+    def test_refused_retries_take_nothing_from_the_budget(self):
+        """Guards against a budget that is spent by asking again while nothing is sent."""
+        local = make_local()
+        local.share_budget(15, 0.0)
+        second = replace(SHORT, attempt=2, arrivals=1, excluded=["u0"])
+        for _ in range(5):
+            refusal = local.place("a", make_upstreams(1), second, 1.0).refusal
+            assert refusal == ErrorKind.NO_UPSTREAM
+        assert local.place("a", make_upstreams(2), second, 1.0).permit
+
     def test_send_that_reached_no_upstream_is_no_retry(self):
         """Guards against refusals of requests that no upstream has received."""
         local = make_local()
