Use an upstream again when a send that had stalled there goes on

Callers were refused or queued for seconds although an engine that had been silent for a second was sound again and had free slots.

Cause: each report of a stalled send doubles the time for which the engine is avoided. Four sends that stall together reach the limit of 4 s with their first reports, and nothing ended it: the first event after the silence only reset the next time. While one other upstream of the service is usable, an avoided one gets nothing, even if the other is full.

Two tests failed before: with two engines of four slots, the other one full, a request found no placement 0.4 s after all four sends of the silent engine had gone on. Now the first event or the whole end of a send that was reported as stalled ends the avoidance of its engines. An end that is no success does not, nor does a send that did not stall: with a cut between some entries and the engine, those of the others must not take it back. A stream that goes on after a silence between two events is noticed at its end only, since entries report no later events.

Ruled out: no doubling by reports of the same silence; an engine that stays silent would get more requests.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -204,7 +204,7 @@
             load = self.fleet.loads.get(name)
             if load is not None:
                 load.record_first_event(message.permit, message.first_s, now_s)
-        self.fleet.record_alive(send.upstream_id, now_s)
+        self._record_progress(send, now_s)
 
     def record_stalled(self, message: SendStalled, now_s: float) -> StallAdvice:
         """Advise on a send whose next event is overdue.
@@ -218,6 +218,7 @@
         send = self.sends.get(message.permit)
         if send is None:
             return StallAdvice(False)
+        send.has_stalled = True
         names = (send.upstream_id, *send.helped_by)
         missing = [name for name in names if self.fleet.is_gone_or_stale(name, now_s)]
         for name in missing:
@@ -247,7 +248,7 @@
         outcome = message.outcome
         if outcome is SendOutcome.DONE:
             load.record_outcome(False, now_s)
-            self.fleet.record_alive(send.upstream_id, now_s)
+            self._record_progress(send, now_s)
         elif outcome is not SendOutcome.CANCELLED and not message.unresponsive:
             load.record_outcome(True, now_s)
             if outcome in UNRESPONSIVE_OUTCOMES:
@@ -255,6 +256,17 @@
             elif outcome in ENDED_OUTCOMES:
                 self.fleet.record_process_ended(send.upstream_id, now_s)
 
+    def _record_progress(self, send: ActiveSend, now_s: float) -> None:
+        """Record a sign of life, and use the upstreams of a stalled send that goes on again."""
+        self.fleet.record_alive(send.upstream_id, now_s)
+        if not send.has_stalled:
+            return
+        send.has_stalled = False
+        for name in (send.upstream_id, *send.helped_by):
+            load = self.fleet.loads.get(name)
+            if load is not None:
+                load.end_ejection()
+
     def drop_unlisted_sends(self, entry: str, permits: set[int], now_s: float) -> None:
         """Drop the sends of an entry node that are missing from its list of permits."""
         lost = [
--- a/laburnumrock/dispatch/_load.py
+++ b/laburnumrock/dispatch/_load.py
@@ -58,6 +58,8 @@
         Upstreams that prefill parts of the prompt.
     is_part : bool
         Whether this upstream only prefills a part of a prompt for another one.
+    has_stalled : bool
+        Whether the send was reported as stalled since its last sign of progress.
     """
 
     permit: int
@@ -76,6 +78,7 @@
     peak_prefill_ms: float = 0.0
     helped_by: tuple[str, ...] = ()
     is_part: bool = False
+    has_stalled: bool = False
 
     @property
     def is_decoding(self) -> bool:
@@ -280,6 +283,11 @@
         self.ejection_s = min(max(EJECTION_INITIAL_S, 2 * self.ejection_s), EJECTION_MAX_S)
         self.ejected_until_s = now_s + self.ejection_s
 
+    def end_ejection(self) -> None:
+        """Return the upstream to selection, as a send that had stalled there goes on."""
+        self.ejection_s = 0.0
+        self.ejected_until_s = float("-inf")
+
     def current_failure_rate(self, now_s: float) -> float:
         """Moving average of failed sends, decayed over time."""
         age_s = max(0.0, now_s - self.failure_recorded_s)
--- a/laburnumrock/dispatch/tests/test_dispatcher.py
+++ b/laburnumrock/dispatch/tests/test_dispatcher.py
@@ -249,6 +249,50 @@
         dispatcher.directory.remove(answer.helpers[0].upstream_id, 10.1)
         assert dispatcher.record_stalled(SendStalled(answer.permit), 10.5).give_up
 
+    def stall_all_sends(self, dispatcher) -> list[DispatchAnswer]:
+        """Fill two engines and let all sends of one stall; return these sends."""
+        answers = [place(dispatcher, SHORT) for _ in range(8)]
+        stalled = [answer for answer in answers if answer.upstream_id == "llm0"]
+        assert len(stalled) == 4
+        for now_s in (10.9, 11.4):
+            for answer in stalled:
+                dispatcher.record_stalled(SendStalled(answer.permit), now_s)
+        for number in range(2):
+            report = replace(make_report("llm", number, 4), sequence=2)
+            dispatcher.observe(report, 11.5)
+        return stalled
+
+    def test_engine_that_goes_on_is_used_again(self):
+        """Guards against refusals for seconds while an engine that was silent has free slots."""
+        dispatcher = make_dispatcher(engines=2, slots=4)
+        stalled = self.stall_all_sends(dispatcher)
+        for answer in stalled:
+            dispatcher.record_started(SendStarted(answer.permit, 1.6), 11.6)
+        for answer in stalled[:2]:
+            dispatcher.record_ended(SendEnded(answer.permit, SendOutcome.CANCELLED), 11.7)
+        # The late first events make the engine look slow, so the request waits for a better one.
+        ticket = dispatcher.place("entry", "a", SHORT, 11.8)
+        ((decided, answer),) = place_waiting(dispatcher, 12.0)
+        assert (decided, answer.upstream_id) == (ticket, "llm0")
+
+    def test_stream_that_ends_after_a_stall(self):
+        """Guards against an engine that is avoided although its silent stream has ended whole."""
+        dispatcher = make_dispatcher(engines=2, slots=4)
+        stalled = self.stall_all_sends(dispatcher)
+        dispatcher.record_ended(SendEnded(stalled[0].permit, SendOutcome.DONE), 11.7)
+        assert place(dispatcher, SHORT, 11.8).upstream_id == "llm0"
+
+    def test_engine_that_stays_silent_is_avoided(self):
+        """Guards against an end of the avoidance by a send that did not stall."""
+        dispatcher = make_dispatcher(engines=2, slots=4)
+        stalled = self.stall_all_sends(dispatcher)
+        other = next(send for send in dispatcher.sends.values() if send.upstream_id == "llm1")
+        dispatcher.record_ended(SendEnded(stalled[0].permit, SendOutcome.SILENT), 11.7)
+        answer = dispatcher.place("entry", "a", SHORT, 11.8)
+        assert isinstance(answer, int) or not answer.permit
+        dispatcher.record_ended(SendEnded(other.permit, SendOutcome.DONE), 11.8)
+        assert place(dispatcher, SHORT, 11.8).upstream_id == "llm1"
+
 
 class TestLimits:
     def test_cold_upstream_gets_no_more_than_its_limit(self):
@@ -291,7 +335,7 @@
         assert place(dispatcher, second).permit
 
     def test_queued_retries_take_from_the_budget_when_they_are_placed(self):
-        """Guards against a budget that withdrawn requests have spent, or that queued ones exceed."""
+        """Guards against a budget that withdrawn requests spend, or that queued ones exceed."""
         dispatcher = make_dispatcher(engines=1, slots=1, retry_ratio=0.0, retry_slack=2.0)
         running = [place(dispatcher, SHORT)]
         # Retries may exceed the slots of an engine by two.
