--- a/laburnumrock/forwarding/_reservations.py
+++ b/laburnumrock/forwarding/_reservations.py
@@ -21,7 +21,10 @@
 LEASE_S = 3.2
 """Shorter than the 4 s after which unused memory is considered leaked."""
 RENEW_S = 1.0
-"""Interval of renewals; two of them may be lost before a lease expires."""
+"""Interval of renewals."""
+RENEW_RETRY_S = 0.2
+"""Delay after a renewal that failed, so that two of them in a row may be lost; with the whole
+interval, the lease expired 0.6 s before the third one."""
 CALL_TIMEOUT_S = 0.4
 """Many times the round trip; engines answer reservation calls without occupying a request slot."""
 RELEASE_ATTEMPTS = 6
@@ -70,18 +73,18 @@
             helpers that did not respond.
         """
         reserving = [helper for helper in helpers if helper.reserved_tokens > 0]
-        renewal = None
+        renewals: list[asyncio.Task] = []
         try:
             statuses = await asyncio.gather(*(self._reserve(name, helper) for helper in reserving))
             if all(status == RESERVED_STATUS for status in statuses):
-                if reserving:
-                    renewal = asyncio.create_task(self._renew(name, reserving))
+                # A helper that is silent must not delay the renewals at the others.
+                renewals = [asyncio.create_task(self._renew(name, one)) for one in reserving]
                 yield Ok([_describe(name, helper) for helper in helpers])
             else:
                 pairs = zip(reserving, statuses, strict=True)
                 yield Err([helper.upstream_id for helper, status in pairs if status is None])
         finally:
-            if renewal is not None:
+            for renewal in renewals:
                 renewal.cancel()
             for helper in reserving:
                 task = asyncio.create_task(self._release(name, helper))
@@ -93,10 +96,21 @@
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=timeout_s)
 
-    async def _renew(self, name: str, helpers: list[Helper]) -> None:
+    async def _renew(self, name: str, helper: Helper) -> None:
+        """Renew the lease at one helper until the task is cancelled."""
+        delay_s = RENEW_S
         while True:
-            await asyncio.sleep(RENEW_S)
-            await asyncio.gather(*(self._reserve(name, helper) for helper in helpers))
+            await asyncio.sleep(delay_s)
+            try:
+                status = await self._reserve(name, helper)
+            except Exception as error:
+                # Without its lease, the engine cuts the request off.
+                detail = f"{type(error).__name__}: {error}"
+                log_message(
+                    "memory_renewal_failed", name=name, upstream=helper.upstream_id, error=detail
+                )
+                status = None
+            delay_s = RENEW_S if status == RESERVED_STATUS else RENEW_RETRY_S
 
     async def _reserve(self, name: str, helper: Helper) -> int | None:
         call = self.wire.encode_reservation(name, helper.reserved_tokens, LEASE_S)
--- a/laburnumrock/forwarding/tests/test_reservations.py
+++ b/laburnumrock/forwarding/tests/test_reservations.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import time
 
 from laburnumrock.dispatch import Helper
 from laburnumrock.forwarding import ConnectionPool, ConnectionPoolSettings, Reservations
+from laburnumrock.forwarding._reservations import LEASE_S
 from laburnumrock.forwarding.tests.scripted import HOST, ScriptedUpstream, hang
 from laburnumrock.platform._wire import PlatformWire
 
@@ -22,12 +24,12 @@
 
 
 class TestHold:
-    def hold(self, *engines: ScriptedUpstream, used_s: float = 0.0) -> object:
+    def hold(self, *engines: ScriptedUpstream, used_s: float = 0.0, wire=None) -> object:
         async def run():
             for engine in engines:
                 await engine.start()
             pool = ConnectionPool(ConnectionPoolSettings())
-            reservations = Reservations(pool, PlatformWire())
+            reservations = Reservations(pool, wire or PlatformWire())
             helpers = [
                 Helper(f"u{number}", HOST, engine.port, 1000)
                 for number, engine in enumerate(engines)
@@ -74,3 +76,33 @@
         engine = ScriptedUpstream(respond(200))
         self.hold(engine, used_s=1.2)
         assert orders(engine) == ["reserve", "reserve", "release"]
+
+    def test_lease_outlasts_a_silent_engine(self):
+        """Guards against a lease that expires under its request since two renewals were lost."""
+        renewed_s = []
+
+        async def renew(reader, writer, received) -> None:
+            if json.loads(received.body)["op"] == "reserve":
+                renewed_s.append(time.monotonic())
+            await respond(200)(reader, writer, received)
+
+        engine = ScriptedUpstream(renew, hang(), hang(), renew)
+        self.hold(engine, used_s=LEASE_S)
+        assert len(renewed_s) >= 2
+        assert renewed_s[1] - renewed_s[0] < LEASE_S
+
+    def test_renewal_survives_an_error(self):
+        """Guards against a lease that expires since one of its renewals raised an error."""
+
+        class FailingWire(PlatformWire):
+            encoded = 0
+
+            def encode_reservation(self, name, token_count, lease_s):
+                self.encoded += 1
+                if self.encoded == 2:
+                    raise ValueError("cannot be encoded")
+                return super().encode_reservation(name, token_count, lease_s)
+
+        engine = ScriptedUpstream(respond(200))
+        self.hold(engine, used_s=2.5, wire=FailingWire())
+        assert orders(engine).count("reserve") >= 2
