--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -39,6 +39,8 @@
 PERMIT_GRACE_S = 1.0
 """Minimum age at which a send is dropped because its entry node does not list it; the list may have
 been sent before the permit arrived."""
+RETRY_DELAY_S = 1.0
+"""Retry delay for requests that the retry budget does not allow to be sent again."""
 MAX_FAILED_PLACEMENTS = 6
 """Failed placements after which a pass leaves the other waiting requests for the next one, except
 expired ones. Evaluating a long prompt takes 1 ms, and a pass follows the end of each send."""
@@ -128,8 +130,8 @@
         budget = self._budget(call.service)
         if call.attempt <= 1:
             budget.record_request(now_s)
-        elif call.arrivals > 0 and not budget.try_take_retry(now_s):
-            return self.refusals.refuse(ErrorKind.RATE_LIMITED, 1.0)
+        elif call.arrivals > 0 and not budget.allows_retry(now_s):
+            return self.refusals.refuse(ErrorKind.RATE_LIMITED, RETRY_DELAY_S)
         if self.trials.must_wait(call):
             return self._hold(entry, call, now_s)
         choice = self._choose(domain, call, now_s)
@@ -203,7 +205,7 @@
             load = self.fleet.loads.get(name)
             if load is not None:
                 load.record_first_event(message.permit, message.first_s, now_s)
-        self.fleet.record_alive(send.upstream_id, now_s)
+        self._record_progress(send, now_s)
 
     def record_stalled(self, message: SendStalled, now_s: float) -> StallAdvice:
         """Advise on a send whose next event is overdue.
@@ -217,6 +219,7 @@
         send = self.sends.get(message.permit)
         if send is None:
             return StallAdvice(False)
+        send.has_stalled = True
         names = (send.upstream_id, *send.helped_by)
         missing = [name for name in names if self.fleet.is_gone_or_stale(name, now_s)]
         for name in missing:
@@ -246,7 +249,7 @@
         outcome = message.outcome
         if outcome is SendOutcome.DONE:
             load.record_outcome(False, now_s)
-            self.fleet.record_alive(send.upstream_id, now_s)
+            self._record_progress(send, now_s)
         elif outcome is not SendOutcome.CANCELLED and not message.unresponsive:
             load.record_outcome(True, now_s)
             if outcome in UNRESPONSIVE_OUTCOMES:
@@ -254,6 +257,17 @@
             elif outcome in ENDED_OUTCOMES:
                 self.fleet.record_process_ended(send.upstream_id, now_s)
 
+    def _record_progress(self, send: ActiveSend, now_s: float) -> None:
+        """Record a sign of life, and use the upstreams of a stalled send that goes on again."""
+        self.fleet.record_alive(send.upstream_id, now_s)
+        if not send.has_stalled:
+            return
+        send.has_stalled = False
+        for name in (send.upstream_id, *send.helped_by):
+            load = self.fleet.loads.get(name)
+            if load is not None:
+                load.end_ejection()
+
     def drop_unlisted_sends(self, entry: str, permits: set[int], now_s: float) -> None:
         """Drop the sends of an entry node that are missing from its list of permits."""
         lost = [
@@ -358,6 +372,9 @@
         if choice.first_s > client_timeout_s(call):
             # The engine would work for a caller that has disconnected, while others wait.
             return self.refusals.refuse_unreachable(choice.first_s)
+        # A retry counts when it is placed: one that is refused or withdrawn sends nothing.
+        if call.arrivals > 0 and not self._budget(call.service).try_take_retry(now_s):
+            return self.refusals.refuse(ErrorKind.RATE_LIMITED, RETRY_DELAY_S)
         return self._grant(entry, choice, call, now_s)
 
     def _grant(
