--- a/laburnumrock/metrics/_log_writer.py
+++ b/laburnumrock/metrics/_log_writer.py
@@ -142,10 +142,14 @@
         self.lines_available.set()
 
     def _append(self, message: dict) -> None:
+        self.queue_line(self._encode(message))
+
+    def queue_line(self, line: bytes) -> None:
+        """Queue an encoded line, or count it as dropped if the queue is full."""
         if len(self.queue) >= self.limits.queued_lines:
             self.dropped += 1
             return
-        self.queue.append(self._encode(message))
+        self.queue.append(line)
         if not self.lines_available.is_set():
             self.lines_available.set()
 
--- a/laburnumrock/metrics/tests/test_log_writer.py
+++ b/laburnumrock/metrics/tests/test_log_writer.py
@@ -6,10 +6,11 @@
 import sys
 import threading
 import time
+from types import SimpleNamespace
 
 from eliot import log_message
 
-from laburnumrock.metrics import LogLimits, LogWriter, open_log_writer
+from laburnumrock.metrics import LogLimits, LogWriter, open_log, open_log_writer
 
 
 class Sink:
@@ -162,3 +163,21 @@
             assert events[0]["message_type"] == "first"
             if end == "freed":
                 assert events[-1]["message_type"] == "last"
+
+    def test_log_file_is_created_later(self, tmp_path, monkeypatch):
+        """Guards against a daemon that cannot start, since its log file cannot be created."""
+        path = tmp_path / "a1.log"
+        settings = SimpleNamespace(instance_id="a1", failure_domain="a", log_file=path)
+
+        def refuse(*arguments):
+            raise OSError(errno.ENOSPC, "no space left on device")
+
+        with monkeypatch.context() as patch:
+            patch.setattr("os.open", refuse)
+            log = open_log(settings)
+            log.__enter__()
+            log_message("first")
+        log_message("second")
+        log.__exit__(None, None, None)
+        lines = [json.loads(line) for line in path.read_text().splitlines()]
+        assert [line["message_type"] for line in lines][-2:] == ["first", "second"]
