Sync the files of the log before they are read at a start

A voter could forget a vote or entries that it had confirmed: a process is killed between a write and its sync, its successor reads the bytes and answers for them without a write of its own, and then a loss of power undoes them. Found by reading while outages of disks were examined; no caller has reported it.

FolderDisk.read, which is used only at the start, syncs the file, and the names of the folder before the first file.

test_bytes_of_a_killed_process_are_synced failed before (no sync at all) and passes. FakeDisk cannot show the fault, since its crash keeps what it keeps for good.

--- a/laburnumrock/replication/_disk.py
+++ b/laburnumrock/replication/_disk.py
@@ -37,13 +37,21 @@
         self.folder = folder
         self.handles: dict[str, int] = {}
         self.has_folder = False
-        self.unsynced_names = False
+        self.unsynced_names = True
 
     def read(self, name: str) -> bytes | None:
-        """Return the content of a file, or None if it does not exist."""
-        self._sync_names()
+        """Return the durable content of a file, or None if it does not exist.
+
+        Notes
+        -----
+        Files are read only at the start. A process that was killed may have left bytes and names
+        that no sync covers; the node would build on them, and a loss of power would undo them.
+        """
         try:
-            return (self.folder / name).read_bytes()
+            self._sync_names()
+            with (self.folder / name).open("rb") as file:
+                os.fsync(file.fileno())
+                return file.read()
         except FileNotFoundError:
             return None
 
--- a/laburnumrock/replication/tests/test_full_disks.py
+++ b/laburnumrock/replication/tests/test_full_disks.py
@@ -1,5 +1,6 @@
 """Tests of the replicated log on disks that are full for a while, with seeded faults."""
 
+import os
 import random
 
 import pytest
@@ -8,11 +9,15 @@
 from laburnumrock.messages import Send
 from laburnumrock.replication import (
     Apply,
+    Entry,
+    EntryKind,
     FolderDisk,
     LogStore,
     RaftNode,
     Restore,
     Role,
+    SaveEntries,
+    SaveHardState,
     SaveSnapshot,
     TransferLeadership,
 )
@@ -255,6 +260,32 @@
         assert disk.read("log") == b"old"
 
 
+class TestPredecessor:
+    def test_bytes_of_a_killed_process_are_synced(self, tmp_path, monkeypatch):
+        """Guards against votes and entries that are taken as stored, and undone by a power loss.
+
+        A process that is killed between a write and its sync leaves bytes which its successor can
+        read, and which are not durable.
+        """
+        before = LogStore(FolderDisk(tmp_path / "log"))
+        before.load(lambda: "identity").unwrap()
+        before.save(SaveHardState(3, "identity"))
+        before.save(SaveEntries([Entry(1, 3, EntryKind.NOOP, b"")]))
+        before.sync()
+        synced = []
+        fsync = os.fsync
+
+        def record(handle):
+            synced.append(os.fstat(handle).st_ino)
+            fsync(handle)
+
+        monkeypatch.setattr("os.fsync", record)
+        stored = LogStore(FolderDisk(tmp_path / "log")).load(lambda: "none").unwrap()
+        assert (stored.term, len(stored.entries)) == (3, 1)
+        for path in (tmp_path / "log", *(tmp_path / "log").iterdir()):
+            assert path.stat().st_ino in synced, path.name
+
+
 class TestRewrite:
     def test_log_stays_readable_at_any_failure(self):
         """Guards against stored states that a crash in the middle of a rewrite leaves behind."""
