Store local holds once the disk takes them, and keep them aside only if they are invalid

An emergency drain that began while the disk of an instance was full was not stored there: after a restart of all instances of the domain it would be forgotten. An error while the file was read renamed a valid file, with the same loss, and a rename that failed ended the start.

The declaration task now saves the holds again with each tick until that succeeds, with one log line. A file is renamed only if its content is invalid.

test_disk_that_refuses_reads_keeps_the_holds and test_holds_are_stored_once_there_is_room failed before and pass.

--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -204,6 +204,8 @@
         self.timer.wake()
 
     def _tick(self) -> None:
+        if not self.hold_file.is_current:
+            self.hold_file.save(self.view.holds)
         self._execute(self.sync.tick(self.clock()))
 
     def _receive(self, sender: str, message: object) -> None:
--- a/laburnumrock/daemon/_hold_file.py
+++ b/laburnumrock/daemon/_hold_file.py
@@ -1,5 +1,6 @@
 """File that persists the local holds across restarts."""
 
+import contextlib
 import json
 import os
 from pathlib import Path
@@ -22,19 +23,26 @@
 
     def __init__(self, folder: Path | None) -> None:
         self.path = None if folder is None else folder / FILE_NAME
+        self.is_current = True
 
     def load(self, registry: HoldRegistry) -> None:
         """Merge the stored holds into a registry.
 
-        An unreadable file is logged and renamed, so that it does not prevent a start.
+        An unreadable file is logged, so that it does not prevent a start. It is renamed only if its
+        content is invalid: an error of the disk may pass, and the holds are needed then.
         """
-        if self.path is None or not self.path.exists():
+        if self.path is None:
             return
         try:
             registry.restore(json.loads(self.path.read_text(encoding="utf-8")))
-        except (OSError, ValueError) as error:
+        except FileNotFoundError:
+            return
+        except OSError as error:
+            log_message("holds_unreadable", error=str(error))
+        except ValueError as error:
             log_message("holds_unreadable", error=str(error))
-            os.replace(self.path, self.path.with_suffix(".unreadable"))
+            with contextlib.suppress(OSError):
+                os.replace(self.path, self.path.with_suffix(".unreadable"))
 
     def save(self, registry: HoldRegistry) -> None:
         """Atomically replace the stored holds; durable when the call returns.
@@ -42,14 +50,18 @@
         Notes
         -----
         A failed write is logged and not raised: the hold is already effective in memory and on
-        the other instances of the domain, and an emergency drain must not depend on a disk.
+        the other instances of the domain, and an emergency drain must not depend on a disk. The
+        caller tries again while `is_current` is not set.
         """
         if self.path is None:
             return
         try:
             self._write(json.dumps(registry.to_plain()))
+            self.is_current = True
         except OSError as error:
-            log_message("holds_not_stored", error=str(error))
+            if self.is_current:
+                log_message("holds_not_stored", error=str(error))
+            self.is_current = False
 
     def _write(self, text: str) -> None:
         self.path.parent.mkdir(parents=True, exist_ok=True)
--- a/laburnumrock/daemon/tests/test_declaration_task.py
+++ b/laburnumrock/daemon/tests/test_declaration_task.py
@@ -162,3 +162,41 @@
         (tmp_path / "holds.json").write_text("{")
         HoldFile(tmp_path).load(HoldRegistry())
         assert (tmp_path / "holds.unreadable").exists()
+
+    def test_disk_that_refuses_reads_keeps_the_holds(self, tmp_path, monkeypatch):
+        """A passing error of the disk must not set the stored holds aside."""
+        registry = HoldRegistry()
+        registry.add("a", "op", 1.0)
+        HoldFile(tmp_path).save(registry)
+
+        def refuse(*arguments, **options):
+            raise OSError("the disk does not answer")
+
+        with monkeypatch.context() as patch:
+            patch.setattr("pathlib.Path.read_text", refuse)
+            HoldFile(tmp_path).load(HoldRegistry())
+        loaded = HoldRegistry()
+        HoldFile(tmp_path).load(loaded)
+        assert loaded.is_held("a", 0)
+
+    def test_holds_are_stored_once_there_is_room(self, tmp_path, monkeypatch):
+        """An emergency drain that began while the disk was full must survive a later restart."""
+
+        def refuse(handle):
+            raise OSError("no space left on device")
+
+        async def run():
+            log = FakeLog()
+            tasks = [await _start(settings, log) for settings in _make_settings(tmp_path)]
+            await _wait_for(lambda: all(task.is_ready() for task in tasks))
+            log.quorum = False
+            with monkeypatch.context() as patch:
+                patch.setattr("os.fsync", refuse)
+                tasks[3].add_hold("b", "op").unwrap()
+            await _wait_for(lambda: tasks[3].hold_file.is_current)
+            await _stop(tasks)
+
+        asyncio.run(run())
+        stored = HoldRegistry()
+        HoldFile(tmp_path / NAMES[3]).load(stored)
+        assert stored.is_held("b", 0)
