Fill the disk of a core in the soak, and test full disks of four and five voters

VoterPolicy removes a voter that is silent for 1.5 s if more than three remain, also one whose disk is full, and adds it again afterwards. test_full_disks_one_after_another shows with three, four and five voters that a leader is found within 0.2 s, that changes are committed throughout, and that all are voters again in the end; the policy stays as it is, since a voter less lets the group of four bear a further loss meanwhile. test_start_while_the_disk_hangs guards the start in the background.

--- a/laburnumrock/daemon/tests/test_full_disks.py
+++ b/laburnumrock/daemon/tests/test_full_disks.py
@@ -18,13 +18,17 @@
 
 
 class HangingDisk(FakeDisk):
-    """Disk whose syncs wait while it hangs."""
+    """Disk whose reads and syncs wait while it hangs."""
 
     def __init__(self):
         super().__init__()
         self.works = threading.Event()
         self.works.set()
 
+    def read(self, name):
+        self.works.wait()
+        return super().read(name)
+
     def sync(self, name):
         self.works.wait()
         super().sync(name)
@@ -271,3 +275,22 @@
                 disk.works.set()
 
         run(tmp_path, scenario, HangingDisk)
+
+    def test_start_while_the_disk_hangs(self, tmp_path):
+        """Guards against ports that stay closed, or a voter that stays away, after a start."""
+
+        async def scenario(cluster):
+            leader = await cluster.find_leader()
+            name = next(name for name in VOTERS if name != leader)
+            await cluster.stop(name)
+            cluster.disks[name].works.clear()
+            try:
+                await asyncio.wait_for(cluster.start(name), 3.0)
+                assert cluster.logs[name].is_storage_unavailable
+                assert (await cluster.commit(name))[0].is_ok()
+            finally:
+                cluster.disks[name].works.set()
+            await cluster.commit()
+            await cluster.expect_same_state()
+
+        run(tmp_path, scenario, HangingDisk)
--- a/laburnumrock/platform/soak/_faults.py
+++ b/laburnumrock/platform/soak/_faults.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Iterator
 
+from laburnumrock.platform.soak._disks import fill_disk, free_disk
 from laburnumrock.platform.soak._prompts import MAX_ARRIVALS, CrashRecord
 from laburnumrock.platform.soak._schedule import Step
 from laburnumrock.platform.soak._state import ZONES, Node, RunState
@@ -162,6 +163,10 @@
         )
     elif action == "torn_write":
         await _kill_and_restart(node, step.duration_s, lambda: _append_torn_frame(node))
+    elif action == "disk_full":
+        fill_disk(node.process)
+        await asyncio.sleep(step.duration_s)
+        free_disk(node.process)
     elif action == "pause":
         node.process.send(signal.SIGSTOP)
         await asyncio.sleep(step.duration_s)
--- a/laburnumrock/replication/tests/test_voter_policy.py
+++ b/laburnumrock/replication/tests/test_voter_policy.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from laburnumrock.messages import Send
 from laburnumrock.replication import Proposal, RaftNode, Role, StoredState, VoterPolicy
 from laburnumrock.settings import TimingSettings
@@ -133,6 +135,35 @@
         cluster.run(6.0)
         assert cut in cluster.voters()
 
+    @pytest.mark.parametrize("spare", ["", "d", "de"])
+    def test_full_disks_one_after_another(self, spare):
+        """Guards against a quorum that is lost to removals while disks are full in turn."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        for name in spare:
+            cluster.start(name, f"{name}1")
+        cluster.run(8.0)
+        names = sorted([*FIRST, *spare])
+        assert cluster.voters() == names
+        for full in [cluster.leader().instance_id, *names]:
+            effects = cluster.nodes[full].suspend(cluster.now_s)
+            cluster.down.add(full)
+            cluster._deliver(full, effects)
+            cluster.run(0.2)
+            assert cluster.leader() is not None
+            cluster.run(2.8)
+            index = cluster.propose()
+            cluster.run(0.2)
+            assert cluster.leader().commit_index >= index
+            cluster.nodes[full].resume(cluster.now_s)
+            cluster.down.discard(full)
+            cluster.run(0.4)
+        cluster.run(8.0)
+        assert cluster.voters() == names
+        assert {node.commit_index for node in cluster.nodes.values()} == {
+            cluster.leader().commit_index
+        }
+
     def test_quorum_survives_the_tolerated_disk_losses(self):
         """Guards against a lost quorum when voters are partitioned and others lose their disks."""
         cluster = Cluster(tolerated_losses=2)
