Wait for a write in progress when a log stops, for a limited time

test_lost_disk_is_replaced_by_an_operator_command failed in 2 of 30 runs beside load (0 of 30 on at the same time): the folder of a voter that had stopped changed while it was removed (vote.new, log).

Cause: since a stop no longer waits for the thread of the disk, a write that was under way could end after it, beside the next instance on the same folder. In a process of its own the exit ends the thread; in one process, two writers could share a folder for a moment.

The stop now waits until the queued calls are done, 0.5 s at most, so that a disk that hangs still delays nobody.

--- a/laburnumrock/daemon/_log_runner.py
+++ b/laburnumrock/daemon/_log_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import secrets
 import time
@@ -45,6 +46,9 @@
 """Time that a start waits for the stored log. A disk that hangs for longer must not keep the ports
 of the process closed, so the log is then loaded in the background."""
 
+STOP_WAIT_S = 0.5
+"""Maximum time that a stop waits for a write in progress; a planned stop has a few seconds."""
+
 _SAVE_EFFECTS = (SaveEntries, SaveHardState, SaveSnapshot)
 
 
@@ -158,12 +162,16 @@
         return await asyncio.get_running_loop().run_in_executor(self.executor, function, *arguments)
 
     async def stop(self) -> None:
-        """Stop immediately, without waiting for the disk; pending proposals and reads fail."""
+        """Stop; pending proposals and reads fail, and a disk that hangs is not waited for."""
         self.timer.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self._fail_pending("the instance is stopping")
+        # The next instance on the same folder must not find a write of this one in progress.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_WAIT_S):
+                await self._call_disk(lambda: None)
         self.executor.shutdown()
 
     def receive(self, sender: str, message: object) -> None:
