Wait 1 s for an upstream that has just expired before refusing

Callers were refused with no_upstream although the only engine worked: it had been silent for 1.7 s, and its streams had gone on and ended 20 ms before. Its next announcement was due within 0.5 s.

Cause: the pool owner refused new requests from the moment at which the announcement expired (2 s), which a silence of 2 s and the announcement period add up to exceed.

Now such a request is queued until the upstream returns, 1 s at most, and then refused. An upstream that announced that it leaves, or that serves other models, is not waited for. The owner publishes its load when an upstream expires, so that entries choose another failure domain.

--- a/laburnumrock/daemon/_pool_task.py
+++ b/laburnumrock/daemon/_pool_task.py
@@ -144,7 +144,11 @@
                 continue
             if self._split_if_too_large(runner):
                 continue
+            upstreams = len(runner.upstreams)
             self.execute(runner, runner.expire(timing.announcement_expiry_s, now_s))
+            if len(runner.upstreams) < upstreams:
+                # Requests that another failure domain can serve need not wait for the upstream.
+                self.next_summary_s = now_s
             self.execute(runner, runner.apply_service_states(self.view, now_s))
             self.execute(runner, runner.scheduler.tick(now_s))
             for engine in runner.due_reads(LOAD_READ_PERIOD_S, now_s):
--- a/laburnumrock/placement/_allocator.py
+++ b/laburnumrock/placement/_allocator.py
@@ -135,6 +135,12 @@
         """Refuse queued requests due for a check that are not expected to finish in time."""
         effects: list[Effect] = []
         for waiting in self.queue.due_for_check(now_s):
+            has_upstream = self.table.count_usable(waiting.request) > 0
+            if not has_upstream and not self._may_find_upstream(waiting, now_s):
+                self.queue.remove(waiting.key)
+                self.scheduler.clear_reservations(now_s, waiting.key)
+                effects.append(self.refuse(waiting, ErrorKind.NO_UPSTREAM, now_s))
+                continue
             if self._can_start_in_time(waiting, now_s):
                 check_s = now_s + MAX_QUEUE_FRACTION * (waiting.latest_start_s - now_s)
                 self.queue.reschedule_check(waiting.key, check_s)
@@ -187,12 +193,16 @@
         if len(self.queue) >= self.settings.max_queued:
             return ErrorKind.DEADLINE_UNREACHABLE
         if self.table.count_usable(waiting.request) <= 0:
-            discovering = now_s < self.scheduler.started_s + DISCOVERY_TIMEOUT_S
-            return None if discovering else ErrorKind.NO_UPSTREAM
+            return None if self._may_find_upstream(waiting, now_s) else ErrorKind.NO_UPSTREAM
         if waiting.length_class is LengthClass.SPANNING and not can_span(waiting, self.table):
             return ErrorKind.PROMPT_TOO_LONG
         return None
 
+    def _may_find_upstream(self, waiting: WaitingRequest, now_s: float) -> bool:
+        """Return whether an upstream for a request may be announced soon, if there is none."""
+        is_discovering = now_s < self.scheduler.started_s + DISCOVERY_TIMEOUT_S
+        return is_discovering or self.scheduler.find_return_limit_s(waiting.request, now_s) > 0
+
     def _enqueue(self, waiting: WaitingRequest, subqueue: str, now_s: float) -> list[Effect]:
         self.registry.end_overdue(now_s)
         check_s = waiting.deadline_s
@@ -209,6 +219,9 @@
                 return [self.refuse(waiting, ErrorKind.DEADLINE_UNREACHABLE, now_s)]
             first_check_s = now_s + MAX_QUEUE_FRACTION * waiting.request.remaining_s
             check_s = min(waiting.latest_start_s, first_check_s)
+        if self.table.count_usable(waiting.request) <= 0:
+            return_limit_s = self.scheduler.find_return_limit_s(waiting.request, now_s)
+            check_s = min(check_s, return_limit_s or check_s)
         self.queue.add(waiting, subqueue, check_s)
         self._reserve(self.queue.first(subqueue), now_s)
         return []
--- a/laburnumrock/placement/_ledger.py
+++ b/laburnumrock/placement/_ledger.py
@@ -160,9 +160,13 @@
     @property
     def is_usable(self) -> bool:
         """Whether the upstream is announced, in service and not leaving."""
+        return self.present and self.was_usable
+
+    @property
+    def was_usable(self) -> bool:
+        """Whether the upstream is in service and was not leaving at its last announcement."""
         return (
-            self.present
-            and self.in_service
+            self.in_service
             and self.announcement is not None
             and self.announcement.state is not UpstreamState.LEAVING
         )
--- a/laburnumrock/placement/_scheduler.py
+++ b/laburnumrock/placement/_scheduler.py
@@ -30,6 +30,9 @@
 # start and prefixes, and cancels on it are repeated. If it comes back later with requests still in
 # memory, `observe_held_requests` detects them.
 ABSENT_TIMEOUT_S = 60.0
+RETURN_GRACE_S = 1.0
+"""Time for which a request waits for an upstream that has just expired, if no other one serves it.
+An engine that is silent for 2 s may announce itself 3 s after its last announcement."""
 BUSY_TICK_S = 0.05
 """Interval of expiry, ageing and prediction updates while requests wait or run."""
 IDLE_TICK_S = 1.0
@@ -161,6 +164,16 @@
         self.table.reindex(ledger, now_s)
         return self.allocator.dispatch(now_s)
 
+    def find_return_limit_s(self, request: PermitRequest, now_s: float) -> float:
+        """Return until when an expired upstream that serves a request may return; 0 if none may."""
+        limits = [0.0]
+        for upstream_id, since_s in self.absent_since_s.items():
+            ledger = self.table.ledgers.get(upstream_id)
+            if ledger is not None and ledger.was_usable and ledger.serves(request):
+                limits.append(since_s + RETURN_GRACE_S)
+        limit_s = max(limits)
+        return limit_s if limit_s > now_s else 0.0
+
     def set_in_service(self, upstream_id: str, in_service: bool, now_s: float) -> list[Effect]:
         """Put an upstream in or out of service; granted permits are kept."""
         (self.drained.discard if in_service else self.drained.add)(upstream_id)
