Finish the requests of operators in a planned stop

An operator whose change was being committed as its instance stopped saw a closed connection, without an answer or a refusal, although the change was applied.

Cause: only completions and service calls counted as running, and the stop closes all connections once nothing runs.

Evidence: TestOperators.test_change_is_answered failed before (connection closed without a response).

Now each authenticated or refused request of the operator API counts as running until its response is written, and its responses say "Connection: close" during a stop. The status leaves out the request that asks for it.

--- a/laburnumrock/daemon/_instance.py
+++ b/laburnumrock/daemon/_instance.py
@@ -130,6 +130,7 @@
                 view,
                 self.network.traffic,
             ),
+            lifecycle=self.lifecycle,
             operator_key=keys.operator,
         )
 
--- a/laburnumrock/daemon/_operator_access.py
+++ b/laburnumrock/daemon/_operator_access.py
@@ -127,7 +127,8 @@
             "instance": self.settings.instance_id,
             "failure_domain": self.settings.failure_domain,
             "state": self.lifecycle.state,
-            "running_requests": self.lifecycle.running_requests,
+            # The request for this status counts as running itself.
+            "running_requests": max(0, self.lifecycle.running_requests - 1),
             "revision": self.view.revision,
             "stale": self.view.is_stale(now_s),
             "log_leader": self.log.is_leader,
--- a/laburnumrock/daemon/tests/test_planned_stop.py
+++ b/laburnumrock/daemon/tests/test_planned_stop.py
@@ -10,6 +10,9 @@
 from laburnumrock.daemon._lifecycle import Lifecycle, finish_requests
 from laburnumrock.daemon._operations import OperationClient
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.gateway import operator_routes
+from laburnumrock.gateway.tests._operator_fakes import KEY as OPERATOR_KEY
+from laburnumrock.gateway.tests._operator_fakes import make_services
 from laburnumrock.gateway.tests.fakes import KEY, ScriptedEngine, run_gateway
 from laburnumrock.journal import JournalPart, OperationState, SettleOperation
 from laburnumrock.settings import TimingSettings
@@ -18,6 +21,8 @@
 MAX_STOP_S = 2.5
 """Grace, drain and the time for final responses."""
 BODY_BYTES = 24 * 1024 * 1024
+STATE = {"type": "service_state", "kind": "upstream", "name": "e1", "state": "drained"}
+CHANGES = [{"action": "put", "declaration": STATE}]
 SERVICE_BODY = {"resume_from": 0, "max_tokens": 1}
 
 
@@ -158,6 +163,38 @@
             assert state is (OperationState.NOT_RUN if is_queued else OperationState.UNKNOWN)
 
 
+class TestOperators:
+    def test_change_is_answered(self):
+        """Guards against a change of the declarations that a planned stop leaves unanswered."""
+
+        async def run():
+            lifecycle = make_ready_lifecycle()
+            services = make_services(lifecycle)
+            submit = services.declarations.submit
+
+            async def submit_slowly(command):
+                await asyncio.sleep(0.4)
+                return await submit(command)
+
+            services.declarations.submit = submit_slowly
+            routes = operator_routes(services)
+            async with run_gateway(lifecycle=lifecycle, routes=routes) as gateway:
+                body = {"request_id": "c1", "base_revision": 0, "changes": CHANGES}
+                timing = TIMING.model_copy(update={"drain_timeout_s": 2.0})
+                key = f"Bearer {OPERATOR_KEY.decode()}"
+                change = asyncio.create_task(
+                    gateway.post("/operator/v1/changes", body, Authorization=key)
+                )
+                await asyncio.sleep(0.1)
+                await finish_requests(lifecycle, gateway.http, timing)
+                response = await change
+                assert (response.code, json.loads(response.body)["applied"]) == (200, True)
+                assert response.headers["Connection"] == "close"
+                assert lifecycle.running_requests == 0
+
+        asyncio.run(run())
+
+
 class TestConnections:
     def test_response_is_written_whole(self):
         """Guards against a stop that closes a connection while its response is being written."""
--- a/laburnumrock/gateway/_handler.py
+++ b/laburnumrock/gateway/_handler.py
@@ -1,11 +1,8 @@
 """Base classes of the HTTP handlers for callers and upstreams."""
 
-import asyncio
 import uuid
 
-from eliot import log_message
 from result import Err, Ok, Result
-from tornado.iostream import StreamClosedError
 from tornado.web import stream_request_body
 
 from laburnumrock.errors import ErrorKind, Failure
@@ -21,31 +18,6 @@
         """Store the services and generate a request id."""
         self.services = services
         self.request_id = uuid.uuid4().hex
-        self.written: asyncio.Future[None] | None = None
-
-    def flush(self, include_footers: bool = False) -> "asyncio.Future[None]":
-        """Write the response; during a planned stop, announce that the connection will close."""
-        if not self._headers_written and self.services.lifecycle.is_stopping():
-            self.set_header("Connection", "close")
-        return super().flush(include_footers)
-
-    def finish(self, chunk: str | bytes | dict | None = None) -> "asyncio.Future[None]":
-        """Finish the response and store the future that is done when it has been written."""
-        self.written = super().finish(chunk)
-        return self.written
-
-    async def wait_until_written(self) -> None:
-        """Wait until the response has left the write buffer of the connection.
-
-        A planned stop closes connections once no request is running, so a request counts as
-        running until then.
-        """
-        if self.written is None:
-            return
-        try:
-            await self.written
-        except StreamClosedError:
-            log_message("caller_left", request_id=self.request_id)
 
     def finish_with_failure(self, failure: Failure) -> None:
         """Count a failure and respond with its problem document."""
--- a/laburnumrock/gateway/_operator_base.py
+++ b/laburnumrock/gateway/_operator_base.py
@@ -1,5 +1,6 @@
 """Base class of the operator HTTP handlers."""
 
+import asyncio
 import hmac
 import json
 import uuid
@@ -24,13 +25,23 @@
         self.request_id = self.request.headers.get("X-Request-Id", "")[:200] or uuid.uuid4().hex
 
     def prepare(self) -> None:
-        """Reject requests without the operator key before they reach a handler method."""
+        """Reject requests without the operator key before they reach a handler method.
+
+        The request counts as running from here, so that a planned stop waits for its response.
+        """
+        self.services.lifecycle.adjust_request_count(1)
         scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
         is_valid = hmac.compare_digest(key.strip().encode(), self.services.operator_key)
         if scheme.lower() != "bearer" or not is_valid:
             detail = "the operator key is missing or wrong"
             self.finish_with_failure(Failure(ErrorKind.UNAUTHENTICATED, detail))
 
+    def finish(self, chunk: str | bytes | dict | None = None) -> "asyncio.Future[None]":
+        """Finish the response; the request counts as running until it has been written."""
+        written = super().finish(chunk)
+        written.add_done_callback(lambda _: self.services.lifecycle.adjust_request_count(-1))
+        return written
+
     @property
     def operator(self) -> str:
         """Operator name from the request header, for the change history."""
--- a/laburnumrock/gateway/_operator_services.py
+++ b/laburnumrock/gateway/_operator_services.py
@@ -13,6 +13,7 @@
     Hold,
 )
 from laburnumrock.errors import Failure
+from laburnumrock.gateway._interfaces import Lifecycle
 
 
 class DeclarationAccess(Protocol):
@@ -99,6 +100,8 @@
         Orders for engines.
     status : StatusAccess
         Status of the instance.
+    lifecycle : Lifecycle
+        Lifecycle state of the instance.
     operator_key : bytes
         Key with which operators authenticate.
     """
@@ -108,4 +111,5 @@
     voters: VoterAccess
     orders: OrderAccess
     status: StatusAccess
+    lifecycle: Lifecycle
     operator_key: bytes
--- a/laburnumrock/gateway/_problem_handler.py
+++ b/laburnumrock/gateway/_problem_handler.py
@@ -1,9 +1,11 @@
 """Base class of all HTTP handlers, which reports errors as problem documents."""
 
+import asyncio
 import json
 import math
 
 from eliot import log_message
+from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
 from laburnumrock.errors import ErrorKind, Failure, problem_document
@@ -16,11 +18,36 @@
     """Handler that responds to every error with a problem document (RFC 9457)."""
 
     request_id = ""
+    written: "asyncio.Future[None] | None" = None
 
     def set_default_headers(self) -> None:
         """Remove the ``Server`` header, which discloses the server software and version."""
         self.clear_header("Server")
 
+    def flush(self, include_footers: bool = False) -> "asyncio.Future[None]":
+        """Write the response; during a planned stop, announce that the connection will close."""
+        if not self._headers_written and self.services.lifecycle.is_stopping():
+            self.set_header("Connection", "close")
+        return super().flush(include_footers)
+
+    def finish(self, chunk: str | bytes | dict | None = None) -> "asyncio.Future[None]":
+        """Finish the response and store the future that is done when it has been written."""
+        self.written = super().finish(chunk)
+        return self.written
+
+    async def wait_until_written(self) -> None:
+        """Wait until the response has left the write buffer of the connection.
+
+        A planned stop closes connections once no request is running, so a request counts as
+        running until then.
+        """
+        if self.written is None:
+            return
+        try:
+            await self.written
+        except StreamClosedError:
+            log_message("caller_left", request_id=self.request_id)
+
     def finish_with_failure(self, failure: Failure) -> None:
         """Log a failure and respond with its problem document."""
         log_message(
--- a/laburnumrock/gateway/tests/_operator_fakes.py
+++ b/laburnumrock/gateway/tests/_operator_fakes.py
@@ -13,6 +13,7 @@
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway._operator import operator_routes
 from laburnumrock.gateway._operator_services import OperatorServices
+from laburnumrock.gateway.tests.fakes import FakeLifecycle
 
 KEY = b"operator-key-of-the-tests"
 
@@ -98,9 +99,10 @@
         return {"instance_id": "a1", "voters": self.voters}
 
 
-def make_services():
+def make_services(lifecycle=None):
     control = FakeOperatorBackend()
-    return OperatorServices(FakeDeclarations(), control, control, control, control, KEY)
+    backends = (FakeDeclarations(), control, control, control, control)
+    return OperatorServices(*backends, lifecycle or FakeLifecycle(), KEY)
 
 
 @contextmanager
--- a/laburnumrock/gateway/tests/fakes.py
+++ b/laburnumrock/gateway/tests/fakes.py
@@ -249,7 +249,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_gateway(*engines, lifecycle=None):
+async def run_gateway(*engines, lifecycle=None, routes=()):
     async with contextlib.AsyncExitStack() as stack:
         for engine in engines:
             server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
@@ -257,7 +257,7 @@
             engine.server = server
             engine.base_url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
         gateway = Gateway(engines, lifecycle)
-        gateway.http = serve_app(make_app(gateway.services), gateway.services)
+        gateway.http = serve_app(make_app(gateway.services, routes), gateway.services)
         yield gateway
         gateway.http.stop()
 
