Let a planned stop wait for requests whose body is arriving

A caller whose request body arrived while an idle instance stopped saw a closed connection without an answer: the stop closes all connections once nothing runs, and such a request did not count as running.

Evidence: test_request_whose_body_arrives_late[False] failed before (0 bytes read); it is now refused with 503 stopping, and a caller that leaves is not waited for.

A handler counts from its head to the begin of its method, to its response, or to the close of its connection. A body that never ends delays a stop by drain_timeout_s, as a response that is never read does. The handler of completions now also calls tornado's own handling of a closed connection, which it had replaced.

--- a/laburnumrock/daemon/tests/test_planned_stop.py
+++ b/laburnumrock/daemon/tests/test_planned_stop.py
@@ -241,6 +241,32 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize("leaves", [False, True])
+    def test_request_whose_body_arrives_late(self, leaves):
+        """Guards against a stop that closes a connection while the body of a request arrives."""
+
+        async def run():
+            async with run_gateway(lifecycle=make_ready_lifecycle()) as gateway:
+                port = gateway.services.settings.listen.caller_port
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                head, _, body = make_request_head().partition("{")
+                writer.write(head.encode())
+                timing = TIMING.model_copy(update={"drain_timeout_s": 2.0})
+                started_s = time.monotonic()
+                stop = asyncio.create_task(finish_requests(gateway.lifecycle, gateway.http, timing))
+                await asyncio.sleep(0.3)
+                if not leaves:
+                    writer.write(b"{" + body.encode())
+                    response = await reader.readuntil(b"\r\n\r\n")
+                    assert response.startswith(b"HTTP/1.1 503")
+                    assert b"Connection: close" in response
+                writer.close()
+                await stop
+                assert time.monotonic() - started_s < 1.5
+                assert gateway.lifecycle.running_requests == 0
+
+        asyncio.run(run())
+
     def test_caller_that_leaves_is_not_waited_for(self):
         """Guards against a request that counts as running after its caller left the response."""
 
--- a/laburnumrock/gateway/_announcements.py
+++ b/laburnumrock/gateway/_announcements.py
@@ -10,6 +10,7 @@
 
     def post(self) -> None:
         """Validate an announcement and forward it to the pool owner."""
+        self.end_reading()
         body = self.read_body().and_then(lambda data: parse_body(AnnouncementBody, data))
         if body.is_err():
             self.finish_with_failure(body.unwrap_err())
--- a/laburnumrock/gateway/_completions.py
+++ b/laburnumrock/gateway/_completions.py
@@ -34,6 +34,7 @@
 
     async def post(self) -> None:
         """Validate and run one completion, and write the response."""
+        self.end_reading()
         job = self._read_job()
         if job.is_err():
             self.finish_with_failure(job.unwrap_err())
@@ -62,6 +63,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the completion when the caller disconnects."""
+        super().on_connection_close()
         if self.run_task is not None:
             self.run_task.cancel()
 
--- a/laburnumrock/gateway/_handler.py
+++ b/laburnumrock/gateway/_handler.py
@@ -1,5 +1,6 @@
 """Base classes of the HTTP handlers for callers and upstreams."""
 
+import asyncio
 import uuid
 
 from result import Err, Ok, Result
@@ -37,6 +38,28 @@
         super().initialize(services)
         self.body_chunks: list[bytes] = []
         self.body_bytes = 0
+        self.is_reading = False
+
+    def prepare(self) -> None:
+        """Count the request as running while its body arrives, so that a planned stop waits."""
+        self.is_reading = True
+        self.services.lifecycle.adjust_request_count(1)
+
+    def end_reading(self) -> None:
+        """Stop counting the request as one whose body arrives."""
+        if self.is_reading:
+            self.is_reading = False
+            self.services.lifecycle.adjust_request_count(-1)
+
+    def finish(self, chunk: str | bytes | dict | None = None) -> "asyncio.Future[None]":
+        """Finish the response, also of a request that no method has handled."""
+        self.end_reading()
+        return super().finish(chunk)
+
+    def on_connection_close(self) -> None:
+        """Stop counting a request whose caller has left."""
+        self.end_reading()
+        super().on_connection_close()
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body, or discard the body once it exceeds the limit."""
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -75,6 +75,7 @@
         await self._route(service, path)
 
     async def _route(self, service: str, path: str) -> None:
+        self.end_reading()
         call = self._read_call(service, path)
         if call.is_err():
             self.finish_with_failure(call.unwrap_err())
