--- a/laburnumrock/gateway/_handler.py
+++ b/laburnumrock/gateway/_handler.py
@@ -3,9 +3,7 @@
 import asyncio
 import uuid
 
-from eliot import log_message
 from result import Err, Ok, Result
-from tornado.iostream import StreamClosedError
 from tornado.web import stream_request_body
 
 from laburnumrock.errors import ErrorKind, Failure
@@ -21,31 +19,6 @@
         """Store the services and generate a request id."""
         self.services = services
         self.request_id = uuid.uuid4().hex
-        self.written: asyncio.Future[None] | None = None
-
-    def flush(self, include_footers: bool = False) -> "asyncio.Future[None]":
-        """Write the response; during a planned stop, announce that the connection will close."""
-        if not self._headers_written and self.services.lifecycle.is_stopping():
-            self.set_header("Connection", "close")
-        return super().flush(include_footers)
-
-    def finish(self, chunk: str | bytes | dict | None = None) -> "asyncio.Future[None]":
-        """Finish the response and store the future that is done when it has been written."""
-        self.written = super().finish(chunk)
-        return self.written
-
-    async def wait_until_written(self) -> None:
-        """Wait until the response has left the write buffer of the connection.
-
-        A planned stop closes connections once no request is running, so a request counts as
-        running until then.
-        """
-        if self.written is None:
-            return
-        try:
-            await self.written
-        except StreamClosedError:
-            log_message("caller_left", request_id=self.request_id)
 
     def finish_with_failure(self, failure: Failure) -> None:
         """Count a failure and respond with its problem document."""
@@ -65,6 +38,28 @@
         super().initialize(services)
         self.body_chunks: list[bytes] = []
         self.body_bytes = 0
+        self.is_reading = False
+
+    def prepare(self) -> None:
+        """Count the request as running while its body arrives, so that a planned stop waits."""
+        self.is_reading = True
+        self.services.lifecycle.adjust_request_count(1)
+
+    def end_reading(self) -> None:
+        """Stop counting the request as one whose body arrives."""
+        if self.is_reading:
+            self.is_reading = False
+            self.services.lifecycle.adjust_request_count(-1)
+
+    def finish(self, chunk: str | bytes | dict | None = None) -> "asyncio.Future[None]":
+        """Finish the response, also of a request that no method has handled."""
+        self.end_reading()
+        return super().finish(chunk)
+
+    def on_connection_close(self) -> None:
+        """Stop counting a request whose caller has left."""
+        self.end_reading()
+        super().on_connection_close()
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body, or discard the body once it exceeds the limit."""
