Let the declared idle timeout of callers' connections rule

Callers saw a closed connection for a request on a reused connection: entries closed them after a fixed 20 s, whatever idle timeout the routes declare, and callers reuse connections up to four fifths of the declared time.

The entry itself closes idle connections, once a second, 5 s after the declared timeout (20 s for the 15 s of today, as before), and never with unread bytes. The timeout in force holds for connections that are open already; a shorter one comes into force when those that were idle before the change have reached the former one. Timeouts above 15 minutes are cut to that and announced with Keep-Alive. The header's time limit and the sizes of header and body follow larger declarations too; before, a header of more than 32 KiB closed the connection and a body of more than 8 MiB was refused. caller_connection_idle is logged where the entry closes, no longer for closes of callers; caller_header_slow is new.

Scripted upstreams read longer heads, and their closed connection has the method that sets the body size.

--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -60,6 +60,9 @@
         is overdue.
     default_timeout_s : float, > 0
         Time limit of requests whose route sets none.
+    max_idle_timeout_s : float, > 0
+        Maximum idle timeout of callers' connections; if the routes declare a longer one, responses
+        announce this one in a Keep-Alive header.
     """
 
     first_event_timeout_s: float = 0.9
@@ -74,6 +77,11 @@
     long_prompt_expected_factor: float = 4.0
     placement_retry_s: float = 0.5
     default_timeout_s: float = 30.0
+    max_idle_timeout_s: float = 900.0
+
+    def __post_init__(self) -> None:
+        if not 0.0 < self.max_idle_timeout_s < math.inf:
+            raise ValueError(f"max_idle_timeout_s: expected > 0, got {self.max_idle_timeout_s}")
 
 
 class DispatchClient(Protocol):
--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -163,10 +163,19 @@
     ) -> None:
         if self.context.stopping:
             headers["Connection"] = "close"
+        else:
+            self._announce_idle_timeout(headers)
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         self.head_written = True
         self.connection.write_headers(start_line, headers, body or None)
 
+    def _announce_idle_timeout(self, headers: HTTPHeaders) -> None:
+        """Announce the idle timeout if it is shorter than the one that the routes declare."""
+        table = self.context.route_table
+        longest_s = self.context.settings.max_idle_timeout_s
+        if table is not None and table.limits.idle_timeout_s > longest_s:
+            headers["Keep-Alive"] = f"timeout={int(longest_s)}"
+
 
 def is_success(response: UpstreamResponse) -> bool:
     """Return whether a response is a success that carries the signature of its upstream."""
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -25,13 +25,19 @@
 from laburnumrock.forwarding._connections import has_unread_data
 from laburnumrock.forwarding._context import ForwardingContext
 from laburnumrock.forwarding._forwarder import RequestForwarder
+from laburnumrock.forwarding._idle import IdleLimits
 from laburnumrock.forwarding._wire import CallerRequest
 
-IDLE_TIMEOUT_S = 20.0
-"""Idle timeout of callers' connections; longer than the 15 s that operators declare today."""
-MAX_HEADER_BYTES = 32 * 1024
-"""Twice the declared limit, which is checked once the routes are known."""
-MAX_BODY_BYTES = 8 * 1024 * 1024
+MIN_HEADER_TIMEOUT_S = 20.0
+"""Time limit for the header of a request, unless the routes declare a longer one."""
+HEADER_BYTES, MAX_HEADER_BYTES = 128 * 1024, 1024 * 1024
+"""Maximum size of a header, and of one that the routes declare; operators declare 16 KiB today."""
+BODY_BYTES, MAX_BODY_BYTES = 8 * 1024 * 1024, 64 * 1024 * 1024
+"""Maximum size of a body that is read, and of one that the routes declare; the declared limit is
+checked once the route is known."""
+SIZE_FACTOR = 2
+"""Ratio of the size that is read to the declared one, so that a request beyond the declared limit
+gets a response and not a closed connection."""
 BACKLOG = 512
 NEW_CONNECTION_S = 0.3
 """Time for which the first request of a new connection is awaited during a shutdown; it is usually
@@ -60,6 +66,12 @@
         self.port = 0
         self.connections: dict[HTTP1ServerConnection, _RequestReader] = {}
         self.tasks: dict[asyncio.Task, RequestForwarder] = {}
+        self.idle_limits = IdleLimits(context.settings.max_idle_timeout_s)
+        self.header_timeout_s = MIN_HEADER_TIMEOUT_S
+        self.body_bytes = BODY_BYTES
+        self.parameters = HTTP1ConnectionParameters(
+            max_header_size=HEADER_BYTES, max_body_size=BODY_BYTES
+        )
 
     def listen(self, host: str, port: int) -> None:
         """Open the port and accept connections."""
@@ -80,11 +92,49 @@
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Remove a closed connection."""
-        reader = self.connections.pop(server_conn, None)
-        if reader is not None and reader.request is None:
-            idle_s = time.monotonic() - reader.waiting_since_s
-            if idle_s >= IDLE_TIMEOUT_S:
-                log_message("caller_connection_idle", idle_s=round(idle_s, 2))
+        self.connections.pop(server_conn, None)
+
+    def update_limits(self) -> None:
+        """Apply the limits that the routes declare, to open connections too.
+
+        Notes
+        -----
+        A larger size of the header applies to an open connection from its second request on.
+        """
+        table = self.context.route_table
+        if table is None:
+            return
+        limits = table.limits
+        self.idle_limits.declare(limits.idle_timeout_s, time.monotonic())
+        longest_s = self.context.settings.max_idle_timeout_s
+        self.header_timeout_s = min(max(MIN_HEADER_TIMEOUT_S, limits.header_timeout_s), longest_s)
+        header_bytes = max(HEADER_BYTES, SIZE_FACTOR * limits.max_header_bytes)
+        self.parameters.max_header_size = min(header_bytes, MAX_HEADER_BYTES)
+        body_bytes = max(BODY_BYTES, SIZE_FACTOR * limits.max_body_bytes)
+        self.body_bytes = min(body_bytes, MAX_BODY_BYTES)
+
+    def close_expired(self) -> None:
+        """Close connections that have been idle for too long, or whose header is too slow."""
+        now_s = time.monotonic()
+        idle_timeout_s = self.idle_limits.find_timeout_s(now_s)
+        for connection, reader in list(self.connections.items()):
+            if reader.request is not None or connection.stream.closed():
+                continue
+            if has_unread_data(connection.stream):
+                if reader.head_since_s is None:
+                    reader.head_since_s = now_s
+                elif now_s - reader.head_since_s > self.header_timeout_s:
+                    log_message(
+                        "caller_header_slow", waited_s=round(now_s - reader.head_since_s, 2)
+                    )
+                    connection.stream.close()
+            elif (
+                now_s - reader.waiting_since_s > idle_timeout_s and not connection.stream.writing()
+            ):
+                log_message(
+                    "caller_connection_idle", idle_s=round(now_s - reader.waiting_since_s, 2)
+                )
+                connection.stream.close()
 
     def start_forwarding(
         self,
@@ -196,15 +246,11 @@
     def __init__(self, frontend: FrontendServer) -> None:
         super().__init__()
         self.frontend = frontend
-        self.parameters = HTTP1ConnectionParameters(
-            header_timeout=IDLE_TIMEOUT_S,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
-        )
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Start to serve an accepted connection."""
-        HTTP1ServerConnection(stream, self.parameters, address).start_serving(self.frontend)
+        connection = HTTP1ServerConnection(stream, self.frontend.parameters, address)
+        connection.start_serving(self.frontend)
 
 
 class _RequestReader(HTTPMessageDelegate):
@@ -220,6 +266,8 @@
         self.waiting_since_s = time.monotonic()
         # Whether it reads the first request of its connection.
         self.is_first = False
+        # When a part of the header was first seen, while the rest is awaited.
+        self.head_since_s: float | None = None
         self.chunks: list[bytes] = []
         self.task: asyncio.Task | None = None
 
@@ -236,6 +284,7 @@
 
     def headers_received(self, start_line, headers: HTTPHeaders) -> None:
         """Decode the request line and headers."""
+        self.connection.set_max_body_size(self.frontend.body_bytes)
         wire = self.frontend.context.wire
         try:
             self.request = wire.decode_request(start_line.method, start_line.path, headers)
--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -37,6 +37,8 @@
 )
 
 HOST = "127.0.0.1"
+MAX_HEAD_BYTES = 1024 * 1024
+"""Maximum size of the head of a request that an upstream reads."""
 
 
 @dataclass(slots=True)
@@ -63,7 +65,7 @@
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.server = await asyncio.start_server(self._serve, HOST, 0, limit=MAX_HEAD_BYTES)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -361,6 +363,9 @@
     def set_nodelay(self, value: bool) -> None:
         pass
 
+    def set_max_body_size(self, size: int) -> None:
+        pass
+
     def write_headers(self, start_line, headers, chunk=None) -> None:
         pass
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -74,7 +74,7 @@
 at the same time: they take up to 0.5 s longer than an entry node, and an election takes 0.4 to
 0.8 s."""
 HOUSEKEEPING_INTERVAL_S = 1.0
-"""Interval at which idle upstream connections are closed; upstreams state idle timeouts in whole
+"""Interval at which idle connections of upstreams and callers are closed; their timeouts are whole
 seconds."""
 MAX_LOGGED_REQUESTS = 100
 """Maximum number of ids of unanswered requests in the log line at the end of a shutdown."""
@@ -465,6 +465,7 @@
             log_message("routes_unreadable", failure=str(decoded.unwrap_err()))
             return
         self.context.route_table = RouteTable(decoded.unwrap())
+        self.frontend.update_limits()
         self._update_ready()
         self.routes_version = view.routes_version
         self.metrics.routes_version.set(view.routes_version)
@@ -473,5 +474,6 @@
     def _run_housekeeping(self) -> None:
         self.quarantine.expire(time.monotonic())
         self.pool.close_idle()
+        self.frontend.close_expired()
         opened, self.pool.opened = self.pool.opened, 0
         self.metrics.upstream_connections.inc(opened)
--- a/laburnumrock/platform/_routes.py
+++ b/laburnumrock/platform/_routes.py
@@ -125,7 +125,10 @@
     return RouteLimits(
         max_header_bytes=read_whole(entry, "max_header_bytes", 0) or default.max_header_bytes,
         max_body_bytes=read_whole(entry, "max_body_bytes", 0) or default.max_body_bytes,
-        idle_timeout_s=(read_number(entry, "idle_timeout_ms", 0.0) or 15_000) / MS_PER_S,
+        header_timeout_s=(read_number(entry, "header_timeout_ms", 0.0) / MS_PER_S)
+        or default.header_timeout_s,
+        idle_timeout_s=(read_number(entry, "idle_timeout_ms", 0.0) / MS_PER_S)
+        or default.idle_timeout_s,
     )
 
 
--- a/laburnumrock/routing/_types.py
+++ b/laburnumrock/routing/_types.py
@@ -170,12 +170,15 @@
     ----------
     max_header_bytes, max_body_bytes : int
         Maximum sizes of the header and body of a request.
+    header_timeout_s : float
+        Time in which a caller sends the header of a request.
     idle_timeout_s : float
         Time after which an idle connection is closed.
     """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
 
