Refuse announcements that messages or sums cannot bear

Texts must now be printable names of at most 200 characters, numbers bounded, and addresses usable. Prompts, models and users of completions must be encodable. A load report of an engine with an infinite number of tokens no longer raises OverflowError in its reader.

--- a/laburnumrock/daemon/_engine_calls.py
+++ b/laburnumrock/daemon/_engine_calls.py
@@ -71,7 +71,7 @@
             held.update(
                 {str(holding["request_id"]): int(holding["tokens"]) for holding in load["holdings"]}
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
             return Err(Failure(ErrorKind.UPSTREAM_FAILED, f"{base_url}/v1/load: {error!r}"))
         return Ok(held)
 
--- a/laburnumrock/gateway/_bodies.py
+++ b/laburnumrock/gateway/_bodies.py
@@ -1,8 +1,9 @@
 """Request body models of the gateway."""
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
+from urllib.parse import urlsplit
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
 from laburnumrock.documents import parse_json
@@ -13,9 +14,46 @@
 MAX_OUTPUT_TOKENS = 100_000
 MAX_NAME_LENGTH = 200
 
+MAX_WHOLE = 2**63 - 1
+"""Largest whole number, as in the databases and messages of other systems."""
+MAX_NUMBER = 1e15
+"""Largest other number, far above all times and rates, so that products stay finite."""
+
 Model = TypeVar("Model", bound=BaseModel)
 
 
+def _check_encodable(value: str) -> str:
+    """Refuse lone surrogates, which JSON can contain and messages cannot."""
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise ValueError("cannot be encoded as UTF-8") from error
+    return value
+
+
+def _check_printable(value: str) -> str:
+    """Refuse control characters, which would get into log lines, headers and metrics."""
+    if not value.isprintable():
+        raise ValueError("has characters that are not printable")
+    return value
+
+
+def _check_address(url: str) -> str:
+    """Refuse URLs to which no request can be sent."""
+    parts = urlsplit(url)
+    if not parts.hostname or parts.port == 0 or parts.netloc != url.removeprefix("http://"):
+        raise ValueError("has no usable host and port")
+    if "@" in parts.netloc or " " in parts.netloc:
+        raise ValueError("has user information or spaces")
+    return url
+
+
+Text = Annotated[str, AfterValidator(_check_encodable)]
+Name = Annotated[str, Field(max_length=MAX_NAME_LENGTH), AfterValidator(_check_printable)]
+Count = Annotated[int, Field(ge=0, le=MAX_WHOLE)]
+Rate = Annotated[float, Field(ge=0, le=MAX_NUMBER, allow_inf_nan=False)]
+
+
 class StrictBody(BaseModel):
     """Base model that rejects unknown fields and does not coerce types."""
 
@@ -39,44 +77,44 @@
         End user within the client account.
     """
 
-    prompt: str = Field(min_length=1)
+    prompt: Text = Field(min_length=1)
     max_tokens: int = Field(default=16, gt=0, le=MAX_OUTPUT_TOKENS)
-    model: str | None = None
+    model: Text | None = None
     stream: bool = False
-    user: str = Field(default="", max_length=MAX_NAME_LENGTH)
+    user: Text = Field(default="", max_length=MAX_NAME_LENGTH)
 
 
 class CacheEventBody(StrictBody):
     """Cache event inside an announcement."""
 
-    sequence: int = Field(ge=0)
-    prefix_hash: str
+    sequence: Count
+    prefix_hash: Name
     event: str = Field(pattern="^(stored|evicted)$")
 
 
 class AnnouncementBody(StrictBody):
     """Body of ``POST /upstreams/announcements``; fields as in `UpstreamAnnouncement`."""
 
-    upstream_id: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    upstream_id: Name = Field(min_length=1)
     kind: UpstreamKind = Field(strict=False)
-    failure_domain: str = Field(min_length=1)
-    incarnation: int = Field(ge=0)
-    base_url: str = Field(pattern=r"^http://[^/]+$")
-    models: list[str] = []
-    adapters: list[str] = []
-    versions: list[str] = []
-    services: list[str] = []
-    role: str = "general"
-    kv_capacity_tokens: int = Field(default=0, ge=0)
-    prefill_tokens_per_s: float = Field(default=0.0, ge=0)
-    decode_step_s: float = Field(default=0.0, ge=0)
+    failure_domain: Name = Field(min_length=1)
+    incarnation: Count
+    base_url: Annotated[Name, AfterValidator(_check_address)] = Field(pattern=r"^http://[^/]+$")
+    models: list[Name] = []
+    adapters: list[Name] = []
+    versions: list[Name] = []
+    services: list[Name] = []
+    role: Name = "general"
+    kv_capacity_tokens: Count = 0
+    prefill_tokens_per_s: Rate = 0.0
+    decode_step_s: Rate = 0.0
     state: UpstreamState = Field(default=UpstreamState.READY, strict=False)
-    running: int = Field(default=0, ge=0)
-    waiting: int = Field(default=0, ge=0)
-    kv_used_tokens: int = Field(default=0, ge=0)
-    measured_age_s: float = Field(default=0.0, ge=0)
+    running: Count = 0
+    waiting: Count = 0
+    kv_used_tokens: Count = 0
+    measured_age_s: Rate = 0.0
     cache_events: list[CacheEventBody] = []
-    max_requests_per_s: float | None = Field(default=None, ge=0, allow_inf_nan=False)
+    max_requests_per_s: Rate | None = None
 
     def to_announcement(self) -> UpstreamAnnouncement:
         """Convert to the message exchanged between instances."""
