--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -32,6 +32,7 @@
 )
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.messages import Effect, Send, from_plain
+from laburnumrock.periodic import log_errors
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
@@ -246,13 +247,14 @@
     async def _enter_holds(self) -> None:
         while True:
             await asyncio.sleep(ENTER_HOLDS_PERIOD_S)
-            for hold in self.view.holds.pending():
-                answer = await self.log.propose(EnterHold(hold, self.wall_clock()))
-                if answer.is_err() or answer.unwrap().kind is not None:
-                    continue
-                if self.view.holds.mark_entered(hold, answer.unwrap().revision):
-                    log_message("hold_entered", failure_domain=hold.failure_domain)
-                    self._execute(self.sync.push_holds())
+            with log_errors("entry of holds"):
+                for hold in self.view.holds.pending():
+                    answer = await self.log.propose(EnterHold(hold, self.wall_clock()))
+                    if answer.is_err() or answer.unwrap().kind is not None:
+                        continue
+                    if self.view.holds.mark_entered(hold, answer.unwrap().revision):
+                        log_message("hold_entered", failure_domain=hold.failure_domain)
+                        self._execute(self.sync.push_holds())
 
     def _exchange_holds(self, sender: str, exchange: HoldExchange) -> HoldExchange:
         self._execute(self.sync.merge_holds(exchange.holds))
--- a/laburnumrock/daemon/_order_task.py
+++ b/laburnumrock/daemon/_order_task.py
@@ -23,6 +23,7 @@
     SendOrder,
 )
 from laburnumrock.orders._controller import CALL_TIMEOUT_S
+from laburnumrock.periodic import log_errors
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
@@ -115,10 +116,11 @@
 
     async def _run(self) -> None:
         while True:
-            now_s = time.monotonic()
-            self.controller.observe_leadership(self.leader_term(), now_s)
-            for effect in self.controller.tick(now_s):
-                self._spawn(self._execute(effect))
+            with log_errors("engine orders"):
+                now_s = time.monotonic()
+                self.controller.observe_leadership(self.leader_term(), now_s)
+                for effect in self.controller.tick(now_s):
+                    self._spawn(self._execute(effect))
             await asyncio.sleep(TICK_S if self.log.is_leader else FOLLOWER_TICK_S)
 
     async def _execute(self, effect: Effect) -> None:
--- a/laburnumrock/daemon/_owner_monitor.py
+++ b/laburnumrock/daemon/_owner_monitor.py
@@ -10,6 +10,7 @@
 from laburnumrock.daemon._operations import OperationClient
 from laburnumrock.journal import JournalPart
 from laburnumrock.membership import DeadInstanceDetector, DomainDigest
+from laburnumrock.periodic import log_errors
 from laburnumrock.settings import InstanceSettings
 
 PERIOD_S = 0.5
@@ -81,11 +82,12 @@
 
     async def _run(self) -> None:
         while True:
-            now_s = time.monotonic()
-            domain = self.settings.failure_domain
-            self.dead_instance_detector.observe_own_domain(self.live_members(domain), now_s)
-            if self.log.is_leader:
-                for owner in self.find_dead_owners(now_s):
-                    answer = await self.operations.abandon_owner(owner)
-                    log_message("owner_abandoned", owner=owner, accepted=answer.is_ok())
+            with log_errors("owner monitor"):
+                now_s = time.monotonic()
+                domain = self.settings.failure_domain
+                self.dead_instance_detector.observe_own_domain(self.live_members(domain), now_s)
+                if self.log.is_leader:
+                    for owner in self.find_dead_owners(now_s):
+                        answer = await self.operations.abandon_owner(owner)
+                        log_message("owner_abandoned", owner=owner, accepted=answer.is_ok())
             await asyncio.sleep(PERIOD_S)
--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -13,6 +13,7 @@
 from laburnumrock.daemon._pool_runner import ServiceStateView
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.ownership import PoolOwner
+from laburnumrock.periodic import log_errors
 from laburnumrock.placement import (
     PermitCancel,
     PermitGrant,
@@ -281,14 +282,15 @@
     async def _renew_permits(self) -> None:
         while True:
             await asyncio.sleep(self.settings.timing.permit_ttl_s / RENEWALS_PER_TTL)
-            grants: dict[tuple[PoolOwner, str], list[PermitGrant]] = {}
-            for held in self.held.values():
-                pool_id, owner = self._find_permit_owner(held)
-                if owner is not None:
-                    grants.setdefault((owner, pool_id), []).append(held.grant)
-            for (owner, pool_id), pool_grants in grants.items():
-                renewal = make_renewal(pool_id, owner.epoch, pool_grants)
-                self.network.send(owner.instance_id, renewal)
+            with log_errors("permit renewal"):
+                grants: dict[tuple[PoolOwner, str], list[PermitGrant]] = {}
+                for held in self.held.values():
+                    pool_id, owner = self._find_permit_owner(held)
+                    if owner is not None:
+                        grants.setdefault((owner, pool_id), []).append(held.grant)
+                for (owner, pool_id), pool_grants in grants.items():
+                    renewal = make_renewal(pool_id, owner.epoch, pool_grants)
+                    self.network.send(owner.instance_id, renewal)
 
 
 def _unavailable(awaits_owner: bool) -> Failure:
--- a/laburnumrock/daemon/_quota_task.py
+++ b/laburnumrock/daemon/_quota_task.py
@@ -17,6 +17,7 @@
 from laburnumrock.declarations import DeclarationView, Limits
 from laburnumrock.membership import DomainDigest
 from laburnumrock.messages import Effect, Send
+from laburnumrock.periodic import log_errors
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
@@ -78,11 +79,12 @@
 
     async def _run(self) -> None:
         while True:
-            now_s = time.monotonic()
-            manager = self._find_manager(now_s)
-            if manager is not None:
-                manager.set_coordinators(self._live_coordinators(now_s))
-                self._send(manager.tick(now_s))
+            with log_errors("quotas"):
+                now_s = time.monotonic()
+                manager = self._find_manager(now_s)
+                if manager is not None:
+                    manager.set_coordinators(self._live_coordinators(now_s))
+                    self._send(manager.tick(now_s))
             await asyncio.sleep(TICK_S)
 
     def _find_manager(self, now_s: float) -> QuotaManager | None:
--- a/laburnumrock/daemon/_quotas.py
+++ b/laburnumrock/daemon/_quotas.py
@@ -15,6 +15,7 @@
     QuotaRequest,
 )
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.periodic import log_errors
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
@@ -116,8 +117,9 @@
     async def _renew(self) -> None:
         while True:
             await asyncio.sleep(RENEWAL_S)
-            if self.held:
-                self._send(QuotaRenewal(list(self.held.values())))
+            with log_errors("quota renewal"):
+                if self.held:
+                    self._send(QuotaRenewal(list(self.held.values())))
 
     def _send(self, message: object) -> None:
         coordinator = self.ownership.find_coordinator()
--- a/laburnumrock/forwarding/_reservations.py
+++ b/laburnumrock/forwarding/_reservations.py
@@ -17,6 +17,7 @@
 from laburnumrock.forwarding._connections import ConnectionPool
 from laburnumrock.forwarding._exchange import UpstreamResponse, exchange, parse_keep_alive_s
 from laburnumrock.forwarding._wire import CallerRequest, WireFormat
+from laburnumrock.periodic import log_errors
 
 LEASE_S = 3.2
 """Shorter than the 4 s after which unused memory is considered leaked."""
@@ -96,7 +97,8 @@
     async def _renew(self, name: str, helpers: list[Helper]) -> None:
         while True:
             await asyncio.sleep(RENEW_S)
-            await asyncio.gather(*(self._reserve(name, helper) for helper in helpers))
+            with log_errors("lease renewal"):
+                await asyncio.gather(*(self._reserve(name, helper) for helper in helpers))
 
     async def _reserve(self, name: str, helper: Helper) -> int | None:
         call = self.wire.encode_reservation(name, helper.reserved_tokens, LEASE_S)
--- a/laburnumrock/metrics/tests/test_events.py
+++ b/laburnumrock/metrics/tests/test_events.py
@@ -12,6 +12,7 @@
 SOURCES = (
     "forwarding",
     "nodes",
+    "periodic",
     "platform",
     "transport",
     "daemon/_log_runner.py",
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -36,12 +36,12 @@
     EntryWelcome,
     UpstreamNews,
 )
-from laburnumrock.nodes._periodic import run_every
 from laburnumrock.nodes._quarantine import QuarantineReplicator
 from laburnumrock.nodes._report_exchange import ReportExchange
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.nodes._views import ViewBase, ViewPublisher
 from laburnumrock.nodes._voters import plan_voters
+from laburnumrock.periodic import run_every
 from laburnumrock.replication import VoterPolicy
 from laburnumrock.routing import (
     RouteDocument,
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -38,7 +38,6 @@
 from laburnumrock.nodes._crash_evidence import CrashEvidence
 from laburnumrock.nodes._entry_count import EntryCount
 from laburnumrock.nodes._messages import CrashedRequests, EntryHello, EntryWelcome, View
-from laburnumrock.nodes._periodic import log_failed_work, run_every
 from laburnumrock.nodes._reachability import (
     HELLO_INTERVAL_S,
     compute_hello_interval_s,
@@ -46,6 +45,7 @@
 )
 from laburnumrock.nodes._send_records import ActiveSendRecord, describe_send
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
+from laburnumrock.periodic import log_errors, run_every
 from laburnumrock.routing import RouteTable
 from laburnumrock.transport import PeerNetwork
 
@@ -341,13 +341,11 @@
 
     async def _run_hellos(self) -> None:
         while True:
-            try:
+            with log_errors("hello"):
                 if self.leader is not None:
                     await self._send_hello(self.leader)
                 if self.leader is None:
                     await self._find_leader()
-            except Exception as error:
-                log_failed_work("hello", error)
             self.hello_requested.clear()
             interval_s = self.hello_interval_s if self.leader is not None else HELLO_INTERVAL_S / 5
             with contextlib.suppress(TimeoutError):
--- /dev/null
+++ b/laburnumrock/periodic/__init__.py
@@ -0,0 +1,5 @@
+"""Periodic work, which a single error does not end."""
+
+from laburnumrock.periodic._periodic import log_errors, run_every
+
+__all__ = ["log_errors", "run_every"]
--- /dev/null
+++ b/laburnumrock/periodic/_periodic.py
@@ -0,0 +1,38 @@
+"""Periodic work, which a single error does not end."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+
+from eliot import log_message
+
+
+async def run_every(interval_s: float, work: Callable[[], None]) -> None:
+    """Call a function at an interval until the task is cancelled.
+
+    Parameters
+    ----------
+    interval_s : float, > 0
+        Time between two calls.
+    work : callable
+        Function to call; an exception is logged and the next call takes place as usual.
+    """
+    while True:
+        await asyncio.sleep(interval_s)
+        with log_errors(work.__name__):
+            work()
+
+
+@contextlib.contextmanager
+def log_errors(name: str) -> Iterator[None]:
+    """Log an error of periodic work, which then goes on.
+
+    Parameters
+    ----------
+    name : str
+        Name of the work in the log line.
+    """
+    try:
+        yield
+    except Exception as error:
+        log_message("periodic_work_failed", work=name, error=f"{type(error).__name__}: {error}")
