Leave more of the grace for the exit of an entry

With three busy test runs on the machine an entry that stopped was still there 8.0 s after SIGTERM (test_planned_stops.py: change_leader and stay_calm, once each): closing the links to a paused core takes up to 0.6 s, and the exit of the interpreter 0.1 to 0.4 s. Closing the links is now bounded by 0.1 s, and the margin before the end of the grace is 1.0 s instead of 0.8 s.

--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -84,11 +84,12 @@
 MAX_BALANCER_SHARE = 0.5
 """Maximum share of the shutdown for which the load balancer is waited for, so that requests of the
 last connections have time to end."""
-SHUTDOWN_MARGIN_S = 0.8
-"""Time reserved for the responses of the requests that the shutdown ends, and for closing, before
-the process is killed."""
-RELEASE_TIMEOUT_S, FLUSH_TIMEOUT_S = 0.25, 0.1
-"""Parts of that time for the release of memory on engines, and for telling the leader."""
+SHUTDOWN_MARGIN_S = 1.0
+"""Time reserved, before the process is killed, for the responses of the requests that the shutdown
+ends, for the time limits below, and for the exit of the interpreter, which takes 0.1 to 0.4 s."""
+RELEASE_TIMEOUT_S, FLUSH_TIMEOUT_S, CLOSE_TIMEOUT_S = 0.2, 0.1, 0.1
+"""Parts of that time for the release of memory on engines, for telling the leader, and for closing
+the links, on which a core that is paused does not answer."""
 
 
 class EntryNode:
@@ -185,7 +186,9 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.pool.close()
-        await self.network.stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self.network.stop()
         unanswered = sorted(task.get_name() for task in self.frontend.tasks)
         log_message(
             "entry_stopped", runs=len(unanswered), requests=unanswered[:MAX_LOGGED_REQUESTS]
--- a/laburnumrock/platform/soak/tests/test_planned_stops.py
+++ b/laburnumrock/platform/soak/tests/test_planned_stops.py
@@ -188,7 +188,8 @@
         entry.process.send(signal.SIGTERM)
         soak.start_task(beside(soak, record))
         status = await asyncio.to_thread(entry.process.wait, GRACE_S)
-        assert status == 0, f"the process ended with {status}"
+        ended_s = time.monotonic() - record.stopped_s
+        assert status == 0, f"the process ended with {status}, {ended_s:.2f} s after SIGTERM"
         # Upstreams that still run a request, and sends to another one, would be seen now.
         await asyncio.sleep(0.3)
     return record
