--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -15,7 +15,6 @@
 from laburnumrock.daemon._hold_file import HoldFile
 from laburnumrock.daemon._lagging_instances import INSTANCE_TIMEOUT_S, LaggingInstanceFinder
 from laburnumrock.daemon._log_access import LogAccess, ReplicaAccess
-from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.declarations import (
     ApplyChange,
     ChangeAnswer,
@@ -33,6 +32,7 @@
 )
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.messages import Effect, Send, from_plain
+from laburnumrock.periodic import run_periodically
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
--- a/laburnumrock/daemon/_order_task.py
+++ b/laburnumrock/daemon/_order_task.py
@@ -9,7 +9,6 @@
 
 from laburnumrock.daemon._log_task import LogTask
 from laburnumrock.daemon._order_calls import OrderCalls
-from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.messages import Effect, to_plain
 from laburnumrock.orders import (
@@ -24,6 +23,7 @@
     SendOrder,
 )
 from laburnumrock.orders._controller import CALL_TIMEOUT_S
+from laburnumrock.periodic import run_periodically
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
--- a/laburnumrock/daemon/_owner_monitor.py
+++ b/laburnumrock/daemon/_owner_monitor.py
@@ -8,9 +8,9 @@
 
 from laburnumrock.daemon._log_task import LogTask
 from laburnumrock.daemon._operations import OperationClient
-from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.journal import JournalPart
 from laburnumrock.membership import DeadInstanceDetector, DomainDigest
+from laburnumrock.periodic import run_periodically
 from laburnumrock.settings import InstanceSettings
 
 PERIOD_S = 0.5
--- a/laburnumrock/daemon/_permits.py
+++ b/laburnumrock/daemon/_permits.py
@@ -8,12 +8,12 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.daemon._pool_choice import choose_pool
 from laburnumrock.daemon._pool_directory import PoolDirectory
 from laburnumrock.daemon._pool_runner import ServiceStateView
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.ownership import PoolOwner
+from laburnumrock.periodic import run_periodically
 from laburnumrock.placement import (
     PermitCancel,
     PermitGrant,
--- a/laburnumrock/daemon/_quota_task.py
+++ b/laburnumrock/daemon/_quota_task.py
@@ -14,10 +14,10 @@
     ShareReport,
 )
 from laburnumrock.daemon._ownership_task import OwnershipTask
-from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.declarations import DeclarationView, Limits
 from laburnumrock.membership import DomainDigest
 from laburnumrock.messages import Effect, Send
+from laburnumrock.periodic import run_periodically
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
--- a/laburnumrock/daemon/_quotas.py
+++ b/laburnumrock/daemon/_quotas.py
@@ -14,8 +14,8 @@
     QuotaRenewal,
     QuotaRequest,
 )
-from laburnumrock.daemon._periodic import run_periodically
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.periodic import run_periodically
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
--- a/laburnumrock/forwarding/_reservations.py
+++ b/laburnumrock/forwarding/_reservations.py
@@ -17,6 +17,7 @@
 from laburnumrock.forwarding._connections import ConnectionPool
 from laburnumrock.forwarding._exchange import UpstreamResponse, exchange, parse_keep_alive_s
 from laburnumrock.forwarding._wire import CallerRequest, WireFormat
+from laburnumrock.periodic import log_errors
 
 LEASE_S = 3.2
 """Shorter than the 4 s after which unused memory is considered leaked."""
@@ -101,15 +102,10 @@
         delay_s = RENEW_S
         while True:
             await asyncio.sleep(delay_s)
-            try:
+            status = None
+            # Without its lease, the engine cuts the request off, so that no error may end the loop.
+            with log_errors("lease renewal"):
                 status = await self._reserve(name, helper)
-            except Exception as error:
-                # Without its lease, the engine cuts the request off.
-                detail = f"{type(error).__name__}: {error}"
-                log_message(
-                    "memory_renewal_failed", name=name, upstream=helper.upstream_id, error=detail
-                )
-                status = None
             delay_s = RENEW_S if status == RESERVED_STATUS else RENEW_RETRY_S
 
     async def _reserve(self, name: str, helper: Helper) -> int | None:
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -38,7 +38,6 @@
 from laburnumrock.nodes._crash_evidence import CrashEvidence
 from laburnumrock.nodes._entry_count import EntryCount
 from laburnumrock.nodes._messages import CrashedRequests, EntryHello, EntryWelcome, View
-from laburnumrock.nodes._periodic import log_failed_work, run_every
 from laburnumrock.nodes._reachability import (
     HELLO_INTERVAL_S,
     compute_hello_interval_s,
@@ -46,6 +45,7 @@
 )
 from laburnumrock.nodes._send_records import ActiveSendRecord, describe_send
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
+from laburnumrock.periodic import log_errors, run_every
 from laburnumrock.routing import RouteTable
 from laburnumrock.transport import PeerNetwork
 
@@ -74,7 +74,7 @@
 at the same time: they take up to 0.5 s longer than an entry node, and an election takes 0.4 to
 0.8 s."""
 HOUSEKEEPING_INTERVAL_S = 1.0
-"""Interval at which idle upstream connections are closed; upstreams state idle timeouts in whole
+"""Interval at which idle connections of upstreams and callers are closed; their timeouts are whole
 seconds."""
 MAX_LOGGED_REQUESTS = 100
 """Maximum number of ids of unanswered requests in the log line at the end of a shutdown."""
@@ -84,11 +84,12 @@
 MAX_BALANCER_SHARE = 0.5
 """Maximum share of the shutdown for which the load balancer is waited for, so that requests of the
 last connections have time to end."""
-SHUTDOWN_MARGIN_S = 0.8
-"""Time reserved for the responses of the requests that the shutdown ends, and for closing, before
-the process is killed."""
-RELEASE_TIMEOUT_S, FLUSH_TIMEOUT_S = 0.25, 0.1
-"""Parts of that time for the release of memory on engines, and for telling the leader."""
+SHUTDOWN_MARGIN_S = 1.0
+"""Time reserved, before the process is killed, for the responses of the requests that the shutdown
+ends, for the time limits below, and for the exit of the interpreter, which takes 0.1 to 0.4 s."""
+RELEASE_TIMEOUT_S, FLUSH_TIMEOUT_S, CLOSE_TIMEOUT_S = 0.2, 0.1, 0.1
+"""Parts of that time for the release of memory on engines, for telling the leader, and for closing
+the links, on which a core that is paused does not answer."""
 
 
 class EntryNode:
@@ -185,7 +186,9 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.pool.close()
-        await self.network.stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self.network.stop()
         unanswered = sorted(task.get_name() for task in self.frontend.tasks)
         log_message(
             "entry_stopped", runs=len(unanswered), requests=unanswered[:MAX_LOGGED_REQUESTS]
@@ -341,13 +344,11 @@
 
     async def _run_hellos(self) -> None:
         while True:
-            try:
+            with log_errors("hello"):
                 if self.leader is not None:
                     await self._send_hello(self.leader)
                 if self.leader is None:
                     await self._find_leader()
-            except Exception as error:
-                log_failed_work("hello", error)
             self.hello_requested.clear()
             interval_s = self.hello_interval_s if self.leader is not None else HELLO_INTERVAL_S / 5
             with contextlib.suppress(TimeoutError):
@@ -465,6 +466,7 @@
             log_message("routes_unreadable", failure=str(decoded.unwrap_err()))
             return
         self.context.route_table = RouteTable(decoded.unwrap())
+        self.frontend.update_limits()
         self._update_ready()
         self.routes_version = view.routes_version
         self.metrics.routes_version.set(view.routes_version)
@@ -473,5 +475,6 @@
     def _run_housekeeping(self) -> None:
         self.quarantine.expire(time.monotonic())
         self.pool.close_idle()
+        self.frontend.close_expired()
         opened, self.pool.opened = self.pool.opened, 0
         self.metrics.upstream_connections.inc(opened)
