Let callers of the soak use connections again that were idle for up to 2 s

The soak's callers never paused for longer than 0.25 s, and a close of a connection in use again was not checked at all.

Now its configuration declares an idle timeout of 2.5 s, one pause in twenty lasts up to four fifths of it, and a close without an answer is a finding there too, unless the entry is in a planned stop. A unit test scripts the cases.

--- a/laburnumrock/platform/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import dataclass, field
 
-from laburnumrock.platform.soak._findings import CORES, Findings
+from laburnumrock.platform.soak._findings import CORES, Findings, name_planned_stop
 from laburnumrock.platform.soak._prompts import make_prefix
 from laburnumrock.platform.soak._schedule import REQUEST_KINDS
 from laburnumrock.platform.soak._upstreams import STREAM_EVENTS, RequestTracker, make_event
@@ -14,6 +14,12 @@
 API_KEY = "soak-key"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 DEADLINE_S = 4.0
+IDLE_TIMEOUT_S = 2.5
+"""Time for which the configuration allows connections to be idle."""
+MAX_IDLE_S = 0.8 * IDLE_TIMEOUT_S
+"""Longest time after which callers use an idle connection again."""
+IDLE_SHARE = 0.05
+"""Share of the pauses between two requests that may take this long."""
 RESPONSE_MARGIN_S = 1.0
 """Time past its deadline after which a request without a response is counted as ``held``."""
 
@@ -59,7 +65,8 @@
     async def run(self, until_s: float) -> None:
         """Send requests sequentially until a time of the monotonic clock."""
         while time.monotonic() < until_s:
-            await asyncio.sleep(self.source.uniform(0.02, 0.25))
+            idles = self.source.random() < IDLE_SHARE
+            await asyncio.sleep(self.source.uniform(0.02, MAX_IDLE_S if idles else 0.25))
             try:
                 await self._send_one()
             except (OSError, asyncio.IncompleteReadError, TimeoutError):
@@ -118,13 +125,17 @@
 
         Notes
         -----
-        A request on a connection in use again may cross its close, and then reaches no upstream.
+        A request on a connection in use again may cross its close in a planned stop, and then
+        reaches no upstream.
         """
         reached = self.tracker.reached.get(request_id, set())
         elapsed_s = time.monotonic() - sent_s
-        if (reused and not reached) or elapsed_s >= DEADLINE_S:
+        if elapsed_s >= DEADLINE_S:
             return
-        if self.findings.are_fault_free_since({self.host, CORES, *reached}, sent_s):
+        targets = {self.host, CORES, *reached}
+        if reused and not reached:
+            targets.add(name_planned_stop(self.host))
+        if self.findings.are_fault_free_since(targets, sent_s):
             detail = f"{request_id} at {self.host} after {elapsed_s:.2f} s, reached {reached}"
             self.findings.report("whole requests are answered", detail)
 
--- a/laburnumrock/platform/soak/_faults.py
+++ b/laburnumrock/platform/soak/_faults.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Iterator
 
-from laburnumrock.platform.soak._findings import CORES
+from laburnumrock.platform.soak._findings import CORES, name_planned_stop
 from laburnumrock.platform.soak._prompts import MAX_ARRIVALS, CrashRecord
 from laburnumrock.platform.soak._schedule import Step
 from laburnumrock.platform.soak._state import ZONES, Node, RunState
@@ -216,6 +216,7 @@
         soak.findings.record_fault("core stop", 2.0)
         soak.findings.record_fault_at(CORES, 2.0)
     soak.stopping.add(node.host)
+    soak.findings.record_fault_at(name_planned_stop(node.host), STOP_TIMEOUT_S)
     node.process.send(signal.SIGTERM)
     deadline_s = time.monotonic() + STOP_TIMEOUT_S
     while node.process.is_running and time.monotonic() < deadline_s:
--- a/laburnumrock/platform/soak/_findings.py
+++ b/laburnumrock/platform/soak/_findings.py
@@ -14,6 +14,11 @@
 """Name under which the faults of all cores are recorded."""
 
 
+def name_planned_stop(host: str) -> str:
+    """Return the name under which the planned stops of an entry are recorded."""
+    return f"planned stop of {host}"
+
+
 @dataclass(slots=True)
 class Findings:
     """Observations of a soak run.
--- a/laburnumrock/platform/soak/_operator.py
+++ b/laburnumrock/platform/soak/_operator.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass
 
-from laburnumrock.platform.soak._callers import API_KEY, HOSTNAME
+from laburnumrock.platform.soak._callers import API_KEY, HOSTNAME, IDLE_TIMEOUT_S
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._upstreams import ACCOUNT, SLOTS
 
@@ -65,6 +65,12 @@
         "version": version,
         "routes": routes,
         "services": [{"name": "llm", "engine": engine}, {"name": "app"}],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": int(IDLE_TIMEOUT_S * 1000),
+        },
         "tenants": [{"name": ACCOUNT, "api_keys": [API_KEY]}],
     }
     return json.dumps(document).encode()
--- a/laburnumrock/platform/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -8,6 +8,7 @@
 
 from laburnumrock.platform.soak import ACTIONS, Findings, SoakSettings, make_schedule, run_soak
 from laburnumrock.platform.soak._callers import Caller
+from laburnumrock.platform.soak._findings import name_planned_stop
 from laburnumrock.platform.soak._run import _claim_network, _find_free_ports
 from laburnumrock.platform.soak._schedule import CORE_RECOVERY_S
 from laburnumrock.platform.soak._state import RunState
@@ -93,7 +94,14 @@
     def test_new_connection(self):
         """Guards against a check that misses requests which an entry has read and not sent on."""
         assert self.check(reached=()) != []
-        assert self.check(reached=(), reused=True) == []
+
+    def test_idle_connection(self):
+        """Guards against entries that close connections sooner than the configuration allows."""
+        assert self.check(reached=(), reused=True) != []
+        stop = name_planned_stop("entry")
+        assert self.check(reached=(), reused=True, fault=stop) == []
+        assert self.check(reused=True, fault=stop) != []
+        assert self.check(reached=(), fault=stop) != []
 
     def test_excuses(self):
         """Guards against findings that a fault of an involved process explains."""
