Don't let unplaceable retries hold up the other waiting requests

Requests waited to the end of their time in the queue although an upstream of their service was free, while an engine was silent.

Cause: a pass over the queue stops after six failed placements, of all services together. Retries come first, and since each overdue send asks again and again, so six retries that may not use the silent engine, and find the others full, ended each pass. Two tests failed before: a request to another service, and a new request that the engine which the retries exclude could take; neither was placed when a slot became free.

Now failed placements count apart for each service, and for first sends and retries.

--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -1,6 +1,7 @@
 """Central dispatcher that places the requests of all entry nodes."""
 
 import random
+from collections import Counter
 
 from laburnumrock.dispatch._budget import RetryBudget
 from laburnumrock.dispatch._chooser import Choice, UpstreamChooser
@@ -42,7 +43,9 @@
 """Retry delay for requests that the retry budget does not allow to be sent again."""
 MAX_FAILED_PLACEMENTS = 6
 """Failed placements after which a pass leaves the other waiting requests for the next one, except
-expired ones. Evaluating a long prompt takes 1 ms, and a pass follows the end of each send."""
+expired ones. Evaluating a long prompt takes 1 ms, and a pass follows the end of each send. First
+sends and retries of each service count apart: retries come first, and those of a silent engine fail
+in each pass while a free upstream could take the other requests."""
 
 
 class Dispatcher:
@@ -153,7 +156,7 @@
             Failure domain of each entry node.
         """
         decided = []
-        failed = 0
+        failed: Counter[tuple[str, bool]] = Counter()
         for ticket, queued in self.queue.in_order(now_s):
             refusal = refuse_quarantined(self.quarantine, queued.call, now_s)
             if refusal is not None:
@@ -163,7 +166,8 @@
             held = self.trials.must_wait(queued.call)
             if held and not expired:
                 continue
-            if failed >= MAX_FAILED_PLACEMENTS and not expired:
+            group = (queued.call.service, queued.call.attempt > 1)
+            if failed[group] >= MAX_FAILED_PLACEMENTS and not expired:
                 continue
             call = queued.remaining_call(now_s)
             domain = domains.get(queued.entry, "")
@@ -177,7 +181,7 @@
                 answer = self.refusals.refuse(ErrorKind.CONCURRENCY_LIMITED, retry_s)
                 decided.append(QueueDecision(ticket, queued, answer))
             else:
-                failed += 1
+                failed[group] += 1
         for decision in decided:
             self.queue.remove(decision.ticket)
         return decided
--- a/laburnumrock/dispatch/tests/test_waiting.py
+++ b/laburnumrock/dispatch/tests/test_waiting.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from laburnumrock.dispatch import Dispatcher, SendEnded, SendOutcome
+from laburnumrock.dispatch import DispatchAnswer, Dispatcher, SendEnded, SendOutcome
 from laburnumrock.dispatch._dispatcher import MAX_FAILED_PLACEMENTS
 from laburnumrock.dispatch.tests.builders import (
     PLAIN,
@@ -44,6 +44,34 @@
         # Expired requests are decided nevertheless.
         assert [ticket for ticket, _ in place_waiting(dispatcher, 11.0)] == tickets
 
+    def queue_unplaceable_retries(self, dispatcher: Dispatcher) -> None:
+        """Queue retries of streams whose engine `llm1` is silent, while `llm0` is full."""
+        retry = replace(SHORT, attempt=2, excluded=["llm1"])
+        while isinstance(dispatcher.place("entry", "a", retry, 10.0), DispatchAnswer):
+            pass
+        for _ in range(MAX_FAILED_PLACEMENTS):
+            assert isinstance(dispatcher.place("entry", "a", retry, 10.0), int)
+
+    def test_retries_hold_up_no_other_service(self):
+        """Guards against requests to a sound service that wait while an engine is silent."""
+        dispatcher = make_dispatcher(engines=2, slots=1)
+        self.queue_unplaceable_retries(dispatcher)
+        running = [place(dispatcher, PLAIN) for _ in range(6)]
+        ticket = dispatcher.place("entry", "a", PLAIN, 10.0)
+        dispatcher.record_ended(SendEnded(running[0].permit, SendOutcome.DONE), 10.01)
+        assert [decided for decided, _ in place_waiting(dispatcher, 10.02)] == [ticket]
+
+    def test_retries_hold_up_no_new_requests(self, monkeypatch):
+        """Guards against new requests that wait behind retries which exclude the free engine."""
+        dispatcher = make_dispatcher(engines=2, slots=1)
+        first = place(dispatcher, replace(SHORT, excluded=["llm0"]))
+        self.queue_unplaceable_retries(dispatcher)
+        monkeypatch.setattr(dispatcher.queue, "is_full", lambda *_: False)
+        ticket = dispatcher.place("entry", "a", SHORT, 10.0)
+        dispatcher.record_ended(SendEnded(first.permit, SendOutcome.DONE), 10.01)
+        [(decided, answer)] = place_waiting(dispatcher, 10.02)
+        assert (decided, answer.upstream_id) == (ticket, "llm1")
+
     def test_tickets_of_two_leaders_differ(self):
         """Guards against a late decision of a former leader that is taken for another request's.
 
