Check silences beside refusals, and missing responses beside faults of upstreams

A new action lets all other upstreams of the service refuse requests meanwhile. An entry must answer each request until its deadline whatever the upstreams do, so only faults of the entry and the cores excuse a missing response now.

--- a/laburnumrock/platform/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -102,10 +102,8 @@
         except TimeoutError:
             self.close()
             self.findings.counts["gave up" if abandons else "held"] += 1
-            if not abandons and self.findings.is_fault_free_since(sent_s):
-                self.findings.report(
-                    "response before deadline", f"{request_id} got none from {self.host}"
-                )
+            if not abandons:
+                self._check_held(request_id, sent_s)
         except (asyncio.IncompleteReadError, ConnectionError):
             if self.connection is None:
                 # The run has ended and closed this caller.
@@ -120,6 +118,12 @@
             elif not kind.startswith("crashing"):
                 self._check_closed(request_id, sent_s, reused)
 
+    def _check_held(self, request_id: str, sent_s: float) -> None:
+        """Check that a fault excuses the missing response; one of an upstream does not."""
+        if self.findings.are_fault_free_since({self.host, CORES}, sent_s):
+            detail = f"{request_id} got none from {self.host}"
+            self.findings.report("response before deadline", detail)
+
     def _check_closed(self, request_id: str, sent_s: float, reused: bool) -> None:
         """Check that a fault excuses the close of the connection of a whole request.
 
--- a/laburnumrock/platform/soak/_faults.py
+++ b/laburnumrock/platform/soak/_faults.py
@@ -40,6 +40,8 @@
     elif step.action == "engine_silent":
         soak.findings.counts["silence of an upstream"] += 1
         soak.upstreams[step.target].fall_silent(step.duration_s)
+    elif step.action == "silence_beside_refusals":
+        await _silence_beside_refusals(soak, soak.upstreams[step.target], step.duration_s)
     elif step.action == "engine_pauses":
         await _let_responses_pause(soak, soak.upstreams[step.target], step.duration_s)
     elif step.action == "stop_in_silence":
@@ -64,6 +66,23 @@
             await _inject_node_fault(soak, step, node)
 
 
+async def _silence_beside_refusals(soak: RunState, upstream: Upstream, duration_s: float) -> None:
+    """Let an upstream fall silent while all others of its service refuse requests."""
+    soak.findings.counts["silence of an upstream"] += 1
+    others = [
+        other
+        for other in soak.upstreams.values()
+        if other.service == upstream.service and other is not upstream and not other.mode
+    ]
+    upstream.fall_silent(duration_s)
+    for other in others:
+        other.mode = "engine_refuses"
+    await asyncio.sleep(duration_s)
+    for other in others:
+        if other.mode == "engine_refuses":
+            other.mode = ""
+
+
 async def _let_responses_pause(soak: RunState, upstream: Upstream, duration_s: float) -> None:
     """Let single responses of an upstream pause at random places."""
     soak.findings.counts["pauses of an upstream"] += 1
--- a/laburnumrock/platform/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -110,6 +110,31 @@
         assert self.check(elapsed_s=4.1) == []
 
 
+class TestMissingResponses:
+    """A caller gets no response before the deadline of its request."""
+
+    def check(self, *faults: str) -> list:
+        findings = Findings()
+        caller = Caller(
+            1, [], findings, RequestTracker(), random.Random(1), set(), set(), host="entry"
+        )
+        findings.record_fault("engine_mute")
+        for fault in faults:
+            findings.record_fault_at(fault)
+        caller._check_held("c1-1", time.monotonic())
+        return findings.broken
+
+    def test_faults_of_upstreams(self):
+        """Guards against an entry that answers nothing while an upstream is mute."""
+        assert self.check() != []
+        assert self.check("engine0", "server0") != []
+
+    def test_excuses(self):
+        """Guards against findings that a fault of the entry or the cores explains."""
+        assert self.check("entry") == []
+        assert self.check("cores") == []
+
+
 class TestNetworks:
     def test_two_runs_of_a_seed(self, tmp_path):
         """Guards against concurrent runs whose nodes share addresses."""
