Report the storage as unavailable before a start on a full disk returns

Between the return of LogRunner.start and the first step of its task, the log was neither loaded nor reported as unavailable, so metrics and callers in the same process saw a disk that works.

--- a/laburnumrock/daemon/_log_runner.py
+++ b/laburnumrock/daemon/_log_runner.py
@@ -121,6 +121,8 @@
             if loaded.is_err():
                 return loaded
             self._start_node(loaded.unwrap())
+        else:
+            self._set_unavailable(repr(loading.exception()) if done else "the disk takes long")
         self.tasks = [asyncio.create_task(self._run(loading))]
         return Ok(None)
 
@@ -238,8 +240,6 @@
 
     async def _finish_start(self, loading: asyncio.Future) -> None:
         """Load the log as soon as the disk allows it, and start the node."""
-        reason = repr(loading.exception()) if loading.done() else "the disk takes long"
-        self._set_unavailable(reason)
         while True:
             try:
                 loaded = await loading
--- a/laburnumrock/daemon/tests/test_exit_status.py
+++ b/laburnumrock/daemon/tests/test_exit_status.py
@@ -9,9 +9,11 @@
 
 from laburnumrock.daemon.__main__ import EXIT_LOG_FAILED, main
 from laburnumrock.daemon._instance import Instance
+from laburnumrock.replication import FolderDisk
 from laburnumrock.scenarios import make_loopback_settings
 
 STOP_AFTER_S = 15.0
+_REPLACE = FolderDisk.replace
 
 
 def _fail(*arguments):
@@ -45,6 +47,18 @@
     instance.request_stop()
 
 
+async def _start_on_full_disk(instance):
+    """Replaces the wait for readiness: checks changes before and after the disk has room."""
+    instance.lifecycle.fire("started")
+    assert instance.log.is_storage_unavailable
+    refused = await instance.orders.add_order("o1", "e", "change_role", {"role": "long"})
+    assert refused.is_err()
+    FolderDisk.replace = _REPLACE
+    accepted = await instance.orders.add_order("o2", "e", "change_role", {"role": "long"})
+    assert accepted.is_ok()
+    instance.request_stop()
+
+
 async def _fill_disk_and_stop(instance):
     """Replaces the wait for readiness: fills the disk and stops."""
     instance.lifecycle.fire("started")
@@ -82,3 +96,10 @@
         result = _run_daemon(tmp_path, monkeypatch, scenario)
         assert result.output.count("storage_unavailable") >= 1
         assert result.exit_code == 0
+
+    def test_start_on_a_full_disk(self, tmp_path, monkeypatch):
+        """The daemon must start without its log, refuse changes, and serve once there is room."""
+        monkeypatch.setattr(FolderDisk, "replace", _refuse)
+        result = _run_daemon(tmp_path, monkeypatch, _start_on_full_disk)
+        assert "storage_available" in result.output
+        assert result.exit_code == 0
