End a planned stop although a caller does not read its response

A request whose response is written, and whose caller has not read it, is still a task of the entry; ending it early raised RuntimeError ("Cannot change state of finished Timeout"), which would have ended the stop with the other requests unanswered. A request without a running time limit is now left to its write.

Idle connections are looked at without a system call until they expire: a part of a header is in the read buffer of its stream.

--- a/laburnumrock/forwarding/_connections.py
+++ b/laburnumrock/forwarding/_connections.py
@@ -48,11 +48,16 @@
     max_idle: int = 8
 
 
+def has_buffered_data(stream: IOStream) -> bool:
+    """Return whether bytes were read from the socket and not processed, as part of a message."""
+    return stream._read_buffer_size > 0
+
+
 def has_unread_data(stream: IOStream) -> bool:
     """Return whether unread bytes, an end of stream or an error is pending."""
     # Tornado may already have read bytes into its own buffer while waiting for the close of the
     # connection.
-    if stream._read_buffer_size:
+    if has_buffered_data(stream):
         return True
     try:
         stream.socket.recv(1, socket.MSG_PEEK)
--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -78,6 +78,9 @@
         except asyncio.CancelledError:
             self.writer.record_disconnect(self.state.sent)
             raise
+        finally:
+            # Its response is complete, so a shutdown cannot end it early any more.
+            self.timeout = None
 
     def end_early(self) -> None:
         """End the request now, with a response if none has begun, because of a shutdown."""
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -22,7 +22,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from laburnumrock.forwarding._connections import has_unread_data
+from laburnumrock.forwarding._connections import has_buffered_data, has_unread_data
 from laburnumrock.forwarding._context import ForwardingContext
 from laburnumrock.forwarding._forwarder import RequestForwarder
 from laburnumrock.forwarding._idle import IdleLimits
@@ -118,23 +118,24 @@
         now_s = time.monotonic()
         idle_timeout_s = self.idle_limits.find_timeout_s(now_s)
         for connection, reader in list(self.connections.items()):
-            if reader.request is not None or connection.stream.closed():
+            stream = connection.stream
+            if reader.request is not None or stream.closed():
                 continue
-            if has_unread_data(connection.stream):
-                if reader.head_since_s is None:
-                    reader.head_since_s = now_s
-                elif now_s - reader.head_since_s > self.header_timeout_s:
-                    log_message(
-                        "caller_header_slow", waited_s=round(now_s - reader.head_since_s, 2)
-                    )
-                    connection.stream.close()
-            elif (
-                now_s - reader.waiting_since_s > idle_timeout_s and not connection.stream.writing()
-            ):
-                log_message(
-                    "caller_connection_idle", idle_s=round(now_s - reader.waiting_since_s, 2)
-                )
-                connection.stream.close()
+            if has_buffered_data(stream):
+                self._close_slow_header(stream, reader, now_s)
+            elif now_s - reader.waiting_since_s > idle_timeout_s and not has_unread_data(stream):
+                idle_s = round(now_s - reader.waiting_since_s, 2)
+                log_message("caller_connection_idle", idle_s=idle_s)
+                stream.close()
+
+    def _close_slow_header(self, stream: IOStream, reader: "_RequestReader", now_s: float) -> None:
+        """Close a connection on which a part of a header arrived too long before."""
+        if reader.head_since_s is None:
+            reader.head_since_s = now_s
+        waited_s = now_s - reader.head_since_s
+        if waited_s > self.header_timeout_s:
+            log_message("caller_header_slow", waited_s=round(waited_s, 2))
+            stream.close()
 
     def start_forwarding(
         self,
--- a/laburnumrock/forwarding/tests/test_planned_stop.py
+++ b/laburnumrock/forwarding/tests/test_planned_stop.py
@@ -253,6 +253,26 @@
 
         asyncio.run(run())
 
+    def test_response_that_the_caller_does_not_read(self):
+        """Guards against an error that leaves the other requests without an answer."""
+
+        async def run():
+            upstream = ScriptedUpstream(answer(body=b"x" * 6_000_000), hang())
+            async with open_frontend(upstream) as frontend:
+                frontend.context.stopping = True
+                _, blocked = await frontend.connect()
+                blocked.write(make_request("/once/x", "POST", b"{}", {}))
+                await asyncio.sleep(0.3)
+                reader, writer = await frontend.connect()
+                writer.write(make_request("/once/x", "POST", b"{}", {"Request_Id": "r2"}))
+                await asyncio.sleep(0.1)
+                assert len(frontend.server.tasks) == 2
+                await frontend.server.end_requests()
+                assert (await read_response(reader)).status == 502
+                blocked.transport.abort()
+
+        asyncio.run(run())
+
     def test_request_that_arrives_last_is_refused(self):
         """Guards against a request that is read after the end and gets no answer."""
 
