Predict durations by the target of a route only without recent requests

A route without a latency target has its timeout as the target, so that a planned stop refused all of its requests although recent ones took milliseconds. test_durations.py holds it.

--- a/laburnumrock/forwarding/_durations.py
+++ b/laburnumrock/forwarding/_durations.py
@@ -26,5 +26,5 @@
         recent.append(duration_s)
 
     def find_longest(self, route: Route) -> float:
-        """Return the longest of the recent durations, at least the latency target, in seconds."""
-        return max((route.goal_s, *self.by_route.get(route.name, ())))
+        """Return the longest of the recent durations, or else the latency target, in seconds."""
+        return max(self.by_route.get(route.name, (route.goal_s,)))
