Wait for the state that a test of the planned stop needs

The test slept 0.1 s until a second request had reached its upstream, which failed once at a load average of 20 on 8 processors; it now waits for that state. What it checks stays.

--- a/laburnumrock/forwarding/tests/test_planned_stop.py
+++ b/laburnumrock/forwarding/tests/test_planned_stop.py
@@ -35,6 +35,17 @@
     return run
 
 
+async def wait_until(condition) -> None:
+    async with asyncio.timeout(5.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def is_writing(frontend) -> bool:
+    """Return whether a response waits for its caller."""
+    return any(connection.stream.writing() for connection in frontend.server.connections)
+
+
 def stop_soon(frontend, balancer_grace_s: float = LEFT_S) -> None:
     """Begin a planned stop, in which the load balancer still sends connections for a while."""
     frontend.context.begin_stop(balancer_grace_s, LEFT_S)
@@ -262,10 +273,10 @@
                 frontend.context.stopping = True
                 _, blocked = await frontend.connect()
                 blocked.write(make_request("/once/x", "POST", b"{}", {}))
-                await asyncio.sleep(0.3)
+                await wait_until(lambda: is_writing(frontend))
                 reader, writer = await frontend.connect()
                 writer.write(make_request("/once/x", "POST", b"{}", {"Request_Id": "r2"}))
-                await asyncio.sleep(0.1)
+                await wait_until(lambda: len(upstream.received) == 2)
                 assert len(frontend.server.tasks) == 2
                 await frontend.server.end_requests()
                 assert (await read_response(reader)).status == 502
