Write no error after a response that is complete at the deadline

Callers saw a 502 after the whole answer on a kept connection, where it answers their next request, or a close of the connection after a whole stream. Since each attempt has its own task, the forwarder learns one turn of the event loop later that a response is complete; a deadline, or the end of a planned stop, in that turn still wrote an error. Before both were one task, so that nothing could come between.

The writer now records that its response has ended, and the forwarder writes nothing after that. TestAnswerAtDeadline failed before in both cases.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -71,7 +71,9 @@
                 self.timeout.reschedule(self._to_loop_time(self.state.deadline_s))
                 await self._run_attempts()
         except TimeoutError:
-            self._fail_at_deadline()
+            # An attempt may have completed the response just before.
+            if not self.writer.ended:
+                self._fail_at_deadline()
         except StreamClosedError:
             # The caller has disconnected, so no response can be written.
             self.writer.record_disconnect(self.state.sent)
@@ -90,6 +92,8 @@
 
     def fail_unexpectedly(self) -> None:
         """End a request whose run raised an error, with a response if none has begun."""
+        if self.writer.ended:
+            return
         if self.writer.head_written:
             self.writer.abort(ErrorKind.INTERNAL, self.state.progress.last_id)
         else:
--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -43,6 +43,8 @@
         self.account: AccountEntry | None = None
         self.started = False
         self.head_written = False
+        # Whether the response is complete or broken off, so that nothing may follow it.
+        self.ended = False
         self.media_type = ""
         self.caller_disconnected = False
 
@@ -84,6 +86,7 @@
     def finish_stream(self, status: int, attempts: int, longest_pause_s: float) -> None:
         """Finish a stream that was relayed completely."""
         self.connection.finish()
+        self.ended = True
         self.count(status)
         self.context.metrics.longest_pause.labels(*self.labels()).observe(longest_pause_s)
         self.log("stream_finished", attempts=attempts, longest_pause_s=round(longest_pause_s, 4))
@@ -96,6 +99,7 @@
             headers["Content-Length"] = str(len(response.body))
         self._write_headers(response.status, response.reason, headers, response.body)
         self.connection.finish()
+        self.ended = True
         self.count(response.status)
         self.log("answered", status=response.status, attempts=attempts)
 
@@ -117,6 +121,7 @@
         headers["Content-Length"] = str(len(body))
         self._write_headers(status, responses.get(status, "Unknown"), headers, body)
         self.connection.finish()
+        self.ended = True
 
     def abort(self, kind: ErrorKind, last_event: str | None) -> None:
         """Close the connection, so that a truncated stream does not look complete."""
@@ -124,6 +129,7 @@
         self.context.metrics.refusals.labels(kind.value).inc()
         self.count(0)
         self.connection.close()
+        self.ended = True
 
     def record_disconnect(self, attempts: int) -> None:
         """Record that the caller has closed its connection."""
