--- a/laburnumrock/forwarding/tests/test_silent_upstreams.py
+++ b/laburnumrock/forwarding/tests/test_silent_upstreams.py
@@ -232,6 +232,39 @@
 
         assert all(asyncio.run(run()))
 
+    def test_withdrawn_placement_is_not_used(self):
+        """Guards against a send whose placement arrives while another attempt takes over."""
+
+        async def run() -> FrontendHarness:
+            upstreams = [ScriptedUpstream(pause_plain("before the head")), ScriptedUpstream(hang())]
+            async with open_frontend(*upstreams, **LIMITS) as frontend:
+                frontend.dispatcher.refused = dict.fromkeys(range(3, 20), REFUSAL)
+                decision = asyncio.get_running_loop().create_future()
+                place = frontend.dispatcher.place
+
+                async def place_later(call):
+                    answer = await place(call)
+                    if call.attempt > 1:
+                        # Returns the decision even if it is cancelled once the future is done.
+                        await asyncio.wait_for(decision, 5.0)
+                    return answer
+
+                frontend.dispatcher.place = place_later
+                reader, writer = await frontend.connect()
+                writer.write(make_request("/r/x", "POST", b"{}", {}))
+                async with asyncio.timeout(SILENCE_S):
+                    while len(frontend.dispatcher.calls) < 2:
+                        await asyncio.sleep(0.01)
+                    forwarder = next(iter(frontend.server.tasks.values()))
+                decision.set_result(None)
+                forwarder._take_over(forwarder.attempts[0])
+                assert (await read_response(reader)).status == 200
+                assert upstreams[1].received == []
+                return frontend
+
+        outcomes = asyncio.run(run()).dispatcher.outcomes
+        assert outcomes == [SendOutcome.CANCELLED, SendOutcome.DONE]
+
     def test_request_that_runs_once_is_not_sent_again(self):
         """Guards against a second run of a request while its upstream is silent."""
         first = ScriptedUpstream(pause_plain("before the head"))
