Send no request whose cancellation arrives with its placement

An attempt that another one replaces, or whose caller has left, was sent if the decision of the leader arrived in the same turn of the event loop: `asyncio.wait_for` of Python 3.11, which the entry node and the network use, returns a result that is there and drops the cancellation.

The attempt now checks for a cancellation before it sends, and its permit is returned to the leader. test_withdrawn_placement_is_not_used failed before: upstream 2 received the request.

--- a/laburnumrock/forwarding/_attempt.py
+++ b/laburnumrock/forwarding/_attempt.py
@@ -106,6 +106,10 @@
         began_s = time.monotonic()
         outcome = None
         try:
+            # `asyncio.wait_for` of Python 3.11 returns a result that is there instead of raising
+            # the CancelledError.
+            if self.task.cancelling():
+                raise asyncio.CancelledError
             outcome = await self._send()
         finally:
             if outcome is None:
