--- a/laburnumrock/daemon/tests/test_full_disks.py
+++ b/laburnumrock/daemon/tests/test_full_disks.py
@@ -8,7 +8,7 @@
 from laburnumrock.daemon._log_task import LogTask
 from laburnumrock.errors import ErrorKind
 from laburnumrock.journal import ClaimOperation
-from laburnumrock.replication import FakeDisk, LogStore
+from laburnumrock.replication import FakeDisk, LogStore, VoteAnswer
 from laburnumrock.scenarios import make_loopback_settings
 from laburnumrock.transport import PeerNetwork
 
@@ -166,6 +166,26 @@
 
         run(tmp_path, scenario)
 
+    def test_loss_of_leadership_is_reported(self, tmp_path):
+        """Guards against work that a leader holds until its disk takes the term that deposed it."""
+
+        async def scenario(cluster):
+            leader = await cluster.find_leader()
+            log = cluster.logs[leader]
+            roles = []
+            log.on_role_changed(lambda: roles.append(log.is_leader))
+            cluster.disks[leader].full = True
+            node = log.runner.node
+            other = next(voter for voter in node.members.voters if voter != node.voter_id)
+            log.runner.receive(
+                node.members.voters[other], VoteAnswer(node.term + 1, other, node.voter_id, False)
+            )
+            await asyncio.sleep(0.2)
+            assert log.is_storage_unavailable
+            assert roles[-1:] == [False]
+
+        run(tmp_path, scenario)
+
     def test_two_voters_at_once(self, tmp_path):
         """Guards against commits without a quorum, and a group that needs a restart afterwards."""
 
