Report the loss of leadership of a core whose disk is full at once

A leader that a higher term deposes while its disk refuses the write of that term dropped the change of role with the other effects that wait for the disk, and the suspension found no role to give up. The core thus refused its waiting placements only after the disk had room again, or the entries gave up on them by their own time limits. Found by reading; no run of the platform has shown it.

The suspension now always notifies the listeners of the role, which read the state themselves. test_loss_of_leadership_is_reported failed before: 'assert [] == [False]'.

--- a/laburnumrock/daemon/_log_runner.py
+++ b/laburnumrock/daemon/_log_runner.py
@@ -303,6 +303,8 @@
         effects, self.queue = [*effects, *self.queue], []
         for effect in self.node.suspend(time.monotonic()):
             self._execute(effect)
+        # The loss of the role may be among the effects that are dropped.
+        self._notify_role_listeners()
         self._fail_pending("the disk of this instance refuses writes")
         with_snapshot = any(isinstance(effect, SaveSnapshot) for effect in effects)
         state = self.node.state_to_store
@@ -346,8 +348,11 @@
             log_message(
                 "log_role_changed", role=effect.role, term=effect.term, leader=effect.leader
             )
-            for listener in self.role_listeners:
-                listener()
+            self._notify_role_listeners()
+
+    def _notify_role_listeners(self) -> None:
+        for listener in self.role_listeners:
+            listener()
 
     def _finish_read(self, read_id: int, index: int | None) -> None:
         # Reads that were pending when the storage became unavailable have failed already.
