--- a/laburnumrock/forwarding/tests/test_silent_upstreams.py
+++ b/laburnumrock/forwarding/tests/test_silent_upstreams.py
@@ -9,6 +9,7 @@
 from laburnumrock.forwarding.tests.scripted import (
     CallerResponse,
     FrontendHarness,
+    ScriptedDispatcher,
     ScriptedUpstream,
     answer,
     hang,
@@ -192,6 +193,24 @@
         assert response.complete
         assert response.body == (EVENTS if path == "/s/x" else b"done")
 
+    @pytest.mark.parametrize("path", ["/s/x", "/r/x"])
+    def test_unexpected_error_of_the_other_attempt(self, path, monkeypatch):
+        """Guards against an error in the second attempt that ends the answer of the first one."""
+        place = ScriptedDispatcher.place
+
+        async def fail_later(dispatcher, call):
+            answer = await place(dispatcher, call)
+            if call.attempt > 1:
+                raise ZeroDivisionError("broken dispatcher")
+            return answer
+
+        monkeypatch.setattr(ScriptedDispatcher, "place", fail_later)
+        pause = pause_stream("in an event") if path == "/s/x" else pause_plain("in the body")
+        response, frontend = run_request(ScriptedUpstream(pause), path=path)
+        assert response.complete
+        assert response.body == (EVENTS if path == "/s/x" else b"done")
+        assert len(frontend.dispatcher.calls) == 2
+
     def test_both_upstreams_fail(self):
         """Guards against a request without a response if the first upstream breaks at last."""
         first = ScriptedUpstream(break_after_silence)
