Let an unexpected error of one attempt leave the other one running

While an upstream was silent and a second one was sought, an error that no rule covers in the second attempt ended the first one too: its stream was cut, or the caller got 500 for a request that the first upstream was about to answer.

Such an error is now logged (attempt_raised), no further attempt starts beside the one that is under way, and the error ends the request as before once none is. A stream counts as started only when its head is written, so that another attempt can begin it after an error there. test_unexpected_error_of_the_other_attempt failed before for streams and plain requests.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -54,6 +54,8 @@
         self.attempts: list[Attempt] = []
         self.changed = asyncio.Event()
         self.next_start_s = 0.0
+        # Unexpected error of an attempt; it ends the request once no other attempt is under way.
+        self.error: BaseException | None = None
         self.timeout: asyncio.Timeout | None = None
         # Whether a shutdown ends the request before its own deadline.
         self.ends_early = False
@@ -179,7 +181,7 @@
             self.attempts.remove(attempt)
         refusal = None
         for attempt in ended:
-            if attempt.task.cancelled():
+            if attempt.task.cancelled() or self._keep_error(attempt):
                 continue
             outcome = attempt.task.result()
             if outcome is SendOutcome.DONE:
@@ -191,11 +193,23 @@
                 wait_s = max(self.context.settings.placement_retry_s, refusal.retry_after_s)
                 self.next_start_s = time.monotonic() + wait_s
             return False
+        if self.error is not None:
+            raise self.error
         if refusal is not None:
             self._refuse(refusal)
             return True
         return self._fail_if_exhausted()
 
+    def _keep_error(self, attempt: Attempt) -> bool:
+        """Keep an unexpected error of an attempt, which must not end the other one."""
+        error = attempt.task.exception()
+        if error is None or isinstance(error, StreamClosedError):
+            return False
+        self.error = error
+        detail = f"{type(error).__name__}: {error}"
+        self.writer.log("attempt_raised", attempt=attempt.call.attempt, error=detail)
+        return True
+
     def _fail_if_exhausted(self) -> bool:
         """Write an error response if no send is under way and no other one is possible."""
         state = self.state
@@ -224,6 +238,8 @@
             return True
         if len(self.attempts) >= MAX_CONCURRENT_ATTEMPTS or self.is_exhausted:
             return False
+        if self.error is not None:
+            return False
         return self.attempts[0].is_overdue and time.monotonic() >= self.next_start_s
 
     def _start_attempt(self) -> None:
--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -52,12 +52,12 @@
         """Write the headers of a stream, unless an earlier send has already written them."""
         if self.started:
             return
-        self.started = True
-        self.media_type = read_media_type(response)
         headers = self.context.wire.encode_response(response.headers)
         for name in ("Content-Length", "Transfer-Encoding"):
             headers.pop(name, None)
         self._write_headers(response.status, response.reason, headers)
+        self.media_type = read_media_type(response)
+        self.started = True
 
     def may_continue(self, response: UpstreamResponse) -> bool:
         """Return whether a response is a success that continues the stream, if it has begun."""
