--- a/laburnumrock/daemon/tests/test_declaration_task.py
+++ b/laburnumrock/daemon/tests/test_declaration_task.py
@@ -179,6 +179,29 @@
         HoldFile(tmp_path).load(loaded)
         assert loaded.is_held("a", 0)
 
+    def test_save_after_a_refused_read_keeps_the_holds(self, tmp_path, monkeypatch):
+        """A hold that begins after a refused read must not replace the stored holds."""
+        registry = HoldRegistry()
+        registry.add("a", "op", 1.0)
+        HoldFile(tmp_path).save(registry)
+
+        def refuse(*arguments, **options):
+            raise OSError("the disk does not answer")
+
+        later = HoldRegistry()
+        hold_file = HoldFile(tmp_path)
+        with monkeypatch.context() as patch:
+            patch.setattr("pathlib.Path.read_text", refuse)
+            hold_file.load(later)
+            later.add("b", "op", 2.0)
+            hold_file.save(later)
+            assert not hold_file.is_current
+        hold_file.save(later)
+        loaded = HoldRegistry()
+        HoldFile(tmp_path).load(loaded)
+        assert hold_file.is_current
+        assert all(one.is_held(name, 0) for one in (later, loaded) for name in ("a", "b"))
+
     def test_holds_are_stored_once_there_is_room(self, tmp_path, monkeypatch):
         """An emergency drain that began while the disk was full must survive a later restart."""
 
