Read the stored holds again before a save if the disk refused to read them

A start at which the disk refused the read kept the file, but went on without its holds, and the next hold replaced the file: an emergency drain that was accepted before could be lost, if no other instance of the domain knew it.

A save now reads the file first in this case and merges it, and each tick tries again until that succeeds, with one log line. test_save_after_a_refused_read_keeps_the_holds failed before: 'assert not True' on is_current.

--- a/laburnumrock/daemon/_hold_file.py
+++ b/laburnumrock/daemon/_hold_file.py
@@ -24,21 +24,28 @@
     def __init__(self, folder: Path | None) -> None:
         self.path = None if folder is None else folder / FILE_NAME
         self.is_current = True
+        # Whether the disk refused to read the stored holds, which a save would replace.
+        self.is_unread = False
 
     def load(self, registry: HoldRegistry) -> None:
         """Merge the stored holds into a registry.
 
         An unreadable file is logged, so that it does not prevent a start. It is renamed only if its
-        content is invalid: an error of the disk may pass, and the holds are needed then.
+        content is invalid: an error of the disk may pass, and the holds are needed then. The next
+        save reads it again.
         """
         if self.path is None:
             return
+        was_unread, self.is_unread = self.is_unread, False
         try:
             registry.restore(json.loads(self.path.read_text(encoding="utf-8")))
         except FileNotFoundError:
             return
         except OSError as error:
-            log_message("holds_unreadable", error=str(error))
+            if not was_unread:
+                log_message("holds_unreadable", error=str(error))
+            self.is_unread = True
+            self.is_current = False
         except ValueError as error:
             log_message("holds_unreadable", error=str(error))
             with contextlib.suppress(OSError):
@@ -55,6 +62,10 @@
         """
         if self.path is None:
             return
+        if self.is_unread:
+            self.load(registry)
+            if self.is_unread:
+                return
         try:
             self._write(json.dumps(registry.to_plain()))
             self.is_current = True
