--- a/laburnumrock/forwarding/tests/test_silent_upstreams.py
+++ b/laburnumrock/forwarding/tests/test_silent_upstreams.py
@@ -9,6 +9,7 @@
 from laburnumrock.forwarding.tests.scripted import (
     CallerResponse,
     FrontendHarness,
+    ScriptedDispatcher,
     ScriptedUpstream,
     answer,
     hang,
@@ -192,6 +193,24 @@
         assert response.complete
         assert response.body == (EVENTS if path == "/s/x" else b"done")
 
+    @pytest.mark.parametrize("path", ["/s/x", "/r/x"])
+    def test_unexpected_error_of_the_other_attempt(self, path, monkeypatch):
+        """Guards against an error in the second attempt that ends the answer of the first one."""
+        place = ScriptedDispatcher.place
+
+        async def fail_later(dispatcher, call):
+            answer = await place(dispatcher, call)
+            if call.attempt > 1:
+                raise ZeroDivisionError("broken dispatcher")
+            return answer
+
+        monkeypatch.setattr(ScriptedDispatcher, "place", fail_later)
+        pause = pause_stream("in an event") if path == "/s/x" else pause_plain("in the body")
+        response, frontend = run_request(ScriptedUpstream(pause), path=path)
+        assert response.complete
+        assert response.body == (EVENTS if path == "/s/x" else b"done")
+        assert len(frontend.dispatcher.calls) == 2
+
     def test_both_upstreams_fail(self):
         """Guards against a request without a response if the first upstream breaks at last."""
         first = ScriptedUpstream(break_after_silence)
@@ -232,6 +251,39 @@
 
         assert all(asyncio.run(run()))
 
+    def test_withdrawn_placement_is_not_used(self):
+        """Guards against a send whose placement arrives while another attempt takes over."""
+
+        async def run() -> FrontendHarness:
+            upstreams = [ScriptedUpstream(pause_plain("before the head")), ScriptedUpstream(hang())]
+            async with open_frontend(*upstreams, **LIMITS) as frontend:
+                frontend.dispatcher.refused = dict.fromkeys(range(3, 20), REFUSAL)
+                decision = asyncio.get_running_loop().create_future()
+                place = frontend.dispatcher.place
+
+                async def place_later(call):
+                    answer = await place(call)
+                    if call.attempt > 1:
+                        # Returns the decision even if it is cancelled once the future is done.
+                        await asyncio.wait_for(decision, 5.0)
+                    return answer
+
+                frontend.dispatcher.place = place_later
+                reader, writer = await frontend.connect()
+                writer.write(make_request("/r/x", "POST", b"{}", {}))
+                async with asyncio.timeout(SILENCE_S):
+                    while len(frontend.dispatcher.calls) < 2:
+                        await asyncio.sleep(0.01)
+                    forwarder = next(iter(frontend.server.tasks.values()))
+                decision.set_result(None)
+                forwarder._take_over(forwarder.attempts[0])
+                assert (await read_response(reader)).status == 200
+                assert upstreams[1].received == []
+                return frontend
+
+        outcomes = asyncio.run(run()).dispatcher.outcomes
+        assert outcomes == [SendOutcome.CANCELLED, SendOutcome.DONE]
+
     def test_request_that_runs_once_is_not_sent_again(self):
         """Guards against a second run of a request while its upstream is silent."""
         first = ScriptedUpstream(pause_plain("before the head"))
