Exclude an upstream whose overdue send was replaced from later attempts

With three attempts allowed, a request whose second upstream broke after it had replaced the silent first one could be sent to the silent one again.

Cause: a replaced send ends by its cancellation, and upstreams were excluded only after a regular end.

--- a/laburnumrock/forwarding/_attempt.py
+++ b/laburnumrock/forwarding/_attempt.py
@@ -126,8 +126,8 @@
             )
             state.context.dispatcher.record_ended(ended)
             state.context.metrics.sends.labels(state.service, outcome.value).inc()
-        if not self.unresponsive and outcome is not SendOutcome.CANCELLED:
-            state.excluded.append(self.upstream)
+            if not self.unresponsive and outcome is not SendOutcome.CANCELLED:
+                state.excluded.append(self.upstream)
         return outcome
 
     async def _send(self) -> SendOutcome:
--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -290,7 +290,7 @@
     return body, False
 
 
-def make_routes() -> RouteTable:
+def make_routes(max_attempts: int = 2) -> RouteTable:
     shares = (ServiceShare("llm"),)
     common = {"host": "a.example", "shares": shares, "timeout_s": 2.0, "goal_s": 0.3}
     kinds = RequestKind
@@ -301,7 +301,7 @@
             "s",
             path_prefix="/s/",
             kind=kinds.STREAMING,
-            max_attempts=2,
+            max_attempts=max_attempts,
             resumable=True,
             gap_goal_s=0.1,
             **common,
--- a/laburnumrock/forwarding/tests/test_silent_upstreams.py
+++ b/laburnumrock/forwarding/tests/test_silent_upstreams.py
@@ -16,6 +16,7 @@
     make_event,
     make_head,
     make_request,
+    make_routes,
     open_frontend,
     read_response,
     respond_raw,
@@ -211,6 +212,21 @@
         assert response.body == (EVENTS if path == "/s/x" else b"done")
         assert len(frontend.dispatcher.calls) == 2
 
+    def test_replaced_upstream_is_not_chosen_again(self):
+        """Guards against a third attempt on the upstream that was silent under the first one."""
+
+        async def run() -> FrontendHarness:
+            first = ScriptedUpstream(pause_stream("in an event"))
+            other = ScriptedUpstream(stream(2, 2, cut=b"id: 3\nda", pause_s=0.05))
+            last = ScriptedUpstream(stream(3, 4))
+            async with open_frontend(first, other, last, **LIMITS) as frontend:
+                frontend.context.route_table = make_routes(max_attempts=3)
+                response = await frontend.request("/s/x")
+                assert (response.body, response.complete) == (EVENTS, True)
+                return frontend
+
+        assert asyncio.run(run()).dispatcher.calls[2].excluded == ["u1", "u2"]
+
     def test_both_upstreams_fail(self):
         """Guards against a request without a response if the first upstream breaks at last."""
         first = ScriptedUpstream(break_after_silence)
