Begin no work of a request after a planned stop has cut it

At the end of a planned stop of the own interface, the caller of an operation that may run once can be told that it was not sent, while the task that runs the operation goes on to its next step. Whether that step still sent the request hung on the order of two tasks within a turn of the event loop. Found by the review; no run has shown a send.

Work that would begin after the cut is now not started at all. test_work_after_the_cut_does_not_begin failed before.

--- a/laburnumrock/gateway/_planned_stop.py
+++ b/laburnumrock/gateway/_planned_stop.py
@@ -30,6 +30,10 @@
     object
         Result of the work; None if it was cancelled because of the planned stop.
     """
+    if lifecycle.requests_cut.is_set() and not extra_s:
+        # A task that has been created runs up to its first await before it can be cancelled.
+        work.close()
+        return None
     work_task = asyncio.create_task(work)
     cut_task = asyncio.create_task(_wait_for_cut(lifecycle, extra_s))
     try:
