Hold the stop signals of the daemon from its start, so that no thread gets them at its end

Cause: blocks the signals in the main thread when the event loop ends. The platform's processes block the signals from their start, so that their threads inherit that.

--- a/laburnumrock/daemon/__main__.py
+++ b/laburnumrock/daemon/__main__.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -13,6 +12,7 @@
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.metrics import Counters, open_counters, open_log
 from laburnumrock.settings import InstanceKeys, InstanceSettings, load_settings, read_keys
+from laburnumrock.signals import deliver_signals, hold_signals
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_CANNOT_START = 3
@@ -29,7 +29,7 @@
     help="JSON file with the settings of this instance.",
 )
 @click.pass_obj
-def main(on_stopped: Callable[[], object] | None, settings_path: Path) -> None:
+def main(holds_signals: bool | None, settings_path: Path) -> None:
     """Run one instance of laburnumrock until SIGTERM or SIGINT.
 
     Exit status: 0 after a graceful shutdown, 2 for invalid settings, 3 when the instance cannot
@@ -39,7 +39,7 @@
     settings = _unwrap(load_settings(settings_path))
     keys = _unwrap(read_keys(settings))
     with open_log(settings), open_counters(settings) as counters:
-        result, has_started = asyncio.run(_run(settings, keys, counters, on_stopped))
+        result, has_started = asyncio.run(_run(settings, keys, counters, bool(holds_signals)))
     if result.is_err():
         click.echo(f"laburnumrockd: {result.unwrap_err()}", err=True)
         sys.exit(EXIT_LOG_FAILED if has_started else EXIT_CANNOT_START)
@@ -56,12 +56,14 @@
     settings: InstanceSettings,
     keys: InstanceKeys,
     counters: Counters,
-    on_stopped: Callable[[], object] | None,
+    holds_signals: bool,
 ) -> tuple[Result[None, Failure], bool]:
     instance = Instance(settings, keys, counters)
     loop = asyncio.get_running_loop()
     for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, instance.request_stop)
+    if holds_signals:
+        deliver_signals(STOP_SIGNALS)
     try:
         return await instance.run(), instance.has_started
     except OSError as error:
@@ -70,8 +72,8 @@
         detail = f"cannot listen: {error.strerror}"
         return Err(Failure(ErrorKind.INVALID_SETTINGS, detail)), False
     finally:
-        if on_stopped is not None:
-            on_stopped()
+        if holds_signals:
+            hold_signals(STOP_SIGNALS)
 
 
 def run_process() -> None:
@@ -80,10 +82,12 @@
     Notes
     -----
     The end of the event loop restores the default action of the stop signals. A signal that a
-    supervisor repeats then would end the stopped process with a failure status, so the signals stay
-    blocked from there to the exit.
+    supervisor repeats then would end the stopped process with a failure status, so the signals are
+    held from there to the exit. They are held at the start too, since a thread that is started
+    while they are not would still get them at the end.
     """
-    main(obj=lambda: signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS))
+    hold_signals(STOP_SIGNALS)
+    main(obj=True)
 
 
 if __name__ == "__main__":
--- a/laburnumrock/platform/__main__.py
+++ b/laburnumrock/platform/__main__.py
@@ -10,11 +10,14 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from laburnumrock.platform._signals import deliver_signals, hold_signals
+from laburnumrock.signals import deliver_signals, hold_signals
+
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+"""Signals that the event loop handles; without its handlers each of them ends the process."""
 
 if __name__ == "__main__":
     # The imports below take most of the start; a SIGHUP would end the process meanwhile.
-    hold_signals()
+    hold_signals(HANDLED_SIGNALS)
 
 import click  # noqa: E402
 from eliot import log_message  # noqa: E402
@@ -71,7 +74,7 @@
     try:
         return await run
     finally:
-        hold_signals()
+        hold_signals(HANDLED_SIGNALS)
 
 
 async def _run_entry(settings: NodeSettings, path: Path) -> int:
@@ -117,7 +120,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: _reload_settings(node, path))
-    deliver_signals()
+    deliver_signals(HANDLED_SIGNALS)
     watch_task = asyncio.create_task(_watch_settings_file(node, path))
     # The event loop keeps only weak references to tasks.
     _WATCH_TASKS.add(watch_task)
