--- a/review/1/case.py
+++ b/review/2/case.py
@@ -97,7 +97,9 @@
     late = [(at_s, text) for at_s, text in arrivals if at_s > judged_s]
     for at_s, text in arrivals:
         if at_s > evacuated_s:
-            record.write(f"at {at_s - START_S:.3f}: {text}, {at_s - evacuated_s:.3f} s after the ack")
+            record.write(
+                f"at {at_s - START_S:.3f}: {text}, {at_s - evacuated_s:.3f} s after the ack"
+            )
     record.write(f"answers: {dict(soak.findings.counts)}")
     record.write(f"EVAC: {len(late)} requests reached the evacuated zone, 0 allowed")
     if not soak.findings.counts["stream 200"]:
--- a/review/stand_in.py
+++ b/review/stand_in.py
@@ -45,7 +45,9 @@
 
 def make_state(folder: str, **sizes: int) -> RunState:
     """Return the state of a run with the given numbers of processes."""
-    return RunState(SoakSettings(int.from_bytes(os.urandom(2)), 60.0, Path(folder) / "run", **sizes))
+    return RunState(
+        SoakSettings(int.from_bytes(os.urandom(2)), 60.0, Path(folder) / "run", **sizes)
+    )
 
 
 def run_case(play) -> int:
