Review case 1: show it too without a lost disk

Shown: with ALL=1 three cores get successors, one after the other, and are then stopped at the same time. The three new cores, which run and have all data, never answer a read or a change again.

Cause as far as known: the old cores are still voters, and three of six are no majority.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,9 @@
 A fourth core is added, with an empty disk and at a new address. Long after its `catch_up_s`, the
 core that it replaces gets SIGTERM and is removed. From then on one core may be lost. The core that
 acknowledges the next change loses its disk, and restarts with an empty one.
+
+With ALL=1 no disk is lost: all three cores get successors, one after the other, and are then stopped
+at the same time.
 """
 
 import asyncio
@@ -26,6 +29,11 @@
 LOSS_AFTER_S = float(os.environ.get("LOSS_AFTER_S", "0.3"))
 """Time between the exit of the old core and the change after which a disk is lost."""
 DOWN_S = 1.0
+ALL = os.environ.get("ALL", "0") != "0"
+SUCCESSOR_S = 6.0
+"""Time for which each successor runs before the next one starts, or the old cores are stopped."""
+CALM_S = 5.0
+"""With ALL=1 and without the disruption, the time between the stops of two old cores."""
 WATCH_S = 45.0
 """Time for which the operator reads the configuration back; `recover_s` is 12."""
 ANSWER_S = 1.0
@@ -97,18 +105,20 @@
     for core in cores:
         write_settings(soak, core, cores)
     await asyncio.sleep(2.5)
-    new = add_core(soak, cores)
-    await new.proxy.start()
-    new.process.start()
-    record.write("core3 starts with an empty disk, at a new address")
+    if ALL:
+        return await replace_all(soak, operator, cores)
+    return await replace_one(soak, operator, cores)
+
+
+async def replace_one(soak: RunState, operator: Operator, cores: list[Node]) -> int:
+    """Replace one core as planned, and let another one lose its disk."""
+    record = operator.record
+    new = await start_successor(soak, cores, record)
     await asyncio.sleep(CATCH_UP_S)
     old, *cores = [*cores, new]
     for core in cores:
         write_settings(soak, core, cores)
-    old.process.send(signal.SIGTERM)
-    while old.process.is_running:
-        await asyncio.sleep(0.01)
-    record.write("core0, which core3 replaces, has got SIGTERM, has exited and is gone for good")
+    await stop([old], record)
     await asyncio.sleep(LOSS_AFTER_S)
     acknowledging = await operator.change(2, cores)
     if acknowledging is None:
@@ -123,6 +133,45 @@
     return await read_back(operator, cores, record)
 
 
+async def replace_all(soak: RunState, operator: Operator, old: list[Node]) -> int:
+    """Replace all cores as planned; without the disruption the old ones stop one after another."""
+    record = operator.record
+    new: list[Node] = []
+    for _ in old:
+        new.append(await start_successor(soak, [*old, *new], record))
+        await asyncio.sleep(SUCCESSOR_S)
+    if await operator.change(2, [*old, *new]) is None:
+        return 2
+    for core in new:
+        write_settings(soak, core, new)
+    if is_disturbed():
+        await stop(old, record)
+    else:
+        for core in old:
+            await stop([core], record)
+            await asyncio.sleep(CALM_S)
+    return await read_back(operator, new, record)
+
+
+async def start_successor(soak: RunState, cores: list[Node], record: Record) -> Node:
+    """Start a further core with an empty disk."""
+    new = add_core(soak, cores)
+    await new.proxy.start()
+    new.process.start()
+    record.write(f"{new.name} starts with an empty disk, at a new address")
+    return new
+
+
+async def stop(cores: list[Node], record: Record) -> None:
+    """Stop cores that have been replaced, and wait until they have exited."""
+    for core in cores:
+        core.process.send(signal.SIGTERM)
+    while any(core.process.is_running for core in cores):
+        await asyncio.sleep(0.01)
+    for core in cores:
+        record.write(f"{core.name}, which is replaced, has got SIGTERM, has exited and is gone")
+
+
 async def read_back(operator: Operator, cores: list[Node], record: Record) -> int:
     """Read the configuration back until it comes, and change it once more."""
     deadline_s = time.monotonic() + WATCH_S
