--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,8 +22,10 @@
 from laburnumrock.platform.soak._operator import call_core, make_routes
 from laburnumrock.platform.soak._state import Node, RunState
 from laburnumrock.standins import FaultyProxy
-from stand_in import Record, is_disturbed, make_state, run_case
+from stand_in import Record, make_state, run_case
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption of the case is played."""
 CATCH_UP_S = 10.0
 """Time for which the new core runs before the old one is stopped; `catch_up_s` is 4."""
 LOSS_AFTER_S = float(os.environ.get("LOSS_AFTER_S", "0.3"))
@@ -123,7 +125,7 @@
     acknowledging = await operator.change(2, cores)
     if acknowledging is None:
         return 2
-    if is_disturbed():
+    if TROUBLE:
         acknowledging.process.kill()
         shutil.rmtree(acknowledging.process.data_folder)
         record.write(f"{acknowledging.name} is killed and loses its disk")
@@ -144,7 +146,7 @@
         return 2
     for core in new:
         write_settings(soak, core, new)
-    if is_disturbed():
+    if TROUBLE:
         await stop(old, record)
     else:
         for core in old:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -17,8 +18,10 @@
 from laburnumrock.platform.soak._run import open_deployment, start_callers
 from laburnumrock.platform.soak._state import ZONES
 from laburnumrock.platform.soak._upstreams import Upstream
-from stand_in import START_S, Record, is_disturbed, make_state, run_case
+from stand_in import START_S, Record, make_state, run_case
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption of the case is played."""
 ZONE = ZONES[1]
 EVACUATE_S = 5.0
 """Bound `evacuate_ms` of the sites."""
@@ -78,7 +81,7 @@
         record.write(f"{len(arrivals)} requests have reached {ZONE} so far")
         await operator.order("POST", 1)
         await asyncio.sleep(EVACUATE_S + 1.0)
-        if is_disturbed():
+        if TROUBLE:
             record.write("core2 is frozen")
             cores[2].process.send(signal.SIGSTOP)
         frozen_s = time.monotonic()
@@ -86,7 +89,7 @@
         await asyncio.sleep(1.0)
         evacuated_s = await operator.order("POST", 1)
         await asyncio.sleep(max(0.0, frozen_s + FREEZE_S - time.monotonic()))
-        if is_disturbed():
+        if TROUBLE:
             record.write("core2 is continued")
             cores[2].process.send(signal.SIGCONT)
         woken_s = time.monotonic()
--- a/review/stand_in.py
+++ b/review/stand_in.py
@@ -38,11 +38,6 @@
         self.file.flush()
 
 
-def is_disturbed() -> bool:
-    """Return whether the disruption of the case is played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def make_state(folder: str, **sizes: int) -> RunState:
     """Return the state of a run with the given numbers of processes."""
     return RunState(
