Remove a core that stops as planned from the voters before it exits

The core that acknowledges a change 0.3 s after the exit of the old one loses its disk, and the log stops for good: no configuration is read or acknowledged again.

Cause: the successor is a fourth voter, and a stopped core stays a voter until it has been silent for 1.5 s. With four voters of which one is gone, three must answer, so one lost disk leaves two of four for good. Six voters of which three are gone have no quorum.

Ruled out: a lost acknowledgement (two disks hold version 2), and the wiped core (it does not vote under its old identity).

Change: before it exits, a voter asks the leader for its removal (`LeaveVoters`) and waits until that is committed, for at most 2 s. The policy grants it only if the remaining voters can still bear the tolerated losses and can commit the removal, and waits for a successor that is catching up. A leader asks itself; once its removal is committed, it hands over to the voter with the longest log. A node that is about to stop starts no elections. Only requests to join bring an identity back: a late answer of a removed voter added it again. A member that restarts and finds itself removed asks to join.

--- a/laburnumrock/daemon/_log_messages.py
+++ b/laburnumrock/daemon/_log_messages.py
@@ -101,6 +101,25 @@
     leader: str | None = None
 
 
+@register_message
+@dataclass(frozen=True, slots=True)
+class LeaveVoters:
+    """Asks the leader to remove a voter that is about to stop, if enough others remain.
+
+    The answer is a `ProposeAnswer`: ``done`` if the voter may stop, else it asks again.
+
+    Parameters
+    ----------
+    voter_id : str
+        Identity of the voter.
+    forwarded : bool
+        As in `Propose`.
+    """
+
+    voter_id: str
+    forwarded: bool = False
+
+
 @register_message
 @dataclass(frozen=True, slots=True)
 class ChangeVoters:
--- a/laburnumrock/daemon/_log_service.py
+++ b/laburnumrock/daemon/_log_service.py
@@ -11,6 +11,7 @@
 
 from laburnumrock.daemon._log_messages import (
     ChangeVoters,
+    LeaveVoters,
     LogStatus,
     Propose,
     ProposeAnswer,
@@ -19,7 +20,7 @@
 )
 from laburnumrock.daemon._log_runner import LogRunner
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.replication import RAFT_MESSAGES, Role
+from laburnumrock.replication import RAFT_MESSAGES, Departure, Role, VoterChange, VoterPolicy
 from laburnumrock.state import ReplicatedState, decode_message, encode_message, with_timestamp
 
 if TYPE_CHECKING:
@@ -42,15 +43,23 @@
         Replicated state of this instance.
     runner : LogRunner
         Runs the log of this instance.
+    voter_policy : VoterPolicy, optional
+        Decides on the voters; without it, only operators change them.
     """
 
     def __init__(
-        self, settings: InstanceSettings, network, state: ReplicatedState, runner: LogRunner
+        self,
+        settings: InstanceSettings,
+        network,
+        state: ReplicatedState,
+        runner: LogRunner,
+        voter_policy: VoterPolicy | None = None,
     ) -> None:
         self.settings = settings
         self.network = network
         self.state = state
         self.runner = runner
+        self.voter_policy = voter_policy
 
     def register(self) -> None:
         """Register the message handlers."""
@@ -59,6 +68,8 @@
         self.network.handle(Propose, self._answer_propose)
         self.network.handle(ReadState, self._answer_read)
         self.network.handle(ChangeVoters, self._answer_change)
+        if self.voter_policy is not None:
+            self.network.handle(LeaveVoters, self._answer_leave)
 
     def _receive(self, sender: str, message: object) -> None:
         self.runner.receive(sender, message)
@@ -141,6 +152,19 @@
         self.runner.enqueue(effects)
         return ProposeAnswer(LogStatus.DONE, None, self._leader())
 
+    async def _answer_leave(self, sender: str, message: LeaveVoters) -> ProposeAnswer:
+        node = self.runner.node
+        if node is None or node.role is not Role.LEADER:
+            forwarded = await self._forward(message, FORWARD_TIMEOUT_S)
+            return forwarded or ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader())
+        now_s = time.monotonic()
+        step = self.voter_policy.plan_departure(node, message.voter_id, now_s)
+        if step is Departure.REMOVE:
+            departing = node.members.voters[message.voter_id]
+            self.runner.enqueue(VoterChange("remove", departing).start(node, now_s) or [])
+        status = LogStatus.DONE if step is Departure.DONE else LogStatus.NOT_APPENDED
+        return ProposeAnswer(status, None, self._leader())
+
     def _leader(self) -> str | None:
         node = self.runner.node
         return node.leader if node is not None and self.runner.is_available else None
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -7,10 +7,12 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from eliot import log_message
 from result import Err, Ok, Result
 
 from laburnumrock.daemon._log_messages import (
     ChangeVoters,
+    LeaveVoters,
     LogStatus,
     Propose,
     ProposeAnswer,
@@ -20,7 +22,7 @@
 from laburnumrock.daemon._log_runner import LogRunner
 from laburnumrock.daemon._log_service import LogService
 from laburnumrock.errors import ErrorKind, Failure
-from laburnumrock.replication import Disk, FolderDisk, Members, Role
+from laburnumrock.replication import Disk, FolderDisk, Members, Role, VoterPolicy
 from laburnumrock.state import ReplicatedState, decode_message, discover_parts, encode_message
 
 if TYPE_CHECKING:
@@ -42,6 +44,8 @@
 # 2 s.
 SUSPECT_S = 1.0
 TRANSFER_TIMEOUT_S = 1.0
+LEAVE_TIMEOUT_S = 2.0
+"""Maximum time that a planned stop waits for its removal from the voters."""
 
 
 class LogTask:
@@ -61,6 +65,8 @@
         Packages that register the parts of the state.
     may_bootstrap : bool
         Whether this instance may bootstrap a new log with the other initial voters.
+    voter_policy : VoterPolicy, optional
+        Decides on the voters; without it, only operators change them.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         disk: Disk | None = None,
         part_packages: tuple[str, ...] = PART_PACKAGES,
         may_bootstrap: bool = True,
+        voter_policy: VoterPolicy | None = None,
     ) -> None:
         self.settings = settings
         self.network = network
@@ -81,11 +88,12 @@
         self.runner: LogRunner | None = None
         if disk is not None:
             self.runner = LogRunner(settings, network, self.state, disk, may_bootstrap)
+        self.voter_policy = voter_policy
         self.known_leader: str | None = None
         self.next_voter = 0
         self.failed_call_s: dict[str, float] = {}
         if self.runner is not None:
-            self.service = LogService(settings, network, self.state, self.runner)
+            self.service = LogService(settings, network, self.state, self.runner, voter_policy)
             self.service.register()
 
     @property
@@ -147,14 +155,39 @@
         return Ok(None) if self.runner is None else await self.runner.start()
 
     async def stop(self) -> None:
-        """Transfer leadership, if held, and stop."""
+        """Leave the voters if enough others remain, transfer leadership, if held, and stop."""
         if self.runner is None:
             return
+        await self._leave_voters()
         node = self.runner.node
         if node is not None and node.role is Role.LEADER and self.runner.is_available:
             await self._transfer_leadership()
         await self.runner.stop()
 
+    async def _leave_voters(self) -> None:
+        """Wait until the removal of this voter is committed, if the group can do without it.
+
+        Notes
+        -----
+        Until its removal, a stopped voter counts towards the quorum, so that the group could bear
+        one loss less than it has voters for.
+        """
+        node = self.runner.node
+        if self.voter_policy is None or node is None or not self.runner.is_available:
+            return
+        if not self.voter_policy.may_depart(node):
+            return
+        node.prepare_departure()
+        message = LeaveVoters(node.voter_id)
+        began_s = time.monotonic()
+        while (remaining_s := began_s + LEAVE_TIMEOUT_S - time.monotonic()) > 0:
+            answer = await self._call_voter(message, min(remaining_s, ATTEMPT_MIN_S))
+            if isinstance(answer, ProposeAnswer) and answer.status is LogStatus.DONE:
+                log_message("voter_departed", waited_s=round(time.monotonic() - began_s, 3))
+                return
+            await asyncio.sleep(RETRY_S)
+        log_message("voter_departure_timed_out", voters=self.voters())
+
     async def _transfer_leadership(self) -> None:
         node = self.runner.node
         self.runner.enqueue(node.transfer(time.monotonic()))
--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -93,12 +93,12 @@
             self.network,
             part_packages=("laburnumrock.routing",),
             may_bootstrap=settings.may_bootstrap,
+            voter_policy=VoterPolicy(settings.tolerated_losses),
         )
         rng = random.Random(f"{settings.seed}-{settings.instance_id}")
         dispatch = settings.dispatch
         self.directory = UpstreamDirectory(dispatch.expiry_s, dispatch.retention_s)
         self.dispatcher = Dispatcher(dispatch, self.directory, rng)
-        self.voter_policy = VoterPolicy(settings.tolerated_losses)
         self.metrics = NodeMetrics()
         self.metrics.leading.set_function(lambda: int(self.is_leading))
         self.metrics.storage_unavailable.set_function(lambda: int(self.log.is_storage_unavailable))
@@ -452,4 +452,4 @@
         if self.is_leading:
             self.quarantine.propose_changes()
         self._push_views()
-        plan_voters(self.voter_policy, self.log, now_s)
+        plan_voters(self.log, now_s)
--- a/laburnumrock/nodes/_voters.py
+++ b/laburnumrock/nodes/_voters.py
@@ -3,13 +3,12 @@
 from eliot import log_message
 
 from laburnumrock.daemon import LogTask
-from laburnumrock.replication import VoterPolicy
 
 
-def plan_voters(policy: VoterPolicy, log: LogTask, now_s: float) -> None:
-    """Start the next change of the voters, if the policy asks for one."""
+def plan_voters(log: LogTask, now_s: float) -> None:
+    """Start the next change of the voters, if the policy of the log asks for one."""
     runner = log.runner
-    change = policy.next_change(runner.node, now_s) if runner.node else None
+    change = log.voter_policy.next_change(runner.node, now_s) if runner.node else None
     if change is None:
         return
     effects = change.start(runner.node, now_s)
--- a/laburnumrock/replication/__init__.py
+++ b/laburnumrock/replication/__init__.py
@@ -33,7 +33,7 @@
     Snapshot,
     StoredState,
 )
-from laburnumrock.replication._voter_policy import VoterChange, VoterPolicy
+from laburnumrock.replication._voter_policy import Departure, VoterChange, VoterPolicy
 
 RAFT_MESSAGES = (
     Append,
@@ -54,6 +54,7 @@
     "Append",
     "AppendAnswer",
     "Apply",
+    "Departure",
     "Disk",
     "Entry",
     "EntryKind",
--- a/laburnumrock/replication/_leading.py
+++ b/laburnumrock/replication/_leading.py
@@ -126,7 +126,10 @@
         return self._take_effects()
 
     def _request_successor(self) -> None:
-        """Ask the best other voter to start an election, even if it lacks entries."""
+        """Ask the best other voter to start an election, even if it lacks entries.
+
+        The caller ends the lease of this leader in the same step.
+        """
         progress = self.leader_state.progress
         others = [voter_id for voter_id in self.members.voters if voter_id in progress]
         if others:
@@ -258,6 +261,7 @@
         self._commit(index)
         removed = self.voter_id not in self.members.voters
         if removed and self.log.members_index <= self.commit_index:
+            self._request_successor()
             self._become_follower(self.term, None, now_s)
 
     def _finish_reads(self) -> None:
--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -105,6 +105,7 @@
             instance_id, self.voter_id, initial_voters, timing, may_bootstrap
         )
         self.partial_snapshot: Snapshot | None = None
+        self.is_departing = False
         self.effects: list[Effect] = []
         self.handlers = {
             PreVote: self._receive_pre_vote,
@@ -152,8 +153,10 @@
         list of Effect
             Effects to run in order.
         """
-        if self.has_log and message.voter_id not in self.members.voters_and_learners:
+        asks_to_join = isinstance(message, (IdentityQuery, PreVote))
+        if self.has_log and asks_to_join and not self._is_member(message.voter_id):
             # The sender is a new instance, or a voter that was removed during a network partition.
+            # Other messages may be late ones of a voter that was removed because it stops.
             self.bootstrap.record_non_member(sender, message.voter_id, now_s)
         if isinstance(message, IdentityQuery):
             self.bootstrap.record_identity(sender, message.voter_id, self.has_log)
@@ -169,9 +172,10 @@
 
         Call this at the time that `next_tick_s` returns, or a few times per heartbeat interval.
         """
-        if not self.has_log:
+        if not self._is_member(self.voter_id) and not self.is_departing:
             for peer in self.bootstrap.instances_to_query(now_s):
                 self._send(peer, IdentityQuery(self.voter_id))
+        if not self.has_log:
             return self._take_effects()
         if self.election_due_s is None:
             self._reset_election_timer(now_s)
@@ -181,13 +185,18 @@
             self._tick_leader(now_s)
         elif now_s >= self.election_due_s:
             self._reset_election_timer(now_s)
-            if self.voter_id in self.members.voters:
+            if self.voter_id in self.members.voters and not self.is_departing:
                 self._start_pre_vote(now_s)
         return self._take_effects()
 
+    def prepare_departure(self) -> None:
+        """Start no more elections and ask for no membership, since this node is about to stop."""
+        self.is_departing = True
+
     def next_tick_s(self, now_s: float) -> float:
         """Return the monotonic clock time of the next required tick, in seconds."""
-        if not self.has_log or self.election_due_s is None or self.members.learners:
+        is_joining = not self._is_member(self.voter_id) or bool(self.members.learners)
+        if self.election_due_s is None or is_joining:
             return now_s + self.timing.heartbeat_s / TICKS_PER_HEARTBEAT
         if self.role is not Role.LEADER:
             return self.election_due_s
@@ -247,6 +256,9 @@
         self.log.compact(snapshot)
         return [SaveSnapshot(snapshot, list(self.log.entries))]
 
+    def _is_member(self, voter_id: str) -> bool:
+        return voter_id in self.members.voters_and_learners
+
     def _receive_identity_answer(self, sender: str, message: IdentityAnswer) -> None:
         self.bootstrap.record_identity(sender, message.voter_id, message.has_log)
         if self.has_log or self.log.last_index:
--- a/laburnumrock/replication/tests/test_voter_policy.py
+++ b/laburnumrock/replication/tests/test_voter_policy.py
@@ -5,7 +5,16 @@
 import pytest
 
 from laburnumrock.messages import Send
-from laburnumrock.replication import Proposal, RaftNode, Role, StoredState, VoterPolicy
+from laburnumrock.replication import (
+    Departure,
+    Proposal,
+    RaftNode,
+    Role,
+    StoredState,
+    VoterChange,
+    VoterPolicy,
+)
+from laburnumrock.replication._voter_policy import MEMBER_TIMEOUT_S
 from laburnumrock.settings import TimingSettings
 
 STEP_S = 0.02
@@ -65,6 +74,38 @@
         self._deliver(leader.instance_id, proposal.effects)
         return proposal.index
 
+    def depart(self, *names: str, seconds: float = 2.0) -> None:
+        """Let nodes that are about to stop ask for their removal; each is down once it is done."""
+        for name in names:
+            self.nodes[name].prepare_departure()
+        waiting = set(names)
+        ends_s = self.now_s + seconds
+        while waiting and self.now_s < ends_s:
+            self.run(2 * STEP_S)
+            for name in sorted(waiting):
+                leader = self.leader()
+                identity = self.nodes[name].voter_id
+                if leader is None:
+                    continue
+                step = self.policy.plan_departure(leader, identity, self.now_s)
+                if step is Departure.DONE:
+                    waiting.discard(name)
+                    self.down.add(name)
+                elif step is Departure.REMOVE:
+                    change = VoterChange("remove", name)
+                    self._deliver(leader.instance_id, change.start(leader, self.now_s) or [])
+        assert not waiting
+
+    def commits(self) -> bool:
+        """Return whether a command is committed within two seconds."""
+        if self.leader() is None:
+            self.run(1.5)
+        if self.leader() is None:
+            return False
+        index = self.propose()
+        self.run(0.5)
+        return self.leader() is not None and self.leader().commit_index >= index
+
     def voters(self) -> list[str]:
         return sorted(self.leader().members.voters.values())
 
@@ -186,6 +227,72 @@
         assert cluster.leader() is not None
         assert cluster.leader().log.last_index >= index
 
+    @pytest.mark.parametrize("leads", [True, False])
+    def test_disk_lost_right_after_a_planned_departure(self, leads):
+        """Guards against a stopped voter that still counts, so that one lost disk ends the log."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        cluster.start("d", "d1")
+        cluster.run(6.0)
+        assert cluster.voters() == list("abcd")
+        leader = cluster.leader().instance_id
+        cluster.depart(leader if leads else cluster.follower())
+        assert len(cluster.voters() if cluster.leader() else "") in (0, 3)
+        cluster.run(0.1)
+        lost = cluster.follower()
+        cluster.start(lost, f"{lost}2")
+        assert cluster.commits()
+
+    def test_all_replaced_voters_depart_at_once(self):
+        """Guards against a quorum that is lost when all replaced voters stop at the same time."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        for name in "def":
+            cluster.start(name, f"{name}1")
+            cluster.run(6.0)
+        assert cluster.voters() == list("abcdef")
+        cluster.depart(*FIRST)
+        assert cluster.commits()
+        assert cluster.voters() == list("def")
+
+    def test_departure_keeps_the_smallest_group(self):
+        """Guards against a rolling restart that removes voters the group cannot do without."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        cluster.depart(cluster.follower())
+        assert cluster.voters() == FIRST
+        assert cluster.commits()
+
+    def test_departure_waits_for_a_successor_that_catches_up(self):
+        """Guards against a replaced voter that stops just before its successor becomes a voter."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        cluster.start("d", "d1")
+        for _ in range(200):
+            if not cluster.leader().members.learners:
+                cluster.run(STEP_S)
+        assert cluster.leader().members.learners
+        cluster.depart("a")
+        assert cluster.commits()
+        assert cluster.voters() == list("bcd")
+
+    def test_departure_that_could_not_be_committed(self):
+        """Guards against a removal that only unresponsive voters could commit."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        for name in "de":
+            cluster.start(name, f"{name}1")
+        cluster.run(6.0)
+        leader = cluster.leader()
+        others = [name for name in "abcde" if name != leader.instance_id]
+        # Both are unresponsive from the same moment, before the policy removes either.
+        cluster.down.update(others[:2])
+        cluster.run(MEMBER_TIMEOUT_S / 2)
+        for name in others[:2]:
+            leader.leader_state.progress[f"{name}1"].acked_s = float("-inf")
+        step = cluster.policy.plan_departure(leader, f"{others[2]}1", cluster.now_s)
+        assert step is Departure.WAIT
+
     def test_wiped_voters_bootstrap_no_second_group(self):
         """Guards against core instances with wiped disks that bootstrap a new, empty group."""
         cluster = Cluster()
