Let a core that joins ask the leader, also if the leader is no seed

With a leader that is no seed (more cores than seeds, or a replaced core that leads) the core never became a voter again, so that the next lost disk was one too many.

Change: the answer to an identity query names the leader that the answering core follows, and the joining core sends its query there too, at most once per interval.

Evidence: test_new_core_joins_a_leader_that_is_no_seed fails before (the wiped core is no voter after 6 s) and passes now.

--- a/laburnumrock/replication/_bootstrap.py
+++ b/laburnumrock/replication/_bootstrap.py
@@ -54,6 +54,7 @@
         self.last_seen_s: dict[str, float] = {}
         self.unbootstrapped: set[str] = {instance_id}
         self.next_query_s = float("-inf")
+        self.queried: set[str] = set()
 
     def record_identity(self, instance_id: str, voter_id: str, has_log: bool) -> None:
         """Record the identity that an instance reported and whether it belongs to a group."""
@@ -78,10 +79,18 @@
         self.next_query_s = now_s + heartbeats * self.timing.heartbeat_s
         self.unbootstrapped = {self.instance_id}
         others = [name for name in self.initial_voters if name != self.instance_id]
+        self.queried = {self.instance_id, *others}
         if not others and self.initial_voters:
             return [self.instance_id]
         return others
 
+    def claim_query(self, instance_id: str | None) -> bool:
+        """Return whether to send a query to an instance that has not got one in this interval."""
+        if instance_id is None or instance_id in self.queried:
+            return False
+        self.queried.add(instance_id)
+        return True
+
     def find_initial_members(self, answer: IdentityAnswer) -> Members | None:
         """Return the initial membership of the group, if it is known now.
 
--- a/laburnumrock/replication/_messages.py
+++ b/laburnumrock/replication/_messages.py
@@ -261,8 +261,11 @@
     first_members : Members, optional
         Membership with which the group was bootstrapped; None if the answering instance is in no
         group or has compacted that membership away.
+    leader : str, optional
+        Instance that the answering one follows as leader, if there is one.
     """
 
     voter_id: str
     has_log: bool
     first_members: Members | None = None
+    leader: str | None = None
--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -261,6 +261,9 @@
 
     def _receive_identity_answer(self, sender: str, message: IdentityAnswer) -> None:
         self.bootstrap.record_identity(sender, message.voter_id, message.has_log)
+        if not self._is_member(self.voter_id) and self.bootstrap.claim_query(message.leader):
+            # Only the leader adds members, and it need not be among the initial voters.
+            self._send(message.leader, IdentityQuery(self.voter_id))
         if self.has_log or self.log.last_index:
             return
         first_members = self.bootstrap.find_initial_members(message)
@@ -275,7 +278,7 @@
     def _identity_answer(self) -> IdentityAnswer:
         snapshot = self.log.snapshot
         first_members = snapshot.members if snapshot.index == INITIAL_SNAPSHOT_INDEX else None
-        return IdentityAnswer(self.voter_id, self.has_log, first_members)
+        return IdentityAnswer(self.voter_id, self.has_log, first_members, self.leader)
 
     def _commit(self, index: int) -> None:
         first = self.commit_index + 1
--- a/laburnumrock/replication/tests/test_voter_policy.py
+++ b/laburnumrock/replication/tests/test_voter_policy.py
@@ -11,6 +11,7 @@
     RaftNode,
     Role,
     StoredState,
+    TransferLeadership,
     VoterChange,
     VoterPolicy,
 )
@@ -293,6 +294,22 @@
         step = cluster.policy.plan_departure(leader, f"{others[2]}1", cluster.now_s)
         assert step is Departure.WAIT
 
+    def test_new_core_joins_a_leader_that_is_no_seed(self):
+        """Guards against a wiped core that never rejoins, as it asks only seeds for the group."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        for name in "def":
+            cluster.start(name, f"{name}1")
+        cluster.run(8.0)
+        old = cluster.leader()
+        request = TransferLeadership(old.term, old.voter_id, "d1")
+        cluster._deliver(old.instance_id, [Send("d", request)])
+        assert cluster.leader().instance_id == "d"
+        cluster.start("a", "a2")
+        cluster.run(6.0)
+        assert cluster.leader().instance_id == "d"
+        assert cluster.leader().members.voters.get("a2") == "a"
+
     def test_wiped_voters_bootstrap_no_second_group(self):
         """Guards against core instances with wiped disks that bootstrap a new, empty group."""
         cluster = Cluster()
