Plan changes of the voters every 0.1 s

Between two steps of a replacement (the successor is a voter, the lost core still is one) the group cannot bear the loss of a disk. The leader looked for the next step every 0.5 s, so each step took up to 0.5 s more, and a replacement after a loss up to about 1 s more of the 4 s of `catch_up_s`. The plan is computed only by the leader, over at most nine voters.

--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -63,6 +63,9 @@
 """Interval at which upstream reports are sent to the other cores in batches; each upstream reports
 once a second."""
 HOUSEKEEPING_INTERVAL_S = 0.5
+VOTER_PLAN_INTERVAL_S = 0.1
+"""Interval at which the leader plans changes of the voters. Between two steps of a replacement,
+the group cannot bear the loss of a disk."""
 PERMITS_PER_TERM = 1 << 32
 """Size of the permit number range of each leader, so that no two leaders use the same number."""
 PROPOSE_TIMEOUT_S = 2.5
@@ -139,6 +142,7 @@
             asyncio.create_task(run_every(PLACE_WAITING_INTERVAL_S, self._place_waiting)),
             asyncio.create_task(run_every(REPORT_INTERVAL_S, self._send_reports)),
             asyncio.create_task(run_every(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)),
+            asyncio.create_task(run_every(VOTER_PLAN_INTERVAL_S, self._plan_voters)),
         ]
         log_message("core_started", cores=list(self.settings.cores))
         return Ok(None)
@@ -452,4 +456,6 @@
         if self.is_leading:
             self.quarantine.propose_changes()
         self._push_views()
-        plan_voters(self.log, now_s)
+
+    def _plan_voters(self) -> None:
+        plan_voters(self.log, time.monotonic())
