Acknowledge a change of the voters once it is committed

Change: the leader answers `done` only if nothing is left to change and the last change is committed; `LogTask.change_voters` asks until then.

Evidence: test_change_of_voters_is_acknowledged_once_committed fails before (the removal is acknowledged by a leader whose two followers have stopped) and passes now.

--- a/laburnumrock/daemon/_log_service.py
+++ b/laburnumrock/daemon/_log_service.py
@@ -149,7 +149,11 @@
         if effects is None:
             detail = "another change is running, or the identity of the instance is not known"
             return ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader(), detail)
-        self.runner.enqueue(effects)
+        if effects:
+            # The caller asks again; without a further change, this one is committed.
+            self.runner.enqueue(effects)
+            detail = "the change is not committed yet"
+            return ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader(), detail)
         return ProposeAnswer(LogStatus.DONE, None, self._leader())
 
     async def _answer_leave(self, sender: str, message: LeaveVoters) -> ProposeAnswer:
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -281,7 +281,9 @@
     async def change_voters(
         self, action: str, instance_id: str, timeout_s: float = PROPOSE_TIMEOUT_S
     ) -> Result[None, Failure]:
-        """Start adding or removing a voter; an addition completes in the background.
+        """Add or remove a voter, and wait until the change is committed.
+
+        An instance that is added becomes a voter in the background, once its log has caught up.
 
         Parameters
         ----------
--- a/laburnumrock/daemon/tests/test_log_task.py
+++ b/laburnumrock/daemon/tests/test_log_task.py
@@ -16,6 +16,7 @@
     OperationState,
     RecordedAnswer,
 )
+from laburnumrock.replication import Role
 from laburnumrock.scenarios import make_loopback_settings
 from laburnumrock.transport import PeerNetwork
 
@@ -192,6 +193,19 @@
         assert old not in voters
         assert len(voters) == 3
 
+    def test_change_of_voters_is_acknowledged_once_committed(self, tmp_path):
+        """Guards against an operator who stops a voter whose removal is not committed."""
+
+        async def scenario(cluster):
+            assert (await cluster.logs["a2"].read_confirmed(10.0)).is_ok()
+            leader = cluster.leader()
+            others = [name for name in VOTERS if name != leader]
+            await asyncio.gather(*(cluster.stop(name) for name in others))
+            assert cluster.logs[leader].runner.node.role is Role.LEADER
+            return await cluster.logs[leader].change_voters("remove", others[0], 0.3)
+
+        assert _run(tmp_path, scenario).is_err()
+
     def test_failed_log_stops_the_voter_and_not_the_others(self, tmp_path):
         """A voter must stop after an error of its log that is no refusal of the disk."""
 
