Order drains and quarantines in the log, so that a late command undoes nothing newer

A core that was frozen read an old DELETE from its socket when it woke, and committed it after the newer POST. The same holds for an old POST after a newer DELETE.

Cause: `SetDrain` took effect by its arrival in the log alone. Neither the handler nor the core checked whether the operator still waited, and `LogTask.propose` repeats a command whose answer is lost.

Change: - A drain carries an id and the log index that a quorum confirmed while its caller was waiting. The replicated state applies it only if no other order of the domain has a higher index; an order that changes nothing counts as well. An order that lost against another one is proposed again as long as its caller waits. - After the confirmed read, the core checks that the connection of the caller is open. Whatever a caller orders after it has left is either covered by the read or found in the log. - A core that did not run for 0.8 s refuses orders for a second (503, the operator asks another core).

Ruled out: the views of the entries (undisturbed, and they had the newest state of the log).

--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+import secrets
 import time
 import zlib
+from collections.abc import Callable
 
 from eliot import log_message
 from result import Err, Ok, Result
@@ -41,7 +43,7 @@
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.nodes._views import ViewBase, ViewPublisher
 from laburnumrock.nodes._voters import plan_voters
-from laburnumrock.periodic import run_every
+from laburnumrock.periodic import StallDetector, run_every
 from laburnumrock.replication import VoterPolicy
 from laburnumrock.routing import (
     RouteDocument,
@@ -70,6 +72,12 @@
 """Size of the permit number range of each leader, so that no two leaders use the same number."""
 PROPOSE_TIMEOUT_S = 2.5
 """Shorter than the 4 s within which an operator expects an acknowledgement."""
+MIN_STALL_S = 0.8
+"""A caller that has waited this long is about to ask another core: operators and upstreams do so
+after a second. An order that may have waited longer is refused."""
+STALL_MEMORY_S = 1.0
+STALL_CHECK_INTERVAL_S = 0.1
+ORDER_ID_BYTES = 8
 READ_TIMEOUT_S = 0.9
 """Shorter than the one second after which an operator asks another core."""
 
@@ -109,6 +117,7 @@
         self.limit_log = LimitLog(self.dispatcher.fleet.limits, self.metrics)
         self.views = ViewPublisher(self.network, self.directory)
         self.reports = ReportExchange(settings.instance_id, self.network, self._all_cores)
+        self.stalls = StallDetector(MIN_STALL_S, STALL_MEMORY_S)
         self.leading_term = 0
         self.applied_version = -1
         self.applied_drained: list[str] = []
@@ -142,6 +151,7 @@
             asyncio.create_task(run_every(PLACE_WAITING_INTERVAL_S, self._place_waiting)),
             asyncio.create_task(run_every(REPORT_INTERVAL_S, self._send_reports)),
             asyncio.create_task(run_every(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)),
+            asyncio.create_task(run_every(STALL_CHECK_INTERVAL_S, self.stalls.record_tick)),
             asyncio.create_task(run_every(VOTER_PLAN_INTERVAL_S, self._plan_voters)),
         ]
         log_message("core_started", cores=list(self.settings.cores))
@@ -188,11 +198,45 @@
             answer = await self.log.propose(StoreRoutes(routes.version, packed), PROPOSE_TIMEOUT_S)
         return log_change("routes", routes.version, answer)
 
-    async def set_drain(self, failure_domain: str, drained: bool) -> Result[int, Failure]:
-        """Commit that a failure domain is drained, or returned to service."""
+    async def set_drain(
+        self, failure_domain: str, drained: bool, is_caller_waiting: Callable[[], bool]
+    ) -> Result[int, Failure]:
+        """Commit that a failure domain is drained, or returned to service.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Domain to drain or to return to service.
+        drained : bool
+            The new state.
+        is_caller_waiting : callable
+            Returns whether the operator still waits for the answer. One that has gone has sent the
+            order to another core, and perhaps newer orders since.
+
+        Returns
+        -------
+        Result
+            The version of the routes in force; a failure if the order has no effect here.
+        """
+        change = "drain" if drained else "restore"
+        order_id = secrets.token_hex(ORDER_ID_BYTES)
+        deadline_s = time.monotonic() + PROPOSE_TIMEOUT_S
         with self.metrics.commits.labels("drain").time():
-            answer = await self.log.propose(SetDrain(failure_domain, drained), PROPOSE_TIMEOUT_S)
-        return log_change("drain" if drained else "restore", failure_domain, answer)
+            while (remaining_s := deadline_s - time.monotonic()) > 0:
+                confirmed = await self.log.read_confirmed(min(READ_TIMEOUT_S, remaining_s))
+                if confirmed.is_err():
+                    return log_change(change, failure_domain, confirmed)
+                # The caller is looked for after the read: whatever it has ordered since it left
+                # has a higher index than the one that was read, or is found to be newer here.
+                if self.stalls.may_be_late() or not is_caller_waiting():
+                    failure = Failure(ErrorKind.STALE_REVISION, "the caller may have gone")
+                    return log_change(change, failure_domain, Err(failure))
+                command = SetDrain(failure_domain, drained, order_id, confirmed.unwrap())
+                answer = await self.log.propose(command, max(0.0, deadline_s - time.monotonic()))
+                if answer.is_err() or not answer.unwrap().superseded:
+                    return log_change(change, failure_domain, answer)
+        failure = Failure(ErrorKind.STALE_REVISION, "newer orders came before this one")
+        return log_change(change, failure_domain, Err(failure))
 
     async def read_routes(self) -> Result[RouteDocument, Failure]:
         """Return the routes in force, confirmed by a quorum."""
--- a/laburnumrock/nodes/_quarantine.py
+++ b/laburnumrock/nodes/_quarantine.py
@@ -36,6 +36,7 @@
         self.metrics.quarantined.set_function(lambda: len(quarantine.groups))
         self.applied_groups: list[list[str]] = []
         self.proposal: asyncio.Task | None = None
+        self.sequence = 0
 
     def apply(self, groups: list[list[str]], is_leading: bool) -> bool:
         """Apply the replicated groups, and return whether they changed."""
@@ -60,6 +61,8 @@
             self.proposal = asyncio.create_task(self._propose(groups))
 
     async def _propose(self, groups: list[list[str]]) -> None:
+        self.sequence += 1
+        command = SetQuarantine(groups, self.log.term, self.sequence)
         with self.metrics.commits.labels("quarantine").time():
-            answer = await self.log.propose(SetQuarantine(groups), COMMIT_TIMEOUT_S)
+            answer = await self.log.propose(command, COMMIT_TIMEOUT_S)
         log_change("quarantine", str(groups), answer)
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -344,7 +344,7 @@
         async def run():
             async with open_deployment(tmp_path) as deployment:
                 leader = deployment.leader()
-                assert (await leader.set_drain("a", True)).is_ok()
+                assert (await leader.set_drain("a", True, lambda: True)).is_ok()
                 await wait_until(lambda: leader.dispatcher.fleet.drained == {"a"})
                 # The state of a core that has applied the drain and leads in the same moment.
                 leader.leading_term = 0
--- a/laburnumrock/platform/_control.py
+++ b/laburnumrock/platform/_control.py
@@ -22,6 +22,15 @@
     def initialize(self, node: CoreNode) -> None:
         """Set the node that serves the requests."""
         self.node = node
+        self.has_caller_left = False
+
+    def on_connection_close(self) -> None:
+        """Record that the caller does not wait for the answer."""
+        self.has_caller_left = True
+
+    def is_caller_waiting(self) -> bool:
+        """Return whether the connection of the caller is open."""
+        return not self.has_caller_left
 
     def answer(self, status: int, document: object) -> None:
         """Send a JSON response."""
@@ -116,7 +125,7 @@
         await self._set_drain(unquote(zone), False)
 
     async def _set_drain(self, zone: str, drained: bool) -> None:
-        stored = await self.node.set_drain(zone, drained)
+        stored = await self.node.set_drain(zone, drained, self.is_caller_waiting)
         if stored.is_err():
             self.refuse(503, stored.unwrap_err())
             return
--- a/laburnumrock/routing/_messages.py
+++ b/laburnumrock/routing/_messages.py
@@ -25,7 +25,7 @@
 @register_message
 @dataclass(frozen=True, slots=True)
 class SetDrain:
-    """Takes a failure domain out of service, or back.
+    """Takes a failure domain out of service, or back, unless a newer order has done either.
 
     Parameters
     ----------
@@ -33,24 +33,37 @@
         Domain whose upstreams get no new requests while `drained` is true.
     drained : bool
         The new state.
+    order_id : str
+        Identifies the order, which may be proposed more than once.
+    base_index : int
+        Log index that was confirmed as current while the caller of the order was waiting. Orders of
+        the domain with a higher index are newer.
     """
 
     failure_domain: str
     drained: bool
+    order_id: str
+    base_index: int
 
 
 @register_message
 @dataclass(frozen=True, slots=True)
 class SetQuarantine:
-    """Replaces the quarantined groups of prompt parts.
+    """Replaces the quarantined groups of prompt parts, unless a later command has done so.
 
     Parameters
     ----------
     groups : list of list of str
         A request whose prompt contains all parts of a group is refused.
+    term : int
+        Raft term of the leader that proposes the groups.
+    sequence : int
+        Number of the proposal of that leader; together with `term` it orders the commands.
     """
 
     groups: list[list[str]]
+    term: int
+    sequence: int
 
 
 @register_message
@@ -64,10 +77,13 @@
         Version that is now in force.
     changed : bool
         Whether the command changed anything.
+    superseded : bool
+        Whether the command had no effect because a newer one was applied before it.
     """
 
     version: int
     changed: bool
+    superseded: bool = False
 
 
 @register_message
