Refuse the departure of an upstream that waited while the core did not run

A DELETE of an upstream names no incarnation. A core that was frozen read it late and removed an upstream that had started again under its id meanwhile.

--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -274,6 +274,10 @@
         bool
             Whether the notice can be acknowledged, as for `observe_upstream`.
         """
+        if self.stalls.may_be_late():
+            # The upstream may have told another core, and have started again since.
+            log_message("departure_late", upstream=upstream_id)
+            return False
         report = self.directory.remove(upstream_id, time.monotonic())
         if report is None:
             # Another core may know the upstream, for example if this one has just started.
--- a/laburnumrock/platform/tests/test_late_orders.py
+++ b/laburnumrock/platform/tests/test_late_orders.py
@@ -78,6 +78,16 @@
 
         play(scenario)
 
+    def test_departure_that_waited_while_the_core_was_frozen(self, play):
+        """Guards against a late departure of an upstream that has started again since."""
+
+        async def scenario(deployment, port):
+            core = deployment.cores[CORES[1]]
+            core.stalls.last_tick_s -= 3.0
+            assert not await core.remove_upstream("u1")
+
+        play(scenario)
+
     def test_two_orders_at_the_same_time_are_both_acknowledged(self, play):
         """Guards against a refusal of an order because another one is committed meanwhile."""
 
