Refuse an order to an engine that arrives after a newer one

It now carries the log index that was confirmed when it was received, and is refused if a newer order was recorded since.

Evidence: test_first_applied_after_newer_commands[add_order] fails without the check.

--- a/laburnumrock/daemon/_order_task.py
+++ b/laburnumrock/daemon/_order_task.py
@@ -103,7 +103,12 @@
         self, order_id: str, upstream_id: str, kind: str, arguments: dict[str, str]
     ) -> Result[dict[str, object], Failure]:
         """Record an order; a retry with the same id returns the recorded order."""
-        command = AddOrder(order_id, upstream_id, OrderKind(kind), arguments)
+        confirmed = await self.log.read_confirmed()
+        if confirmed.is_err():
+            return confirmed
+        command = AddOrder(
+            order_id, upstream_id, OrderKind(kind), arguments, base_index=confirmed.unwrap()
+        )
         answer = await self.log.propose(command)
         return answer.and_then(_describe)
 
--- a/laburnumrock/orders/_messages.py
+++ b/laburnumrock/orders/_messages.py
@@ -70,6 +70,8 @@
         Times of creation and last change by the leaders' clocks, in seconds since 1970.
     reload_of : str
         Original order, if this one was issued again because the engine lost its effect; else empty.
+    index : int
+        Log index of the command that recorded the order; 0 for a reissued one.
     """
 
     order_id: str
@@ -82,6 +84,7 @@
     recorded_s: float = 0.0
     changed_s: float = 0.0
     reload_of: str = ""
+    index: int = 0
 
     @property
     def target(self) -> str:
@@ -97,13 +100,21 @@
 @register_message
 @dataclass(frozen=True, slots=True)
 class AddOrder:
-    """Log command that records an order; a resend with the same id returns the recorded order."""
+    """Log command that records an order; a resend with the same id returns the recorded order.
+
+    Parameters
+    ----------
+    base_index : int, optional
+        Log index that was confirmed as current when the order was received. The order is refused if
+        a newer one of the same kind was recorded for the engine since; None for no such check.
+    """
 
     order_id: str
     upstream_id: str
     kind: OrderKind
     arguments: dict[str, str]
     stamped_at_s: float = 0.0
+    base_index: int | None = None
 
 
 @register_message
--- a/laburnumrock/orders/_part.py
+++ b/laburnumrock/orders/_part.py
@@ -60,7 +60,7 @@
     def apply(self, command: object, index: int) -> OrderAnswer:
         """Apply a log command."""
         if isinstance(command, AddOrder):
-            return self._add(command)
+            return self._add(command, index)
         if command.fencing_number < self.fencing_number:
             order = self.orders.get(command.order_id)
             return _answer(False, order, "a newer controller recorded a higher fencing number")
@@ -117,7 +117,7 @@
             if order.state in _DESIRED_STATES:
                 self.desired[order.upstream_id, order.kind] = order.order_id
 
-    def _add(self, command: AddOrder) -> OrderAnswer:
+    def _add(self, command: AddOrder, index: int) -> OrderAnswer:
         known = self.orders.get(command.order_id)
         if known is not None:
             is_same_order = (known.upstream_id, known.kind, known.arguments) == (
@@ -129,6 +129,9 @@
             return _answer(is_same_order, known, detail)
         if not find_target(command.kind, command.arguments):
             return _answer(False, None, f"{command.kind} lacks its argument")
+        newest = self._find_newest_index(command.upstream_id, command.kind)
+        if command.base_index is not None and newest > command.base_index:
+            return _answer(False, None, "a newer order was recorded since this one was received")
         order = Order(
             command.order_id,
             command.upstream_id,
@@ -136,9 +139,18 @@
             dict(command.arguments),
             recorded_s=command.stamped_at_s,
             changed_s=command.stamped_at_s,
+            index=index,
         )
         return self._insert(order)
 
+    def _find_newest_index(self, upstream_id: str, kind: OrderKind) -> int:
+        same_kind = (
+            order.index
+            for order in self.orders.values()
+            if (order.upstream_id, order.kind) == (upstream_id, kind)
+        )
+        return max(same_kind, default=0)
+
     def _insert(self, order: Order) -> OrderAnswer:
         key = (order.upstream_id, order.kind)
         previous = self.orders.get(self.desired.get(key, ""))
--- a/laburnumrock/state/tests/test_late_commands.py
+++ b/laburnumrock/state/tests/test_late_commands.py
@@ -53,8 +53,9 @@
     return [{"action": "put", "declaration": declaration}]
 
 
-def add_order(order_id: str, version: str) -> AddOrder:
-    return AddOrder(order_id, "e1", OrderKind.LOAD_VERSION, {"version": version})
+def add_order(order_id: str, version: str, base_index: int = 0) -> AddOrder:
+    arguments = {"version": version}
+    return AddOrder(order_id, "e1", OrderKind.LOAD_VERSION, arguments, base_index=base_index)
 
 
 def mark(order_id: str, event: OrderEvent, fencing_number: int = 1) -> MarkOrder:
@@ -106,13 +107,13 @@
         EnterHold(Hold("a", 1, True), 1.0),
         [ApplyChange("r2", 1, drain_state("in_service"), "op", 2.0)],
     ),
-    "add_order": Late(add_order("x1", "v1"), [add_order("x2", "v2")]),
+    "add_order": Late(add_order("x1", "v1"), [add_order("x2", "v2", 1)]),
     "mark_order": Late(
         mark("x1", OrderEvent.SEND), [mark("x1", OrderEvent.ACCEPT, 2)], [add_order("x1", "v1")]
     ),
     "reload": Late(
         ReloadOrder("x1", 1),
-        [add_order("x2", "v2"), mark("x1/5", OrderEvent.SEND, 2)],
+        [add_order("x2", "v2", 5), mark("x1/5", OrderEvent.SEND, 2)],
         [add_order("x1", "v1"), *carry_out("x1")],
     ),
 }
@@ -124,7 +125,6 @@
     "claim",
     "void",
     "abandon",
-    "add_order",
 )
 """Cases in which the newer commands take effect only after the late one."""
 
