Leave operations open that were claimed after an abandonment was proposed

A repeated or late one of an earlier process closed the operations of its successor: running calls became `unknown`, claimed ones void. An operator's abandonment of an instance thought dead closed what it claimed after its restart. The command now carries the log index that was confirmed before it was proposed, and operations claimed later stay open.

--- a/laburnumrock/daemon/_operations.py
+++ b/laburnumrock/daemon/_operations.py
@@ -54,8 +54,7 @@
 
     async def start(self) -> None:
         """Start closing the operations left open by earlier processes of this instance."""
-        abandon = AbandonOwner(self.settings.instance_id, self.process_id)
-        self._spawn(self._propose_until_answered(abandon))
+        self._spawn(self._abandon_earlier_processes())
 
     async def stop(self) -> None:
         """Stop the background tasks; the next process closes the operations still open."""
@@ -114,12 +113,30 @@
 
     async def abandon_owner(self, instance_id: str) -> Result[OperationAnswer, Failure]:
         """Close the open operations of an instance that is known to be dead."""
-        return await self.log.propose(AbandonOwner(instance_id, ""))
+        confirmed = await self.log.read_confirmed()
+        if confirmed.is_err():
+            return confirmed
+        command = AbandonOwner(instance_id, "", before_index=confirmed.unwrap())
+        return await self.log.propose(command)
 
     def follow_up(self, command: object) -> None:
         """Propose a command in the background, with retries until it is answered."""
         self._spawn(self._propose_until_answered(command))
 
+    async def _abandon_earlier_processes(self) -> None:
+        retry_until_s = time.monotonic() + FOLLOW_UP_LIMIT_S
+        while time.monotonic() < retry_until_s:
+            confirmed = await self.log.read_confirmed()
+            if confirmed.is_ok():
+                index = confirmed.unwrap()
+                command = AbandonOwner(
+                    self.settings.instance_id, self.process_id, before_index=index
+                )
+                await self._propose_until_answered(command)
+                return
+            await asyncio.sleep(FOLLOW_UP_RETRY_S)
+        log_message("operation_left_open", command=AbandonOwner.__name__)
+
     async def _propose_until_answered(self, command: object) -> None:
         retry_until_s = time.monotonic() + FOLLOW_UP_LIMIT_S
         while time.monotonic() < retry_until_s:
--- a/laburnumrock/daemon/tests/test_operations.py
+++ b/laburnumrock/daemon/tests/test_operations.py
@@ -40,6 +40,9 @@
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN))
         return Ok(answer)
 
+    async def read_confirmed(self, timeout_s=2.0):
+        return Ok(1)
+
     async def read_part(self, part, question, timeout_s=2.0):
         return Ok(self.journal.query(question))
 
--- a/laburnumrock/journal/_messages.py
+++ b/laburnumrock/journal/_messages.py
@@ -145,11 +145,15 @@
         Instance whose earlier processes are dead.
     process_id : str
         Id of the live process; empty if there is none.
+    before_index : int, optional
+        Operations that were claimed at a higher log index stay open: they belong to a process that
+        started after the command was proposed. None abandons all of them.
     """
 
     owner: str
     process_id: str
     stamped_at_s: float = 0.0
+    before_index: int | None = None
 
 
 @register_message
--- a/laburnumrock/journal/_part.py
+++ b/laburnumrock/journal/_part.py
@@ -55,6 +55,7 @@
     answer: RecordedAnswer | None = None
     source: str = ""
     past_claims: list[str] = field(default_factory=list)
+    claim_index: int = 0
 
 
 @register_part("journal")
@@ -80,6 +81,7 @@
     def __init__(self, retention_s: float = OPERATION_RETENTION_S) -> None:
         self.retention_s = retention_s
         self.clock_s = 0.0
+        self.index = 0
         self.operations: dict[tuple[str, str], Operation] = {}
         # Operations are encoded when they change: encoding 50,000 of them at once for a snapshot
         # would delay heartbeats.
@@ -98,6 +100,7 @@
     def apply(self, command: object, index: int) -> OperationAnswer:
         """Apply a journal command."""
         self.clock_s = command.stamped_at_s
+        self.index = index
         self._expire_finished(command.stamped_at_s)
         if isinstance(command, AbandonOwner):
             return self._abandon_owner(command)
@@ -140,7 +143,7 @@
         key = (command.account, command.key)
         operation = self.operations.get(key)
         if operation is None:
-            return self._open(key, _new_operation(command, []))
+            return self._open(key, _new_operation(command, [], self.index))
         if operation.fingerprint != command.fingerprint:
             return _answer(False, operation, command.stamped_at_s, mismatch=True)
         if operation.claim_id == command.claim_id:
@@ -150,7 +153,7 @@
         if not allowed or command.claim_id in operation.past_claims:
             return _answer(False, operation, command.stamped_at_s)
         past = [*operation.past_claims, operation.claim_id][-MAX_PAST_CLAIMS:]
-        return self._open(key, _new_operation(command, past))
+        return self._open(key, _new_operation(command, past, self.index))
 
     def _open(self, key: tuple[str, str], operation: Operation) -> OperationAnswer:
         self.operations[key] = operation
@@ -177,7 +180,11 @@
     def _abandon_owner(self, command: AbandonOwner) -> OperationAnswer:
         for key in list(self.open_keys):
             operation = self.operations[key]
-            if operation.owner == command.owner and operation.process_id != command.process_id:
+            is_earlier = (
+                command.before_index is None or operation.claim_index <= command.before_index
+            )
+            is_of_live_process = operation.process_id == command.process_id
+            if operation.owner == command.owner and is_earlier and not is_of_live_process:
                 self._transition(operation, "abandon", command.stamped_at_s)
         return OperationAnswer(True)
 
@@ -244,7 +251,7 @@
                 del self.encoded[key]
 
 
-def _new_operation(command: ClaimOperation, past_claims: list[str]) -> Operation:
+def _new_operation(command: ClaimOperation, past_claims: list[str], index: int) -> Operation:
     return Operation(
         command.account,
         command.key,
@@ -257,6 +264,7 @@
         command.stamped_at_s,
         command.stamped_at_s,
         past_claims=past_claims,
+        claim_index=index,
     )
 
 
--- a/laburnumrock/state/tests/test_late_commands.py
+++ b/laburnumrock/state/tests/test_late_commands.py
@@ -94,6 +94,14 @@
     ),
     "void": Late(VoidClaim("acme", "k", "c1"), [claim("c2")], [claim("c1")]),
     "abandon": Late(AbandonOperation("acme", "k", "c1"), [claim("c2")], [claim("c1")]),
+    "abandon_owner": Late(
+        AbandonOwner("a1", "p1", before_index=1),
+        [claim("c2", "p2", "k2"), AbandonOwner("a1", "p2", before_index=2)],
+        [claim("c1", "p0")],
+    ),
+    "abandon_owner_by_operator": Late(
+        AbandonOwner("a1", "", before_index=1), [claim("c2", "p2", "k2")], [claim("c1", "p0")]
+    ),
     "reconcile": Late(
         ReconcileOperation("acme", "k", DONE, "ledger"),
         [],
@@ -125,6 +133,7 @@
     "claim",
     "void",
     "abandon",
+    "abandon_owner_by_operator",
 )
 """Cases in which the newer commands take effect only after the late one."""
 
@@ -165,4 +174,4 @@
         """Guards against a new command that is ordered by its arrival alone."""
         tested = {type(case.command) for case in CASES.values()}
         registered = {cls for name in PART_NAMES for cls in PARTS[name].command_types}
-        assert registered - {AbandonOwner} <= tested
+        assert registered <= tested
