Let small responses pass while floods use up the limit of held bodies

Change: the limit applies only to bodies beyond 64 KiB (`laburnumrock.memory`), so that the sum stays bounded by the limit and 64 KiB for each response in progress.

--- a/laburnumrock/forwarding/_exchange.py
+++ b/laburnumrock/forwarding/_exchange.py
@@ -16,6 +16,7 @@
 
 from laburnumrock.forwarding._connections import UpstreamConnection
 from laburnumrock.forwarding._wire import CallerRequest, ResponseMetadata, WireFormat
+from laburnumrock.memory import HeldBytes, Holder
 
 MAX_STREAM_BYTES = 64 * 1024 * 1024
 """Maximum size of a response whose body is relayed and not held in memory."""
@@ -24,8 +25,8 @@
 MAX_FRAMING_RATIO, MAX_FRAMING_BYTES = 3, 16 * 1024
 """Maximum size of the framing of a held body, as a multiple of the body and in addition. A body in
 chunks of one byte is five times as much framing, and parsing it takes all CPU time of a process."""
-MAX_HELD_BYTES = 48 * 1024 * 1024
-"""Maximum size of all such bodies of a process together; the smallest instance has 152 MB."""
+HELD_BYTES = HeldBytes(48 * 1024 * 1024)
+"""All such bodies of a process together; the smallest instance has 152 MB."""
 READ_CHUNK_BYTES = 8 * 1024
 MAX_SKIPPED_RESPONSES = 4
 """Responses to other requests that are skipped on a connection before it is closed."""
@@ -86,16 +87,6 @@
 DataHandler = Callable[[bytes], Awaitable[None]]
 
 
-@dataclass(slots=True)
-class HeldBytes:
-    """Size of the incomplete response bodies that a process holds in memory."""
-
-    size: int = 0
-
-
-HELD_BYTES = HeldBytes()
-
-
 @dataclass(slots=True)
 class _ResponseReader(HTTPMessageDelegate):
     """Collects or relays the response to one request and discards responses to other requests."""
@@ -113,7 +104,7 @@
     framed: bool = False
     received_bytes: int = 0
     parsed_head_bytes: int = 0
-    held: HeldBytes = field(default_factory=lambda: HELD_BYTES)
+    holder: Holder = field(default_factory=lambda: Holder(HELD_BYTES))
     body: bytearray = field(default_factory=bytearray)
 
     def headers_received(self, start_line, headers: HTTPHeaders) -> None:
@@ -153,9 +144,8 @@
             raise HTTPInputError(f"{self.received_bytes} bytes came in too many chunks")
         if self.mismatched:
             return
-        if self.held.size + len(chunk) > MAX_HELD_BYTES:
-            raise HTTPInputError(f"responses in progress exceed {MAX_HELD_BYTES} bytes")
-        self.held.size += len(chunk)
+        if not self.holder.resize(len(self.body) + len(chunk)):
+            raise HTTPInputError(f"responses in progress exceed {HELD_BYTES.limit} bytes")
         self.body += chunk
 
     def finish(self) -> None:
@@ -167,7 +157,7 @@
 
     def release(self) -> None:
         """Stop counting the body as held, once it is forwarded or discarded."""
-        self.held.size -= len(self.body)
+        self.holder.release()
 
 
 async def exchange(
