Limit the memory that bodies of requests in progress take together

Seen by the review: 40 callers with bodies of 4 MB each at once take an entry to 282 MB, of 222 MB that it has. A process that exceeds its memory is killed with the requests of all its callers.

Cause: each body has a limit (what the routes declare), the sum had none.

It has not run.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -25,6 +25,8 @@
 """Fraction of its remaining time for which a request waits for the first routes of an instance."""
 STOPPING_RETRY_AFTER_S = 0.2
 """Retry-After time of requests that a shutdown refuses or ends; other instances are ready."""
+BODY_RETRY_AFTER_S = 1.0
+"""Retry-After time of requests whose body was dropped; other large requests end meanwhile."""
 REFUSED_RETRY_AFTER_S = 0.3
 """Retry-After time if all upstreams refused a request; their queues change within the duration of
 one response."""
@@ -132,6 +134,8 @@
             writer.account = route_table.find_account(request.key or "")
             if writer.account is None:
                 return ErrorKind.UNAUTHENTICATED
+        if request.is_body_dropped:
+            return ErrorKind.CONCURRENCY_LIMITED
         if len(request.body) > route_table.limits.max_body_bytes:
             return ErrorKind.BODY_TOO_LARGE
         limit_s = writer.route.timeout_s or self.context.settings.default_timeout_s
@@ -318,6 +322,8 @@
     def _fail(self, kind: ErrorKind, retry_after_s: float = 0.0) -> None:
         if kind is ErrorKind.STOPPING:
             retry_after_s = STOPPING_RETRY_AFTER_S
+        if kind is ErrorKind.CONCURRENCY_LIMITED and self.request.is_body_dropped:
+            retry_after_s = BODY_RETRY_AFTER_S
         if self.writer.started:
             self.writer.abort(kind, self.state.progress.last_id)
         else:
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -27,6 +27,7 @@
 from laburnumrock.forwarding._forwarder import RequestForwarder
 from laburnumrock.forwarding._idle import IdleLimits
 from laburnumrock.forwarding._wire import CallerRequest
+from laburnumrock.memory import HeldBytes, Holder
 
 MIN_HEADER_TIMEOUT_S = 20.0
 """Time limit for the header of a request, unless the routes declare a longer one."""
@@ -35,6 +36,9 @@
 BODY_BYTES, MAX_BODY_BYTES = 8 * 1024 * 1024, 64 * 1024 * 1024
 """Maximum size of a body that is read, and of one that the routes declare; the declared limit is
 checked once the route is known."""
+HELD_BODIES = HeldBytes(32 * 1024 * 1024)
+"""Bodies of all requests in progress together. The body of a request that is forwarded takes about
+1.5 times its size, and the smallest instance has 152 MB."""
 SIZE_FACTOR = 2
 """Ratio of the size that is read to the declared one, so that a request beyond the declared limit
 gets a response and not a closed connection."""
@@ -270,6 +274,7 @@
         # When a part of the header was first seen, while the rest is awaited.
         self.head_since_s: float | None = None
         self.chunks: list[bytes] = []
+        self.holder = Holder(HELD_BODIES)
         self.task: asyncio.Task | None = None
 
     @property
@@ -296,8 +301,16 @@
         self.request.arrived_s = time.monotonic()
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a chunk of the body."""
-        self.chunks.append(chunk)
+        """Store a chunk of the body, unless the bodies in progress take too much memory."""
+        if self.request is None or self.request.is_body_dropped:
+            return
+        if self.holder.resize(self.holder.size + len(chunk)):
+            self.chunks.append(chunk)
+            return
+        # The rest is read and dropped: a response before the end of the body may be lost, as the
+        # caller may not read it until it has sent all.
+        self.request.is_body_dropped = True
+        self._drop_body()
 
     def finish(self) -> None:
         """Start to forward a request that was read completely."""
@@ -305,15 +318,22 @@
             return
         if self.connection.stream.closed():
             # The request crossed the close of its connection, so no response can be written.
+            self._drop_body()
             return
         self.request.body = b"".join(self.chunks)
         self.chunks.clear()
         self.task = self.frontend.start_forwarding(self.server_conn, self.connection, self.request)
+        self.task.add_done_callback(lambda _: self.holder.release())
         self.connection.set_close_callback(self._cancel)
 
     def on_connection_close(self) -> None:
         """Discard a request that was not read completely."""
+        if self.task is None:
+            self._drop_body()
+
+    def _drop_body(self) -> None:
         self.chunks.clear()
+        self.holder.release()
 
     def _cancel(self) -> None:
         # The upstream must stop work for a caller that has disconnected.
--- a/laburnumrock/forwarding/_wire.py
+++ b/laburnumrock/forwarding/_wire.py
@@ -35,6 +35,8 @@
         Identifier of the last event of a stream that the caller has received.
     body : bytes
         Body, decoded from its transfer coding.
+    is_body_dropped : bool
+        Whether the body was dropped because the bodies in progress take too much memory.
     arrived_s : float
         Reading of the monotonic clock when the headers were read.
     """
@@ -51,6 +53,7 @@
     shared_parts: tuple[str, ...] = ()
     last_event_id: str | None = None
     body: bytes = b""
+    is_body_dropped: bool = False
     arrived_s: float = 0.0
 
 
