Bound what the own interface reads of an endless response

Cause: a body without framing was held up to 64 MB, although `exchange` never counts it as complete; nothing bounded the ratio of framing to body, and nothing the bodies of all responses together.

Change: a body without framing ends the exchange with its first byte. The check of the framing, which the forwarding side had, moves with its stream to `laburnumrock.streams` and serves both sides.

--- a/laburnumrock/forwarding/_connections.py
+++ b/laburnumrock/forwarding/_connections.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.streams import UpstreamStream
 
 KEEP_ALIVE_IDLE_S = 1
 """Idle time in seconds before the kernel sends TCP keep-alive probes; a dead network path is then
@@ -48,52 +49,6 @@
     max_idle: int = 8
 
 
-def has_buffered_data(stream: IOStream) -> bool:
-    """Return whether bytes were read from the socket and not processed, as part of a message."""
-    return stream._read_buffer_size > 0
-
-
-def has_unread_data(stream: IOStream) -> bool:
-    """Return whether unread bytes, an end of stream or an error is pending."""
-    # Tornado may already have read bytes into its own buffer while waiting for the close of the
-    # connection.
-    if has_buffered_data(stream):
-        return True
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
-
-
-class UpstreamStream(IOStream):
-    """Stream that counts received bytes and can tell whether its connection may be reused."""
-
-    received_bytes = 0
-
-    @property
-    def parsed_bytes(self) -> int:
-        """Number of received bytes that are not in the read buffer any more."""
-        return self.received_bytes - self._read_buffer_size
-
-    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Read from the socket and count the bytes."""
-        count = super().read_from_fd(buf)
-        self.received_bytes += count or 0
-        return count
-
-    def is_reusable(self) -> bool:
-        """Return whether the connection is open and no unread data is pending.
-
-        Notes
-        -----
-        Otherwise the upstream has closed the connection or sent bytes that belong to no request.
-        """
-        return not self.closed() and not has_unread_data(self)
-
-
 @dataclass(slots=True)
 class UpstreamConnection:
     """One persistent connection to an upstream.
--- a/laburnumrock/forwarding/_exchange.py
+++ b/laburnumrock/forwarding/_exchange.py
@@ -22,9 +22,6 @@
 """Maximum size of a response whose body is relayed and not held in memory."""
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Maximum size of a response whose body is held in memory until it is complete."""
-MAX_FRAMING_RATIO, MAX_FRAMING_BYTES = 3, 16 * 1024
-"""Maximum size of the framing of a held body, as a multiple of the body and in addition. A body in
-chunks of one byte is five times as much framing, and parsing it takes all CPU time of a process."""
 HELD_BYTES = HeldBytes(48 * 1024 * 1024)
 """All such bodies of a process together; the smallest instance has 152 MB."""
 READ_CHUNK_BYTES = 8 * 1024
@@ -137,10 +134,8 @@
         self.received_bytes += len(chunk)
         if self.received_bytes > MAX_RESPONSE_BYTES:
             raise HTTPInputError(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
-        framing_bytes = (
-            self.connection.stream.parsed_bytes - self.parsed_head_bytes - self.received_bytes
-        )
-        if framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self.received_bytes:
+        stream = self.connection.stream
+        if stream.has_excessive_framing(self.parsed_head_bytes, self.received_bytes):
             raise HTTPInputError(f"{self.received_bytes} bytes came in too many chunks")
         if self.mismatched:
             return
--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -22,12 +22,12 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from laburnumrock.forwarding._connections import has_buffered_data, has_unread_data
 from laburnumrock.forwarding._context import ForwardingContext
 from laburnumrock.forwarding._forwarder import RequestForwarder
 from laburnumrock.forwarding._idle import IdleLimits
 from laburnumrock.forwarding._wire import CallerRequest
 from laburnumrock.memory import HeldBytes, Holder
+from laburnumrock.streams import has_buffered_data, has_unread_data
 
 MIN_HEADER_TIMEOUT_S = 20.0
 """Time limit for the header of a request, unless the routes declare a longer one."""
--- a/laburnumrock/gateway/_upstream_http.py
+++ b/laburnumrock/gateway/_upstream_http.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
@@ -21,13 +22,19 @@
 
 from result import Err, Ok, Result
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
+from tornado.httputil import HTTPHeaders, HTTPInputError, HTTPMessageDelegate, RequestStartLine
+from tornado.iostream import StreamClosedError
+from tornado.netutil import Resolver
 
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.memory import HeldBytes, Holder
+from laburnumrock.streams import UpstreamStream
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+HELD_BYTES = HeldBytes(128 * 1024 * 1024)
+"""Bodies of all responses in progress that are not passed on as they arrive."""
+MAX_BUFFER_BYTES = 512 * 1024
+"""Maximum number of unprocessed bytes of a connection."""
 READ_CHUNK_BYTES = 64 * 1024
 MAX_CRASH_CHECK_S = 0.1
 """Time limit for the connection that shows whether the upstream of a failed attempt has crashed."""
@@ -86,10 +93,14 @@
 class _ResponseReader(HTTPMessageDelegate):
     """Collects a response and records whether its framing was complete."""
 
-    def __init__(self, on_data: DataHandler | None) -> None:
+    def __init__(self, stream: UpstreamStream, on_data: DataHandler | None) -> None:
+        self.stream = stream
         self.on_data = on_data
+        self.head_end = 0
         self.response: UpstreamResponse | None = None
         self.chunks: list[bytes] = []
+        self.holder = Holder(HELD_BYTES)
+        self.received_bytes = 0
         self.complete = False
         self.self_delimiting = False
 
@@ -97,15 +108,28 @@
         """Store status and headers, ignoring informational (1xx) responses."""
         if 100 <= start_line.code < 200:
             return
+        self.head_end = self.stream.parsed_bytes
         self.response = UpstreamResponse(start_line.code, headers)
         self.self_delimiting = "Content-Length" in headers or "Transfer-Encoding" in headers
 
     async def data_received(self, chunk: bytes) -> None:
         """Pass body data of a 200 response to the data handler; buffer it otherwise."""
+        if not self.self_delimiting:
+            raise HTTPInputError("a body without framing can never be complete")
+        self.received_bytes += len(chunk)
+        if self.stream.has_excessive_framing(self.head_end, self.received_bytes):
+            raise HTTPInputError(f"{self.received_bytes} bytes came in too many chunks")
         if self.on_data is not None and self.response is not None and self.response.status == 200:
             await self.on_data(chunk)
-        else:
-            self.chunks.append(chunk)
+            return
+        if not self.holder.resize(self.received_bytes):
+            raise HTTPInputError(f"responses in progress exceed {HELD_BYTES.limit} bytes")
+        self.chunks.append(chunk)
+
+    def release(self) -> None:
+        """Discard the body, or stop counting it once it is passed on."""
+        self.chunks.clear()
+        self.holder.release()
 
     def finish(self) -> None:
         """Mark the response complete if its framing delimits the body."""
@@ -146,7 +170,7 @@
         if call.send_deadline_s is not None and time.monotonic() > call.send_deadline_s:
             detail = "the time for sending has passed; nothing was sent"
             return Err(Failure(ErrorKind.CONNECTION_FAILED, detail, retry_after_s=1.0))
-        reader = _ResponseReader(on_data)
+        reader = _ResponseReader(stream, on_data)
         parameters = HTTP1ConnectionParameters(
             no_keep_alive=True, max_body_size=MAX_RESPONSE_BYTES, chunk_size=READ_CHUNK_BYTES
         )
@@ -154,12 +178,14 @@
         try:
             await _send(connection, call)
             await connection.read_response(reader)
-        except (StreamClosedError, OSError) as error:
+            if not reader.complete or reader.response is None:
+                return _make_error(call, "incomplete answer")
+            reader.response.body = b"".join(reader.chunks)
+            return Ok(reader.response)
+        except (StreamClosedError, HTTPInputError, OSError) as error:
             return _make_error(call, f"connection broke: {error}")
-        if not reader.complete or reader.response is None:
-            return _make_error(call, "incomplete answer")
-        reader.response.body = b"".join(reader.chunks)
-        return Ok(reader.response)
+        finally:
+            reader.release()
 
 
 async def is_refused(base_url: str) -> bool:
@@ -174,16 +200,24 @@
     return False
 
 
-async def _open_stream(base_url: str, timeout_s: float) -> IOStream:
-    address = urlsplit(base_url)
-    connecting = TCPClient().connect(address.hostname or "", address.port or 80)
-    try:
-        return await asyncio.wait_for(connecting, timeout_s)
-    except StreamClosedError as error:
-        raise error.real_error or ConnectionError("closed while connecting") from error
-
-
-async def _connect(call: UpstreamCall) -> Result[IOStream, Failure]:
+async def _open_stream(base_url: str, timeout_s: float) -> UpstreamStream:
+    url = urlsplit(base_url)
+    error: OSError = ConnectionError(f"no address of {url.hostname}")
+    async with asyncio.timeout(timeout_s):
+        for family, address in await Resolver().resolve(url.hostname or "", url.port or 80):
+            tcp_socket = socket.socket(family, socket.SOCK_STREAM)
+            stream = UpstreamStream(tcp_socket, max_buffer_size=MAX_BUFFER_BYTES)
+            try:
+                return await stream.connect(address)
+            except StreamClosedError as closed:
+                error = closed.real_error or ConnectionError("closed while connecting")
+            except BaseException:
+                stream.close()
+                raise
+    raise error
+
+
+async def _connect(call: UpstreamCall) -> Result[UpstreamStream, Failure]:
     try:
         stream = await _open_stream(call.base_url, call.connect_timeout_s)
     except (OSError, TimeoutError) as error:
@@ -204,7 +238,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _closing(stream: IOStream) -> AsyncIterator[None]:
+async def _closing(stream: UpstreamStream) -> AsyncIterator[None]:
     try:
         yield
     finally:
