End periodic work that is cancelled in the moment of an answer

`asyncio.wait_for` of Python 3.11 returns the answer instead of raising the CancelledError, and the loop goes on, while the stop waits for it.

Change: `raise_if_cancelled` raises the cancellation after each turn, in the loop of the hellos and in `run_periodically`, which the daemon's loops use. The check that one attempt of a request had already moves there.

--- a/laburnumrock/forwarding/_attempt.py
+++ b/laburnumrock/forwarding/_attempt.py
@@ -11,6 +11,7 @@
 from laburnumrock.forwarding._http_response import is_success, may_forward
 from laburnumrock.forwarding._request_state import RequestState
 from laburnumrock.forwarding._send import MIN_REMAINING_S, UpstreamSend
+from laburnumrock.periodic import raise_if_cancelled
 
 MAX_PLACEMENT_AGE_S = 1.0
 """Age from which a placement is not used. Reserving memory and connecting take 0.75 s at most, so
@@ -106,10 +107,7 @@
         began_s = time.monotonic()
         outcome = None
         try:
-            # `asyncio.wait_for` of Python 3.11 returns a result that is there instead of raising
-            # the CancelledError.
-            if self.task.cancelling():
-                raise asyncio.CancelledError
+            raise_if_cancelled()
             outcome = await self._send()
         finally:
             if outcome is None:
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -45,7 +45,7 @@
 )
 from laburnumrock.nodes._send_records import ActiveSendRecord, describe_send
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
-from laburnumrock.periodic import log_errors, run_every
+from laburnumrock.periodic import log_errors, raise_if_cancelled, run_every
 from laburnumrock.routing import RouteTable
 from laburnumrock.transport import PeerNetwork
 
@@ -349,6 +349,7 @@
                     await self._send_hello(self.leader)
                 if self.leader is None:
                     await self._find_leader()
+            raise_if_cancelled()
             self.hello_requested.clear()
             interval_s = self.hello_interval_s if self.leader is not None else HELLO_INTERVAL_S / 5
             with contextlib.suppress(TimeoutError):
--- a/laburnumrock/periodic/_periodic.py
+++ b/laburnumrock/periodic/_periodic.py
@@ -41,9 +41,23 @@
     while True:
         with log_errors(name):
             await turn()
+        raise_if_cancelled()
         await asyncio.sleep(find_pause_s())
 
 
+def raise_if_cancelled() -> None:
+    """Raise the cancellation of the current task that an awaited call did not raise.
+
+    Notes
+    -----
+    `asyncio.wait_for` of Python 3.11 returns a result that is there instead of raising the
+    CancelledError, so a loop that is cancelled in that moment would go on for ever.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 @contextlib.contextmanager
 def log_errors(name: str) -> Iterator[None]:
     """Log an error of periodic work, which then goes on.
--- a/laburnumrock/periodic/tests/test_periodic.py
+++ b/laburnumrock/periodic/tests/test_periodic.py
@@ -47,3 +47,30 @@
         loop = run_periodically("work", turn, lambda: TURN_S)
         asyncio.run(run_until_second_call(loop, work))
         assert work.calls >= 2
+
+
+class TestCancellation:
+    def test_cancellation_beside_a_result_ends_the_work(self):
+        """Guards against a stop that waits for ever, as its work was cancelled in the moment in
+        which a call of the work was answered.
+        """
+
+        async def run():
+            answer = asyncio.get_running_loop().create_future()
+            turns = 0
+
+            async def turn() -> None:
+                nonlocal turns
+                turns += 1
+                await asyncio.wait_for(answer, 2.0)
+
+            task = asyncio.create_task(run_periodically("work", turn, lambda: TURN_S))
+            while not turns:
+                await asyncio.sleep(0)
+            await asyncio.sleep(TURN_S)
+            answer.set_result(None)
+            task.cancel()
+            await asyncio.wait([task], timeout=1.0)
+            assert task.cancelled()
+
+        asyncio.run(run())
