Let the first seed form the group after a restart during the first start

No configuration is ever acknowledged, although all cores run.

Cause: only that core may form the group, and only while its own settings say that the system starts for the first time.

Change: answers to identity queries tell whether the answering core has run since the first start without a group. The first seed also forms the group if all other initial voters say so: nothing can have been committed then. A query tells whether its sender has a log, so that a removed member does not count as one without.

A first seed that never comes back still leaves the system without a log.

--- a/laburnumrock/replication/_bootstrap.py
+++ b/laburnumrock/replication/_bootstrap.py
@@ -6,6 +6,10 @@
 voters have reported identities that belong to no group. So an instance that lost its data folder
 never creates a second group while another initial voter still belongs to the first one. It waits
 until it is added as a learner.
+
+An instance that restarts during the first start of the whole system has settings that deny the
+first start. It may bootstrap the group if all other initial voters have run since the first start
+without a group: then no command was ever committed, as that takes one of them.
 """
 
 from __future__ import annotations
@@ -53,6 +57,7 @@
         self.identities: dict[str, str] = {instance_id: voter_id}
         self.last_seen_s: dict[str, float] = {}
         self.unbootstrapped: set[str] = {instance_id}
+        self.first_starts: set[str] = set()
         self.next_query_s = float("-inf")
         self.queried: set[str] = set()
 
@@ -64,6 +69,13 @@
         else:
             self.unbootstrapped.add(instance_id)
 
+    def record_first_start(self, instance_id: str, is_first_start: bool) -> None:
+        """Record whether an instance runs since the first start and belongs to no group."""
+        if is_first_start:
+            self.first_starts.add(instance_id)
+        else:
+            self.first_starts.discard(instance_id)
+
     def record_non_member(self, instance_id: str, voter_id: str, now_s: float) -> None:
         """Record that an identity that is not a member sent a message."""
         self.identities[instance_id] = voter_id
@@ -78,6 +90,7 @@
             heartbeats = QUERY_INTERVAL_HEARTBEATS
         self.next_query_s = now_s + heartbeats * self.timing.heartbeat_s
         self.unbootstrapped = {self.instance_id}
+        self.first_starts = set()
         others = [name for name in self.initial_voters if name != self.instance_id]
         self.queried = {self.instance_id, *others}
         if not others and self.initial_voters:
@@ -104,9 +117,13 @@
             return first if self.voter_id in first.voters else None
         is_bootstrapper = self.initial_voters[:1] == [self.instance_id]
         if (
-            not self.may_bootstrap
+            not (self.may_bootstrap or self._is_first_start_of_others())
             or not is_bootstrapper
             or not self.unbootstrapped.issuperset(self.initial_voters)
         ):
             return None
         return Members({self.identities[name]: name for name in self.initial_voters})
+
+    def _is_first_start_of_others(self) -> bool:
+        others = set(self.initial_voters) - {self.instance_id}
+        return bool(others) and others <= self.first_starts
--- a/laburnumrock/replication/_messages.py
+++ b/laburnumrock/replication/_messages.py
@@ -242,9 +242,18 @@
 @register_message
 @dataclass(frozen=True, slots=True)
 class IdentityQuery:
-    """Sent by an identity that is in no Raft group yet, to bootstrap or join one."""
+    """Sent by an identity that is no member of a Raft group, to bootstrap or join one.
+
+    Parameters
+    ----------
+    voter_id : str
+        Identity of the sender.
+    has_log : bool
+        Whether the sender belonged to a group, which has removed it.
+    """
 
     voter_id: str
+    has_log: bool = False
 
 
 @register_message
@@ -263,9 +272,13 @@
         group or has compacted that membership away.
     leader : str, optional
         Instance that the answering one follows as leader, if there is one.
+    is_first_start : bool
+        Whether the answering instance has run since the first start of the whole system without
+        ever having belonged to a group.
     """
 
     voter_id: str
     has_log: bool
     first_members: Members | None = None
     leader: str | None = None
+    is_first_start: bool = False
--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -159,7 +159,7 @@
             # Other messages may be late ones of a voter that was removed because it stops.
             self.bootstrap.record_non_member(sender, message.voter_id, now_s)
         if isinstance(message, IdentityQuery):
-            self.bootstrap.record_identity(sender, message.voter_id, self.has_log)
+            self.bootstrap.record_identity(sender, message.voter_id, message.has_log)
             self._send(sender, self._identity_answer())
         elif isinstance(message, IdentityAnswer):
             self._receive_identity_answer(sender, message)
@@ -174,7 +174,7 @@
         """
         if not self._is_member(self.voter_id) and not self.is_departing:
             for peer in self.bootstrap.instances_to_query(now_s):
-                self._send(peer, IdentityQuery(self.voter_id))
+                self._send(peer, IdentityQuery(self.voter_id, self.has_log))
         if not self.has_log:
             return self._take_effects()
         if self.election_due_s is None:
@@ -261,9 +261,10 @@
 
     def _receive_identity_answer(self, sender: str, message: IdentityAnswer) -> None:
         self.bootstrap.record_identity(sender, message.voter_id, message.has_log)
+        self.bootstrap.record_first_start(sender, message.is_first_start)
         if not self._is_member(self.voter_id) and self.bootstrap.claim_query(message.leader):
             # Only the leader adds members, and it need not be among the initial voters.
-            self._send(message.leader, IdentityQuery(self.voter_id))
+            self._send(message.leader, IdentityQuery(self.voter_id, self.has_log))
         if self.has_log or self.log.last_index:
             return
         first_members = self.bootstrap.find_initial_members(message)
@@ -278,7 +279,10 @@
     def _identity_answer(self) -> IdentityAnswer:
         snapshot = self.log.snapshot
         first_members = snapshot.members if snapshot.index == INITIAL_SNAPSHOT_INDEX else None
-        return IdentityAnswer(self.voter_id, self.has_log, first_members, self.leader)
+        is_first_start = self.bootstrap.may_bootstrap and not self.log.last_index
+        return IdentityAnswer(
+            self.voter_id, self.has_log, first_members, self.leader, is_first_start
+        )
 
     def _commit(self, index: int) -> None:
         first = self.commit_index + 1
--- a/laburnumrock/replication/tests/test_voter_policy.py
+++ b/laburnumrock/replication/tests/test_voter_policy.py
@@ -310,6 +310,27 @@
         assert cluster.leader().instance_id == "d"
         assert cluster.leader().members.voters.get("a2") == "a"
 
+    @pytest.mark.parametrize("identity", ["a1", "a2"])
+    def test_first_seed_is_restarted_during_the_first_start(self, identity):
+        """Guards against a system without a log because the core that forms it was killed early."""
+        cluster = Cluster()
+        cluster.down.add("a")
+        cluster.run(0.5)
+        cluster.start("a", identity, may_bootstrap=False)
+        cluster.run(3.0)
+        assert cluster.leader() is not None
+        assert cluster.commits()
+
+    def test_restarted_seed_bootstraps_no_second_group(self):
+        """Guards against a second group if one of the other cores has run before."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        cluster.start("a", "a2", may_bootstrap=False)
+        cluster.start("b", "b2", may_bootstrap=False)
+        cluster.start("c", "c2", may_bootstrap=True)
+        cluster.run(5.0)
+        assert cluster.leader() is None
+
     def test_wiped_voters_bootstrap_no_second_group(self):
         """Guards against core instances with wiped disks that bootstrap a new, empty group."""
         cluster = Cluster()
