Pass on a response without a length only if its end is proved to be orderly

Cause: a response without a length ends with its connection, also if the kernel closes it for a crashed engine. The end counted as orderly unless the engine refused a new connection; an engine that has started again while the entry was frozen accepts one. A check without a result counted as sound too.

Change: such a response is complete only if the upstream accepts the connection and this process has run without a pause of 0.5 s since the send (`StallDetector`, on the boot clock). Otherwise the send is broken: it is repeated if the request may be, else its caller gets 502.

--- a/laburnumrock/forwarding/_attempt.py
+++ b/laburnumrock/forwarding/_attempt.py
@@ -7,6 +7,7 @@
 from tornado.iostream import StreamClosedError
 
 from laburnumrock.dispatch import DispatchAnswer, DispatchCall, SendEnded, SendOutcome
+from laburnumrock.forwarding._connections import PortState
 from laburnumrock.forwarding._exchange import ExchangeResult, UpstreamResponse, parse_keep_alive_s
 from laburnumrock.forwarding._http_response import is_success, may_forward
 from laburnumrock.forwarding._request_state import RequestState
@@ -53,6 +54,7 @@
         self.placement: DispatchAnswer | None = None
         self.placed_s = 0.0
         self.send: UpstreamSend | None = None
+        self.sent_boot_s = 0.0
         # Helpers that did not respond to a reservation of memory.
         self.unresponsive: list[str] = []
         # Whether the send succeeded and its upstream wrote an answer or events.
@@ -163,6 +165,7 @@
                     lambda: self.take_over(self),
                     self.notify,
                 )
+                self.sent_boot_s = context.stalls.clock()
                 result = await self.send.run(connection, reserved.unwrap())
                 if state.writer.caller_disconnected:
                     raise StreamClosedError
@@ -195,7 +198,9 @@
         Notes
         -----
         A connection that the kernel closes for a crashed process looks like the orderly end of a
-        response without framing.
+        response without framing. Such a response counts as complete only if its upstream accepts a
+        connection, and if this process has run all the while: otherwise the upstream may have
+        crashed and started again before the end was read.
         """
         state = self.state
         broken = not result.complete or self.send.events.incomplete
@@ -206,10 +211,14 @@
         involved = (self.placement, *self.placement.helpers) if broken else (self.placement,)
         addresses = {(one.host, one.port) for one in involved}
         pool = state.context.pool
-        refused = await asyncio.gather(
-            *(pool.is_refused(host, port, MAX_CRASH_CHECK_S) for host, port in addresses)
+        states = await asyncio.gather(
+            *(pool.probe(host, port, MAX_CRASH_CHECK_S) for host, port in addresses)
         )
-        if not any(refused):
+        if PortState.REFUSED not in states:
+            has_stalled = state.context.stalls.has_stalled_since(self.sent_boot_s)
+            if not result.framed and (has_stalled or PortState.UNKNOWN in states):
+                result.complete = False
+                result.detail = "the upstream may have crashed before the end of the response"
             return False
         state.writer.log(
             "upstream_crashed",
--- a/laburnumrock/forwarding/_connections.py
+++ b/laburnumrock/forwarding/_connections.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from dataclasses import dataclass
+from enum import StrEnum
 
 from result import Err, Ok, Result
 from tornado.iostream import StreamClosedError
@@ -26,6 +27,14 @@
 the upstream closes the connection, so this is also its maximum size."""
 
 
+class PortState(StrEnum):
+    """What an attempt to open a connection tells of an upstream."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionPoolSettings:
     """Limits of the connection pool.
@@ -114,8 +123,8 @@
             detail = f"cannot connect to {host}:{port}: {error or 'timeout'}"
             return Err(Failure(ErrorKind.CONNECTION_FAILED, detail))
 
-    async def is_refused(self, host: str, port: int, timeout_s: float) -> bool:
-        """Return whether an upstream refuses a new connection, as one that has crashed does.
+    async def probe(self, host: str, port: int, timeout_s: float) -> PortState:
+        """Return whether an upstream accepts a new connection; one that has crashed refuses it.
 
         Notes
         -----
@@ -124,11 +133,11 @@
         try:
             connection = await self._connect(host, port, timeout_s)
         except ConnectionRefusedError:
-            return True
+            return PortState.REFUSED
         except (OSError, TimeoutError):
-            return False
+            return PortState.UNKNOWN
         self.release(connection, None)
-        return False
+        return PortState.ACCEPTED
 
     async def _connect(self, host: str, port: int, timeout_s: float) -> UpstreamConnection:
         stream = UpstreamStream(
--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -21,8 +21,12 @@
 from laburnumrock.forwarding._reservations import Reservations
 from laburnumrock.forwarding._wire import WireFormat
 from laburnumrock.metrics import NodeMetrics
+from laburnumrock.periodic import StallDetector
 from laburnumrock.routing import Route, RouteTable
 
+MIN_STALL_S = 0.5
+"""An upstream that has crashed takes longer than this to accept connections again."""
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardingSettings:
@@ -141,6 +145,8 @@
         instance that is shutting down.
     durations : RouteDurations
         Durations of recent requests.
+    stalls : StallDetector
+        Tells whether this process has run without a pause.
     """
 
     settings: ForwardingSettings
@@ -157,6 +163,7 @@
     stop_deadline_s: float = math.inf
     balancer_deadline_s: float = -math.inf
     durations: RouteDurations = field(default_factory=RouteDurations)
+    stalls: StallDetector = field(default_factory=lambda: StallDetector(MIN_STALL_S, 0.0))
 
     def begin_stop(self, balancer_grace_s: float, left_s: float) -> None:
         """Begin a shutdown that ends all requests in progress after a while.
--- a/laburnumrock/forwarding/tests/test_unframed.py
+++ b/laburnumrock/forwarding/tests/test_unframed.py
@@ -7,6 +7,7 @@
 import pytest
 
 from laburnumrock.dispatch import SendOutcome
+from laburnumrock.forwarding._connections import PortState
 from laburnumrock.forwarding.tests.scripted import (
     Script,
     ScriptedUpstream,
@@ -203,3 +204,46 @@
                 assert (await frontend.request("/once/x")).status == 502
 
         asyncio.run(run())
+
+
+class TestUnprovenEnds:
+    @pytest.mark.parametrize("path, status", [("/once/x", 502), ("/r/x", 200)])
+    def test_end_that_is_read_after_a_pause_of_the_process(self, path, status):
+        """Guards against half a response that counts as whole, as its upstream has crashed and
+        started again while this process was frozen.
+        """
+
+        async def run():
+            upstreams = [
+                ScriptedUpstream(send_unframed(b"half", pause_s=0.2)),
+                ScriptedUpstream(answer(200, b"whole")),
+            ]
+            async with open_frontend(*upstreams) as frontend:
+                stalls = frontend.context.stalls
+                stalls.record_tick()
+                request = asyncio.create_task(frontend.request(path))
+                await asyncio.sleep(0.1)
+                stalls.last_tick_s -= 3.0
+                stalls.record_tick()
+                response = await asyncio.wait_for(request, 2.0)
+                assert response.status == status
+                assert response.body == b"whole" or status == 502
+                assert frontend.dispatcher.outcomes[0] is SendOutcome.BROKEN
+
+        asyncio.run(run())
+
+    def test_end_of_an_upstream_that_does_not_answer_the_check(self, monkeypatch):
+        """Guards against half a response that counts as whole because a packet of the check of its
+        upstream was lost.
+        """
+
+        async def probe(host, port, timeout_s):
+            return PortState.UNKNOWN
+
+        async def run():
+            async with open_frontend(ScriptedUpstream(send_unframed(b"half"))) as frontend:
+                monkeypatch.setattr(frontend.context.pool, "probe", probe)
+                response = await asyncio.wait_for(frontend.request("/once/x"), 2.0)
+                assert response.status == 502
+
+        asyncio.run(run())
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -76,6 +76,7 @@
 HOUSEKEEPING_INTERVAL_S = 1.0
 """Interval at which idle connections of upstreams and callers are closed; their timeouts are whole
 seconds."""
+STALL_CHECK_INTERVAL_S = 0.1
 MAX_LOGGED_REQUESTS = 100
 """Maximum number of ids of unanswered requests in the log line at the end of a shutdown."""
 BALANCER_GRACE_S = 2.6
@@ -166,6 +167,7 @@
         self.tasks = [
             asyncio.create_task(self._run_hellos()),
             asyncio.create_task(run_every(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)),
+            asyncio.create_task(run_every(STALL_CHECK_INTERVAL_S, self.context.stalls.record_tick)),
         ]
         log_message("entry_started", cores=self.cores)
 
--- a/laburnumrock/periodic/_stalls.py
+++ b/laburnumrock/periodic/_stalls.py
@@ -31,7 +31,8 @@
         self.min_stall_s = min_stall_s
         self.memory_s = memory_s
         self.clock = clock
-        self.last_tick_s = clock()
+        # Without a tick, nothing is known of the time before.
+        self.last_tick_s = float("inf")
         self.stall_end_s = float("-inf")
 
     def record_tick(self) -> None:
@@ -43,6 +44,9 @@
 
     def may_be_late(self) -> bool:
         """Return whether input that is read now may have waited for `min_stall_s` or longer."""
-        now_s = self.clock()
-        is_stall_unrecorded = now_s - self.last_tick_s >= self.min_stall_s
-        return is_stall_unrecorded or now_s - self.stall_end_s < self.memory_s
+        return self.has_stalled_since(self.clock() - self.memory_s)
+
+    def has_stalled_since(self, began_s: float) -> bool:
+        """Return whether a stall ended after a reading of the clock, or has just ended."""
+        is_stall_unrecorded = self.clock() - self.last_tick_s >= self.min_stall_s
+        return is_stall_unrecorded or self.stall_end_s > began_s
