Log a change of the voters only when it starts

The leader now plans every 0.1 s, and a change that cannot start yet (the one before is not committed) was logged at each attempt.

--- a/laburnumrock/nodes/_voters.py
+++ b/laburnumrock/nodes/_voters.py
@@ -12,6 +12,6 @@
     if change is None:
         return
     effects = change.start(runner.node, now_s)
-    log_message("voter_change", action=change.action, subject=change.instance_id)
     if effects is not None:
+        log_message("voter_change", action=change.action, subject=change.instance_id)
         runner.enqueue(effects)
