--- a/laburnumrock/metrics/tests/test_events.py
+++ b/laburnumrock/metrics/tests/test_events.py
@@ -16,6 +16,7 @@
     "platform",
     "transport",
     "daemon/_log_runner.py",
+    "daemon/_log_task.py",
     "metrics/_log_writer.py",
 )
 # Fields that every log line of a request has, or that several events share.
