Raise a cancellation that arrives with the answer of a call

An instance without a quorum had not stopped 4 s after SIGTERM.

Cause: a stop cancels background work and waits for it. asyncio.wait_for of CPython 3.11 returns a result that is there instead of raising the CancelledError, so a cancelled call of PeerNetwork returns and its caller goes on.

The three new tests failed before the change; one cancels a read at each pass of the event loop. Ruled out: load (the machine was idle), and the wait for a departure of the voter, which this interface does not use.

An entry whose caller leaves in the moment of the placement withdraws its call; the permit ends with the next hello, as it does when the cancellation comes a little earlier.

--- a/laburnumrock/daemon/_log_service.py
+++ b/laburnumrock/daemon/_log_service.py
@@ -85,7 +85,8 @@
                 return ProposeAnswer(LogStatus.UNCERTAIN)
             return forwarded or ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader())
         try:
-            answer = await asyncio.wait_for(asyncio.shield(future), message.timeout_s)
+            async with asyncio.timeout(message.timeout_s):
+                answer = await asyncio.shield(future)
         except TimeoutError:
             answer = Err(Failure(ErrorKind.OUTCOME_UNKNOWN))
         if answer is None:
--- a/laburnumrock/daemon/_operations.py
+++ b/laburnumrock/daemon/_operations.py
@@ -191,7 +191,8 @@
     async def _dispatch(self, step: DispatchStep) -> Result[RecordedAnswer, Failure]:
         self.dispatched = True
         try:
-            return await asyncio.wait_for(self.dispatch(), step.timeout_s)
+            async with asyncio.timeout(step.timeout_s):
+                return await self.dispatch()
         except TimeoutError:
             return Err(Failure(ErrorKind.UPSTREAM_FAILED, "no answer before the deadline"))
         except Exception as error:
--- a/laburnumrock/daemon/tests/test_log_task.py
+++ b/laburnumrock/daemon/tests/test_log_task.py
@@ -121,6 +121,32 @@
         assert failure.answer.outcome is Outcome.UNKNOWN
         assert duration_s < 6.0
 
+    def test_cancelled_read_ends_without_a_quorum(self, tmp_path):
+        """Guards against a stop that waits for a cancelled read until the time limit of the read.
+
+        The read is cancelled at each pass of the event loop within its first call, as the end of
+        the call must not hide the cancellation.
+        """
+
+        async def scenario():
+            cluster = _Cluster(tmp_path)
+            await cluster.start("a1")
+            log = cluster.logs["a1"]
+            results = []
+            for passes in range(1, 20):
+                task = asyncio.create_task(log.read_confirmed(1.0))
+                for _ in range(passes):
+                    await asyncio.sleep(0)
+                task.cancel()
+                await asyncio.wait([task], timeout=0.3)
+                results.append(task.cancelled())
+                task.cancel()
+                await asyncio.wait([task])
+            await cluster.stop_all()
+            return results
+
+        assert all(asyncio.run(scenario()))
+
     def test_planned_stop_hands_leadership_over(self, tmp_path):
         """A graceful shutdown must transfer leadership instead of causing an election timeout."""
 
--- a/laburnumrock/gateway/_engine.py
+++ b/laburnumrock/gateway/_engine.py
@@ -208,7 +208,8 @@
     call = make_call(base_url, path, {"request_id": request_id})
     for _ in range(CANCEL_ATTEMPTS):
         try:
-            result = await asyncio.wait_for(exchange(call), CANCEL_TIMEOUT_S)
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                result = await exchange(call)
         except TimeoutError:
             continue
         if result.is_ok() and result.unwrap().status == 200:
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -254,7 +254,8 @@
         max_wait_s = max_queue_wait_s(self.settings.dispatch, call)
         future = self._find_decision(ticket)
         try:
-            return await asyncio.wait_for(future, max_wait_s + DECISION_GRACE_S)
+            async with asyncio.timeout(max_wait_s + DECISION_GRACE_S):
+                return await future
         except TimeoutError:
             self.network.send(leader, WithdrawCall(ticket))
             return None
--- a/laburnumrock/platform/soak/_callers.py
+++ b/laburnumrock/platform/soak/_callers.py
@@ -82,8 +82,8 @@
         reused = self.connection is not None
         if not reused:
             self.host, port = self.source.choice(self.addresses)
-            opened = asyncio.open_connection(self.host, port)
-            self.connection = await asyncio.wait_for(opened, 1.0)
+            async with asyncio.timeout(1.0):
+                self.connection = await asyncio.open_connection(self.host, port)
         reader, writer = self.connection
         self.sent += 1
         request_id = f"c{self.number}-{self.sent}"
--- a/laburnumrock/standins/_streams.py
+++ b/laburnumrock/standins/_streams.py
@@ -13,7 +13,8 @@
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
     """Connect to an address; return ``None`` on failure or time-out."""
     try:
-        return await asyncio.wait_for(asyncio.open_connection(host, port), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            return await asyncio.open_connection(host, port)
     except (OSError, TimeoutError):
         return None
 
--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -178,7 +178,8 @@
         try:
             if not self._enqueue(peer, Frame(message, call_number=number)):
                 return _unreachable(peer)
-            return Ok(await asyncio.wait_for(answer, timeout_s))
+            async with asyncio.timeout(timeout_s):
+                return Ok(await answer)
         except (TimeoutError, ConnectionError):
             return _unreachable(peer)
         finally:
@@ -186,8 +187,8 @@
 
     async def _call_local(self, message: object, timeout_s: float) -> Result[object, Failure]:
         try:
-            handling = self._run_handler(self.settings.instance_id, message)
-            answer = await asyncio.wait_for(handling, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                answer = await self._run_handler(self.settings.instance_id, message)
         except TimeoutError:
             return _unreachable(self.settings.instance_id)
         return _unreachable(self.settings.instance_id) if answer is None else Ok(answer)
--- a/laburnumrock/transport/tests/test_network.py
+++ b/laburnumrock/transport/tests/test_network.py
@@ -88,6 +88,54 @@
         assert asyncio.run(scenario()) == []
 
 
+class TestCancelledCall:
+    """A stop cancels the tasks that wait for an answer, and then waits for these tasks."""
+
+    def test_cancellation_beside_the_answer_of_a_local_handler(self):
+        """Guards against a cancelled call that returns, so that its caller goes on after a stop."""
+
+        async def is_cancelled_after(passes):
+            network = PeerNetwork(_make_settings()[0], KEY)
+
+            async def answer(sender, message):
+                await asyncio.sleep(0)
+                return message
+
+            network.handle(PeerHello, answer)
+            task = asyncio.create_task(network.call("a1", PeerHello("a1", b"n", 1), 1.0))
+            for _ in range(passes):
+                await asyncio.sleep(0)
+            if not task.cancel():
+                return None
+            await asyncio.wait([task])
+            return task.cancelled()
+
+        results = [asyncio.run(is_cancelled_after(passes)) for passes in range(12)]
+        assert results[0] is True
+        assert results[-1] is None, "the call did not end within the passes"
+        assert False not in results
+
+    def test_cancellation_beside_the_answer_of_a_peer(self):
+        """Guards against a cancelled call that returns, so that its caller goes on after a stop."""
+
+        async def scenario():
+            first, second = (PeerNetwork(settings, KEY) for settings in _make_settings())
+            second.handle(PeerHello, lambda sender, message: None)
+            await first.start()
+            await second.start()
+            task = asyncio.create_task(first.call("a2", PeerHello("a1", b"n", 1), 5.0))
+            await asyncio.sleep(0.05)
+            [pending] = first.pending_calls.values()
+            pending.answer.set_result(PeerHello("a2", b"n", 2))
+            task.cancel()
+            await asyncio.wait([task])
+            await first.stop()
+            await second.stop()
+            return task.cancelled(), first.pending_calls
+
+        assert asyncio.run(scenario()) == (True, {})
+
+
 class TestSilentLink:
     def test_silent_link_is_reopened(self):
         """Guards against a link that stays closed for seconds after its path has recovered."""
