Limit the memory that bodies of requests in progress take on the product's interface

Each body may have 16 MiB (64 MiB on the operators' paths, also without the operator key, as tornado reads the body first), and nothing limited their sum, so a few dozen large requests could exceed the memory of the process.

Cause: the limit of a body was checked for each request alone.

Change: the server counts the bytes of all bodies in one place, for handlers that stream and that do not. A body over 64 KiB that does not fit into 128 MiB is read to its end and dropped, and the request is refused with concurrency_limited (429, not run, Retry-After 1). The bytes are released when the response is written or the connection closes. A call that runs at most once goes on after its caller has left; its body does not count then.

Evidence: the new tests failed with tornado's own server (nothing counts the bodies, two of three cases; the third holds the release). They also hold that a small request passes, that the refused connection serves its next request, and that the lifecycle counts no request for ever. The tests of the gateway pass. Process memory was not measured.

--- a/laburnumrock/gateway/_app.py
+++ b/laburnumrock/gateway/_app.py
@@ -10,6 +10,7 @@
 from laburnumrock.gateway._handler import UnknownPathHandler
 from laburnumrock.gateway._health import HealthHandler, HistogramsHandler, ReadyHandler
 from laburnumrock.gateway._interfaces import GatewayServices
+from laburnumrock.gateway._server import LimitedBodyServer
 from laburnumrock.gateway._services import ServicesHandler
 
 # Bodies up to this multiple of the size limit are read to their end, so that the caller receives a
@@ -65,6 +66,6 @@
         Running server; its `stop` closes the port but keeps open connections.
     """
     settings = services.settings
-    server = HTTPServer(app, max_body_size=OVERSIZE_FACTOR * settings.max_body_bytes)
+    server = LimitedBodyServer(app, max_body_size=OVERSIZE_FACTOR * settings.max_body_bytes)
     server.listen(settings.listen.caller_port, settings.listen.host)
     return server
--- a/laburnumrock/gateway/tests/fakes.py
+++ b/laburnumrock/gateway/tests/fakes.py
@@ -189,7 +189,7 @@
     return view
 
 
-def make_settings():
+def make_settings(max_body_bytes=LIMIT_BYTES):
     with socket.create_server(("127.0.0.1", 0)) as probe:
         port = probe.getsockname()[1]
     listen = {"host": "127.0.0.1", "caller_port": port, "peer_port": 1}
@@ -202,7 +202,7 @@
             "shared_key_file": "x",
             "operator_key_file": "x",
             "peers": [peer],
-            "max_body_bytes": LIMIT_BYTES,
+            "max_body_bytes": max_body_bytes,
         }
     )
 
@@ -210,14 +210,14 @@
 class Gateway:
     """Gateway under test with fake services."""
 
-    def __init__(self, engines, lifecycle=None):
+    def __init__(self, engines, lifecycle=None, max_body_bytes=LIMIT_BYTES):
         self.permits = FakePermits(engine.base_url for engine in engines)
         self.quotas = FakeQuotas()
         self.lifecycle = lifecycle or FakeLifecycle()
         self.http = None
         self.announced = []
         self.services = GatewayServices(
-            settings=make_settings(),
+            settings=make_settings(max_body_bytes),
             declarations=make_view(),
             permits=self.permits,
             quotas=self.quotas,
@@ -249,14 +249,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_gateway(*engines, lifecycle=None, routes=()):
+async def run_gateway(*engines, lifecycle=None, routes=(), max_body_bytes=LIMIT_BYTES):
     async with contextlib.AsyncExitStack() as stack:
         for engine in engines:
             server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
             await stack.enter_async_context(server)
             engine.server = server
             engine.base_url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        gateway = Gateway(engines, lifecycle)
+        gateway = Gateway(engines, lifecycle, max_body_bytes)
         gateway.http = serve_app(make_app(gateway.services, routes), gateway.services)
         yield gateway
         gateway.http.stop()
