Take the ports of tests from a reserved block below the ephemeral range

Such a port is in the ephemeral range, so an outgoing connection or the same search in another process can get it meanwhile. The process runner reserved its ports below that range already.

Change: find_free_ports takes ports from a block that the process reserves the way the runner does, and returns none again before all others of the block. It replaces the six copies.

A failure as before was not provoked.

--- a/laburnumrock/daemon/tests/test_declaration_task.py
+++ b/laburnumrock/daemon/tests/test_declaration_task.py
@@ -1,7 +1,6 @@
 """Tests of the declaration task over real loopback connections."""
 
 import asyncio
-import socket
 from types import SimpleNamespace
 
 from result import Err, Ok
@@ -11,6 +10,7 @@
 from laburnumrock.declarations import ApplyChange, DeclarationStore, HoldRegistry
 from laburnumrock.declarations.tests._builders import plain_template, put
 from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.scenarios import find_free_ports
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 
@@ -40,10 +40,7 @@
 
 
 def _make_settings(folder):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(2 * len(NAMES))]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    ports = find_free_ports(2 * len(NAMES))
     addresses = {
         name: {"host": "127.0.0.1", "caller_port": ports[2 * i], "peer_port": ports[2 * i + 1]}
         for i, name in enumerate(NAMES)
--- a/laburnumrock/gateway/tests/fakes.py
+++ b/laburnumrock/gateway/tests/fakes.py
@@ -4,7 +4,6 @@
 import contextlib
 import hashlib
 import json
-import socket
 
 from result import Err, Ok
 from tornado.httpclient import AsyncHTTPClient
@@ -15,6 +14,7 @@
 from laburnumrock.journal import OperationAnswer
 from laburnumrock.metrics import Counters, HistogramRegistry
 from laburnumrock.placement import PermitGrant, Placement
+from laburnumrock.scenarios import find_free_ports
 from laburnumrock.settings import InstanceSettings
 
 KEY = "merchant-key"
@@ -190,8 +190,7 @@
 
 
 def make_settings(max_body_bytes=LIMIT_BYTES):
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        port = probe.getsockname()[1]
+    [port] = find_free_ports(1)
     listen = {"host": "127.0.0.1", "caller_port": port, "peer_port": 1}
     peer = {"instance_id": "a1", "failure_domain": "a", **listen}
     return InstanceSettings.model_validate(
--- a/laburnumrock/nodes/tests/deployment.py
+++ b/laburnumrock/nodes/tests/deployment.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 
 from result import Err
 
@@ -16,6 +15,7 @@
 from laburnumrock.platform._routes import decode_routes
 from laburnumrock.platform._wire import PlatformWire
 from laburnumrock.platform.tests.samples import make_config
+from laburnumrock.scenarios import find_free_ports
 
 CORES = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 ENTRY = "127.0.0.21"
@@ -23,14 +23,6 @@
 WAIT_S = 8.0
 
 
-def find_ports() -> tuple[int, int]:
-    """Return two ports that are free on all loopback addresses."""
-    with socket.socket() as first, socket.socket() as second:
-        first.bind(("", 0))
-        second.bind(("", 0))
-        return first.getsockname()[1], second.getsockname()[1]
-
-
 async def wait_until(condition) -> None:
     async with asyncio.timeout(WAIT_S):
         while not condition():
@@ -42,7 +34,7 @@
 
     def __init__(self, folder) -> None:
         self.folder = folder
-        self.ports = find_ports()
+        self.ports = find_free_ports(2, "")
         self.cores: dict[str, CoreNode] = {}
         self.entry: EntryNode | None = None
 
--- a/laburnumrock/platform/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -17,7 +17,7 @@
 from laburnumrock.platform.soak._schedule import CORES, make_schedule
 from laburnumrock.platform.soak._state import ZONES, Node, RunState, SoakSettings
 from laburnumrock.platform.soak._upstreams import HEARTBEAT_S, Upstream
-from laburnumrock.scenarios import ManagedProcess
+from laburnumrock.scenarios import ManagedProcess, find_free_ports
 from laburnumrock.standins import FaultyProxy
 
 START_TIMEOUT_S = 20.0
@@ -55,7 +55,7 @@
 @contextlib.asynccontextmanager
 async def open_deployment(soak: RunState, rng: random.Random) -> AsyncIterator[None]:
     """Start the processes and upstreams of a run, and end them on exit."""
-    soak.ports = _find_free_ports(6)
+    soak.ports = find_free_ports(6, "")
     claim = _claim_network(soak)
     try:
         _make_nodes(soak)
@@ -129,7 +129,7 @@
     host = f"{soak.network}.90"
     names = [f"engine{number}" for number in range(soak.settings.engines)]
     names += [f"server{number}" for number in range(soak.settings.servers)]
-    ports = _find_free_ports(2 * len(names))
+    ports = find_free_ports(2 * len(names), "")
     for number, name in enumerate(names):
         service = "llm" if name.startswith("engine") else "app"
         port, proxy_port = ports[2 * number : 2 * number + 2]
@@ -282,15 +282,3 @@
         else:
             return claim
     raise OSError("all loopback networks are in use by other runs")
-
-
-def _find_free_ports(count: int) -> list[int]:
-    """Return port numbers that are free on all loopback addresses."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
--- a/laburnumrock/platform/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -9,7 +9,7 @@
 from laburnumrock.platform.soak import ACTIONS, Findings, SoakSettings, make_schedule, run_soak
 from laburnumrock.platform.soak._callers import Caller
 from laburnumrock.platform.soak._findings import name_planned_stop
-from laburnumrock.platform.soak._run import _claim_network, _find_free_ports
+from laburnumrock.platform.soak._run import _claim_network
 from laburnumrock.platform.soak._schedule import CORE_RECOVERY_S
 from laburnumrock.platform.soak._state import RunState
 from laburnumrock.platform.soak._upstreams import (
@@ -18,6 +18,7 @@
     Upstream,
     make_event,
 )
+from laburnumrock.scenarios import find_free_ports
 from laburnumrock.standins import FaultyProxy
 
 # Seeds that once failed, each with the cause.
@@ -212,7 +213,7 @@
         """Guards against a fault that ends with an error since another one restarted its target."""
 
         async def run():
-            upstream = make_upstream(*_find_free_ports(2))
+            upstream = make_upstream(*find_free_ports(2, ""))
             await upstream.start()
             upstream.crash()
             await asyncio.gather(upstream.start(), upstream.start())
--- a/laburnumrock/scenarios/__init__.py
+++ b/laburnumrock/scenarios/__init__.py
@@ -11,6 +11,7 @@
 from laburnumrock.scenarios._order_cluster import OrderCluster
 from laburnumrock.scenarios._order_host import OrderHost
 from laburnumrock.scenarios._plan import DeploymentPlan
+from laburnumrock.scenarios._ports import find_free_ports
 from laburnumrock.scenarios._processes import ManagedProcess, ProcessGroup, run_deployment
 from laburnumrock.scenarios._script import CASES, ScenarioError, Script, parse_script, read_script
 from laburnumrock.scenarios._virtual import FaultRates, VirtualClock, VirtualNetwork
@@ -38,6 +39,7 @@
     "ProcessGroup",
     "VirtualClock",
     "VirtualNetwork",
+    "find_free_ports",
     "make_loopback_settings",
     "request_json",
     "run_deployment",
--- a/laburnumrock/scenarios/_deployment.py
+++ b/laburnumrock/scenarios/_deployment.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from laburnumrock.scenarios._http import HttpResponse, request_json, reserve_ports
+from laburnumrock.scenarios._http import HttpResponse, request_json
 from laburnumrock.scenarios._plan import (
     HOST,
     DeploymentPlan,
@@ -13,6 +13,7 @@
     Instance,
     ProcessSpec,
 )
+from laburnumrock.scenarios._ports import reserve_ports
 
 READY_TIMEOUT_S = 1.0
 STANDINS = ["-m", "laburnumrock.standins"]
--- a/laburnumrock/scenarios/_loopback.py
+++ b/laburnumrock/scenarios/_loopback.py
@@ -1,8 +1,8 @@
 """Instance settings with free loopback ports, for tests and benchmarks in one process."""
 
-import socket
 from pathlib import Path
 
+from laburnumrock.scenarios._ports import find_free_ports
 from laburnumrock.settings import InstanceSettings
 
 
@@ -21,7 +21,7 @@
         Additional fields of the settings.
     """
     names = [*voters, *others]
-    ports = _free_ports(2 * len(names))
+    ports = find_free_ports(2 * len(names))
     peers = [
         {
             "instance_id": name,
@@ -50,11 +50,3 @@
             document["data_folder"] = str(folder / name)
         result[name] = InstanceSettings.model_validate(document)
     return result
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
-    return ports
--- a/laburnumrock/standins/tests/_servers.py
+++ b/laburnumrock/standins/tests/_servers.py
@@ -1,12 +1,12 @@
 """In-process servers and an HTTP client for tests."""
 
 import json
-import socket
 
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from laburnumrock.scenarios import find_free_ports
 from laburnumrock.standins._engine import EngineOptions, ModelEngine
 from laburnumrock.standins._engine_http import MAX_BODY_BYTES, make_engine_application
 
@@ -14,9 +14,7 @@
 
 
 def find_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    return find_free_ports(1)[0]
 
 
 def serve(application, port):
--- a/laburnumrock/standins/tests/test_load.py
+++ b/laburnumrock/standins/tests/test_load.py
@@ -3,7 +3,6 @@
 import asyncio
 import io
 import json
-import socket
 from pathlib import Path
 
 import pytest
@@ -13,6 +12,7 @@
 from tornado.web import Application, RequestHandler
 
 import laburnumrock
+from laburnumrock.scenarios import find_free_ports
 from laburnumrock.standins import hash_prompt, read_report, report_command, token_text
 from laburnumrock.standins._load import run_load
 from laburnumrock.standins._load_calls import CallRecord, LoadClient, StreamValidator
@@ -143,9 +143,7 @@
         """Guards against faults that go undetected when responses arrive over HTTP."""
 
         async def scenario():
-            with socket.socket() as probe:
-                probe.bind((HOST, 0))
-                port = probe.getsockname()[1]
+            [port] = find_free_ports(1)
             application = Application([("/v1/completions", GatewayHandler)])
             server = HTTPServer(application, max_body_size=10**8, max_buffer_size=10**8)
             server.add_sockets(bind_sockets(port, HOST))
--- a/laburnumrock/transport/tests/test_network.py
+++ b/laburnumrock/transport/tests/test_network.py
@@ -1,10 +1,10 @@
 """Tests of the links between instances."""
 
 import asyncio
-import socket
 
 from laburnumrock.errors import ErrorKind
 from laburnumrock.messages import MAX_FRAME_BYTES
+from laburnumrock.scenarios import find_free_ports
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.standins import FaultyProxy
 from laburnumrock.transport import PeerHello, PeerNetwork
@@ -12,16 +12,8 @@
 KEY = b"k" * 32
 
 
-def _free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 def _make_settings():
-    ports = _free_ports(4)
+    ports = find_free_ports(4)
     peers = [
         {
             "instance_id": name,
@@ -142,7 +134,7 @@
 
         async def run():
             first_settings, second_settings = _make_settings()
-            [port] = _free_ports(1)
+            [port] = find_free_ports(1)
             peer = second_settings.own_peer
             proxy = FaultyProxy("127.0.0.1", port, peer.peer_port)
             timing = first_settings.timing.model_copy(
