Record the removal of a hold in the log

What operators saw: a hold that is removed while its EnterHold is under way stayed in the log as a drain, although the removal was acknowledged.

Cause: the removal was spread among the instances of the domain and never reached the log, so nothing ordered it against the command.

Change: the removal is entered into the log like the hold. The store keeps the version of the newest entry of each domain: an older hold that arrives later changes nothing, and a removal restores the domain if the drain is that of the removed hold and nothing has changed the domain since. A drain by an operator, or by an earlier hold, stays.

Evidence: test_hold_that_is_removed_while_it_enters_the_log failed before (the domain stayed drained).

Left: of two holds of one domain that are placed at the same time on two instances, the log may contain the older one; the removal of the newer one does not restore the domain then, and the status shows the drain.

--- a/laburnumrock/daemon/_declaration_task.py
+++ b/laburnumrock/daemon/_declaration_task.py
@@ -161,7 +161,10 @@
         return Ok(hold)
 
     def remove_hold(self, failure_domain: str, operator: str) -> Result[Hold, Failure]:
-        """Remove a hold that has not been committed to the log yet."""
+        """Remove a hold that is not known to be in the log.
+
+        The log records the removal too, in case the hold is on its way there.
+        """
         known = self.view.holds.holds.get(failure_domain)
         if known is not None and known.entered_revision is not None:
             detail = f"the log holds the drain since revision {known.entered_revision}: restore it"
@@ -252,7 +255,7 @@
             if answer.is_err() or answer.unwrap().kind is not None:
                 continue
             if self.view.holds.mark_entered(hold, answer.unwrap().revision):
-                log_message("hold_entered", failure_domain=hold.failure_domain)
+                log_message("hold_entered", failure_domain=hold.failure_domain, held=hold.held)
                 self._execute(self.sync.push_holds())
 
     def _exchange_holds(self, sender: str, exchange: HoldExchange) -> HoldExchange:
--- a/laburnumrock/daemon/tests/test_declaration_task.py
+++ b/laburnumrock/daemon/tests/test_declaration_task.py
@@ -139,6 +139,35 @@
 
         assert asyncio.run(run()) == [False] * 4
 
+    def test_hold_that_is_removed_while_it_enters_the_log(self, tmp_path):
+        """Guards against a removed hold that stays in the log as a drain."""
+
+        async def run():
+            log = FakeLog()
+            network = PeerNetwork(_make_settings(tmp_path)[2], b"k" * 32)
+            task = DeclarationTask(network.settings, network, log)
+            task.add_hold("b", "op").unwrap()
+            propose = log.propose
+
+            async def propose_slowly(command):
+                log.propose = propose
+                committed = await propose(command)
+                task.remove_hold("b", "op").unwrap()
+                return committed
+
+            log.propose = propose_slowly
+            await task._enter_holds()
+            store = log.replica.store
+            assert not store.current.is_in_service("failure_domain", "b")
+            await task._enter_holds()
+            assert store.current.is_in_service("failure_domain", "b")
+            assert task.view.holds.pending() == []
+            revision = store.revision
+            await task._enter_holds()
+            return store.revision == revision
+
+        assert asyncio.run(run())
+
     def test_holds_travel_on_membership_probes(self, tmp_path):
         """A hold must reach an instance although its push was lost; malformed data is ignored."""
         tasks = [
--- a/laburnumrock/declarations/_holds.py
+++ b/laburnumrock/declarations/_holds.py
@@ -1,5 +1,6 @@
 """Holds: emergency drains of a failure domain that do not need the replicated log."""
 
+import dataclasses
 from collections.abc import Iterable
 
 from laburnumrock.declarations._messages import Hold
@@ -47,13 +48,13 @@
         known = self.holds.get(failure_domain)
         if known is None or not known.held:
             return None
-        return self._put_hold(failure_domain, False, operator, stamped_at_s)
+        return self._put_hold(failure_domain, False, operator, stamped_at_s, known.version)
 
     def mark_entered(self, hold: Hold, revision: int) -> bool:
-        """Record the revision that contains the drain; returns False if the hold has changed."""
+        """Record the revision at which the log has an entry; returns False if it has changed."""
         if self.holds.get(hold.failure_domain) != hold:
             return False
-        entered = Hold(hold.failure_domain, hold.version, hold.held, hold.operator, revision)
+        entered = dataclasses.replace(hold, entered_revision=revision)
         self.holds[hold.failure_domain] = entered
         return True
 
@@ -83,8 +84,8 @@
         return hold.entered_revision is None or revision < hold.entered_revision
 
     def pending(self) -> list[Hold]:
-        """Return the active holds that are not yet in the log."""
-        return [hold for hold in self.entries() if hold.held and hold.entered_revision is None]
+        """Return the holds and removals of holds that are not yet in the log."""
+        return [hold for hold in self.entries() if hold.entered_revision is None]
 
     def entries(self) -> list[Hold]:
         """Return all entries, sorted by failure domain."""
@@ -106,11 +107,18 @@
             raise ValueError("expected a list of holds")
         self.merge([from_plain(Hold, entry) for entry in plain])
 
-    def _put_hold(self, domain: str, held: bool, operator: str, stamped_at_s: float) -> Hold:
+    def _put_hold(
+        self,
+        domain: str,
+        held: bool,
+        operator: str,
+        stamped_at_s: float,
+        removed_version: int | None = None,
+    ) -> Hold:
         known = self.holds.get(domain)
         # Versions from the wall clock keep increasing even if a restart loses the registry.
         version = max(int(stamped_at_s * 1_000), known.version + 1 if known else 1)
-        hold = Hold(domain, version, held, operator)
+        hold = Hold(domain, version, held, operator, removed_version=removed_version)
         self.holds[domain] = hold
         return hold
 
--- a/laburnumrock/declarations/_messages.py
+++ b/laburnumrock/declarations/_messages.py
@@ -75,7 +75,10 @@
     operator : str
         Operator who requested it; of two holds with equal versions, the greater name wins.
     entered_revision : int, optional
-        Revision of the declarations that contains the drain; from it on, only the log counts.
+        Revision of the declarations that contains the drain; from it on, only the log counts. For a
+        removed hold, the revision at which the log has recorded the removal.
+    removed_version : int, optional
+        Version of the hold that this removal ends.
     """
 
     failure_domain: str
@@ -83,17 +86,22 @@
     held: bool
     operator: str = ""
     entered_revision: int | None = None
+    removed_version: int | None = None
 
 
 @register_message
 @dataclass(frozen=True, slots=True)
 class EnterHold:
-    """Log command that records a hold as a drained failure domain, at most once per hold.
+    """Log command that records a hold as a drained failure domain, or the removal of a hold.
+
+    The removal restores the domain if the log contains the drain of the removed hold, which was on
+    its way meanwhile, and no later change of the domain. A hold takes effect at most once, and not
+    after a newer one of its domain.
 
     Parameters
     ----------
     hold : Hold
-        The hold. It needs no base revision because it can only remove capacity.
+        The hold or its removal. It needs no base revision, as its version orders it.
     stamped_at_s : float
         Wall-clock time in seconds since the epoch.
     """
--- a/laburnumrock/declarations/_store.py
+++ b/laburnumrock/declarations/_store.py
@@ -13,6 +13,7 @@
     HistoryAnswer,
     HistoryEntry,
     HistoryFetch,
+    Hold,
 )
 from laburnumrock.declarations._set import DeclarationSet, parse_changes
 from laburnumrock.errors import ErrorKind, Failure
@@ -64,6 +65,8 @@
         self.current = DeclarationSet()
         self.answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
         self.history: deque[HistoryEntry] = deque()
+        # Version of the newest hold, or removal of a hold, of each failure domain.
+        self.hold_versions: dict[str, int] = {}
 
     def apply(self, command: ApplyChange | EnterHold, index: int) -> ChangeAnswer:
         """Apply one log command.
@@ -125,6 +128,7 @@
             "answers": [
                 [stored.fingerprint, to_plain(stored.answer)] for stored in self.answers.values()
             ],
+            "hold_versions": self.hold_versions,
             "history": [
                 [entry.index, entry.revision, to_plain(entry.command)] for entry in self.history
             ],
@@ -140,6 +144,7 @@
         """
         if plain is None:
             plain = {"revision": 0, "declarations": [], "answers": [], "history": []}
+        hold_versions = dict(plain.get("hold_versions", {}))
         current = DeclarationSet.from_plain(plain["declarations"])
         answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
         for fingerprint, entry in plain["answers"]:
@@ -152,30 +157,45 @@
         self.current = current
         self.answers = answers
         self.history = history
+        self.hold_versions = hold_versions
 
     def _enter_hold(self, command: EnterHold, index: int) -> ChangeAnswer:
-        # Every instance of the domain may propose the same hold. The stored answer prevents a late
-        # proposal from draining the domain again after an operator has restored it.
+        # Every instance of the domain may propose the same hold, and late.
         hold = command.hold
-        request_id = f"hold/{hold.failure_domain}/{hold.version}"
+        request_id = _name_hold(hold.failure_domain, hold.version)
         stored = self.answers.get(request_id)
         if stored is not None:
             return stored.answer
-        state = {
-            "type": "service_state",
-            "kind": "failure_domain",
-            "name": hold.failure_domain,
-            "state": "drained",
-        }
-        changes = [{"action": "put", "declaration": state}]
+        unchanged = ChangeAnswer(request_id, self.revision)
+        if hold.version <= self.hold_versions.get(hold.failure_domain, 0):
+            return unchanged
+        self.hold_versions[hold.failure_domain] = hold.version
+        if hold.held:
+            is_due = self.current.is_in_service("failure_domain", hold.failure_domain)
+        else:
+            is_due = self._is_drained_by(hold.failure_domain, hold.removed_version)
+        if not is_due:
+            return self._store_answer("hold", unchanged)
+        state = "drained" if hold.held else "in_service"
+        changes = [{"action": "put", "declaration": _make_domain_state(hold, state)}]
         change = ApplyChange(
             request_id, self.revision, changes, hold.operator, command.stamped_at_s
         )
-        if self.current.is_in_service("failure_domain", hold.failure_domain):
-            answer = self._apply_new(change, index)
-        else:
-            answer = ChangeAnswer(request_id, self.revision)
-        return self._store_answer("hold", answer)
+        return self._store_answer("hold", self._apply_new(change, index))
+
+    def _is_drained_by(self, failure_domain: str, version: int | None) -> bool:
+        """Return whether a hold drained the domain and nothing has changed its state since.
+
+        Of a hold that is older than the history, this is not known; the domain stays drained then,
+        until an operator restores it.
+        """
+        if version is None:
+            return False
+        for entry in reversed(self.history):
+            changes = parse_changes(entry.command.changes).unwrap()
+            if f"service_state/failure_domain/{failure_domain}" in [one.key for one in changes]:
+                return entry.command.request_id == _name_hold(failure_domain, version)
+        return False
 
     def _store_answer(self, fingerprint: str, answer: ChangeAnswer) -> ChangeAnswer:
         self.answers[answer.request_id] = _StoredAnswer(fingerprint, answer)
@@ -217,3 +237,16 @@
     # Operator and timestamp are left out: they may differ if a resend uses another instance.
     content = json.dumps([command.base_revision, command.changes], sort_keys=True)
     return hashlib.sha256(content.encode()).hexdigest()
+
+
+def _name_hold(failure_domain: str, version: int) -> str:
+    return f"hold/{failure_domain}/{version}"
+
+
+def _make_domain_state(hold: Hold, state: str) -> dict[str, str]:
+    return {
+        "type": "service_state",
+        "kind": "failure_domain",
+        "name": hold.failure_domain,
+        "state": state,
+    }
--- a/laburnumrock/state/tests/test_late_commands.py
+++ b/laburnumrock/state/tests/test_late_commands.py
@@ -115,6 +115,20 @@
         EnterHold(Hold("a", 1, True), 1.0),
         [ApplyChange("r2", 1, drain_state("in_service"), "op", 2.0)],
     ),
+    "hold_that_was_removed": Late(
+        EnterHold(Hold("a", 1, True), 1.0),
+        [EnterHold(Hold("a", 2, False, removed_version=1), 2.0)],
+    ),
+    "removal_of_a_hold": Late(
+        EnterHold(Hold("a", 2, False, removed_version=1), 2.0),
+        [EnterHold(Hold("a", 3, True), 3.0)],
+        [EnterHold(Hold("a", 1, True), 1.0)],
+    ),
+    "removal_of_a_hold_before_a_drain": Late(
+        EnterHold(Hold("a", 2, False, removed_version=1), 2.0),
+        [ApplyChange("r2", 1, drain_state("drained"), "op", 2.0)],
+        [EnterHold(Hold("a", 1, True), 1.0)],
+    ),
     "add_order": Late(add_order("x1", "v1"), [add_order("x2", "v2", 1)]),
     "mark_order": Late(
         mark("x1", OrderEvent.SEND), [mark("x1", OrderEvent.ACCEPT, 2)], [add_order("x1", "v1")]
@@ -127,6 +141,7 @@
 }
 CANNOT_BE_FIRST = (
     "hold",
+    "removal_of_a_hold_before_a_drain",
     "change",
     "mark_order",
     "reconcile",
@@ -175,3 +190,25 @@
         tested = {type(case.command) for case in CASES.values()}
         registered = {cls for name in PART_NAMES for cls in PARTS[name].command_types}
         assert registered <= tested
+
+
+class TestHolds:
+    def is_in_service(self, *commands: object) -> bool:
+        state = apply_all(list(commands))
+        return state.parts["declarations"].current.is_in_service("failure_domain", "a")
+
+    def test_removal_of_a_hold_on_its_way(self):
+        """Guards against a removed hold that stays in the log as a drain."""
+        hold = EnterHold(Hold("a", 1, True), 1.0)
+        removal = EnterHold(Hold("a", 2, False, removed_version=1), 2.0)
+        assert not self.is_in_service(hold)
+        assert self.is_in_service(hold, removal)
+        assert self.is_in_service(removal, hold)
+
+    def test_removal_of_a_hold_leaves_other_drains(self):
+        """Guards against the removal of a hold that restores a domain drained for other reasons."""
+        drain = ApplyChange("r", 0, drain_state("drained"), "op", 1.0)
+        hold = EnterHold(Hold("a", 3, True), 3.0)
+        removal = EnterHold(Hold("a", 4, False, removed_version=3), 4.0)
+        assert not self.is_in_service(drain, hold, removal)
+        assert not self.is_in_service(EnterHold(Hold("a", 1, True), 1.0), hold, removal)
