Move route changes and pending decisions out of the nodes

Change: RouteChanges commits routes and drains and reads what is in force; PendingDecisions holds what an entry waits for. No behaviour is changed. CoreNode.changes takes the place of three methods of CoreNode.

Evidence: the 202 tests of nodes and platform pass; their expectations are as before, with the new names.

--- a/laburnumrock/nodes/_core.py
+++ b/laburnumrock/nodes/_core.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import random
-import secrets
 import time
 import zlib
-from collections.abc import Callable
 
 from eliot import log_message
-from result import Err, Ok, Result
+from result import Ok, Result
 
 from laburnumrock.daemon import LogTask
 from laburnumrock.dispatch import (
@@ -28,7 +26,7 @@
 )
 from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.metrics import NodeMetrics
-from laburnumrock.nodes._decision_log import log_change, log_decision, log_upstream
+from laburnumrock.nodes._decision_log import log_decision, log_upstream
 from laburnumrock.nodes._departures import confirm_departure
 from laburnumrock.nodes._limit_log import LimitLog
 from laburnumrock.nodes._messages import (
@@ -40,17 +38,13 @@
 )
 from laburnumrock.nodes._quarantine import QuarantineReplicator
 from laburnumrock.nodes._report_exchange import ReportExchange
+from laburnumrock.nodes._route_changes import RouteChanges
 from laburnumrock.nodes._settings import NodeSettings, RouteDecoder, make_peer
 from laburnumrock.nodes._views import ViewBase, ViewPublisher
 from laburnumrock.nodes._voters import plan_voters
 from laburnumrock.periodic import StallDetector, run_every
 from laburnumrock.replication import VoterPolicy
-from laburnumrock.routing import (
-    RouteDocument,
-    RouteSet,
-    SetDrain,
-    StoreRoutes,
-)
+from laburnumrock.routing import RouteDocument
 from laburnumrock.transport import PeerNetwork
 
 PLACE_WAITING_INTERVAL_S = 0.05
@@ -70,16 +64,11 @@
 the group cannot bear the loss of a disk."""
 PERMITS_PER_TERM = 1 << 32
 """Size of the permit number range of each leader, so that no two leaders use the same number."""
-PROPOSE_TIMEOUT_S = 2.5
-"""Shorter than the 4 s within which an operator expects an acknowledgement."""
 MIN_STALL_S = 0.8
 """A caller that has waited this long is about to ask another core: operators and upstreams do so
 after a second. An order that may have waited longer is refused."""
 STALL_MEMORY_S = 1.0
 STALL_CHECK_INTERVAL_S = 0.1
-ORDER_ID_BYTES = 8
-READ_TIMEOUT_S = 0.9
-"""Shorter than the one second after which an operator asks another core."""
 
 
 class CoreNode:
@@ -118,6 +107,7 @@
         self.views = ViewPublisher(self.network, self.directory)
         self.reports = ReportExchange(settings.instance_id, self.network, self._all_cores)
         self.stalls = StallDetector(MIN_STALL_S, STALL_MEMORY_S)
+        self.changes = RouteChanges(self.log, self.metrics, self.stalls)
         self.leading_term = 0
         self.applied_version = -1
         self.applied_drained: list[str] = []
@@ -178,76 +168,6 @@
         """Whether this core is the leader and dispatches requests."""
         return self.log.is_leader and self.leading_term == self.log.term
 
-    async def store_routes(self, routes: RouteSet, document: bytes) -> Result[int, Failure]:
-        """Commit a version of the routes.
-
-        Parameters
-        ----------
-        routes : RouteSet
-            The decoded routes, already validated.
-        document : bytes
-            The document as the operator sent it.
-
-        Returns
-        -------
-        Result
-            The version in force afterwards.
-        """
-        packed = zlib.compress(document)
-        with self.metrics.commits.labels("routes").time():
-            answer = await self.log.propose(StoreRoutes(routes.version, packed), PROPOSE_TIMEOUT_S)
-        return log_change("routes", routes.version, answer)
-
-    async def set_drain(
-        self, failure_domain: str, drained: bool, is_caller_waiting: Callable[[], bool]
-    ) -> Result[int, Failure]:
-        """Commit that a failure domain is drained, or returned to service.
-
-        Parameters
-        ----------
-        failure_domain : str
-            Domain to drain or to return to service.
-        drained : bool
-            The new state.
-        is_caller_waiting : callable
-            Returns whether the operator still waits for the answer. One that has gone has sent the
-            order to another core, and perhaps newer orders since.
-
-        Returns
-        -------
-        Result
-            The version of the routes in force; a failure if the order has no effect here.
-        """
-        change = "drain" if drained else "restore"
-        order_id = secrets.token_hex(ORDER_ID_BYTES)
-        deadline_s = time.monotonic() + PROPOSE_TIMEOUT_S
-        with self.metrics.commits.labels("drain").time():
-            while (remaining_s := deadline_s - time.monotonic()) > 0:
-                confirmed = await self.log.read_confirmed(min(READ_TIMEOUT_S, remaining_s))
-                if confirmed.is_err():
-                    return log_change(change, failure_domain, confirmed)
-                # The caller is looked for after the read: whatever it has ordered since it left
-                # has a higher index than the one that was read, or is found to be newer here.
-                if self.stalls.may_be_late() or not is_caller_waiting():
-                    failure = Failure(ErrorKind.STALE_REVISION, "the caller may have gone")
-                    return log_change(change, failure_domain, Err(failure))
-                command = SetDrain(failure_domain, drained, order_id, confirmed.unwrap())
-                answer = await self.log.propose(command, max(0.0, deadline_s - time.monotonic()))
-                if answer.is_err() or not answer.unwrap().superseded:
-                    return log_change(change, failure_domain, answer)
-        failure = Failure(ErrorKind.STALE_REVISION, "newer orders came before this one")
-        return log_change(change, failure_domain, Err(failure))
-
-    async def read_routes(self) -> Result[RouteDocument, Failure]:
-        """Return the routes in force, confirmed by a quorum."""
-        confirmed = await self.log.read_confirmed(READ_TIMEOUT_S)
-        if confirmed.is_err():
-            return confirmed
-        current = self._current_routes()
-        if not current.document:
-            return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE, "no routes are stored yet"))
-        return Ok(RouteDocument(current.version, zlib.decompress(current.document)))
-
     async def observe_upstream(self, report: UpstreamReport) -> bool:
         """Apply a report that an upstream sent to this core.
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -22,8 +22,6 @@
     StallAdvice,
     UpstreamDirectory,
     UpstreamState,
-    WithdrawCall,
-    max_queue_wait_s,
     refuse_quarantined,
 )
 from laburnumrock.errors import ErrorKind
@@ -36,6 +34,7 @@
 )
 from laburnumrock.metrics import NodeMetrics
 from laburnumrock.nodes._crash_evidence import CrashEvidence
+from laburnumrock.nodes._decisions import PendingDecisions
 from laburnumrock.nodes._entry_count import EntryCount
 from laburnumrock.nodes._messages import CrashedRequests, EntryHello, EntryWelcome, View
 from laburnumrock.nodes._reachability import (
@@ -64,11 +63,6 @@
 chooses engines that others choose too."""
 MAX_PLACE_FAILURES = 2
 """Consecutive failed calls after which the leader is considered lost."""
-MAX_DECISIONS = 1_000
-"""Maximum number of pending decisions; the oldest are dropped first, as their callers have probably
-given up."""
-DECISION_GRACE_S = 0.15
-"""Time to wait for a decision beyond the maximum queue wait of the dispatcher."""
 STARTUP_WAIT_S = 1.5
 """Time after the start for which requests wait for the first routes. It suffices if all cores start
 at the same time: they take up to 0.5 s longer than an entry node, and an election takes 0.4 to
@@ -147,7 +141,7 @@
         self.unreachable_domains: set[str] = set()
         self.searched_s = -math.inf
         self.place_failures = 0
-        self.pending_decisions: dict[int, asyncio.Future] = {}
+        self.decisions = PendingDecisions(self.network, dispatch)
         self.stopping = False
 
     @property
@@ -158,7 +152,7 @@
     async def start(self) -> None:
         """Open the ports and start looking for the leader."""
         self.network.handle(View, self._receive_view)
-        self.network.handle(DispatchDecided, self._receive_decision)
+        self.network.handle(DispatchDecided, self.decisions.receive)
         self.network.handle(CrashedRequests, self.crash_evidence.receive)
         await self.network.start()
         self.context.ready_deadline_s = time.monotonic() + STARTUP_WAIT_S
@@ -242,41 +236,12 @@
         self.place_failures = 0
         answer = answered.unwrap()
         if answer.ticket:
-            answer = await self._await_decision(leader, answer.ticket, call)
+            answer = await self.decisions.wait(leader, answer.ticket, call)
         if answer is None or answer.refusal == ErrorKind.OWNER_UNAVAILABLE.value:
             self._drop_leader(leader, "leader made no decision")
             return None
         return answer
 
-    async def _await_decision(
-        self, leader: str, ticket: int, call: DispatchCall
-    ) -> DispatchAnswer | None:
-        max_wait_s = max_queue_wait_s(self.settings.dispatch, call)
-        future = self._find_decision(ticket)
-        try:
-            async with asyncio.timeout(max_wait_s + DECISION_GRACE_S):
-                return await future
-        except TimeoutError:
-            self.network.send(leader, WithdrawCall(ticket))
-            return None
-        except asyncio.CancelledError:
-            # The caller has left, so its place in the queue belongs to another request.
-            self.network.send(leader, WithdrawCall(ticket))
-            raise
-        finally:
-            self.pending_decisions.pop(ticket, None)
-
-    def _receive_decision(self, sender: str, message: DispatchDecided) -> None:
-        future = self._find_decision(message.ticket)
-        if not future.done():
-            future.set_result(message.answer)
-
-    def _find_decision(self, ticket: int) -> asyncio.Future:
-        """Return the future of a decision, which may arrive before it is awaited."""
-        while len(self.pending_decisions) >= MAX_DECISIONS:
-            self.pending_decisions.pop(next(iter(self.pending_decisions)))
-        return self.pending_decisions.setdefault(ticket, asyncio.get_running_loop().create_future())
-
     def record_sent(self, call: DispatchCall, answer: DispatchAnswer) -> None:
         """Record a new active send."""
         self.sends[answer.permit] = ActiveSendRecord(call, answer, time.monotonic())
--- a/laburnumrock/nodes/tests/deployment.py
+++ b/laburnumrock/nodes/tests/deployment.py
@@ -65,7 +65,7 @@
 
         document = make_config(change)
         core = next(iter(self.cores.values()))
-        stored = await core.store_routes(decode_routes(document).unwrap(), document)
+        stored = await core.changes.store_routes(decode_routes(document).unwrap(), document)
         assert stored.is_ok()
 
     async def stop(self) -> None:
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -51,7 +51,7 @@
             async with open_deployment(tmp_path) as deployment:
                 await deployment.store(7)
                 for core in deployment.cores.values():
-                    document = (await core.read_routes()).unwrap().document
+                    document = (await core.changes.read_routes()).unwrap().document
                     assert json.loads(document) == {**json.loads(make_config()), "version": 7}
 
         asyncio.run(run())
@@ -64,7 +64,7 @@
                 await deployment.store(7)
                 for name in CORES[1:]:
                     await deployment.cores.pop(name).stop()
-                assert (await deployment.cores[CORES[0]].read_routes()).is_err()
+                assert (await deployment.cores[CORES[0]].changes.read_routes()).is_err()
 
         asyncio.run(run())
 
@@ -79,7 +79,7 @@
                 for name in CORES:
                     await deployment.start_core(name, may_bootstrap=False)
                 await wait_until(deployment.leader)
-                read = await deployment.cores[CORES[1]].read_routes()
+                read = await deployment.cores[CORES[1]].changes.read_routes()
                 assert read.unwrap().version == 7
 
         asyncio.run(run())
@@ -344,7 +344,7 @@
         async def run():
             async with open_deployment(tmp_path) as deployment:
                 leader = deployment.leader()
-                assert (await leader.set_drain("a", True, lambda: True)).is_ok()
+                assert (await leader.changes.set_drain("a", True, lambda: True)).is_ok()
                 await wait_until(lambda: leader.dispatcher.fleet.drained == {"a"})
                 # The state of a core that has applied the drain and leads in the same moment.
                 leader.leading_term = 0
--- a/laburnumrock/platform/_control.py
+++ b/laburnumrock/platform/_control.py
@@ -71,7 +71,7 @@
 
     async def get(self) -> None:
         """Return the latest route configuration, or 503 if the read cannot be confirmed."""
-        read = await self.node.read_routes()
+        read = await self.node.changes.read_routes()
         if read.is_err():
             self.refuse(503, read.unwrap_err())
             return
@@ -84,7 +84,7 @@
         if decoded.is_err():
             self.refuse(400, decoded.unwrap_err())
             return
-        stored = await self.node.store_routes(decoded.unwrap(), self.request.body)
+        stored = await self.node.changes.store_routes(decoded.unwrap(), self.request.body)
         if stored.is_err():
             self.refuse(503, stored.unwrap_err())
             return
@@ -125,7 +125,7 @@
         await self._set_drain(unquote(zone), False)
 
     async def _set_drain(self, zone: str, drained: bool) -> None:
-        stored = await self.node.set_drain(zone, drained, self.is_caller_waiting)
+        stored = await self.node.changes.set_drain(zone, drained, self.is_caller_waiting)
         if stored.is_err():
             self.refuse(503, stored.unwrap_err())
             return
--- a/laburnumrock/platform/tests/test_control.py
+++ b/laburnumrock/platform/tests/test_control.py
@@ -12,6 +12,10 @@
 class FailingNode:
     """Core whose operations raise an unexpected error."""
 
+    @property
+    def changes(self):
+        return self
+
     def __getattr__(self, name):
         async def fail(*arguments):
             raise RuntimeError("the core fails")
--- a/laburnumrock/platform/tests/test_late_orders.py
+++ b/laburnumrock/platform/tests/test_late_orders.py
@@ -54,7 +54,7 @@
 
         async def scenario(deployment, port):
             core = deployment.cores[CORES[1]]
-            assert (await core.set_drain("a", bool(drained), lambda: True)).is_ok()
+            assert (await core.changes.set_drain("a", bool(drained), lambda: True)).is_ok()
             # The order and the end of its connection are read in the same pass of the loop.
             send_order(port, method).close()
             await asyncio.sleep(1.0)
@@ -67,7 +67,7 @@
 
         async def scenario(deployment, port):
             core = deployment.cores[CORES[1]]
-            assert (await core.set_drain("a", True, lambda: True)).is_ok()
+            assert (await core.changes.set_drain("a", True, lambda: True)).is_ok()
             client = send_order(port, "DELETE")
             core.stalls.last_tick_s -= 3.0
             status = await asyncio.to_thread(read_status, client)
