Send no new requests to upstreams that decline them in their responses

What engines saw: an engine that says only in its responses that it leaves (Server-Leaving), and engines of a service that all turn requests away for a time (503 with Retry-After), got further requests from the machine that had read this.

Cause: the two headers were not read.

Change: the entry keeps what it has read (UpstreamStatements, decisions only) and names these upstreams as excluded in each placement, so that the leader, a new leader and the entry alone obey from the next placement on. A placement that was under way is given back and made again. If all upstreams of a service decline, the request is refused at once with the time until the first of them takes requests again. Values that are no finite number are logged and ignored, and the time is bounded by settings.

--- a/laburnumrock/dispatch/__init__.py
+++ b/laburnumrock/dispatch/__init__.py
@@ -7,7 +7,7 @@
 
 from laburnumrock._lazy import make_lazy_getattr
 from laburnumrock.dispatch._budget import RetryBudget
-from laburnumrock.dispatch._directory import UpstreamDirectory
+from laburnumrock.dispatch._directory import UpstreamDirectory, UpstreamRecord
 from laburnumrock.dispatch._domain_health import DomainHealth
 from laburnumrock.dispatch._limits import DispatchSettings, max_queue_wait_s
 from laburnumrock.dispatch._local import LocalDispatcher
@@ -29,6 +29,11 @@
 )
 from laburnumrock.dispatch._outcomes import record_parts, refuse_quarantined
 from laburnumrock.dispatch._request_limits import RequestLimits
+from laburnumrock.dispatch._statements import (
+    UpstreamStatement,
+    UpstreamStatements,
+    refuse_declined,
+)
 
 __all__ = [
     "ActiveSend",
@@ -52,12 +57,16 @@
     "SendStarted",
     "StallAdvice",
     "UpstreamDirectory",
+    "UpstreamRecord",
     "UpstreamLoad",
     "UpstreamReport",
     "UpstreamState",
+    "UpstreamStatement",
+    "UpstreamStatements",
     "WithdrawCall",
     "max_queue_wait_s",
     "record_parts",
+    "refuse_declined",
     "refuse_quarantined",
 ]
 
--- a/laburnumrock/dispatch/_limits.py
+++ b/laburnumrock/dispatch/_limits.py
@@ -35,6 +35,9 @@
         them.
     max_wait_ratio : float
         Share of its latency target for which a request may be queued for a free upstream.
+    max_leaving_s, max_refusal_s : float, > 0
+        Longest time for which an upstream is avoided since it stated that it leaves, or that it
+        wants no requests for a time.
     quarantine : QuarantineSettings
         Limits for the requests and parts of prompts that crash upstreams.
     """
@@ -46,6 +49,8 @@
     stale_after_s: float = 2.0
     retention_s: float = 30.0
     max_wait_ratio: float = 0.5
+    max_leaving_s: float = 300.0
+    max_refusal_s: float = 60.0
     quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
 
 
--- a/laburnumrock/forwarding/_context.py
+++ b/laburnumrock/forwarding/_context.py
@@ -15,6 +15,7 @@
     SendStalled,
     SendStarted,
     StallAdvice,
+    UpstreamStatement,
 )
 from laburnumrock.forwarding._connections import ConnectionPool
 from laburnumrock.forwarding._durations import RouteDurations
@@ -103,6 +104,9 @@
     def record_limit(self, report: LimitReport) -> None:
         """Record that an upstream has just stated a limit on its requests."""
 
+    def record_statement(self, statement: UpstreamStatement) -> None:
+        """Record that an upstream has just stated that it wants no new requests."""
+
     async def report_stall(self, message: SendStalled) -> StallAdvice:
         """Report a send without data for longer than expected, and return what to do with it."""
 
--- a/laburnumrock/forwarding/_send.py
+++ b/laburnumrock/forwarding/_send.py
@@ -6,7 +6,13 @@
 
 from tornado.httputil import HTTPInputError
 
-from laburnumrock.dispatch import DispatchAnswer, LimitReport, SendStalled, SendStarted
+from laburnumrock.dispatch import (
+    DispatchAnswer,
+    LimitReport,
+    SendStalled,
+    SendStarted,
+    UpstreamStatement,
+)
 from laburnumrock.forwarding._connections import UpstreamConnection
 from laburnumrock.forwarding._context import ForwardingContext
 from laburnumrock.forwarding._events import EventBuffer
@@ -178,7 +184,10 @@
 
     def _start_relay(self, response: UpstreamResponse) -> bool:
         """Start the relay of a stream of events; return whether the response is one."""
-        self._record_limit(response.facts)
+        if not response.facts.misdirected:
+            # Another upstream than the one that the request was placed on answers with 421.
+            self._record_limit(response.facts)
+            self._record_statement(response.facts)
         is_streaming = self.writer.route.kind is RequestKind.STREAMING
         if not is_streaming or not self.writer.may_continue(response):
             return False
@@ -188,13 +197,26 @@
     def _record_limit(self, facts: ResponseMetadata) -> None:
         """Record the limit that the upstream states on its requests, if there is one."""
         limit = facts.max_requests_per_s
-        # A misdirected request was answered by another upstream than the one it was placed on.
-        if limit is None or facts.misdirected:
+        if limit is None:
             return
         upstream = self.placement.upstream_id
         self.writer.log("upstream_limited", upstream=upstream, requests_per_s=limit)
         self.context.dispatcher.record_limit(LimitReport(upstream, limit))
 
+    def _record_statement(self, facts: ResponseMetadata) -> None:
+        """Record that the upstream wants no new requests, if it states so."""
+        if not facts.is_leaving and facts.refusal_s <= 0:
+            return
+        upstream = self.placement.upstream_id
+        self.writer.log(
+            "upstream_declines",
+            upstream=upstream,
+            leaving=facts.is_leaving,
+            refusal_s=facts.refusal_s,
+        )
+        statement = UpstreamStatement(upstream, facts.is_leaving, facts.refusal_s)
+        self.context.dispatcher.record_statement(statement)
+
     async def _relay(self, chunk: bytes) -> None:
         events = self.events
         known = events.count
--- a/laburnumrock/forwarding/_wire.py
+++ b/laburnumrock/forwarding/_wire.py
@@ -104,6 +104,10 @@
     max_requests_per_s : float, optional
         Requests per second that it takes from all instances together; None if it states no limit or
         one that cannot be read.
+    is_leaving : bool
+        Whether the upstream states that it is leaving.
+    refusal_s : float
+        Time in seconds for which it wants no requests from this instance; 0 if it states none.
     """
 
     request_id: str | None
@@ -113,6 +117,8 @@
     encoded: bool
     states_limit: bool = False
     max_requests_per_s: float | None = None
+    is_leaving: bool = False
+    refusal_s: float = 0.0
 
 
 class WireFormat(Protocol):
--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -15,6 +15,7 @@
     SendEnded,
     SendOutcome,
     StallAdvice,
+    UpstreamStatement,
 )
 from laburnumrock.forwarding import (
     ConnectionPool,
@@ -186,6 +187,7 @@
         self.outcomes: list[SendOutcome] = []
         self.ended: list[SendEnded] = []
         self.limits: list[LimitReport] = []
+        self.statements: list[UpstreamStatement] = []
         self.refusal: DispatchAnswer | None = None
         # Answers to single calls, by their number from 1.
         self.refused: dict[int, DispatchAnswer] = {}
@@ -209,6 +211,9 @@
     def record_limit(self, report: LimitReport) -> None:
         self.limits.append(report)
 
+    def record_statement(self, statement: UpstreamStatement) -> None:
+        self.statements.append(statement)
+
     async def report_stall(self, message) -> StallAdvice:
         return StallAdvice(self.advises_to_give_up)
 
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -6,6 +6,7 @@
 import random
 import time
 import zlib
+from dataclasses import replace
 
 from eliot import log_message
 from result import Result
@@ -17,11 +18,16 @@
     LimitReport,
     LocalDispatcher,
     SendEnded,
+    SendOutcome,
     SendStalled,
     SendStarted,
     StallAdvice,
     UpstreamDirectory,
+    UpstreamRecord,
     UpstreamState,
+    UpstreamStatement,
+    UpstreamStatements,
+    refuse_declined,
     refuse_quarantined,
 )
 from laburnumrock.errors import ErrorKind
@@ -63,6 +69,8 @@
 chooses engines that others choose too."""
 MAX_PLACE_FAILURES = 2
 """Consecutive failed calls after which the leader is considered lost."""
+MAX_PLACEMENTS = 3
+"""Maximum number of placements of a request of which an upstream declines each meanwhile."""
 STARTUP_WAIT_S = 1.5
 """Time after the start for which requests wait for the first routes. It suffices if all cores start
 at the same time: they take up to 0.5 s longer than an entry node, and an election takes 0.4 to
@@ -114,6 +122,7 @@
         # Upstreams never expire here, so that a partitioned node continues with its last view.
         self.directory = UpstreamDirectory(math.inf, math.inf)
         self.local_dispatcher = LocalDispatcher(dispatch, rng)
+        self.statements = UpstreamStatements(dispatch)
         self.quarantine = self.local_dispatcher.quarantine
         self.crash_evidence = CrashEvidence(self.quarantine, self.network, rng)
         self.pool = ConnectionPool(settings.upstream_connections)
@@ -207,6 +216,25 @@
         refusal = refuse_quarantined(self.quarantine, call, time.monotonic())
         if refusal is not None:
             return refusal
+        for _ in range(MAX_PLACEMENTS):
+            now_s = time.monotonic()
+            usable = self._list_usable(call.service, now_s)
+            names = [record.report.upstream_id for record in usable]
+            refusal = self.statements.refuse(names, self.rng, now_s)
+            if refusal is not None:
+                return refusal
+            avoided = self.statements.list_avoided(now_s)
+            answer = await self._place_once(replace(call, excluded=[*call.excluded, *avoided]))
+            if not self.statements.declines(answer, time.monotonic()):
+                return answer
+            # The upstream has stated it meanwhile, in the response to another request.
+            log_message(
+                "placement_declined", request_id=call.request_id, upstream=answer.upstream_id
+            )
+            self.record_ended(SendEnded(answer.permit, SendOutcome.CANCELLED))
+        return refuse_declined()
+
+    async def _place_once(self, call: DispatchCall) -> DispatchAnswer:
         answer = await self._request_placement(call)
         if answer is None and time.monotonic() - self.last_hello_s > MAX_HELLO_AGE_S:
             await self._search_once()
@@ -258,6 +286,10 @@
         self.local_dispatcher.limits.record(report, time.monotonic())
         self._send_to_leader(report)
 
+    def record_statement(self, statement: UpstreamStatement) -> None:
+        """Record that an upstream has just stated that it wants no new requests."""
+        self.statements.record(statement, time.monotonic())
+
     async def report_stall(self, message: SendStalled) -> StallAdvice:
         """Report a stalled send to the leader; without an answer the send continues."""
         if self.leader is None:
@@ -284,11 +316,7 @@
 
     def _place_locally(self, call: DispatchCall) -> DispatchAnswer:
         now_s = time.monotonic()
-        upstreams = [
-            record
-            for record in self.directory.usable(call.service, now_s)
-            if record.report.failure_domain not in self.drained
-        ]
+        upstreams = self._list_usable(call.service, now_s)
         is_current = now_s - self.searched_s < MAX_SEARCH_AGE_S
         unreachable = self.unreachable_domains if is_current else ()
         answer = self.local_dispatcher.place(
@@ -304,6 +332,13 @@
         )
         return answer
 
+    def _list_usable(self, service: str, now_s: float) -> list[UpstreamRecord]:
+        return [
+            record
+            for record in self.directory.usable(service, now_s)
+            if record.report.failure_domain not in self.drained
+        ]
+
     def _drop_leader(self, leader: str, reason: str) -> None:
         if self.leader == leader:
             self.leader = None
@@ -411,7 +446,7 @@
         for report in view.upstreams:
             known = self.directory.records.get(report.upstream_id)
             if known is not None and known.report.incarnation != report.incarnation:
-                self.local_dispatcher.limits.remove(report.upstream_id)
+                self._forget_statements(report.upstream_id)
             self.directory.observe(report, now_s)
             self.directory.record_alive(report.upstream_id, now_s)
             if report.state is UpstreamState.GONE:
@@ -421,9 +456,14 @@
             gone = self.directory.records.keys() - {item.upstream_id for item in view.upstreams}
         for name in gone & self.directory.records.keys():
             self.directory.delete_record(name)
-            self.local_dispatcher.limits.remove(name)
+            self._forget_statements(name)
         self.directory.take_changes()
 
+    def _forget_statements(self, upstream_id: str) -> None:
+        """Forget what an incarnation of an upstream that has ended stated of itself."""
+        self.local_dispatcher.limits.remove(upstream_id)
+        self.statements.remove(upstream_id)
+
     def _update_ready(self) -> None:
         """Release requests that arrived before the routes and the leader were known."""
         if self.leader is not None and self.context.route_table is not None:
--- a/laburnumrock/platform/_wire.py
+++ b/laburnumrock/platform/_wire.py
@@ -92,6 +92,8 @@
             encoded="Content-Encoding" in headers,
             states_limit=limit is not None,
             max_requests_per_s=None if limit is None else _decode_limit(limit),
+            is_leaving=_decode_leaving(headers.get("Server-Leaving")),
+            refusal_s=_decode_refusal(headers.get("Retry-After")) if status == 503 else 0.0,
         )
 
     def encode_response(self, headers: HTTPHeaders) -> HTTPHeaders:
@@ -140,14 +142,34 @@
 
 def _decode_limit(value: str) -> float | None:
     """Decode the requests per second that an engine takes; None if the value is not a limit."""
+    return _decode_number("Server-Limit", value)
+
+
+def _decode_refusal(value: str | None) -> float:
+    """Decode for how many seconds an engine wants no requests; 0 if it does not state it."""
+    if value is None:
+        return 0.0
+    return _decode_number("Retry-After", value) or 0.0
+
+
+def _decode_leaving(value: str | None) -> bool:
+    """Decode whether an engine states that it is leaving."""
+    if value is None or value.strip() in ("0", "1"):
+        return value is not None and value.strip() == "1"
+    log_message("header_unreadable", header="Server-Leaving", value=value[:MAX_LOGGED_CHARS])
+    return False
+
+
+def _decode_number(header: str, value: str) -> float | None:
+    """Decode a finite number that is not negative; None, with a log line, for other values."""
     try:
-        limit = float(value)
+        number = float(value)
     except ValueError:
-        limit = math.nan
-    if not 0.0 <= limit < math.inf:
-        log_message("header_unreadable", header="Server-Limit", value=value[:MAX_LOGGED_CHARS])
+        number = math.nan
+    if not 0.0 <= number < math.inf:
+        log_message("header_unreadable", header=header, value=value[:MAX_LOGGED_CHARS])
         return None
-    return limit
+    return number
 
 
 def _decode_api_key(authorization: str | None) -> str | None:
--- a/laburnumrock/platform/tests/test_wire.py
+++ b/laburnumrock/platform/tests/test_wire.py
@@ -119,3 +119,49 @@
         expected = {"op": "reserve", "id": "t1", "token_count": 60_000, "hold_ms": 3200}
         assert order == expected
         assert json.loads(WIRE.encode_release("t1").body) == {"op": "release", "id": "t1"}
+
+
+class TestStatements:
+    @pytest.mark.parametrize(
+        "status, headers, leaving, refusal_s",
+        [
+            (200, {"Server-Leaving": "1"}, True, 0.0),
+            (503, {"Server-Leaving": " 1 ", "Retry-After": "4"}, True, 4.0),
+            (503, {"Retry-After": "0.25"}, False, 0.25),
+            (200, {"Retry-After": "4"}, False, 0.0),
+            (429, {"Retry-After": "4"}, False, 0.0),
+            (200, {}, False, 0.0),
+            (200, {"Server-Leaving": "0"}, False, 0.0),
+        ],
+    )
+    def test_values(self, status, headers, leaving, refusal_s):
+        """Guards against an upstream that gets requests which it has declined."""
+        facts = WIRE.decode_response(status, HTTPHeaders(headers))
+        assert (facts.is_leaving, facts.refusal_s) == (leaving, refusal_s)
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            "nan",
+            "-1",
+            "inf",
+            "1e999",
+            "",
+            "3, 5",
+            "0x10",
+            "Sat, 05 Dec 2026 22:00:00 GMT",
+            "9" * 999,
+        ],
+    )
+    def test_unreadable_values(self, value):
+        """Guards against a value that bars an upstream for ever, or fails its response."""
+        facts = WIRE.decode_response(503, HTTPHeaders({"Retry-After": value}))
+        assert facts.refusal_s == 0.0
+        assert not WIRE.decode_response(200, HTTPHeaders({"Server-Leaving": value})).is_leaving
+
+    def test_two_headers_with_different_values(self):
+        """Guards against a statement that is taken from one of several headers."""
+        headers = HTTPHeaders()
+        for value in ("3", "500"):
+            headers.add("Retry-After", value)
+        assert WIRE.decode_response(503, headers).refusal_s == 0.0
