--- a/laburnumrock/forwarding/_reservations.py
+++ b/laburnumrock/forwarding/_reservations.py
@@ -8,15 +8,15 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from eliot import log_message
 from result import Err, Ok, Result
 
-from laburnumrock.dispatch import Helper
+from laburnumrock.dispatch import Helper, UpstreamStatement
 from laburnumrock.forwarding._connections import ConnectionPool
 from laburnumrock.forwarding._exchange import UpstreamResponse, exchange, parse_keep_alive_s
-from laburnumrock.forwarding._wire import CallerRequest, WireFormat
+from laburnumrock.forwarding._wire import CallerRequest, WireFormat, find_statement
 from laburnumrock.periodic import log_errors
 
 LEASE_S = 3.2
@@ -46,11 +46,19 @@
         Pool of connections to the engines.
     wire : WireFormat
         Encodes the calls.
+    record_statement : callable
+        Records that an engine has just stated that it wants no new requests.
     """
 
-    def __init__(self, pool: ConnectionPool, wire: WireFormat) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        wire: WireFormat,
+        record_statement: Callable[[UpstreamStatement], None],
+    ) -> None:
         self.pool = pool
         self.wire = wire
+        self.record_statement = record_statement
         self.tasks: set[asyncio.Task] = set()
 
     @contextlib.asynccontextmanager
@@ -148,6 +156,9 @@
             return None
         if result.reusable:
             self.pool.release(connection, parse_keep_alive_s(result.answer))
+        statement = find_statement(helper.upstream_id, result.answer.facts)
+        if statement is not None:
+            self.record_statement(statement)
         return result.answer
 
 
--- a/laburnumrock/forwarding/_send.py
+++ b/laburnumrock/forwarding/_send.py
@@ -6,20 +6,14 @@
 
 from tornado.httputil import HTTPInputError
 
-from laburnumrock.dispatch import (
-    DispatchAnswer,
-    LimitReport,
-    SendStalled,
-    SendStarted,
-    UpstreamStatement,
-)
+from laburnumrock.dispatch import DispatchAnswer, LimitReport, SendStalled, SendStarted
 from laburnumrock.forwarding._connections import UpstreamConnection
 from laburnumrock.forwarding._context import ForwardingContext
 from laburnumrock.forwarding._events import EventBuffer
 from laburnumrock.forwarding._exchange import ExchangeResult, UpstreamResponse, exchange
 from laburnumrock.forwarding._http_response import ResponseWriter
 from laburnumrock.forwarding._reservations import HelperReservation
-from laburnumrock.forwarding._wire import ResponseMetadata, SendMetadata
+from laburnumrock.forwarding._wire import ResponseMetadata, SendMetadata, find_statement
 from laburnumrock.routing import RequestKind
 
 MIN_REMAINING_S = 0.02
@@ -184,10 +178,8 @@
 
     def _start_relay(self, response: UpstreamResponse) -> bool:
         """Start the relay of a stream of events; return whether the response is one."""
-        if not response.facts.misdirected:
-            # Another upstream than the one that the request was placed on answers with 421.
-            self._record_limit(response.facts)
-            self._record_statement(response.facts)
+        self._record_limit(response.facts)
+        self._record_statement(response.facts)
         is_streaming = self.writer.route.kind is RequestKind.STREAMING
         if not is_streaming or not self.writer.may_continue(response):
             return False
@@ -197,7 +189,8 @@
     def _record_limit(self, facts: ResponseMetadata) -> None:
         """Record the limit that the upstream states on its requests, if there is one."""
         limit = facts.max_requests_per_s
-        if limit is None:
+        # A misdirected request was answered by another upstream than the one it was placed on.
+        if limit is None or facts.misdirected:
             return
         upstream = self.placement.upstream_id
         self.writer.log("upstream_limited", upstream=upstream, requests_per_s=limit)
@@ -205,16 +198,15 @@
 
     def _record_statement(self, facts: ResponseMetadata) -> None:
         """Record that the upstream wants no new requests, if it states so."""
-        if not facts.is_leaving and facts.refusal_s <= 0:
+        statement = find_statement(self.placement.upstream_id, facts)
+        if statement is None:
             return
-        upstream = self.placement.upstream_id
         self.writer.log(
             "upstream_declines",
-            upstream=upstream,
-            leaving=facts.is_leaving,
-            refusal_s=facts.refusal_s,
+            upstream=statement.upstream_id,
+            leaving=statement.is_leaving,
+            refusal_s=statement.refusal_s,
         )
-        statement = UpstreamStatement(upstream, facts.is_leaving, facts.refusal_s)
         self.context.dispatcher.record_statement(statement)
 
     async def _relay(self, chunk: bytes) -> None:
--- a/laburnumrock/forwarding/_wire.py
+++ b/laburnumrock/forwarding/_wire.py
@@ -5,6 +5,8 @@
 
 from tornado.httputil import HTTPHeaders
 
+from laburnumrock.dispatch import UpstreamStatement
+
 
 @dataclass(slots=True)
 class CallerRequest:
@@ -121,6 +123,16 @@
     refusal_s: float = 0.0
 
 
+def find_statement(upstream_id: str, facts: ResponseMetadata) -> UpstreamStatement | None:
+    """Return the statement of an upstream that it wants no new requests, or None.
+
+    Another upstream than the one that the request was sent to answers it as misdirected.
+    """
+    if facts.misdirected or (not facts.is_leaving and facts.refusal_s <= 0):
+        return None
+    return UpstreamStatement(upstream_id, facts.is_leaving, facts.refusal_s)
+
+
 class WireFormat(Protocol):
     """Encodes and decodes the headers of the HTTP protocol of a deployment."""
 
--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -332,7 +332,7 @@
         wire,
         dispatcher,
         pool,
-        Reservations(pool, wire),
+        Reservations(pool, wire, dispatcher.record_statement),
         NodeMetrics(),
         random.Random(1),
         make_routes(),
--- a/laburnumrock/forwarding/tests/test_reservations.py
+++ b/laburnumrock/forwarding/tests/test_reservations.py
@@ -4,16 +4,17 @@
 import json
 import time
 
-from laburnumrock.dispatch import Helper
+from laburnumrock.dispatch import Helper, UpstreamStatement
 from laburnumrock.forwarding import ConnectionPool, ConnectionPoolSettings, Reservations
 from laburnumrock.forwarding._reservations import LEASE_S
 from laburnumrock.forwarding.tests.scripted import HOST, ScriptedUpstream, hang
 from laburnumrock.platform._wire import PlatformWire
 
 
-def respond(status: int):
+def respond(status: int, headers: str = ""):
     async def run(reader, writer, received) -> None:
-        writer.write(f"HTTP/1.1 {status} Reason\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+        head = f"HTTP/1.1 {status} Reason\r\nContent-Length: 2\r\n{headers}\r\n"
+        writer.write(f"{head}{{}}".encode())
         await writer.drain()
 
     return run
@@ -29,7 +30,8 @@
             for engine in engines:
                 await engine.start()
             pool = ConnectionPool(ConnectionPoolSettings())
-            reservations = Reservations(pool, wire or PlatformWire())
+            self.statements = []
+            reservations = Reservations(pool, wire or PlatformWire(), self.statements.append)
             helpers = [
                 Helper(f"u{number}", HOST, engine.port, 1000)
                 for number, engine in enumerate(engines)
@@ -65,6 +67,16 @@
         assert self.hold(dead, free).unwrap_err() == ["u0"]
         assert orders(free) == ["reserve", "release"]
 
+    def test_statements_of_helpers_are_recorded(self):
+        """Guards against further requests to a helper that has declined them."""
+        refusing = ScriptedUpstream(respond(503, "Retry-After: 4\r\n"), respond(200))
+        leaving = ScriptedUpstream(respond(200, "Server-Leaving: 1\r\n"), respond(200))
+        self.hold(refusing, leaving)
+        assert sorted(self.statements, key=str) == [
+            UpstreamStatement("u0", refusal_s=4.0),
+            UpstreamStatement("u1", is_leaving=True),
+        ]
+
     def test_release_is_retried(self):
         """Guards against leaking memory when the response to a release is lost."""
         engine = ScriptedUpstream(respond(200), respond(500), respond(500), respond(200))
--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -126,7 +126,7 @@
         self.quarantine = self.local_dispatcher.quarantine
         self.crash_evidence = CrashEvidence(self.quarantine, self.network, rng)
         self.pool = ConnectionPool(settings.upstream_connections)
-        reservations = Reservations(self.pool, wire)
+        reservations = Reservations(self.pool, wire, self.record_statement)
         self.metrics = NodeMetrics()
         self.metrics.runs.set_function(lambda: len(self.frontend.tasks))
         self.context = ForwardingContext(
