Test on real processes that entries obey upstreams that decline requests

Six tests of processes: one engine of a service says only in its responses that it leaves, and all servers of a service refuse for 8 s with Retry-After; with the leader, with each core frozen in turn, and with all cores frozen. Allowed are 0 requests 2 s after a response said that the engine leaves, and 2 per machine from 0.5 s after a refusal to the end of its time. Then requests arrive again within 2 s.

--- a/laburnumrock/platform/soak/_upstreams.py
+++ b/laburnumrock/platform/soak/_upstreams.py
@@ -10,6 +10,7 @@
 from laburnumrock.platform.soak._findings import Findings
 from laburnumrock.platform.soak._limits import StatedLimit
 from laburnumrock.platform.soak._prompts import CrashingPrompts, CrashRecord, RepeatedRequest
+from laburnumrock.platform.soak._statements import StatedDecline
 from laburnumrock.standins import FaultyProxy
 
 HEARTBEAT_S = 0.6
@@ -136,6 +137,7 @@
     server: asyncio.Server | None = None
     restart: asyncio.Task | None = None
     limit: StatedLimit | None = None
+    decline: StatedDecline | None = None
     keeps_id: bool = False
     answer_delay_s: tuple[float, float] = (ANSWER_DELAY_S, ANSWER_DELAY_S)
     event_interval_s: tuple[float, float] = (EVENT_INTERVAL_S, EVENT_INTERVAL_S)
@@ -157,6 +159,7 @@
         self.mode = ""
         self.drain_acknowledged_s = float("inf")
         self.limit = None
+        self.decline = None
         self.reservations.clear()
         self.server = await asyncio.start_server(self._serve, self.host, self.port)
         await self.proxy.start()
@@ -256,10 +259,12 @@
         self.tracker.reached.setdefault(request_id, set()).add(self.name)
         self._check_received(request_id, headers)
         self._count_against_limit(self.tracker.entries.get(request_id, ""))
+        if self.decline is not None:
+            self.decline.record(self.tracker.entries.get(request_id, ""))
         crashing = self.tracker.record_arrival(line, headers.get("prefix-hash"))
         if headers.get("expect-instance") != self.upstream_id:
             writer.write(self._encode_refusal(421, request_id))
-        elif self.mode == "engine_refuses":
+        elif self.mode == "engine_refuses" or (self.decline is not None and self.decline.refuses):
             writer.write(self._encode_refusal(503, request_id))
         elif self.mode == "engine_repeats_refusals" and self.source.random() < 0.5:
             self._refuse_twice(writer, request_id)
@@ -361,6 +366,8 @@
             lines.append(framing)
         if self.limit is not None:
             lines.append(f"Server-Limit: {self.limit.requests_per_s}")
+        if self.decline is not None:
+            headers = {**headers, **self.decline.make_headers()}
         lines += [f"{name}: {value}" for name, value in headers.items()]
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
