Look at the statements of upstreams only if there are any

Each placement listed all upstreams of its service, which costs time with their number, although nearly always none declines. Now it lists them only while one does. A test holds that a placement is given back if its upstream declines meanwhile.

--- a/laburnumrock/nodes/_entry.py
+++ b/laburnumrock/nodes/_entry.py
@@ -216,15 +216,18 @@
         refusal = refuse_quarantined(self.quarantine, call, time.monotonic())
         if refusal is not None:
             return refusal
+        excluded = call.excluded
         for _ in range(MAX_PLACEMENTS):
             now_s = time.monotonic()
-            usable = self._list_usable(call.service, now_s)
-            names = [record.report.upstream_id for record in usable]
-            refusal = self.statements.refuse(names, self.rng, now_s)
-            if refusal is not None:
-                return refusal
             avoided = self.statements.list_avoided(now_s)
-            answer = await self._place_once(replace(call, excluded=[*call.excluded, *avoided]))
+            if avoided:
+                usable = self._list_usable(call.service, now_s)
+                names = [record.report.upstream_id for record in usable]
+                refusal = self.statements.refuse(names, self.rng, now_s)
+                if refusal is not None:
+                    return refusal
+                call = replace(call, excluded=[*excluded, *avoided])
+            answer = await self._place_once(call)
             if not self.statements.declines(answer, time.monotonic()):
                 return answer
             # The upstream has stated it meanwhile, in the response to another request.
--- a/laburnumrock/nodes/tests/test_statements.py
+++ b/laburnumrock/nodes/tests/test_statements.py
@@ -1,9 +1,11 @@
 """Tests of upstreams that state in their responses that they want no new requests."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
+from laburnumrock.dispatch import UpstreamStatement
 from laburnumrock.forwarding.tests.scripted import (
     CallerResponse,
     ScriptedUpstream,
@@ -15,6 +17,7 @@
     CORES,
     ENTRY,
     Deployment,
+    make_call,
     make_report,
     open_deployment,
     wait_until,
@@ -106,6 +109,36 @@
         asyncio.run(run())
 
 
+class TestPlacementUnderWay:
+    def test_is_given_back(self, tmp_path):
+        """Guards against a request to an upstream that declined while the request was placed, and
+        against a permit that is held for it.
+        """
+
+        async def run():
+            async with open_deployment(tmp_path) as deployment:
+                await start_upstreams(deployment, *(ScriptedUpstream(answer()) for _ in range(2)))
+                entry, leader = deployment.entry, deployment.leader()
+                place = entry._place_once
+                declined = []
+
+                async def place_and_decline(call):
+                    placed = await place(call)
+                    if not declined:
+                        declined.append(placed)
+                        entry.record_statement(UpstreamStatement(placed.upstream_id, True))
+                    return placed
+
+                entry._place_once = place_and_decline
+                call = replace(make_call(), service="app", prompt_tokens=0, output_tokens=0)
+                placed = await entry.place(call)
+                assert placed.permit > 0
+                assert placed.upstream_id != declined[0].upstream_id
+                await wait_until(lambda: list(leader.dispatcher.sends) == [placed.permit])
+
+        asyncio.run(run())
+
+
 class TestRefusing:
     @pytest.mark.parametrize("change_state", STATES)
     def test_all_upstreams_of_a_service(self, change_state, tmp_path):
