Keep the function for free ports that the cases of the review call

Cause: removed it from soak/_run.py, and the cases stay as they are.

Change: the function is there again and calls find_free_ports. A test looks up each function of the soak that a file under review/ uses.

--- a/laburnumrock/platform/soak/_run.py
+++ b/laburnumrock/platform/soak/_run.py
@@ -55,7 +55,7 @@
 @contextlib.asynccontextmanager
 async def open_deployment(soak: RunState, rng: random.Random) -> AsyncIterator[None]:
     """Start the processes and upstreams of a run, and end them on exit."""
-    soak.ports = find_free_ports(6, "")
+    soak.ports = _find_free_ports(6)
     claim = _claim_network(soak)
     try:
         _make_nodes(soak)
@@ -129,7 +129,7 @@
     host = f"{soak.network}.90"
     names = [f"engine{number}" for number in range(soak.settings.engines)]
     names += [f"server{number}" for number in range(soak.settings.servers)]
-    ports = find_free_ports(2 * len(names), "")
+    ports = _find_free_ports(2 * len(names))
     for number, name in enumerate(names):
         service = "llm" if name.startswith("engine") else "app"
         port, proxy_port = ports[2 * number : 2 * number + 2]
@@ -282,3 +282,8 @@
         else:
             return claim
     raise OSError("all loopback networks are in use by other runs")
+
+
+def _find_free_ports(count: int) -> list[int]:
+    """Return port numbers that are free on all loopback addresses; cases of reviews use it too."""
+    return find_free_ports(count, "")
--- a/laburnumrock/platform/soak/tests/test_soak.py
+++ b/laburnumrock/platform/soak/tests/test_soak.py
@@ -2,14 +2,23 @@
 
 import asyncio
 import random
+import re
 import time
+from pathlib import Path
 
 import pytest
 
-from laburnumrock.platform.soak import ACTIONS, Findings, SoakSettings, make_schedule, run_soak
+from laburnumrock.platform.soak import (
+    ACTIONS,
+    Findings,
+    SoakSettings,
+    _run,
+    make_schedule,
+    run_soak,
+)
 from laburnumrock.platform.soak._callers import Caller
 from laburnumrock.platform.soak._findings import name_planned_stop
-from laburnumrock.platform.soak._run import _claim_network
+from laburnumrock.platform.soak._run import _claim_network, _find_free_ports
 from laburnumrock.platform.soak._schedule import CORE_RECOVERY_S
 from laburnumrock.platform.soak._state import RunState
 from laburnumrock.platform.soak._upstreams import (
@@ -18,7 +27,6 @@
     Upstream,
     make_event,
 )
-from laburnumrock.scenarios import find_free_ports
 from laburnumrock.standins import FaultyProxy
 
 # Seeds that once failed, each with the cause.
@@ -213,7 +221,7 @@
         """Guards against a fault that ends with an error since another one restarted its target."""
 
         async def run():
-            upstream = make_upstream(*find_free_ports(2, ""))
+            upstream = make_upstream(*_find_free_ports(2))
             await upstream.start()
             upstream.crash()
             await asyncio.gather(upstream.start(), upstream.start())
@@ -231,3 +239,19 @@
         findings = run_soak(SoakSettings(seed, 8.0, tmp_path / "run"))
         assert findings.broken == []
         assert findings.counts["once 200"] > 20
+
+
+class TestReviewCases:
+    def test_functions_of_the_soak_that_they_use(self):
+        """Guards against a case of a review that cannot run, as it calls a function that is gone.
+
+        The cases stay as they are, and nothing else runs them in CI.
+        """
+        folder = Path(__file__).parents[4] / "review"
+        names = {
+            name
+            for path in folder.glob("**/*.py")
+            for name in re.findall(r"\b_run\.(\w+)", path.read_text())
+        }
+        assert "_find_free_ports" in names
+        assert [name for name in sorted(names) if not hasattr(_run, name)] == []
