--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -132,8 +132,10 @@
         self.ended = True
 
     def record_disconnect(self, attempts: int) -> None:
-        """Record that the caller has closed its connection."""
-        self.log("caller_left", attempts=attempts)
+        """Record that the caller has closed its connection, and how its end was noticed."""
+        error = self.connection.stream.error
+        cause = "end of input" if error is None else str(error)
+        self.log("caller_left", attempts=attempts, begun=self.head_written, cause=cause)
         if self.route is not None:
             self.count(0)
 
--- a/laburnumrock/forwarding/tests/scripted.py
+++ b/laburnumrock/forwarding/tests/scripted.py
@@ -358,6 +358,7 @@
 
     def __init__(self) -> None:
         self.stream = self
+        self.error: Exception | None = None
 
     def closed(self) -> bool:
         return True
