Answer callers that close their sending side after a whole request

Callers saw: a caller that closes its sending side after a whole request and reads on (TCP allows it) got neither an answer nor a refusal; a stream in progress broke off.

Cause: the server closed the connection as soon as it read the end of the input, and cancelled the request, as if the caller had left.

Change: the end of the input no longer closes the stream while a request is in progress. A caller that has left and one that waits for the response differ once something is written to them, as the host of the former resets the connection. Before the response begins, an interim response (102) is written, again every 0.2 s; later, each part of the response shows the same. Without either for 0.3 s, and for HTTP/1.0, whose clients do not know interim responses, the connection closes as before.

Why it works: work still ends within 0.5 s for callers that have left, now after a round trip.

--- a/laburnumrock/forwarding/_server.py
+++ b/laburnumrock/forwarding/_server.py
@@ -27,7 +27,7 @@
 from laburnumrock.forwarding._idle import IdleLimits
 from laburnumrock.forwarding._wire import CallerRequest
 from laburnumrock.memory import HeldBytes, Holder
-from laburnumrock.streams import has_buffered_data, has_unread_data
+from laburnumrock.streams import has_buffered_data, has_unread_data, wrap_caller
 
 MIN_HEADER_TIMEOUT_S = 20.0
 """Time limit for the header of a request, unless the routes declare a longer one."""
@@ -254,7 +254,8 @@
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Start to serve an accepted connection."""
-        connection = HTTP1ServerConnection(stream, self.frontend.parameters, address)
+        parameters = self.frontend.parameters
+        connection = HTTP1ServerConnection(wrap_caller(stream), parameters, address)
         connection.start_serving(self.frontend)
 
 
--- a/laburnumrock/metrics/tests/test_events.py
+++ b/laburnumrock/metrics/tests/test_events.py
@@ -14,6 +14,7 @@
     "nodes",
     "periodic",
     "platform",
+    "streams",
     "transport",
     "daemon/_log_runner.py",
     "daemon/_log_task.py",
--- /dev/null
+++ b/laburnumrock/streams/_caller_stream.py
@@ -0,0 +1,139 @@
+"""Streams of connections to callers, which may close their sending side and read on."""
+
+import asyncio
+import re
+
+from eliot import log_message
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream
+
+INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
+"""Any client of HTTP/1.1 must accept interim responses (RFC 9110, section 15.2)."""
+CHECK_INTERVAL_S = 0.02
+"""Interval at which a half-closed connection is checked for a reset; a few round trips."""
+PROBE_INTERVAL_S = 0.2
+"""Interval of the probes of a half-closed connection. Upstreams must not work for more than 0.5 s
+for a caller that has left."""
+UNCONFIRMED_S = 0.3
+"""Time after which a caller counts as having left if nothing could be written to it, as a response
+has begun and its next part has not come."""
+_START_LINE_VERSION = re.compile(rb"^[^\r\n]* HTTP/1\.1\r?\n")
+
+
+class CallerStream(IOStream):
+    """Stream that stays open for writing when its peer has closed its sending side.
+
+    Notes
+    -----
+    The end of the input is the same for a caller that has closed its connection and for one that
+    has closed its sending side only and waits for the response. They differ once something is
+    written: the host of the former answers with a reset. So the end of the input, while no read is
+    in progress, starts probes, and a reset closes the stream. Before the response has begun, a
+    probe is an interim response; later, each part of the response is one.
+
+    The stream closes at the end of the input, as `IOStream` does, if a read is in progress or if
+    the request is none of HTTP/1.1, since clients of HTTP/1.0 do not know interim responses.
+    """
+
+    input_ended_s: float | None = None
+    """Time of the event loop at which the end of the input was read."""
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.accepts_interim = False
+        # Whether a part of the response to the current request was written.
+        self.response_begun = False
+        self.last_write_s = 0.0
+
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> "asyncio.Future[bytes]":
+        """Read the head of a request, and note whether its version has interim responses."""
+        self.response_begun = False
+        head = super().read_until_regex(regex, max_bytes)
+        head.add_done_callback(self._note_version)
+        return head
+
+    def _note_version(self, head: "asyncio.Future[bytes]") -> None:
+        if not head.cancelled() and head.exception() is None:
+            self.accepts_interim = _START_LINE_VERSION.match(head.result()) is not None
+
+    def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
+        """Write a part of a response."""
+        self.response_begun = True
+        self.last_write_s = self.io_loop.time()
+        return super().write(data)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket; the end of the input closes the stream only if a read needs it."""
+        count = super().read_from_fd(buf)
+        if count != 0 or self.reading() or not self.accepts_interim:
+            return count
+        if self.input_ended_s is None:
+            self.input_ended_s = self.io_loop.time()
+            log_message("caller_input_ended", response_begun=self.response_begun)
+            self._check_peer()
+        return None
+
+    def _handle_events(self, fd: int, events: int) -> None:
+        super()._handle_events(fd, events)
+        # The end of the input stays readable, so that listening for it would occupy the loop.
+        state = self._state
+        if not self.closed() and self._is_input_done and state is not None and state & IOLoop.READ:
+            self._state = state & ~IOLoop.READ
+            self.io_loop.update_handler(self.fileno(), self._state)
+
+    def _add_io_state(self, state: int) -> None:
+        if self._is_input_done:
+            state &= ~IOLoop.READ
+        if state:
+            super()._add_io_state(state)
+
+    @property
+    def _is_input_done(self) -> bool:
+        return self.input_ended_s is not None and not self.reading()
+
+    def _check_peer(self, probed_s: float | None = None) -> None:
+        """Close the stream if its peer has reset the connection, and probe the peer.
+
+        Parameters
+        ----------
+        probed_s : float, optional
+            Time of the event loop at which the last probe was written.
+        """
+        if self.closed():
+            return
+        now_s = self.io_loop.time()
+        if self._is_reset() or self._is_unconfirmed(now_s):
+            self.close()
+            return
+        if not self.response_begun and (probed_s is None or now_s - probed_s >= PROBE_INTERVAL_S):
+            probed_s = now_s
+            super().write(INTERIM_RESPONSE)
+        self.io_loop.call_later(CHECK_INTERVAL_S, self._check_peer, probed_s)
+
+    def _is_reset(self) -> bool:
+        """Whether the host of the peer has answered written bytes with a reset."""
+        try:
+            self.socket.getpeername()
+        except OSError:
+            return True
+        error = self.get_fd_error()
+        if error is not None and error.errno:
+            self.error = error
+            return True
+        return False
+
+    def _is_unconfirmed(self, now_s: float) -> bool:
+        """Whether nothing could be written for long since the end of the input."""
+        probed = not self.response_begun or self.last_write_s > self.input_ended_s
+        return not probed and now_s - self.input_ended_s > UNCONFIRMED_S
+
+
+def wrap_caller(stream: IOStream) -> CallerStream:
+    """Return a stream for a connection that was just accepted, in place of the given one."""
+    return CallerStream(
+        stream.socket,
+        max_buffer_size=stream.max_buffer_size,
+        read_chunk_size=stream.read_chunk_size,
+    )
