Answer requests whose upstream or dispatcher raises a closed stream

Cause: RequestForwarder took every StreamClosedError for the close of the caller's connection.

No path that raises such an error to the forwarder is known today; the transport and the pool convert their own.

Change: the error counts as the caller's only if the connection of the caller is closed; otherwise it is an unexpected error like others, which is logged (run_failed, attempt_raised) and answered.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -79,7 +79,9 @@
             if not self.writer.ended:
                 self._fail_at_deadline()
         except StreamClosedError:
-            # The caller has disconnected, so no response can be written.
+            if not self.writer.caller_has_left:
+                # It is the connection of an upstream or of another node.
+                raise
             self.writer.record_disconnect(self.state.sent)
         except asyncio.CancelledError:
             self.writer.record_disconnect(self.state.sent)
@@ -207,7 +209,7 @@
     def _keep_error(self, attempt: Attempt) -> bool:
         """Keep an unexpected error of an attempt, which must not end the other one."""
         error = attempt.task.exception()
-        if error is None or isinstance(error, StreamClosedError):
+        if error is None or (isinstance(error, StreamClosedError) and self.writer.caller_has_left):
             return False
         self.error = error
         detail = f"{type(error).__name__}: {error}"
--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -65,6 +65,11 @@
             return False
         return not self.started or read_media_type(response) == self.media_type
 
+    @property
+    def caller_has_left(self) -> bool:
+        """Whether the connection of the caller is closed, so that no response can be written."""
+        return self.caller_disconnected or self.connection.stream.closed()
+
     @property
     def is_blocked(self) -> bool:
         """Whether the caller has not yet taken all bytes that were written."""
