Acknowledge orders whose operator closes its sending side

Operators saw: an order, a config or a report over a connection whose sending side is closed after the request is not acknowledged; the core closes the connection, and may have carried the order out.

Cause: the control API closes the connection at the end of the input, like the port for callers did.

Evidence: test_order_of_a_caller_that_only_ends_its_input failed before in both cases (no response).

Change: the control API uses the same stream as the port for callers. An order of an operator that may have left must not be carried out late, so the decision waits until the connection has not been reset for 0.1 s after the end of the input; whether the core was paused is looked at after that wait.

--- a/laburnumrock/nodes/_route_changes.py
+++ b/laburnumrock/nodes/_route_changes.py
@@ -3,7 +3,7 @@
 import secrets
 import time
 import zlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from result import Err, Ok, Result
 
@@ -60,7 +60,7 @@
         return log_change("routes", routes.version, answer)
 
     async def set_drain(
-        self, failure_domain: str, drained: bool, is_caller_waiting: Callable[[], bool]
+        self, failure_domain: str, drained: bool, is_caller_waiting: Callable[[], Awaitable[bool]]
     ) -> Result[int, Failure]:
         """Commit that a failure domain is drained, or returned to service.
 
@@ -70,7 +70,7 @@
             Domain to drain or to return to service.
         drained : bool
             The new state.
-        is_caller_waiting : callable
+        is_caller_waiting : coroutine function
             Returns whether the operator still waits for the answer. One that has gone has sent the
             order to another core, and perhaps newer orders since.
 
@@ -89,7 +89,8 @@
                     return log_change(change, failure_domain, confirmed)
                 # The caller is looked for after the read: whatever it has ordered since it left
                 # has a higher index than the one that was read, or is found to be newer here.
-                if self.stalls.may_be_late() or not is_caller_waiting():
+                is_waiting = await is_caller_waiting()
+                if self.stalls.may_be_late() or not is_waiting:
                     failure = Failure(ErrorKind.STALE_REVISION, "the caller may have gone")
                     return log_change(change, failure_domain, Err(failure))
                 command = SetDrain(failure_domain, drained, order_id, confirmed.unwrap())
--- a/laburnumrock/nodes/tests/deployment.py
+++ b/laburnumrock/nodes/tests/deployment.py
@@ -122,3 +122,8 @@
 
 def make_call():
     return DispatchCall("r1", 1, "llm", "one", 1, 5000, 800, 0.3, 0.2, 10.0)
+
+
+async def waits() -> bool:
+    """Stand for an operator that waits for the answer of its order."""
+    return True
--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -22,6 +22,7 @@
     open_deployment,
     request,
     wait_until,
+    waits,
 )
 from laburnumrock.platform._routes import decode_routes
 from laburnumrock.platform.tests.samples import make_config
@@ -344,7 +345,7 @@
         async def run():
             async with open_deployment(tmp_path) as deployment:
                 leader = deployment.leader()
-                assert (await leader.changes.set_drain("a", True, lambda: True)).is_ok()
+                assert (await leader.changes.set_drain("a", True, waits)).is_ok()
                 await wait_until(lambda: leader.dispatcher.fleet.drained == {"a"})
                 # The state of a core that has applied the drain and leads in the same moment.
                 leader.leading_term = 0
--- a/laburnumrock/platform/_control.py
+++ b/laburnumrock/platform/_control.py
@@ -5,12 +5,12 @@
 from urllib.parse import unquote
 
 from eliot import log_message
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from laburnumrock.nodes import CoreNode
 from laburnumrock.platform._reports import decode_report
 from laburnumrock.platform._routes import decode_routes
+from laburnumrock.streams import CallerServer, CallerStream
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Four times the size of the largest route configuration that operators send today."""
@@ -22,15 +22,16 @@
     def initialize(self, node: CoreNode) -> None:
         """Set the node that serves the requests."""
         self.node = node
+        self.stream: CallerStream = self.request.connection.stream
         self.has_caller_left = False
 
     def on_connection_close(self) -> None:
         """Record that the caller does not wait for the answer."""
         self.has_caller_left = True
 
-    def is_caller_waiting(self) -> bool:
-        """Return whether the connection of the caller is open."""
-        return not self.has_caller_left
+    async def is_caller_waiting(self) -> bool:
+        """Return whether the caller waits for the answer."""
+        return await self.stream.is_peer_waiting() and not self.has_caller_left
 
     def answer(self, status: int, document: object) -> None:
         """Send a JSON response."""
@@ -132,7 +133,7 @@
         self.answer(200, {})
 
 
-def listen_control(node: CoreNode, host: str, port: int) -> HTTPServer:
+def listen_control(node: CoreNode, host: str, port: int) -> CallerServer:
     """Start the HTTP server for operators and engines."""
     arguments = {"node": node}
     application = Application(
@@ -145,6 +146,6 @@
         default_handler_args=arguments,
         log_function=lambda handler: None,
     )
-    server = HTTPServer(application, max_buffer_size=MAX_BODY_BYTES, max_body_size=MAX_BODY_BYTES)
+    server = CallerServer(application, max_buffer_size=MAX_BODY_BYTES, max_body_size=MAX_BODY_BYTES)
     server.listen(port, host)
     return server
--- a/laburnumrock/platform/tests/test_late_orders.py
+++ b/laburnumrock/platform/tests/test_late_orders.py
@@ -1,11 +1,12 @@
 """Tests of orders that a core reads after their caller has gone."""
 
 import asyncio
+import re
 import socket
 
 import pytest
 
-from laburnumrock.nodes.tests.deployment import CORES, open_deployment, wait_until
+from laburnumrock.nodes.tests.deployment import CORES, open_deployment, wait_until, waits
 from laburnumrock.platform._control import listen_control
 
 ORDER = "{} /laburnumrock/evacuations/a HTTP/1.1\r\nHost: core\r\nContent-Length: 0\r\n\r\n"
@@ -28,6 +29,15 @@
         return int(client.recv(4096).split()[1])
 
 
+def read_final_status(client: socket.socket) -> int:
+    """Return the status after interim responses."""
+    client.settimeout(5.0)
+    with client:
+        data = b"".join(iter(lambda: client.recv(4096), b""))
+    statuses = re.findall(rb"HTTP/1.1 (\d+) ", data)
+    return int(statuses[-1]) if statuses else 0
+
+
 @pytest.fixture
 def play(tmp_path):
     """Return a function that runs a scenario with a deployment and the port of its second core."""
@@ -54,7 +64,7 @@
 
         async def scenario(deployment, port):
             core = deployment.cores[CORES[1]]
-            assert (await core.changes.set_drain("a", bool(drained), lambda: True)).is_ok()
+            assert (await core.changes.set_drain("a", bool(drained), waits)).is_ok()
             # The order and the end of its connection are read in the same pass of the loop.
             send_order(port, method).close()
             await asyncio.sleep(1.0)
@@ -62,12 +72,26 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("method, drained", [("DELETE", []), ("POST", ["a"])])
+    def test_order_of_a_caller_that_only_ends_its_input(self, play, method, drained):
+        """Guards against orders without an acknowledgement after a half-close of their caller."""
+
+        async def scenario(deployment, port):
+            core = deployment.cores[CORES[1]]
+            assert (await core.changes.set_drain("a", not drained, waits)).is_ok()
+            client = send_order(port, method)
+            client.shutdown(socket.SHUT_WR)
+            status = await asyncio.to_thread(read_final_status, client)
+            assert (status, find_drained(deployment)) == (200, drained)
+
+        play(scenario)
+
     def test_order_that_waited_while_the_core_was_frozen(self, play):
         """Guards against a late order of a caller whose connection still seems to be open."""
 
         async def scenario(deployment, port):
             core = deployment.cores[CORES[1]]
-            assert (await core.changes.set_drain("a", True, lambda: True)).is_ok()
+            assert (await core.changes.set_drain("a", True, waits)).is_ok()
             client = send_order(port, "DELETE")
             core.stalls.last_tick_s -= 3.0
             status = await asyncio.to_thread(read_status, client)
--- a/laburnumrock/streams/__init__.py
+++ b/laburnumrock/streams/__init__.py
@@ -1,5 +1,6 @@
 """Streams of connections to upstreams and callers."""
 
+from laburnumrock.streams._caller_server import CallerServer
 from laburnumrock.streams._caller_stream import CallerStream, wrap_caller
 from laburnumrock.streams._upstream_stream import (
     UpstreamStream,
@@ -8,6 +9,7 @@
 )
 
 __all__ = [
+    "CallerServer",
     "CallerStream",
     "UpstreamStream",
     "has_buffered_data",
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -17,6 +17,9 @@
 UNCONFIRMED_S = 0.3
 """Time after which a caller counts as having left if nothing could be written to it, as a response
 has begun and its next part has not come."""
+CONFIRMED_S = 0.1
+"""Time without a reset after which a half-closed connection counts as one whose caller waits; many
+round trips, and less than the retransmission of a lost probe takes."""
 _START_LINE_VERSION = re.compile(rb"^[^\r\n]* HTTP/1\.1\r?\n")
 
 
@@ -75,6 +78,15 @@
             self._check_peer()
         return None
 
+    async def is_peer_waiting(self) -> bool:
+        """Return whether the peer waits for the response, after a probe if its input has ended."""
+        while not self.closed() and self.input_ended_s is not None:
+            ended_s = self.io_loop.time() - self.input_ended_s
+            if ended_s >= CONFIRMED_S:
+                return not self._is_reset()
+            await asyncio.sleep(CONFIRMED_S - ended_s)
+        return not self.closed()
+
     def _handle_events(self, fd: int, events: int) -> None:
         super()._handle_events(fd, events)
         # The end of the input stays readable, so that listening for it would occupy the loop.
