Let the last attempt of a request not speak for the earlier ones

Seen by callers: an engine broke off after it had taken a completion, and the three other engines could not be reached. The answer was connection_failed with the outcome not_run, although the first engine may have run the completion. After a last refusal by an engine it was rejected. Repeatable calls of plain services got the same after a broken call and one or two refused connections.

Cause: both loops over attempts returned the failure of the last attempt. Only a refusal by the pool owner was converted.

Change: a completion keeps whether an attempt broke off, and converts a later not_run or rejected into upstream_failed with the outcome unknown. A repeatable call returns the failure of the attempt that broke off.

Why it works: an outcome other than unknown is now only returned if it holds for every attempt.

--- a/laburnumrock/gateway/_completion_run.py
+++ b/laburnumrock/gateway/_completion_run.py
@@ -7,7 +7,7 @@
 from eliot import log_message
 from result import Err, Result
 
-from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.errors import ErrorKind, Failure, Outcome
 from laburnumrock.gateway._assembler import CompletionAssembler
 from laburnumrock.gateway._engine import (
     CompletionRequest,
@@ -97,6 +97,7 @@
         self.excluded: list[str] = []
         self.crash_names: list[str] = []
         self.may_have_run = False
+        self.has_broken_off = False
 
     async def run(self) -> Result[None, Failure]:
         """Run attempts until the completion succeeds, is refused or exceeds its deadline."""
@@ -126,8 +127,9 @@
                 attempt=attempt,
                 failure=str(failure),
             )
+            failure = self._add_earlier_attempts(failure)
             if failure.kind not in _RETRIED_KINDS or self._remaining_s() <= 0:
-                return result
+                return Err(failure)
             self.services.counters.count("retries")
         return Err(Failure(failure.kind, failure.detail, retry_after_s=RETRY_AFTER_FAILURE_S))
 
@@ -172,6 +174,14 @@
         detail = f"an attempt failed and no other was possible: {failure.detail or failure.kind}"
         return Failure(ErrorKind.UPSTREAM_FAILED, detail, retry_after_s=failure.retry_after_s)
 
+    def _add_earlier_attempts(self, failure: Failure) -> Failure:
+        """Return a failure that holds for all attempts, from that of the last one."""
+        if failure.answer.outcome is Outcome.UNKNOWN:
+            self.has_broken_off = True
+        elif failure.answer.outcome is Outcome.NOT_RUN or self.has_broken_off:
+            return self._convert_refusal(failure)
+        return failure
+
     async def _run_attempt(self, grant: PermitGrant, attempt: int) -> Result[None, Failure]:
         may_have_run_before, self.may_have_run = self.may_have_run, True
         self.assembler.start_attempt(attempt)
--- a/laburnumrock/gateway/_services.py
+++ b/laburnumrock/gateway/_services.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from laburnumrock.declarations import Service, ServicePath, Template
-from laburnumrock.errors import ErrorKind, Failure
+from laburnumrock.errors import ErrorKind, Failure, Outcome
 from laburnumrock.gateway._accounts import identify_account
 from laburnumrock.gateway._handler import BodyHandler
 from laburnumrock.gateway._interfaces import Dispatch
@@ -188,6 +188,7 @@
     async def _run_repeatable(self, call: ServiceCall) -> Result[RecordedAnswer, Failure]:
         excluded: list[str] = []
         result = Err(Failure(ErrorKind.NO_UPSTREAM))
+        broken: Failure | None = None
         self.services.retries.record_first_attempt(time.monotonic())
         for attempt in range(1, MAX_ATTEMPTS + 1):
             if attempt > 1 and not self.services.retries.try_retry(time.monotonic()):
@@ -196,6 +197,11 @@
             if granted.is_err():
                 return granted if not excluded else result
             result = await self._call_upstream(call, granted.unwrap(), None)
+            if result.is_err() and result.unwrap_err().answer.outcome is Outcome.UNKNOWN:
+                broken = result.unwrap_err()
+            elif result.is_err() and broken is not None:
+                # A failed connection proves nothing about the attempts before it.
+                result = Err(broken)
             if result.is_ok() or call.remaining_s() <= 0:
                 return result
             excluded.append(granted.unwrap().placements[0].upstream_id)
