Answer a completion whose run is cancelled while its caller waits

A permit, quota or upstream call that ends with a CancelledError left a completion with an empty response of status 200, and a stream that had begun with a regular end of its chunks, without [DONE] and without an error event.

Cause: the handler took each CancelledError for a caller that has left, wrote nothing, and tornado then ended the response.

Change: the handler notes that the connection has closed. Any other cancellation is reported as internal, like an unexpected error.

Why it works: only on_connection_close cancels the run for a caller that has left.

--- a/laburnumrock/gateway/_completions.py
+++ b/laburnumrock/gateway/_completions.py
@@ -29,6 +29,7 @@
         """Store the services and reset the state of the request."""
         super().initialize(services)
         self.run_task: asyncio.Task | None = None
+        self.caller_left = False
         self.streaming = False
         self.text_parts: list[str] = []
 
@@ -49,24 +50,32 @@
                 result = Err(make_cut_failure(run.may_have_run))
             self._write_response(result, job.unwrap())
             await self.wait_until_written()
-        except asyncio.CancelledError:
-            log_message("caller_left", request_id=self.request_id)
+        except asyncio.CancelledError as error:
+            if self.caller_left:
+                log_message("caller_left", request_id=self.request_id)
+            else:
+                # A call that the run waited for was cancelled; the caller still waits.
+                await self._answer_error(error)
         except Exception as error:
-            # Without this, tornado ends a stream that has begun like a regular one.
-            self.log_exception(*sys.exc_info())
-            log_message("request_raised", request_id=self.request_id, error=repr(error))
-            if not self._finished:
-                self._write_failure(Failure(ErrorKind.INTERNAL))
-                await self.wait_until_written()
+            await self._answer_error(error)
         finally:
             lifecycle.adjust_request_count(-1)
 
     def on_connection_close(self) -> None:
         """Cancel the completion when the caller disconnects."""
         super().on_connection_close()
+        self.caller_left = True
         if self.run_task is not None:
             self.run_task.cancel()
 
+    async def _answer_error(self, error: BaseException) -> None:
+        """Report an unexpected error, after which tornado would end a stream like a regular one."""
+        self.log_exception(*sys.exc_info())
+        log_message("request_raised", request_id=self.request_id, error=repr(error))
+        if not self._finished:
+            self._write_failure(Failure(ErrorKind.INTERNAL))
+            await self.wait_until_written()
+
     def _read_job(self) -> Result[CompletionJob, Failure]:
         if not self.services.lifecycle.accepts_work():
             return Err(Failure(ErrorKind.STOPPING, retry_after_s=1.0))
