Carry an accepted order out after an unexpected error in one of its steps

An exception in a status request, in the send of an order or in the proposal of its next state ended the task of that step, and the accepted order was not carried out until another instance led the log.

Cause: the controller waits for the result of each step, and a task that raised reported none. Nothing logged the error either.

Evidence: by reading; the three new tests failed before (no order at the engine within 15 s).

Change: a step that raises is logged and reported as a call of which nothing is known; a proposal always ends the wait.

Why it works: the controller treats such a call like one without a response: it fetches the status of the engine, and sends an order again only if the status does not list it.

Result: the three tests pass, with one order at the engine each.

--- a/laburnumrock/daemon/_order_task.py
+++ b/laburnumrock/daemon/_order_task.py
@@ -14,6 +14,7 @@
 from laburnumrock.orders import (
     AddOrder,
     EngineSighting,
+    EngineStatus,
     FetchEngineStatus,
     ListOrders,
     OrderAnswer,
@@ -21,9 +22,11 @@
     OrderKind,
     ProposeOrderUpdate,
     SendOrder,
+    SendResult,
+    SendStatus,
 )
 from laburnumrock.orders._controller import CALL_TIMEOUT_S
-from laburnumrock.periodic import run_periodically
+from laburnumrock.periodic import log_errors, run_periodically
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.transport import PeerNetwork
 from laburnumrock.upstreams import UpstreamAnnouncement, UpstreamKind
@@ -131,25 +134,34 @@
         return TICK_S if self.log.is_leader else FOLLOWER_TICK_S
 
     async def _execute(self, effect: Effect) -> None:
+        """Execute one step; the controller waits for its end, also after an unexpected error."""
         if isinstance(effect, ProposeOrderUpdate):
-            await self.log.propose(effect.command, PROPOSE_TIMEOUT_S)
-            self.controller.finish_proposal(effect.upstream_id)
+            try:
+                with log_errors("order_update"):
+                    await self.log.propose(effect.command, PROPOSE_TIMEOUT_S)
+            finally:
+                self.controller.finish_proposal(effect.upstream_id)
             return
-        if isinstance(effect, FetchEngineStatus):
-            answer = await self.calls.read(effect)
-        elif isinstance(effect, SendOrder):
-            answer = await self.calls.send(
-                effect, lambda: self.leader_term() == effect.fencing_number
-            )
-            log_message(
-                "engine_order_sent",
-                order=effect.order.order_id,
-                upstream=effect.upstream_id,
-                status=answer.status,
-                detail=answer.detail,
-            )
+        answer = _assume_lost(effect)
+        with log_errors("order_call"):
+            answer = await self._call_engine(effect)
         self._receive(effect.upstream_id, answer)
 
+    async def _call_engine(
+        self, effect: FetchEngineStatus | SendOrder
+    ) -> EngineStatus | SendResult:
+        if isinstance(effect, FetchEngineStatus):
+            return await self.calls.read(effect)
+        answer = await self.calls.send(effect, lambda: self.leader_term() == effect.fencing_number)
+        log_message(
+            "engine_order_sent",
+            order=effect.order.order_id,
+            upstream=effect.upstream_id,
+            status=answer.status,
+            detail=answer.detail,
+        )
+        return answer
+
     def _receive(self, sender: str, message: object) -> None:
         self.controller.receive(sender, message, time.monotonic())
 
@@ -159,6 +171,15 @@
         task.add_done_callback(self.running.discard)
 
 
+def _assume_lost(effect: FetchEngineStatus | SendOrder) -> EngineStatus | SendResult:
+    """Return the result of a call of which nothing is known."""
+    if isinstance(effect, FetchEngineStatus):
+        return EngineStatus(effect.upstream_id, False)
+    return SendResult(
+        effect.upstream_id, effect.order.order_id, SendStatus.UNCERTAIN, "unexpected error"
+    )
+
+
 def _describe(answer: OrderAnswer) -> Result[dict[str, object], Failure]:
     if not answer.accepted:
         return Err(Failure(ErrorKind.INVALID_REQUEST, answer.detail))
--- a/laburnumrock/daemon/tests/test_order_task.py
+++ b/laburnumrock/daemon/tests/test_order_task.py
@@ -3,10 +3,12 @@
 import asyncio
 import time
 
+import pytest
+
 from laburnumrock.daemon._log_task import LogTask
 from laburnumrock.daemon._order_calls import OrderCalls
 from laburnumrock.daemon._order_task import OrderTask
-from laburnumrock.orders import Order, OrderKind, SendOrder, SendStatus
+from laburnumrock.orders import AddOrder, Order, OrderKind, SendOrder, SendStatus
 from laburnumrock.scenarios import make_loopback_settings
 from laburnumrock.standins.tests._servers import start_engine
 from laburnumrock.transport import PeerNetwork
@@ -47,6 +49,37 @@
         await network.stop()
 
 
+class TestUnexpectedErrors:
+    """An accepted order must reach its engine although one step towards it raises an exception."""
+
+    @pytest.mark.parametrize("step", ["read", "send", "propose"])
+    def test_order_is_carried_out(self, step, tmp_path):
+        """Guards against an order that nobody sends, as the controller waits for a dead task."""
+
+        async def scenario(task):
+            owner = task.log if step == "propose" else task.calls
+            original = getattr(owner, step)
+            failures = []
+
+            async def fail_once(argument, *arguments):
+                if not failures and not isinstance(argument, AddOrder):
+                    failures.append(argument)
+                    raise RuntimeError("unexpected")
+                return await original(argument, *arguments)
+
+            setattr(owner, step, fail_once)
+            engine = await start_engine(enforces_fencing=False)
+            _announce(task, engine)
+            added = await task.add_order("o1", "e", "load_model", {"model": "review"})
+            assert added.is_ok()
+            await _wait_for(lambda: "review" in engine.orders.models)
+            assert len(failures) == 1
+            assert len(engine.orders.accepted) == 1
+            await engine.stop()
+
+        asyncio.run(_run_with_voter(tmp_path, scenario))
+
+
 class TestOrderTask:
     def test_engine_gets_each_order_once_and_again_after_a_restart(self, tmp_path):
         """Orders must not be lost or repeated, and a restarted engine must be loaded again."""
