Report an error of a local handler like that of a peer's handler

If the handler of a message raised, the instance that had asked itself got the exception: a request ended with 500 and an unknown outcome at the quota of its own coordinator, and a proposal in the background, such as the settlement of an operation, ended for good. An instance that asked a peer got peer_unreachable, and tried again.

Cause: a call to the instance itself passed the exception of the handler on, and nothing logged it as handler_failed.

Evidence: by reading; the new test failed before for the own instance, and passed for a peer.

Change: a local call logs handler_failed and returns peer_unreachable.

Why it works: every caller of PeerNetwork.call handles that failure already.

--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -191,6 +191,10 @@
                 answer = await self._run_handler(self.settings.instance_id, message)
         except TimeoutError:
             return _unreachable(self.settings.instance_id)
+        except Exception as error:
+            # As for a handler of a peer: the caller gets a failure, and the log the error.
+            _log_handler_error(self.settings.instance_id, Frame(message), error)
+            return _unreachable(self.settings.instance_id)
         return _unreachable(self.settings.instance_id) if answer is None else Ok(answer)
 
     def _enqueue(self, peer: str, frame: Frame, data: bytes | None = None) -> bool:
--- a/laburnumrock/transport/tests/test_network.py
+++ b/laburnumrock/transport/tests/test_network.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from laburnumrock.errors import ErrorKind
 from laburnumrock.messages import MAX_FRAME_BYTES
 from laburnumrock.scenarios import find_free_ports
@@ -128,6 +130,28 @@
         assert asyncio.run(scenario()) == (True, {})
 
 
+class TestHandlerErrors:
+    @pytest.mark.parametrize("peer", ["a1", "a2"])
+    def test_call_fails_if_the_handler_raises(self, peer):
+        """Guards against an error of the own coordinator or log that ends the work of a caller."""
+
+        async def fail(sender, message):
+            raise RuntimeError("unexpected")
+
+        async def scenario():
+            networks = [PeerNetwork(settings, KEY) for settings in _make_settings()]
+            for network in networks:
+                network.handle(PeerHello, fail)
+                await network.start()
+            try:
+                return await networks[0].call(peer, PeerHello("a1", b"n", 1), 0.5)
+            finally:
+                for network in networks:
+                    await network.stop()
+
+        assert asyncio.run(scenario()).unwrap_err().kind is ErrorKind.PEER_UNREACHABLE
+
+
 class TestSilentLink:
     def test_silent_link_is_reopened(self):
         """Guards against a link that stays closed for seconds after its path has recovered."""
