Do not report a change of voters as not run once a leader has begun it

Seen by operators: POST voters whose change was not committed in time was answered with quorum_unavailable and the outcome not_run, although the leader had the change in its log and committed it later, for example when another voter was reachable again.

Cause: the leader answered "not appended" for a change that it had just begun, a follower whose leader did not answer said the same, and the client returned quorum_unavailable in each case.

Evidence: by reading; the existing test of such a change, now with the outcome, failed before.

Change: both answer "uncertain", and the client returns outcome_unknown unless every answer proves that nothing was begun.

Why it works: it is the rule that proposals of commands follow already.

--- a/laburnumrock/daemon/_log_service.py
+++ b/laburnumrock/daemon/_log_service.py
@@ -144,6 +144,8 @@
         node = self.runner.node
         if node is None or node.role is not Role.LEADER:
             forwarded = await self._forward(message, FORWARD_TIMEOUT_S)
+            if forwarded is None:
+                return ProposeAnswer(LogStatus.UNCERTAIN)
             return forwarded or ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader())
         change = node.add_learner if message.action == "add" else node.remove_member
         effects = change(message.instance_id, time.monotonic())
@@ -154,7 +156,7 @@
             # The caller asks again; without a further change, this one is committed.
             self.runner.enqueue(effects)
             detail = "the change is not committed yet"
-            return ProposeAnswer(LogStatus.NOT_APPENDED, None, self._leader(), detail)
+            return ProposeAnswer(LogStatus.UNCERTAIN, None, self._leader(), detail)
         return ProposeAnswer(LogStatus.DONE, None, self._leader())
 
     async def _answer_leave(self, sender: str, message: LeaveVoters) -> ProposeAnswer:
--- a/laburnumrock/daemon/_log_task.py
+++ b/laburnumrock/daemon/_log_task.py
@@ -291,17 +291,27 @@
             ``add`` or ``remove``.
         instance_id : str
             Instance to add or remove; it must have a data folder.
+
+        Returns
+        -------
+        Result
+            None, or a failure: ``quorum_unavailable`` only if no leader has begun the change,
+            ``outcome_unknown`` if it may still be committed.
         """
         deadline_s = time.monotonic() + timeout_s
         detail = ""
+        has_not_begun = True
         while (remaining_s := deadline_s - time.monotonic()) > 0:
             answer = await self._call_voter(ChangeVoters(action, instance_id), remaining_s)
             if isinstance(answer, ProposeAnswer):
                 detail = answer.detail or detail
                 if answer.status is LogStatus.DONE:
                     return Ok(None)
+            has_not_begun = has_not_begun and _proves_not_appended(answer)
             await asyncio.sleep(RETRY_S)
-        return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE, detail))
+        if has_not_begun:
+            return Err(Failure(ErrorKind.QUORUM_UNAVAILABLE, detail))
+        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail or "the log did not answer in time"))
 
     async def _read(self, message: ReadState, timeout_s: float) -> Result[ReadStateAnswer, Failure]:
         deadline_s = time.monotonic() + timeout_s
--- a/laburnumrock/daemon/tests/test_log_task.py
+++ b/laburnumrock/daemon/tests/test_log_task.py
@@ -230,7 +230,27 @@
             assert cluster.logs[leader].runner.node.role is Role.LEADER
             return await cluster.logs[leader].change_voters("remove", others[0], 0.3)
 
-        assert _run(tmp_path, scenario).is_err()
+        failure = _run(tmp_path, scenario).unwrap_err()
+        assert failure.answer.outcome is Outcome.UNKNOWN, "the removal may still be committed"
+
+    def test_change_of_voters_without_a_leader_did_not_run(self, tmp_path):
+        """Guards against an unknown outcome of a change that no leader has begun."""
+
+        async def scenario(cluster):
+            assert (await cluster.logs["a2"].read_confirmed(10.0)).is_ok()
+            leader = cluster.leader()
+            follower, other = (name for name in VOTERS if name != leader)
+            await asyncio.gather(*(cluster.stop(name) for name in (leader, other)))
+            node = cluster.logs[follower].runner.node
+            deadline_s = time.monotonic() + 10.0
+            while node.leader is not None and time.monotonic() < deadline_s:
+                await asyncio.sleep(0.05)
+            # The stopped instances may not be asked, as a call without an answer proves nothing.
+            cluster.logs[follower].failed_call_s |= dict.fromkeys((leader, other), 1e18)
+            return await cluster.logs[follower].change_voters("remove", other, 0.3)
+
+        failure = _run(tmp_path, scenario).unwrap_err()
+        assert failure.answer.outcome is Outcome.NOT_RUN
 
     def test_failed_log_stops_the_voter_and_not_the_others(self, tmp_path):
         """A voter must stop after an error of its log that is no refusal of the disk."""
