Report a call that waits for a permit up to its deadline as not run

Seen by callers: a call that may not be repeated and got no permit before its deadline was answered with 502, outcome_unknown, and its key stayed blocked until an operator had settled it, although nothing had been sent.

The refusal of the permit comes up to 50 ms later.

Evidence: by reading; the new test failed before with (502, unknown) for (503, not_run).

Why it works: the dispatch knows whether it has sent the call. It sends nothing after the deadline, and an operator may settle a call as not run only 2 s after it.

A process that stands still for longer than 0.2 s at the deadline still reports the outcome as unknown.

--- a/laburnumrock/daemon/_operations.py
+++ b/laburnumrock/daemon/_operations.py
@@ -31,6 +31,9 @@
 FOLLOW_UP_LIMIT_S = 300.0
 # Extra time after the deadline in which the steps of an operation can detect it and end.
 END_MARGIN_S = 0.5
+DISPATCH_MARGIN_S = 0.2
+"""Extra time in which a dispatch ends by itself at its deadline. Only it knows whether it has sent
+the call, and one that is cancelled counts as sent."""
 
 Dispatch = Callable[[], Awaitable[Result[RecordedAnswer, Failure]]]
 
@@ -191,7 +194,7 @@
     async def _dispatch(self, step: DispatchStep) -> Result[RecordedAnswer, Failure]:
         self.dispatched = True
         try:
-            async with asyncio.timeout(step.timeout_s):
+            async with asyncio.timeout(step.timeout_s + DISPATCH_MARGIN_S):
                 return await self.dispatch()
         except TimeoutError:
             return Err(Failure(ErrorKind.UPSTREAM_FAILED, "no answer before the deadline"))
--- a/laburnumrock/gateway/tests/test_true_outcomes.py
+++ b/laburnumrock/gateway/tests/test_true_outcomes.py
@@ -4,11 +4,15 @@
 import json
 
 import pytest
+from result import Err, Ok
 
+from laburnumrock.daemon._operations import OperationClient
+from laburnumrock.errors import ErrorKind, Failure
 from laburnumrock.gateway.tests.fakes import ScriptedEngine, run_gateway
+from laburnumrock.journal import JournalPart, OperationState
 from laburnumrock.scenarios import find_free_ports
 
-STOCK = "/v1/services/orders/stock"
+STOCK, PLACE = "/v1/services/orders/stock", "/v1/services/orders/place"
 
 
 def make_refused_urls(count):
@@ -39,6 +43,20 @@
         pass
 
 
+class MemoryLog:
+    """Log that applies each command at once."""
+
+    def __init__(self):
+        self.journal = JournalPart()
+
+    async def propose(self, command, timeout_s=5.0):
+        await asyncio.sleep(0)
+        return Ok(self.journal.apply(command, 1))
+
+    async def read_part(self, part, question, timeout_s=2.0):
+        return Ok(self.journal.query(question))
+
+
 class TestEarlierAttempts:
     """The last attempt of a request must not speak for the earlier ones."""
 
@@ -106,3 +124,29 @@
                 assert problem["outcome"] == "not_run"
 
         asyncio.run(run())
+
+
+class TestWaitForPermit:
+    def test_call_that_waits_to_its_deadline_did_not_run(self):
+        """Guards against an unknown outcome, which an operator must settle, for an unsent call."""
+
+        async def run():
+            async with run_gateway() as gateway:
+                log = MemoryLog()
+                operations = OperationClient(gateway.services.settings, log)
+                object.__setattr__(gateway.services, "operations", operations)
+                [service] = gateway.services.declarations.current.services.values()
+                object.__setattr__(service, "timeout_s", 0.5)
+
+                async def wait(request):
+                    # As `PermitClient` does, which looks at its deadline every 50 ms.
+                    await asyncio.sleep(request.remaining_s + 0.03)
+                    return Err(Failure(ErrorKind.DEADLINE_UNREACHABLE, retry_after_s=1.0))
+
+                gateway.permits.acquire = wait
+                response = await gateway.post(PLACE, {}, Idempotency_Key="k")
+                problem = json.loads(response.body)
+                assert (response.code, problem["outcome"]) == (503, "not_run")
+                assert log.journal.operations["merchant", "k"].state is OperationState.NOT_RUN
+
+        asyncio.run(run())
