Answer callers of the own interface that close their sending side

Seen by callers: a caller of the own interface, or an operator, that closes its sending side after a whole request and reads on got neither an answer nor a refusal, in each phase of the request. Calls that may not be repeated, and operators' changes, ran all the same.

Cause: as on the platform's interface, the server closed the connection at the end of its input.

Change: the server of the own interface uses the stream that the platform uses, which tells a half-closed caller from one that has left.

Why it works: a half-closed connection is probed with interim responses until its response begins, and a reset cancels the request.

--- a/laburnumrock/gateway/_server.py
+++ b/laburnumrock/gateway/_server.py
@@ -6,9 +6,11 @@
 from eliot import log_message
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection, HTTPHeaders, HTTPMessageDelegate, ResponseStartLine
+from tornado.iostream import IOStream
 
 from laburnumrock.errors import ErrorKind, Failure, problem_document
 from laburnumrock.memory import HeldBytes, Holder
+from laburnumrock.streams import wrap_caller
 
 HELD_BODIES = HeldBytes(128 * 1024 * 1024)
 """Bodies of the requests in progress, as much as `HELD_BYTES` allows for responses."""
@@ -95,6 +97,10 @@
         super().initialize(*arguments, **options)
         self.holders: dict[object, Holder] = {}
 
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        """Start to serve an accepted connection, whose caller may close its sending side."""
+        super().handle_stream(wrap_caller(stream), address)
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
