Keep the connection of a half-closed caller while its response is being written

Seen by callers: a caller that closed its sending side after a response had begun, and read it slowly, got a part of it: 5.6 of 8 MB on the platform's interface and 5.7 of 16 MB on the own one, and then the end of the connection.

Cause: the stream closes 0.3 s after the end of its input if nothing was written since. A response is handed to the stream as a whole, so that its bytes may wait in the buffer for longer.

Change: bytes that wait to be written count as written now.

Why it works: such bytes reach the caller's host, or wait for its window, so a caller that has left resets the connection.

--- a/laburnumrock/gateway/tests/test_half_closed_callers.py
+++ b/laburnumrock/gateway/tests/test_half_closed_callers.py
@@ -328,6 +328,28 @@
 
         asyncio.run(run())
 
+    def test_caller_that_reads_slowly_gets_the_whole_answer(self):
+        """Guards against an answer that is cut as it has begun and no new part is written."""
+
+        class LargeService(SlowService):
+            async def stream(self, writer, body):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n")
+                writer.write(b"x" * 16_000_000)
+
+        async def run():
+            async with (
+                run_gateway(LargeService()) as gateway,
+                connect(gateway) as (reader, writer),
+            ):
+                writer.write(make_call("place"))
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write_eof()
+                await asyncio.sleep(1.0)
+                status, _, body = parse(head + await read_to_end(reader))
+                assert (status, len(body)) == (200, 16_000_000)
+
+        asyncio.run(run())
+
 
 class TestOperators:
     @pytest.mark.parametrize("wait_s", [0.0, 0.2])
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -29,7 +29,8 @@
     has closed its sending side only and waits for the response. They differ once something is
     written: the host of the former answers with a reset. So the end of the input, while no read is
     in progress, starts probes, and a reset closes the stream. Before the response has begun, a
-    probe is an interim response; later, each part of the response is one.
+    probe is an interim response; later, each part of the response is one, and so are bytes that
+    still wait to be written.
 
     The stream closes at the end of the input, as `IOStream` does, if a read is in progress or if
     the request is none of HTTP/1.1, since clients of HTTP/1.0 do not know interim responses.
@@ -104,6 +105,8 @@
         if self.closed():
             return
         now_s = self.io_loop.time()
+        if self.writing():
+            self.last_write_s = now_s
         if self._is_reset() or self._is_unconfirmed(now_s):
             self.close()
             return
