Keep the stream of a half-closed caller while its engine is silent

Seen by callers: a stream of the own interface whose caller had closed its sending side ended without [DONE] and without an error event when no token came for 0.3 s, as beside a silence of its engine.

Cause: a begun response shows only with its next part whether the caller is still there, so the stream was closed without one.

Change: a stream of completions that stands still for 0.2 s after such an end writes a comment. No comment is written while a token is being flushed, as tornado does not complete a flush beside which something else is written.

Why it works: parsers of server-sent events ignore comments, and the host of a caller that has left resets the connection.

--- a/laburnumrock/gateway/_completions.py
+++ b/laburnumrock/gateway/_completions.py
@@ -15,8 +15,9 @@
 from laburnumrock.gateway._engine import CompletionRequest
 from laburnumrock.gateway._handler import BodyHandler
 from laburnumrock.gateway._planned_stop import make_cut_failure, run_until_cut
-from laburnumrock.gateway._sse import DONE, format_event
+from laburnumrock.gateway._sse import COMMENT, DONE, format_event
 from laburnumrock.placement import LengthClass, classify_length
+from laburnumrock.streams import CallerStream
 from laburnumrock.upstreams import hash_prefixes
 
 TIMEOUT_HEADER = "X-Timeout-S"
@@ -30,6 +31,7 @@
         super().initialize(services)
         self.run_task: asyncio.Task | None = None
         self.caller_left = False
+        self.is_flushing = False
         self.streaming = False
         self.text_parts: list[str] = []
 
@@ -159,12 +161,28 @@
         if not self._headers_written:
             self.set_header("Content-Type", "text/event-stream")
             self.set_header("Cache-Control", "no-store")
+            self._probe_with_comments()
         self.write(format_event(self._make_chunk(text, None)))
+        self.is_flushing = True
         try:
             await self.flush()
         except StreamClosedError:
             # The caller disconnected; `on_connection_close` cancels the completion.
             return
+        finally:
+            self.is_flushing = False
+
+    def _probe_with_comments(self) -> None:
+        """Let comments show whether a caller that has closed its sending side still reads."""
+        stream = self.request.connection.stream
+        if isinstance(stream, CallerStream):
+            stream.write_probe = self._write_comment
+
+    def _write_comment(self) -> None:
+        # Tornado never completes a flush beside which something else is written.
+        if not self.is_flushing and not self._finished:
+            self.write(COMMENT)
+            self.flush()
 
     def _write_response(self, result: Result[None, Failure], job: CompletionJob) -> None:
         if result.is_err():
--- a/laburnumrock/gateway/_sse.py
+++ b/laburnumrock/gateway/_sse.py
@@ -5,6 +5,8 @@
 
 MAX_EVENT_BYTES = 1024 * 1024
 DONE = "[DONE]"
+COMMENT = b":\n\n"
+"""Line that every parser of server-sent events ignores."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumrock/gateway/tests/test_half_closed_callers.py
+++ b/laburnumrock/gateway/tests/test_half_closed_callers.py
@@ -198,7 +198,7 @@
 
         asyncio.run(run())
 
-    @pytest.mark.parametrize("stream", [False])
+    @pytest.mark.parametrize("stream", [True, False])
     def test_sent_request_is_answered(self, stream):
         """Guards against a closed connection while an engine is at work or silent."""
 
@@ -212,6 +212,21 @@
 
         asyncio.run(run())
 
+    def test_begun_stream_is_completed(self):
+        """Guards against a stream that is cut while its engine is silent."""
+
+        async def run():
+            async with (
+                run_gateway(SilentEngine(4, "done")) as gateway,
+                connect(gateway) as (reader, writer),
+            ):
+                writer.write(make_completion(True))
+                head = await reader.readuntil(b"t1 ")
+                writer.write_eof()
+                check_completion(head + await read_to_end(reader), True)
+
+        asyncio.run(run())
+
     @pytest.mark.parametrize("leave_s", [0.0, 0.3])
     @pytest.mark.parametrize("phase", ["waiting", "sent", "streaming"])
     def test_caller_that_leaves_is_noticed(self, phase, leave_s):
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 
 from eliot import log_message
 from tornado.ioloop import IOLoop
@@ -30,7 +31,8 @@
     written: the host of the former answers with a reset. So the end of the input, while no read is
     in progress, starts probes, and a reset closes the stream. Before the response has begun, a
     probe is an interim response; later, each part of the response is one, and so are bytes that
-    still wait to be written.
+    still wait to be written. Where the format of a response has a part without meaning, such as a
+    comment in a stream of events, `write_probe` writes one while the response stands still.
 
     The stream closes at the end of the input, as `IOStream` does, if a read is in progress or if
     the request is none of HTTP/1.1, since clients of HTTP/1.0 do not know interim responses.
@@ -45,12 +47,14 @@
         # Whether a part of the response to the current request was written.
         self.response_begun = False
         self.last_write_s = 0.0
+        self.write_probe: Callable[[], None] | None = None
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
     ) -> "asyncio.Future[bytes]":
         """Read the head of a request, and note whether its version has interim responses."""
         self.response_begun = False
+        self.write_probe = None
         head = super().read_until_regex(regex, max_bytes)
         head.add_done_callback(self._note_version)
         return head
@@ -107,6 +111,8 @@
         now_s = self.io_loop.time()
         if self.writing():
             self.last_write_s = now_s
+        elif self.write_probe is not None and now_s - self.last_write_s >= PROBE_INTERVAL_S:
+            self.write_probe()
         if self._is_reset() or self._is_unconfirmed(now_s):
             self.close()
             return
