--- a/laburnumrock/gateway/_completions.py
+++ b/laburnumrock/gateway/_completions.py
@@ -15,8 +15,9 @@
 from laburnumrock.gateway._engine import CompletionRequest
 from laburnumrock.gateway._handler import BodyHandler
 from laburnumrock.gateway._planned_stop import make_cut_failure, run_until_cut
-from laburnumrock.gateway._sse import DONE, format_event
+from laburnumrock.gateway._sse import COMMENT, DONE, format_event
 from laburnumrock.placement import LengthClass, classify_length
+from laburnumrock.streams import CallerStream
 from laburnumrock.upstreams import hash_prefixes
 
 TIMEOUT_HEADER = "X-Timeout-S"
@@ -29,6 +30,8 @@
         """Store the services and reset the state of the request."""
         super().initialize(services)
         self.run_task: asyncio.Task | None = None
+        self.caller_left = False
+        self.is_flushing = False
         self.streaming = False
         self.text_parts: list[str] = []
 
@@ -49,24 +52,32 @@
                 result = Err(make_cut_failure(run.may_have_run))
             self._write_response(result, job.unwrap())
             await self.wait_until_written()
-        except asyncio.CancelledError:
-            log_message("caller_left", request_id=self.request_id)
+        except asyncio.CancelledError as error:
+            if self.caller_left:
+                log_message("caller_left", request_id=self.request_id)
+            else:
+                # A call that the run waited for was cancelled; the caller still waits.
+                await self._answer_error(error)
         except Exception as error:
-            # Without this, tornado ends a stream that has begun like a regular one.
-            self.log_exception(*sys.exc_info())
-            log_message("request_raised", request_id=self.request_id, error=repr(error))
-            if not self._finished:
-                self._write_failure(Failure(ErrorKind.INTERNAL))
-                await self.wait_until_written()
+            await self._answer_error(error)
         finally:
             lifecycle.adjust_request_count(-1)
 
     def on_connection_close(self) -> None:
         """Cancel the completion when the caller disconnects."""
         super().on_connection_close()
+        self.caller_left = True
         if self.run_task is not None:
             self.run_task.cancel()
 
+    async def _answer_error(self, error: BaseException) -> None:
+        """Report an unexpected error, after which tornado would end a stream like a regular one."""
+        self.log_exception(*sys.exc_info())
+        log_message("request_raised", request_id=self.request_id, error=repr(error))
+        if not self._finished:
+            self._write_failure(Failure(ErrorKind.INTERNAL))
+            await self.wait_until_written()
+
     def _read_job(self) -> Result[CompletionJob, Failure]:
         if not self.services.lifecycle.accepts_work():
             return Err(Failure(ErrorKind.STOPPING, retry_after_s=1.0))
@@ -150,12 +161,28 @@
         if not self._headers_written:
             self.set_header("Content-Type", "text/event-stream")
             self.set_header("Cache-Control", "no-store")
+            self._probe_with_comments()
         self.write(format_event(self._make_chunk(text, None)))
+        self.is_flushing = True
         try:
             await self.flush()
         except StreamClosedError:
             # The caller disconnected; `on_connection_close` cancels the completion.
             return
+        finally:
+            self.is_flushing = False
+
+    def _probe_with_comments(self) -> None:
+        """Let comments show whether a caller that has closed its sending side still reads."""
+        stream = self.request.connection.stream
+        if isinstance(stream, CallerStream):
+            stream.write_probe = self._write_comment
+
+    def _write_comment(self) -> None:
+        # Tornado never completes a flush beside which something else is written.
+        if not self.is_flushing and not self._finished:
+            self.write(COMMENT)
+            self.flush()
 
     def _write_response(self, result: Result[None, Failure], job: CompletionJob) -> None:
         if result.is_err():
