Sync the name of a data folder that a voter creates

Callers saw: nothing so far; found with a model of a loss of power after which each name that no sync of its folder covers is kept or lost by itself. A voter whose data folder did not exist acknowledged entries, lost power and came back without its whole log.

Cause: the folder of the log was created with all folders above it, and only the name of the lowest one was synced.

Evidence: test_power_loss.py runs the store on real files, stops it at a random file operation, and drops unsynced writes and names.

Change: folders are created from the top, and the name of each is synced before the next one is created.

Why it works: if a folder exists, the names above it are durable, except for the lowest one that a killed process left, and that name is synced too.

--- a/laburnumrock/replication/_disk.py
+++ b/laburnumrock/replication/_disk.py
@@ -102,8 +102,7 @@
     def _make_folder(self) -> None:
         """Create the folder at the first write, so that a full disk does not prevent a start."""
         if not self.has_folder:
-            self.folder.mkdir(parents=True, exist_ok=True)
-            _sync_folder(self.folder.parent)
+            _make_durable_folder(self.folder)
             self.has_folder = True
 
     def _sync_names(self) -> None:
@@ -208,6 +207,22 @@
         view = view[os.write(handle, view) :]
 
 
+def _make_durable_folder(folder: Path) -> None:
+    """Create a folder and those above it; each is durable before the next one is created.
+
+    Notes
+    -----
+    A process that was killed may have created the last folder that exists without syncing its name,
+    so that name is synced as well.
+    """
+    if not folder.exists() and folder.parent != folder:
+        _make_durable_folder(folder.parent)
+        folder.mkdir(exist_ok=True)
+    # Whoever may not read the folder above cannot sync it, and a start must not depend on that.
+    with contextlib.suppress(PermissionError):
+        _sync_folder(folder.parent)
+
+
 def _sync_folder(folder: Path) -> None:
     handle = os.open(folder, os.O_RDONLY)
     try:
