Test the share of passes over queued requests with a clock of its own

Cause: the test. Its loop checked the real clock, was descheduled, and the pass then read the clock again after the end of the window, so a pass outside the window was counted.

Change: the core reads a clock that the test sets, so that nothing outside it can move a reading. The test checks the exact number of passes in 0.5 s, and that each pause is four times the duration of the pass before it, which varies. That is stricter: the old bounds were 2 to 5 passes of one duration, and the pause was not checked.

--- a/laburnumrock/nodes/tests/test_nodes.py
+++ b/laburnumrock/nodes/tests/test_nodes.py
@@ -1,8 +1,10 @@
 """Tests of core and entry nodes in one process, on loopback addresses."""
 
 import asyncio
+import itertools
 import json
 import time
+from types import SimpleNamespace
 
 from laburnumrock.dispatch import UpstreamState
 from laburnumrock.forwarding.tests.scripted import (
@@ -26,6 +28,9 @@
 from laburnumrock.platform._routes import decode_routes
 from laburnumrock.platform.tests.samples import make_config
 
+STEP_S = 0.001
+"""Time between two calls of a function that is tested with a clock of its own."""
+
 
 class TestRoutes:
     def test_entry_follows_the_highest_version(self, tmp_path):
@@ -318,23 +323,35 @@
         asyncio.run(run())
 
     def test_passes_use_a_limited_share_of_the_cpu(self, tmp_path, monkeypatch):
-        """Guards against a leader that spends all its time on queued requests."""
+        """Guards against a leader that spends all its time on queued requests.
+
+        Notes
+        -----
+        The clock is a variable. With the real one, a process that was descheduled between the last
+        check of the window and the pass counted a pass after the end of the window.
+        """
         settings = Deployment(tmp_path).make_settings(CORES[0], data_folder=tmp_path / "core")
         core = CoreNode(settings, KEY, decode_routes)
+        clock = SimpleNamespace(now_s=1000.0)
+        clock.monotonic = lambda: clock.now_s
         passes = []
 
         def place_waiting(domains, now_s):
-            passes.append(now_s)
-            time.sleep(0.02)
+            duration_s = (0.02, 0.03, 0.01)[len(passes) % 3]
+            passes.append((now_s, duration_s))
+            clock.now_s += duration_s
             return []
 
+        monkeypatch.setattr("laburnumrock.nodes._core.time", clock)
         monkeypatch.setattr(CoreNode, "is_leading", True)
         monkeypatch.setattr(core.dispatcher, "place_waiting", place_waiting)
-        core.dispatcher.queue.add(ENTRY, make_call(), time.monotonic())
-        began_s = time.monotonic()
-        while time.monotonic() - began_s < 0.5:
+        core.dispatcher.queue.add(ENTRY, make_call(), clock.now_s)
+        while clock.now_s < 1000.5:
             core._place_waiting()
-        assert 2 <= len(passes) <= 5
+            clock.now_s += STEP_S
+        assert len(passes) == 5
+        for (began_s, duration_s), (next_s, _) in itertools.pairwise(passes):
+            assert -1e-6 < next_s - began_s - 5.0 * duration_s < STEP_S + 1e-6
 
 
 class TestNewLeader:
