Place no retry on an upstream that reports 0 slots

Seen: nothing yet at callers. In a test that restarts all upstreams of a service with 0 slots while requests are in progress, the leader's answer to each retry failed with ZeroDivisionError, and the entry placed it by itself after the time limit of the call. A retry that waits at the leader also ends each pass over the queue with the error, so no waiting request of any service is decided; the entries then take the leader for lost.

Cause: a retry may exceed the slots of an upstream by two, so one with 0 slots was a candidate, and its load was divided by its slots. The heartbeat allows 0.

Change: an upstream that reports 0 slots is no candidate. First requests were not placed there before either.

Result: the new test failed before and passes.

--- a/laburnumrock/dispatch/_chooser.py
+++ b/laburnumrock/dispatch/_chooser.py
@@ -127,13 +127,14 @@
             Monotonic clock in seconds.
         """
         # An interrupted stream cannot wait for a free slot, so its retry may exceed the slots of an
-        # engine, which queues a few requests itself.
+        # engine, which queues a few requests itself. An upstream that reports 0 slots takes none.
         min_free_slots = 1 if call.attempt <= 1 else 1 - RETRY_EXTRA_SLOTS
         for usable in self.fleet.find_candidates(call, now_s):
             candidates = [
                 pair
                 for pair in usable
-                if pair[1].slots - len(pair[1].sends) + pair[1].summary.parts >= min_free_slots
+                if pair[1].slots > 0
+                and pair[1].slots - len(pair[1].sends) + pair[1].summary.parts >= min_free_slots
             ]
             choice = self._choose_among(domain, call, usable, candidates, now_s)
             if choice is not None:
--- a/laburnumrock/dispatch/tests/test_waiting.py
+++ b/laburnumrock/dispatch/tests/test_waiting.py
@@ -44,6 +44,24 @@
         # Expired requests are decided nevertheless.
         assert [ticket for ticket, _ in place_waiting(dispatcher, 11.0)] == tickets
 
+    def test_upstream_without_slots_gets_no_retry(self):
+        """Guards against one upstream that reports 0 slots and ends each pass over the queue with a
+        division by zero, so that no waiting request of any service is decided.
+        """
+        dispatcher = make_dispatcher(engines=1, slots=1)
+        dispatcher.observe(replace(make_report("plain", 100, 0), sequence=2), 10.0)
+        running = place(dispatcher, SHORT)
+        tickets = [
+            dispatcher.place("entry", "a", call, 10.0)
+            for call in (replace(PLAIN, attempt=2), replace(SHORT, remaining_s=4.0))
+        ]
+        assert all(isinstance(ticket, int) for ticket in tickets)
+        dispatcher.record_ended(SendEnded(running.permit, SendOutcome.DONE), 10.1)
+        ((ticket, answer),) = place_waiting(dispatcher, 10.1)
+        assert (ticket, answer.upstream_id) == (tickets[1], "llm0")
+        ((ticket, answer),) = place_waiting(dispatcher, 10.3)
+        assert (ticket, answer.refusal) == (tickets[0], ErrorKind.CONCURRENCY_LIMITED)
+
     def queue_unplaceable_retries(self, dispatcher: Dispatcher) -> None:
         """Queue retries of streams whose engine `llm1` is silent, while `llm0` is full."""
         retry = replace(SHORT, attempt=2, excluded=["llm1"])
