Let an upstream give up its address when it reports another one

Seen: nothing yet at callers; by reading, and in tests of the directory. An upstream that reports from a new address, for example after a restart under its id, kept its former address in the directory. Once another upstream got that address, the first one was taken for gone, and reports of the same incarnation could not bring it back: its requests were refused although it runs. If the first one was deleted before, the report of the other one raised KeyError: a core refused it, and an entry dropped the view, with the routes in it, although it had already noted the revision of the view.

Cause: the index of addresses was changed only for the new address of a report.

Change: a report from another address, and the deletion of a record, release the former address if it still belongs to the upstream. Each entry of the index so names an upstream whose record has this address.

--- a/laburnumrock/dispatch/_directory.py
+++ b/laburnumrock/dispatch/_directory.py
@@ -71,6 +71,8 @@
             return False
         if not self._assign_address(report):
             return False
+        if known is not None and known.report.address != report.address:
+            self._release_address(known.report)
         changed = known is None or _differs(report, known, now_s)
         if known is not None and known.report.service != report.service:
             del self.names_by_service[known.report.service][report.upstream_id]
@@ -129,8 +131,7 @@
         del self.names_by_service[report.service][upstream_id]
         self.changed_names.discard(upstream_id)
         self.removed_names.add(upstream_id)
-        if self.by_address.get((report.host, report.port)) == upstream_id:
-            del self.by_address[report.host, report.port]
+        self._release_address(report)
         self.revision += 1
 
     def reports(self, now_s: float, names: Iterable[str] | None = None) -> list[UpstreamReport]:
@@ -160,7 +161,7 @@
 
     def _assign_address(self, report: UpstreamReport) -> bool:
         """Assign the address to the newest incarnation; False if another upstream is newer."""
-        address = (report.host, report.port)
+        address = report.address
         holder = self.by_address.get(address)
         if holder is not None and holder != report.upstream_id:
             if self.records[holder].report.incarnation > report.incarnation:
@@ -174,6 +175,11 @@
             self.by_address[address] = report.upstream_id
         return True
 
+    def _release_address(self, report: UpstreamReport) -> None:
+        """Let the address of an upstream that is not there any more belong to nobody."""
+        if self.by_address.get(report.address) == report.upstream_id:
+            del self.by_address[report.address]
+
 
 def _is_newer(report: UpstreamReport, known: UpstreamReport) -> bool:
     if report.incarnation != known.incarnation:
@@ -187,7 +193,7 @@
 
 def _differs(report: UpstreamReport, known: UpstreamRecord, now_s: float) -> bool:
     old = known.report
-    if (report.service, report.host, report.port) != (old.service, old.host, old.port):
+    if (report.service, report.address) != (old.service, old.address):
         return True
     if (report.incarnation, report.slots) != (old.incarnation, old.slots):
         return True
--- a/laburnumrock/dispatch/_dispatcher.py
+++ b/laburnumrock/dispatch/_dispatcher.py
@@ -356,7 +356,7 @@
     def _displaces_upstream(self, report: UpstreamReport) -> bool:
         """Return whether a report has the name or address of an upstream of a known service."""
         records = self.directory.records
-        holder = self.directory.by_address.get((report.host, report.port), "")
+        holder = self.directory.by_address.get(report.address, "")
         for known in (records.get(report.upstream_id), records.get(holder)):
             if known is None or known.report.service == report.service:
                 continue
--- a/laburnumrock/dispatch/_messages.py
+++ b/laburnumrock/dispatch/_messages.py
@@ -81,6 +81,11 @@
     state: UpstreamState
     cold_left_s: float = 0.0
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port, which belong to one upstream at a time."""
+        return self.host, self.port
+
 
 @register_message
 @dataclass(frozen=True, slots=True)
--- a/laburnumrock/dispatch/tests/test_directory.py
+++ b/laburnumrock/dispatch/tests/test_directory.py
@@ -45,6 +45,29 @@
         assert not directory.observe(replace(READY, sequence=2), 0.3)
         assert len(directory.usable("plain", 0.4)) == 1
 
+    def test_former_address_of_an_upstream_goes_to_another_one(self):
+        """Guards against an upstream that is taken for gone, until it restarts, since another one
+        has got the address at which it was before.
+        """
+        directory = make_directory()
+        directory.observe(READY, 0.0)
+        moved = replace(READY, incarnation=2000, port=81)
+        directory.observe(moved, 0.1)
+        directory.observe(replace(READY, upstream_id="e2", incarnation=3000), 0.2)
+        directory.observe(replace(moved, sequence=2), 0.3)
+        assert [one.report.upstream_id for one in directory.usable("llm", 0.4)] == ["e1", "e2"]
+
+    def test_former_address_of_a_deleted_upstream_goes_to_another_one(self):
+        """Guards against reports and views that are refused with a KeyError, since an upstream that
+        is not known any more once had the address of another one.
+        """
+        directory = make_directory()
+        directory.observe(READY, 0.0)
+        directory.observe(replace(READY, sequence=2, port=81), 0.1)
+        directory.delete_record("e1")
+        assert directory.by_address == {}
+        assert directory.observe(replace(READY, upstream_id="e2"), 0.2)
+
     def test_upstream_without_reports_expires(self):
         """Guards against requests to an upstream that crashed without a final report."""
         directory = make_directory()
