Count an answer of a peer that arrives as its time limit ends

Seen: nothing yet at callers; by reading, and in a test. A call to a peer reported the peer as unreachable although its answer was there. An entry whose leader answers as the limit of 0.12 to 0.5 s ends placed the request by itself, while the leader kept a slot for it until the next hellos; two such answers in a row made it look for another leader.

Cause: if a future gets its result and the time limit cancels the task in one turn of the event loop, asyncio raises TimeoutError.

Change: the answer counts if it is there. A link that broke is still reported as unreachable.

Result: the new test fixes the order of both events; it failed before and passes.

--- a/laburnumrock/transport/_network.py
+++ b/laburnumrock/transport/_network.py
@@ -180,7 +180,11 @@
                 return _unreachable(peer)
             async with asyncio.timeout(timeout_s):
                 return Ok(await answer)
-        except (TimeoutError, ConnectionError):
+        except TimeoutError:
+            # The answer may have arrived in the turn of the event loop in which the time ended.
+            has_answer = answer.done() and not answer.cancelled() and answer.exception() is None
+            return Ok(answer.result()) if has_answer else _unreachable(peer)
+        except ConnectionError:
             return _unreachable(peer)
         finally:
             del self.pending_calls[number]
--- a/laburnumrock/transport/tests/test_network.py
+++ b/laburnumrock/transport/tests/test_network.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from laburnumrock.errors import ErrorKind
-from laburnumrock.messages import MAX_FRAME_BYTES
+from laburnumrock.messages import MAX_FRAME_BYTES, Frame
 from laburnumrock.scenarios import find_free_ports
 from laburnumrock.settings import InstanceSettings
 from laburnumrock.standins import FaultyProxy
@@ -57,6 +57,22 @@
         """Guards against an answer that is delivered to the wrong call."""
         assert asyncio.run(_exchange(KEY, KEY)).unwrap() == PeerHello("a1", b"n", 2)
 
+    def test_answer_at_the_end_of_the_wait_counts(self):
+        """Guards against a peer that is taken for unreachable, and acts on a message nevertheless,
+        since its answer arrives in the turn of the event loop in which the time limit ends.
+        """
+
+        async def run():
+            network = PeerNetwork(_make_settings()[0], KEY)
+            network._enqueue = lambda peer, frame: True
+            calling = asyncio.create_task(network.call("a2", PeerHello("a1", b"n", 1), 0.0))
+            answer = Frame(PeerHello("a2", b"n", 2), answered_call=network.next_call_number)
+            # It runs after the call has begun and before the time limit cancels it.
+            asyncio.get_running_loop().call_soon(network._dispatch, "a2", answer)
+            return await calling
+
+        assert asyncio.run(run()).unwrap() == PeerHello("a2", b"n", 2)
+
     def test_peer_without_the_key_is_refused(self):
         """Guards against accepting messages from a process without the shared key."""
         failure = asyncio.run(_exchange(KEY, b"x" * 32)).unwrap_err()
