Use a decision of the leader that arrives as its wait ends, or give it back

Seen: nothing yet at callers; by reading, and in tests. An entry dropped the decision, withdrew a request that the leader had already decided, took the leader for lost and placed requests by itself until the next hello. If the caller had left in this moment, the slot stayed taken until the next hellos, 0.5 to 1.5 s, while other requests waited for it.

Cause: if a future gets its result and the wait is cancelled in one turn of the event loop, asyncio raises the cancellation.

Change: a decision that is there at the end of the time counts. If the caller has left, its permit is given back.

A call that is cancelled before the leader's first answer still leaves its permit until the next hellos.

--- a/laburnumrock/nodes/_decisions.py
+++ b/laburnumrock/nodes/_decisions.py
@@ -7,6 +7,8 @@
     DispatchCall,
     DispatchDecided,
     DispatchSettings,
+    SendEnded,
+    SendOutcome,
     WithdrawCall,
     max_queue_wait_s,
 )
@@ -36,17 +38,30 @@
         self.futures: dict[int, asyncio.Future] = {}
 
     async def wait(self, leader: str, ticket: int, call: DispatchCall) -> DispatchAnswer | None:
-        """Wait for a decision; without one in time, withdraw the request and return None."""
+        """Wait for a decision; without one in time, withdraw the request and return None.
+
+        Notes
+        -----
+        A decision may arrive in the turn of the event loop in which the wait ends, as asyncio then
+        raises the end of the wait instead of returning the result. The leader has then no request
+        that could be withdrawn.
+        """
         future = self._find(ticket)
         try:
             async with asyncio.timeout(max_queue_wait_s(self.dispatch, call) + DECISION_GRACE_S):
                 return await future
         except TimeoutError:
+            if _has_result(future):
+                return future.result()
             self.network.send(leader, WithdrawCall(ticket))
             return None
         except asyncio.CancelledError:
-            # The caller has left, so its place in the queue belongs to another request.
-            self.network.send(leader, WithdrawCall(ticket))
+            # The caller has left, so its place in the queue or its slot belongs to another request.
+            if not _has_result(future):
+                self.network.send(leader, WithdrawCall(ticket))
+            elif future.result().permit:
+                ended = SendEnded(future.result().permit, SendOutcome.CANCELLED)
+                self.network.send(leader, ended)
             raise
         finally:
             self.futures.pop(ticket, None)
@@ -62,3 +77,7 @@
         while len(self.futures) >= MAX_DECISIONS:
             self.futures.pop(next(iter(self.futures)))
         return self.futures.setdefault(ticket, asyncio.get_running_loop().create_future())
+
+
+def _has_result(future: asyncio.Future) -> bool:
+    return future.done() and not future.cancelled()
