Keep the port of the refusing server of the command line's tests

Cause: the test took a free port, closed it, and relied on it to refuse connections. Any process may take the port meanwhile; a gateway of another test run answers 404, which the command takes.

Evidence: in a trial with another server on the released port the command ends with the 404 of that server. The other gateway itself was not seen in a log.

Change: the port stays bound without a listener, so that it refuses connections and no other process can take it. The tests check the same as before.

--- a/laburnumrock/cli/tests/test_cli.py
+++ b/laburnumrock/cli/tests/test_cli.py
@@ -22,9 +22,8 @@
 class Shell:
     """Runs the program against a fake instance, after a server that refuses connections."""
 
-    def __init__(self, url, folder, services):
-        with socket.create_server(("127.0.0.1", 0)) as closed:
-            dead = f"http://127.0.0.1:{closed.getsockname()[1]}"
+    def __init__(self, url, folder, services, refusing):
+        dead = f"http://127.0.0.1:{refusing.getsockname()[1]}"
         key_file = folder / "key"
         key_file.write_bytes(KEY)
         self.options = ["--server", dead, "--server", url, "--operator-key-file", str(key_file)]
@@ -45,8 +44,10 @@
 @pytest.fixture
 def shell(tmp_path):
     services = make_services()
-    with run_server(services) as url:
-        yield Shell(url, tmp_path, services)
+    # A port that is bound without a listener refuses connections, and no other process can take it.
+    with socket.socket() as refusing, run_server(services) as url:
+        refusing.bind(("127.0.0.1", 0))
+        yield Shell(url, tmp_path, services, refusing)
 
 
 class TestDeclarationCommands:
