Answer half-closed callers whose request expects 100-continue

Callers saw: a caller that sent `Expect: 100-continue`, got the interim response, sent the body and closed its sending side got neither an answer nor a refusal if the upstream took longer than 0.3 s.

Cause: the stream took the interim response, which tornado writes, for the begin of the response. So it wrote no probes, and closed the connection as one to which nothing could be written.

Evidence: both cases of the new test read the end of the connection and no byte before.

Change: interim responses and empty writes do not begin a response.

Why it works: probes start at the end of the input, as for requests without this header.

--- /dev/null
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -0,0 +1,35 @@
+"""Tests of the forms of requests and clients on connections whose sending side is closed."""
+
+import asyncio
+
+import pytest
+
+from laburnumrock.forwarding.tests.scripted import (
+    ScriptedUpstream,
+    make_request,
+    open_frontend,
+)
+from laburnumrock.forwarding.tests.test_half_closed import delayed, read_final_response
+
+
+class TestFormsOfRequests:
+    """Guards against forms of a whole request that get no answer after a half-close."""
+
+    @pytest.mark.parametrize("path", ["/r/x", "/once/x"])
+    def test_request_that_expects_100_continue(self, path):
+        """Guards against an interim response that is taken for a response that has begun."""
+
+        async def run():
+            upstream = ScriptedUpstream(delayed(0.6))
+            async with open_frontend(upstream) as frontend:
+                reader, writer = await frontend.connect()
+                request = make_request(path, "POST", b"{}", {"Expect": "100-continue"})
+                writer.write(request[:-2])
+                await reader.readuntil(b"100 (Continue)\r\n\r\n")
+                writer.write(request[-2:])
+                writer.write_eof()
+                async with asyncio.timeout(3.0):
+                    response = await read_final_response(reader)
+                assert (response.status, response.body) == (200, b"done")
+
+        asyncio.run(run())
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -23,6 +23,7 @@
 round trips, and less than the retransmission of a lost probe takes."""
 MAX_LEADING_ZEROS = 8
 """Leading zeros of the size of a chunk that probes write. Clients accept at least 16 digits."""
+_INTERIM_START = b"HTTP/1.1 1"
 _START_LINE_VERSION = re.compile(rb"^[^\r\n]* HTTP/1\.1\r?\n")
 
 
@@ -70,8 +71,10 @@
             self.accepts_interim = _START_LINE_VERSION.match(head.result()) is not None
 
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
-        """Write a part of a response."""
-        self.response_begun = True
+        """Write a part of a response, or an interim response to a request with ``Expect``."""
+        if not self.response_begun:
+            # An empty write only waits for earlier bytes.
+            self.response_begun = len(data) > 0 and data[:10] != _INTERIM_START
         self.last_write_s = self.io_loop.time()
         self.leading_zeros = 0
         return super().write(data)
