Answer half-closed callers whose head is read in several parts

Callers saw: a whole request whose head took more than one read of 64 KiB, sent with the end of the input right after it, got neither an answer nor a refusal. A head in two packets, of which the second arrives with the end of the input while the first is read, takes the same path.

Cause: tornado reads on until it has 128 KiB or the size of the buffer has doubled, before it looks for the end of the head again. So it reads the end of the input while a read is in progress that its buffer satisfies already, and the stream closed, as if the head were cut off.

Evidence: the new test, with a head of 80 KB, read the end of the connection and no byte before.

Change: the end of the input does not close the stream if the bytes before it satisfy the read. It stays readable, and is read again once no read is in progress.

Why it works: the head is passed on, and the next read decides with the version of the request.

--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -1,10 +1,12 @@
 """Tests of the forms of requests and clients on connections whose sending side is closed."""
 
 import asyncio
+import socket
 
 import pytest
 
 from laburnumrock.forwarding.tests.scripted import (
+    HOST,
     ScriptedUpstream,
     make_request,
     open_frontend,
@@ -33,3 +35,21 @@
                 assert (response.status, response.body) == (200, b"done")
 
         asyncio.run(run())
+
+    def test_request_whose_head_is_read_in_parts(self):
+        """Guards against a head that arrives with the end of the input, after its first part."""
+
+        async def run():
+            upstream = ScriptedUpstream(delayed(0.1))
+            async with open_frontend(upstream) as frontend:
+                client = socket.create_connection((HOST, frontend.port))
+                # More than one read of the stream takes, and less than the largest head.
+                client.sendall(make_request("/r/x", "POST", b"{}", {"Large": "x" * 80_000}))
+                client.shutdown(socket.SHUT_WR)
+                reader, writer = await asyncio.open_connection(sock=client)
+                frontend.writers.append(writer)
+                async with asyncio.timeout(3.0):
+                    response = await read_final_response(reader)
+                assert (response.status, response.body) == (200, b"done")
+
+        asyncio.run(run())
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -89,8 +89,13 @@
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket; the end of the input closes the stream only if a read needs it."""
         count = super().read_from_fd(buf)
-        if count != 0 or self.reading() or not self.accepts_interim:
+        if count != 0:
             return count
+        if self.reading() and self._find_read_pos() is not None:
+            # Enough was read before; the end of the input is read again after this read.
+            return None
+        if self.reading() or not self.accepts_interim:
+            return 0
         if self.input_ended_s is None:
             self.input_ended_s = self.io_loop.time()
             log_message("caller_input_ended", response_begun=self.response_begun)
