Probe half-closed callers with 100, which more clients skip than 102

Callers saw: a client that uses `http.client` of Python, and so `requests` or `urllib`, and closes its sending side got the probe as its response: status 102 with an empty body.

Cause: `http.client` skips 100 only, although RFC 9110 (section 15.2) asks clients to accept any.

Evidence: the new test got (102, b"") for (200, b"done").

Change: the probe is `100 Continue`. A client that did not ask for it can discard it (section 15.2.1).

--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -1,6 +1,7 @@
 """Tests of the forms of requests and clients on connections whose sending side is closed."""
 
 import asyncio
+import http.client
 import socket
 
 import pytest
@@ -53,3 +54,23 @@
                 assert (response.status, response.body) == (200, b"done")
 
         asyncio.run(run())
+
+
+class TestClients:
+    def test_client_of_the_standard_library(self):
+        """Guards against an interim response that widespread clients take for the final one."""
+
+        def call(port):
+            client = http.client.HTTPConnection(HOST, port, timeout=3.0)
+            headers = {"Request-Id": "r1", "Authorization": "Token k1", "Host": "a.example"}
+            client.request("POST", "/once/x", b"{}", headers)
+            client.sock.shutdown(socket.SHUT_WR)
+            response = client.getresponse()
+            return response.status, response.read()
+
+        async def run():
+            upstream = ScriptedUpstream(delayed(0.6))
+            async with open_frontend(upstream) as frontend:
+                assert await asyncio.to_thread(call, frontend.port) == (200, b"done")
+
+        asyncio.run(run())
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -8,8 +8,9 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
-INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
-"""Any client of HTTP/1.1 must accept interim responses (RFC 9110, section 15.2)."""
+INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Any client of HTTP/1.1 must accept interim responses (RFC 9110, section 15.2), but some skip only
+this one: ``http.client`` of Python takes 102 for the final response."""
 CHECK_INTERVAL_S = 0.02
 """Interval at which a half-closed connection is checked for a reset; a few round trips."""
 PROBE_INTERVAL_S = 0.2
