Write no probe after the last chunk of a stream

Callers saw (in the test only): a half-closed caller got a byte, 0, after the whole response of a stream if the entry stood still for 0.2 s at that moment, as while its machine is frozen.

Cause: the probe of a stream stayed set until the next request was read, some passes of the event loop later, and was due after the stall.

Evidence: with a stall of 0.25 s after the last chunk, the response ended with 0 CR LF CR LF 0.

Change: the probe writes nothing once the response has ended.

Measured: the test passes, with the 27 other tests of half-closed callers of forwarding.

--- a/laburnumrock/forwarding/_http_response.py
+++ b/laburnumrock/forwarding/_http_response.py
@@ -61,7 +61,7 @@
         self.started = True
         stream = self.connection.stream
         if isinstance(stream, CallerStream) and headers.get("Transfer-Encoding") == "chunked":
-            stream.write_probe = stream.write_leading_zero
+            stream.write_probe = self._write_probe
 
     def may_continue(self, response: UpstreamResponse) -> bool:
         """Return whether a response is a success that continues the stream, if it has begun."""
@@ -175,6 +175,11 @@
             **values,
         )
 
+    def _write_probe(self) -> None:
+        # After the last chunk, a digit would belong to no chunk.
+        if not self.ended:
+            self.connection.stream.write_leading_zero()
+
     def _write_headers(
         self, status: int, reason: str, headers: HTTPHeaders, body: bytes | None = None
     ) -> None:
--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -3,16 +3,20 @@
 import asyncio
 import http.client
 import socket
+import time
 
 import pytest
 
 from laburnumrock.forwarding.tests.scripted import (
     HOST,
     ScriptedUpstream,
+    make_event,
     make_request,
     open_frontend,
+    stream,
 )
 from laburnumrock.forwarding.tests.test_half_closed import delayed, read_final_response
+from laburnumrock.streams._caller_stream import PROBE_INTERVAL_S
 
 
 class TestFormsOfRequests:
@@ -74,3 +78,31 @@
                 assert await asyncio.to_thread(call, frontend.port) == (200, b"done")
 
         asyncio.run(run())
+
+
+class TestProbes:
+    def test_no_probe_follows_the_end_of_a_stream(self):
+        """Guards against a byte after a response if the event loop stalls at its end."""
+
+        async def run():
+            upstream = ScriptedUpstream(stream(1, 4, pause_s=0.05))
+            async with open_frontend(upstream) as frontend:
+                reader, writer = await frontend.connect()
+                writer.write(make_request("/s/x", "POST", b"{}", {}))
+                writer.write_eof()
+                head = await reader.readuntil(make_event(1))
+                [connection] = frontend.server.connections
+                write = connection.stream.write
+
+                def stall_after_the_end(data):
+                    written = write(data)
+                    if data == b"0\r\n\r\n":
+                        time.sleep(PROBE_INTERVAL_S + 0.05)
+                    return written
+
+                connection.stream.write = stall_after_the_end
+                async with asyncio.timeout(3.0):
+                    data = head + await reader.read()
+                assert data.endswith(make_event(4) + b"\r\n0\r\n\r\n")
+
+        asyncio.run(run())
