Look for a reset of a caller before a probe is written

Operators saw (in the test only): a logged exception, "'NoneType' object has no attribute 'getpeername'", for a half-closed caller whose reset arrived shortly before a probe of its stream.

Cause: the write of the probe found the reset and closed the stream, whose socket was then asked for its peer.

Evidence: the new test found that exception in the log.

Change: the reset is looked for first, and the check ends if the probe has closed the stream.

Measured: the test passes, with the 28 other tests of half-closed callers of forwarding.

--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -3,6 +3,7 @@
 import asyncio
 import http.client
 import socket
+import struct
 import time
 
 import pytest
@@ -106,3 +107,26 @@
                 assert data.endswith(make_event(4) + b"\r\n0\r\n\r\n")
 
         asyncio.run(run())
+
+    def test_reset_before_a_probe_is_no_error(self, caplog):
+        """Guards against an exception if a probe itself finds that the connection was reset."""
+
+        async def run():
+            upstream = ScriptedUpstream(stream(1, 2, pause_s=2.0))
+            async with open_frontend(upstream) as frontend:
+                reader, writer = await frontend.connect()
+                writer.write(make_request("/s/x", "POST", b"{}", {}))
+                await reader.readuntil(make_event(1))
+                writer.write_eof()
+                await asyncio.sleep(0.05)
+                client = writer.get_extra_info("socket")
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
+                await asyncio.sleep(0)
+                # The reset and the time of the next probe are found in the same pass of the loop.
+                time.sleep(PROBE_INTERVAL_S + 0.05)
+                await asyncio.sleep(0.1)
+                assert frontend.dispatcher.outcomes
+
+        asyncio.run(run())
+        assert [record.exc_text for record in caplog.records if record.exc_info] == []
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -140,12 +140,18 @@
         """
         if self.closed():
             return
+        if self._is_reset():
+            self.close()
+            return
         now_s = self.io_loop.time()
         if self.writing():
             self.last_write_s = now_s
         elif self.write_probe is not None and now_s - self.last_write_s >= PROBE_INTERVAL_S:
             self.write_probe()
-        if self._is_reset() or self._is_unconfirmed(now_s):
+        if self.closed():
+            # The probe has found a reset that arrived meanwhile.
+            return
+        if self._is_unconfirmed(now_s):
             self.close()
             return
         if not self.response_begun and (probed_s is None or now_s - probed_s >= PROBE_INTERVAL_S):
