Answer half-closed callers whose request follows an empty line

Callers saw: a whole request after an empty line, as some clients send one after a body, got neither an answer nor a refusal if its caller closed the sending side.

Cause: the version was looked for in the first line only, so that the request counted as one of HTTP/1.0, whose clients do not know interim responses.

Evidence: the new test read the end of the connection and no byte before.

Change: empty lines before the request line are skipped, as tornado does.

--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -42,6 +42,21 @@
 
         asyncio.run(run())
 
+    def test_request_after_an_empty_line(self):
+        """Guards against a version that is not found, as servers should skip such a line."""
+
+        async def run():
+            upstream = ScriptedUpstream(delayed(0.3))
+            async with open_frontend(upstream) as frontend:
+                reader, writer = await frontend.connect()
+                writer.write(b"\r\n" + make_request("/r/x", "POST", b"{}", {}))
+                writer.write_eof()
+                async with asyncio.timeout(3.0):
+                    response = await read_final_response(reader)
+                assert (response.status, response.body) == (200, b"done")
+
+        asyncio.run(run())
+
     def test_request_whose_head_is_read_in_parts(self):
         """Guards against a head that arrives with the end of the input, after its first part."""
 
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -25,7 +25,8 @@
 MAX_LEADING_ZEROS = 8
 """Leading zeros of the size of a chunk that probes write. Clients accept at least 16 digits."""
 _INTERIM_START = b"HTTP/1.1 1"
-_START_LINE_VERSION = re.compile(rb"^[^\r\n]* HTTP/1\.1\r?\n")
+# Servers skip empty lines before a request (RFC 9112, section 2.2), as tornado does.
+_START_LINE_VERSION = re.compile(rb"[\r\n]*[^\r\n]* HTTP/1\.1\r?\n")
 
 
 class CallerStream(IOStream):
