Notice that a caller has left although bytes of its next request were read

Upstreams saw: a request went on, up to its deadline, for a caller that had closed its connection, if bytes followed the request: an empty line, or a pipelined request. It was so before half-closed callers were answered, too.

Cause: tornado listens for the end of the input only while its buffer is empty.

Evidence: all four cases, with and without an earlier half-close, found the upstream at work 0.5 s after the close.

Change: while a request is in progress, the stream listens although its buffer holds bytes, up to the size of one read. A pipelined request behind the end of the input is answered as before.

--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -8,15 +8,21 @@
 
 import pytest
 
+from laburnumrock.dispatch import SendOutcome
 from laburnumrock.forwarding.tests.scripted import (
     HOST,
     ScriptedUpstream,
+    hang,
     make_event,
     make_request,
     open_frontend,
     stream,
 )
-from laburnumrock.forwarding.tests.test_half_closed import delayed, read_final_response
+from laburnumrock.forwarding.tests.test_half_closed import (
+    MAX_NOTICE_S,
+    delayed,
+    read_final_response,
+)
 from laburnumrock.streams._caller_stream import PROBE_INTERVAL_S
 
 
@@ -96,6 +102,50 @@
         asyncio.run(run())
 
 
+class TestCallersThatLeave:
+    @pytest.mark.parametrize("half_closed_s", [None, 0.5])
+    @pytest.mark.parametrize("rest", [b"\r\n", make_request("/r/y", "POST", b"{}", {})])
+    def test_bytes_after_the_request_hide_no_close(self, rest, half_closed_s):
+        """Guards against work for a caller that leaves, of whose next request bytes were read."""
+
+        async def run():
+            upstream = ScriptedUpstream(hang())
+            async with open_frontend(upstream) as frontend:
+                _, writer = await frontend.connect()
+                writer.write(make_request("/once/x", "POST", b"{}", {}) + rest)
+                await asyncio.sleep(0.1)
+                if half_closed_s is not None:
+                    writer.write_eof()
+                    await asyncio.sleep(half_closed_s)
+                assert len(upstream.received) == 1
+                left_s = time.monotonic()
+                writer.close()
+                while not frontend.dispatcher.outcomes:
+                    await asyncio.sleep(0.01)
+                    assert time.monotonic() - left_s < MAX_NOTICE_S
+                assert frontend.dispatcher.outcomes == [SendOutcome.CANCELLED]
+                assert len(upstream.received) == 1
+
+        asyncio.run(run())
+
+    def test_pipelined_requests_are_answered(self):
+        """Guards against a second request that is lost, as its input ends during the first one."""
+
+        async def run():
+            upstream = ScriptedUpstream(delayed(0.3))
+            async with open_frontend(upstream) as frontend:
+                reader, writer = await frontend.connect()
+                writer.write(make_request("/once/x", "POST", b"{}", {}) * 2)
+                await asyncio.sleep(0.1)
+                writer.write_eof()
+                async with asyncio.timeout(3.0):
+                    data = await reader.read()
+                assert data.count(b"HTTP/1.1 200 ") == data.count(b"done") == 2
+                assert len(upstream.received) == 2
+
+        asyncio.run(run())
+
+
 class TestProbes:
     def test_no_probe_follows_the_end_of_a_stream(self):
         """Guards against a byte after a response if the event loop stalls at its end."""
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -120,6 +120,24 @@
         if not self.closed() and self._is_input_done and state is not None and state & IOLoop.READ:
             self._state = state & ~IOLoop.READ
             self.io_loop.update_handler(self.fileno(), self._state)
+        self._listen_beside_buffer()
+
+    def _maybe_add_error_listener(self) -> None:
+        super()._maybe_add_error_listener()
+        self._listen_beside_buffer()
+
+    def _listen_beside_buffer(self) -> None:
+        """Listen for the end of the input though bytes of a next request were read.
+
+        Notes
+        -----
+        Tornado listens only while its buffer is empty, so that the close of a caller would not be
+        noticed. Above the size of one read, the buffer grows no further, and the close is found by
+        the write of the response.
+        """
+        is_waiting = not self.reading() and self._close_callback is not None
+        if is_waiting and self.accepts_interim and self._read_buffer_size < self.read_chunk_size:
+            self._add_io_state(IOLoop.READ)
 
     def _add_io_state(self, state: int) -> None:
         if self._is_input_done:
