--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -8,8 +8,9 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
-INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
-"""Any client of HTTP/1.1 must accept interim responses (RFC 9110, section 15.2)."""
+INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Any client of HTTP/1.1 must accept interim responses (RFC 9110, section 15.2), but some skip only
+this one: ``http.client`` of Python takes 102 for the final response."""
 CHECK_INTERVAL_S = 0.02
 """Interval at which a half-closed connection is checked for a reset; a few round trips."""
 PROBE_INTERVAL_S = 0.2
@@ -23,7 +24,9 @@
 round trips, and less than the retransmission of a lost probe takes."""
 MAX_LEADING_ZEROS = 8
 """Leading zeros of the size of a chunk that probes write. Clients accept at least 16 digits."""
-_START_LINE_VERSION = re.compile(rb"^[^\r\n]* HTTP/1\.1\r?\n")
+_INTERIM_START = b"HTTP/1.1 1"
+# Servers skip empty lines before a request (RFC 9112, section 2.2), as tornado does.
+_START_LINE_VERSION = re.compile(rb"[\r\n]*[^\r\n]* HTTP/1\.1\r?\n")
 
 
 class CallerStream(IOStream):
@@ -70,8 +73,10 @@
             self.accepts_interim = _START_LINE_VERSION.match(head.result()) is not None
 
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
-        """Write a part of a response."""
-        self.response_begun = True
+        """Write a part of a response, or an interim response to a request with ``Expect``."""
+        if not self.response_begun:
+            # An empty write only waits for earlier bytes.
+            self.response_begun = len(data) > 0 and data[:10] != _INTERIM_START
         self.last_write_s = self.io_loop.time()
         self.leading_zeros = 0
         return super().write(data)
@@ -86,8 +91,13 @@
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket; the end of the input closes the stream only if a read needs it."""
         count = super().read_from_fd(buf)
-        if count != 0 or self.reading() or not self.accepts_interim:
+        if count != 0:
             return count
+        if self.reading() and self._find_read_pos() is not None:
+            # Enough was read before; the end of the input is read again after this read.
+            return None
+        if self.reading() or not self.accepts_interim:
+            return 0
         if self.input_ended_s is None:
             self.input_ended_s = self.io_loop.time()
             log_message("caller_input_ended", response_begun=self.response_begun)
@@ -110,6 +120,24 @@
         if not self.closed() and self._is_input_done and state is not None and state & IOLoop.READ:
             self._state = state & ~IOLoop.READ
             self.io_loop.update_handler(self.fileno(), self._state)
+        self._listen_beside_buffer()
+
+    def _maybe_add_error_listener(self) -> None:
+        super()._maybe_add_error_listener()
+        self._listen_beside_buffer()
+
+    def _listen_beside_buffer(self) -> None:
+        """Listen for the end of the input though bytes of a next request were read.
+
+        Notes
+        -----
+        Tornado listens only while its buffer is empty, so that the close of a caller would not be
+        noticed. Above the size of one read, the buffer grows no further, and the close is found by
+        the write of the response.
+        """
+        is_waiting = not self.reading() and self._close_callback is not None
+        if is_waiting and self.accepts_interim and self._read_buffer_size < self.read_chunk_size:
+            self._add_io_state(IOLoop.READ)
 
     def _add_io_state(self, state: int) -> None:
         if self._is_input_done:
@@ -131,12 +159,18 @@
         """
         if self.closed():
             return
+        if self._is_reset():
+            self.close()
+            return
         now_s = self.io_loop.time()
         if self.writing():
             self.last_write_s = now_s
         elif self.write_probe is not None and now_s - self.last_write_s >= PROBE_INTERVAL_S:
             self.write_probe()
-        if self._is_reset() or self._is_unconfirmed(now_s):
+        if self.closed():
+            # The probe has found a reset that arrived meanwhile.
+            return
+        if self._is_unconfirmed(now_s):
             self.close()
             return
         if not self.response_begun and (probed_s is None or now_s - probed_s >= PROBE_INTERVAL_S):
