--- a/laburnumrock/nodes/tests/deployment.py
+++ b/laburnumrock/nodes/tests/deployment.py
@@ -30,17 +30,20 @@
 
 
 class Deployment:
-    """Three cores and an entry node in one event loop."""
+    """Cores and an entry node in one event loop; `values` are settings of all nodes."""
 
-    def __init__(self, folder) -> None:
+    def __init__(self, folder, core_names=CORES, **values) -> None:
         self.folder = folder
+        self.core_names = core_names
+        self.values = values
         self.ports = find_free_ports(2, "")
         self.cores: dict[str, CoreNode] = {}
         self.entry: EntryNode | None = None
 
     def make_settings(self, name: str, **values) -> NodeSettings:
         listen = NodeListen(name, *self.ports)
-        return NodeSettings(name, "a", listen, CORES, shutdown_timeout_s=4.0, **values)
+        values = {"shutdown_timeout_s": 4.0, **self.values, **values}
+        return NodeSettings(name, "a", listen, self.core_names, **values)
 
     async def start_core(self, name: str, may_bootstrap: bool = True) -> CoreNode:
         settings = self.make_settings(
@@ -80,10 +83,10 @@
 
 
 @contextlib.asynccontextmanager
-async def open_deployment(folder):
-    """Start three cores and an entry node, and stop them on exit."""
-    deployment = Deployment(folder)
-    for name in CORES:
+async def open_deployment(folder, core_names=CORES, **values):
+    """Start cores and an entry node, and stop them on exit."""
+    deployment = Deployment(folder, core_names, **values)
+    for name in core_names:
         await deployment.start_core(name)
     await deployment.start_entry()
     try:
