Record the error by which a half-closed caller's reset was noticed

Operators saw: `caller_left` with the cause "end of input" for callers whose connection was reset.

Cause: a reset was found by the missing address of the peer, before the error of the socket was read.

Evidence: the new test found no error on the stream.

Change: the error of the socket is read first, and the missing address counts as one.

Measured: the test passes, with the 35 other tests of half-closed callers of forwarding.

--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -128,6 +128,23 @@
 
         asyncio.run(run())
 
+    def test_reset_is_recorded(self):
+        """Guards against a reset that the log reports as a mere end of the input."""
+
+        async def run():
+            upstream = ScriptedUpstream(hang())
+            async with open_frontend(upstream) as frontend:
+                _, writer = await frontend.connect()
+                writer.write(make_request("/once/x", "POST", b"{}", {}))
+                await asyncio.sleep(0.1)
+                [connection] = frontend.server.connections
+                writer.close()
+                await asyncio.sleep(MAX_NOTICE_S)
+                assert frontend.dispatcher.outcomes == [SendOutcome.CANCELLED]
+                assert isinstance(connection.stream.error, OSError)
+
+        asyncio.run(run())
+
     def test_pipelined_requests_are_answered(self):
         """Guards against a second request that is lost, as its input ends during the first one."""
 
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -180,14 +180,16 @@
 
     def _is_reset(self) -> bool:
         """Whether the host of the peer has answered written bytes with a reset."""
-        try:
-            self.socket.getpeername()
-        except OSError:
-            return True
         error = self.get_fd_error()
         if error is not None and error.errno:
             self.error = error
             return True
+        try:
+            self.socket.getpeername()
+        except OSError as error:
+            # An earlier call has taken the error of the socket.
+            self.error = error
+            return True
         return False
 
     def _is_unconfirmed(self, now_s: float) -> bool:
