Let the acknowledgement of a probe decide whether a half-closed caller waits

Operators saw: nothing; found by the review, by reading. An order of an operator that had left counted as one whose operator waits if no reset came within 0.1 s, as on a slow path or after a lost packet. And work for a caller that had left went on to its deadline if its path dropped all packets, where the end of its input had ended it before.

Cause: the absence of a reset was taken for a caller that waits.

Change: the kernel tells how many written bytes the peer's host has not acknowledged (TIOCOUTQ). An order of an operator whose input has ended is carried out once a probe is acknowledged, and refused if the system does not tell. A caller whose host acknowledges no probe for 0.4 s counts as having left.

Why it works: the host of a peer that has left answers a probe with a reset and never acknowledges it.

No link with real loss was tried.

--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -23,7 +23,7 @@
     delayed,
     read_final_response,
 )
-from laburnumrock.streams._caller_stream import PROBE_INTERVAL_S
+from laburnumrock.streams._caller_stream import PROBE_INTERVAL_S, CallerStream
 
 
 class TestFormsOfRequests:
@@ -212,3 +212,45 @@
 
         asyncio.run(run())
         assert [record.exc_text for record in caplog.records if record.exc_info] == []
+
+
+class TestUnacknowledgedProbes:
+    def test_caller_whose_host_answers_nothing(self, monkeypatch):
+        """Guards against work for a caller that has left behind a path that drops all packets."""
+        monkeypatch.setattr(CallerStream, "_count_unacknowledged", lambda stream: 25)
+
+        async def run():
+            upstream = ScriptedUpstream(hang())
+            async with open_frontend(upstream) as frontend:
+                _, writer = await frontend.connect()
+                writer.write(make_request("/once/x", "POST", b"{}", {}))
+                await asyncio.sleep(0.1)
+                left_s = time.monotonic()
+                writer.write_eof()
+                while not frontend.dispatcher.outcomes:
+                    await asyncio.sleep(0.01)
+                    assert time.monotonic() - left_s < MAX_NOTICE_S
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("unacknowledged", [25, None])
+    def test_operator_without_proof_does_not_wait(self, monkeypatch, unacknowledged):
+        """Guards against a late order of an operator of whom nothing proves that it still waits."""
+
+        async def run():
+            with socket.create_server((HOST, 0)) as server, socket.socket() as client:
+                client.connect(server.getsockname())
+                accepted, _ = server.accept()
+                stream = CallerStream(accepted)
+                client.sendall(b"POST / HTTP/1.1\r\n\r\n")
+                client.shutdown(socket.SHUT_WR)
+                await stream.read_until_regex(b"\r\n\r\n")
+                stream.set_close_callback(lambda: None)
+                while stream.input_ended_s is None:
+                    await asyncio.sleep(0.01)
+                monkeypatch.setattr(stream, "_count_unacknowledged", lambda: unacknowledged)
+                async with asyncio.timeout(1.0):
+                    assert not await stream.is_peer_waiting()
+                stream.close()
+
+        asyncio.run(run())
--- a/laburnumrock/streams/_caller_stream.py
+++ b/laburnumrock/streams/_caller_stream.py
@@ -1,7 +1,10 @@
 """Streams of connections to callers, which may close their sending side and read on."""
 
 import asyncio
+import fcntl
 import re
+import struct
+import termios
 from collections.abc import Callable
 
 from eliot import log_message
@@ -19,9 +22,9 @@
 UNCONFIRMED_S = 0.3
 """Time after which a caller counts as having left if nothing could be written to it, as a response
 has begun and its next part has not come."""
-CONFIRMED_S = 0.1
-"""Time without a reset after which a half-closed connection counts as one whose caller waits; many
-round trips, and less than the retransmission of a lost probe takes."""
+MAX_UNACKNOWLEDGED_S = 0.4
+"""Time after which a caller counts as having left if its host does not acknowledge a probe. A lost
+packet is sent again 0.2 s later."""
 MAX_LEADING_ZEROS = 8
 """Leading zeros of the size of a chunk that probes write. Clients accept at least 16 digits."""
 _INTERIM_START = b"HTTP/1.1 1"
@@ -55,6 +58,8 @@
         # Whether a part of the response to the current request was written.
         self.response_begun = False
         self.last_write_s = 0.0
+        # When all written bytes were last seen to be acknowledged, after the end of the input.
+        self.acknowledged_s = 0.0
         self.write_probe: Callable[[], None] | None = None
         self.leading_zeros = 0
 
@@ -99,18 +104,26 @@
         if self.reading() or not self.accepts_interim:
             return 0
         if self.input_ended_s is None:
-            self.input_ended_s = self.io_loop.time()
+            self.input_ended_s = self.acknowledged_s = self.io_loop.time()
             log_message("caller_input_ended", response_begun=self.response_begun)
             self._check_peer()
         return None
 
     async def is_peer_waiting(self) -> bool:
-        """Return whether the peer waits for the response, after a probe if its input has ended."""
+        """Return whether the peer waits for the response.
+
+        Notes
+        -----
+        After the end of its input, only the acknowledgement of a probe proves it: the host of a
+        peer that has left answers with a reset.
+        """
         while not self.closed() and self.input_ended_s is not None:
-            ended_s = self.io_loop.time() - self.input_ended_s
-            if ended_s >= CONFIRMED_S:
-                return not self._is_reset()
-            await asyncio.sleep(CONFIRMED_S - ended_s)
+            unacknowledged = self._count_unacknowledged()
+            if unacknowledged is None or self._is_reset():
+                return False
+            if unacknowledged == 0 and not self.writing():
+                return True
+            await asyncio.sleep(CHECK_INTERVAL_S)
         return not self.closed()
 
     def _handle_events(self, fd: int, events: int) -> None:
@@ -170,7 +183,7 @@
         if self.closed():
             # The probe has found a reset that arrived meanwhile.
             return
-        if self._is_unconfirmed(now_s):
+        if self._is_unconfirmed(now_s) or self._is_unacknowledged(now_s):
             self.close()
             return
         if not self.response_begun and (probed_s is None or now_s - probed_s >= PROBE_INTERVAL_S):
@@ -192,6 +205,26 @@
             return True
         return False
 
+    def _count_unacknowledged(self) -> int | None:
+        """Return the number of written bytes that the host of the peer has not acknowledged.
+
+        None if the system does not tell.
+        """
+        try:
+            packed = fcntl.ioctl(self.socket, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        except OSError:
+            return None
+        return struct.unpack("i", packed)[0]
+
+    def _is_unacknowledged(self, now_s: float) -> bool:
+        """Whether the host of the peer has not acknowledged a probe for too long.
+
+        A response that has begun may wait for a peer that reads slowly.
+        """
+        if self.response_begun or not self._count_unacknowledged():
+            self.acknowledged_s = now_s
+        return now_s - self.acknowledged_s > MAX_UNACKNOWLEDGED_S
+
     def _is_unconfirmed(self, now_s: float) -> bool:
         """Whether nothing could be written for long since the end of the input."""
         probed = not self.response_begun or self.last_write_s > self.input_ended_s
