Let removed cores join again that know neither the leader nor of their removal

A core that was cut off while a successor joined stayed without a vote and without the log after the cut, so it could not answer a read of the configuration, and the group had one voter less.

Cause: two cases. A removed voter asks the voters that it knows, and only the leader adds members; if a core leads that joined meanwhile, it is never asked. A learner that was removed while it was cut off still takes itself for a learner, and asks nobody.

Change: whoever gets a request for a pre-vote from an identity that is no member answers with its leader as well, which the candidate then asks. A learner that hears from no leader for the longest election timeout asks to join.

Why it works: the leader gets the request itself, and adds whoever asks to join and is no member. Requests of members change nothing.

--- a/laburnumrock/replication/_node.py
+++ b/laburnumrock/replication/_node.py
@@ -158,6 +158,9 @@
             # The sender is a new instance, or a voter that was removed during a network partition.
             # Other messages may be late ones of a voter that was removed because it stops.
             self.bootstrap.record_non_member(sender, message.voter_id, now_s)
+            if isinstance(message, PreVote):
+                # The sender does not know of its removal, and may not know the leader either.
+                self._send(sender, self._identity_answer())
         if isinstance(message, IdentityQuery):
             self.bootstrap.record_identity(sender, message.voter_id, message.has_log)
             self._send(sender, self._identity_answer())
@@ -172,7 +175,7 @@
 
         Call this at the time that `next_tick_s` returns, or a few times per heartbeat interval.
         """
-        if not self._is_member(self.voter_id) and not self.is_departing:
+        if self._asks_to_join(now_s):
             for peer in self.bootstrap.instances_to_query(now_s):
                 self._send(peer, IdentityQuery(self.voter_id, self.has_log))
         if not self.has_log:
@@ -256,13 +259,24 @@
         self.log.compact(snapshot)
         return [SaveSnapshot(snapshot, list(self.log.entries))]
 
+    def _asks_to_join(self, now_s: float) -> bool:
+        """Return whether to ask the others for membership.
+
+        A learner that hears from no leader may have been removed without being told.
+        """
+        if self.is_departing or self.voter_id in self.members.voters:
+            return False
+        since_contact_s = now_s - self.leader_contact_s
+        return not self._is_member(self.voter_id) or since_contact_s > self.timing.election_max_s
+
     def _is_member(self, voter_id: str) -> bool:
         return voter_id in self.members.voters_and_learners
 
     def _receive_identity_answer(self, sender: str, message: IdentityAnswer) -> None:
         self.bootstrap.record_identity(sender, message.voter_id, message.has_log)
         self.bootstrap.record_first_start(sender, message.is_first_start)
-        if not self._is_member(self.voter_id) and self.bootstrap.claim_query(message.leader):
+        may_be_removed = self.role is Role.PRE_CANDIDATE or self.voter_id not in self.members.voters
+        if may_be_removed and self.bootstrap.claim_query(message.leader):
             # Only the leader adds members, and it need not be among the initial voters.
             self._send(message.leader, IdentityQuery(self.voter_id, self.has_log))
         if self.has_log or self.log.last_index:
--- a/laburnumrock/replication/_voting.py
+++ b/laburnumrock/replication/_voting.py
@@ -19,6 +19,7 @@
         self.role = Role.PRE_CANDIDATE
         self.leader_id = None
         self.votes = {self.voter_id}
+        self.bootstrap.queried = {self.instance_id}
         self._report_role()
         self._request_votes(PreVote, self.term + 1, False)
         self._count_votes(now_s)
--- a/laburnumrock/replication/tests/test_voter_policy.py
+++ b/laburnumrock/replication/tests/test_voter_policy.py
@@ -7,9 +7,12 @@
 from laburnumrock.messages import Send
 from laburnumrock.replication import (
     Departure,
+    IdentityQuery,
+    Members,
     Proposal,
     RaftNode,
     Role,
+    Snapshot,
     StoredState,
     TransferLeadership,
     VoterChange,
@@ -143,6 +146,36 @@
         cluster.run(0.5)
         assert cluster.leader().commit_index >= index
 
+    def test_removed_voter_finds_a_leader_that_it_does_not_know(self):
+        """Guards against a core that is cut off during a replacement and never votes again."""
+        cluster = Cluster()
+        cluster.run(3.0)
+        away = cluster.follower()
+        cluster.down.add(away)
+        cluster.start("d", "d1")
+        cluster.run(6.0)
+        assert away not in cluster.voters()
+        leader = cluster.leader()
+        message = TransferLeadership(leader.term, leader.voter_id, "d1")
+        cluster._deliver(leader.instance_id, [Send("d", message)])
+        cluster.run(1.0)
+        assert cluster.leader().instance_id == "d"
+        cluster.down.discard(away)
+        cluster.run(4.0)
+        assert cluster.leader().instance_id == "d"
+        assert away in cluster.voters()
+
+    def test_learner_without_a_leader_asks_to_join(self):
+        """Guards against a learner that was removed while it was cut off and waits for good."""
+        members = Members({f"{name}1": name for name in FIRST}, {"d1": "d"})
+        stored = StoredState("d1", snapshot=Snapshot(5, 1, members))
+        timing = TimingSettings()
+        node = RaftNode("d", FIRST, timing, stored, random.Random(0), False)
+        node.tick(0.0)
+        sent = node.tick(10 * timing.election_max_s)
+        asked = [effect.destination for effect in sent if isinstance(effect.message, IdentityQuery)]
+        assert asked == FIRST
+
     def test_wiped_voter_votes_under_a_new_identity(self):
         """Guards against a voter that lost its disk and still votes under its old identity."""
         cluster = Cluster()
