--- a/laburnumrock/gateway/tests/test_half_closed_callers.py
+++ b/laburnumrock/gateway/tests/test_half_closed_callers.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import re
 import socket
 import struct
 
@@ -15,18 +14,17 @@
 from laburnumrock.gateway.tests._operator_fakes import make_services
 from laburnumrock.gateway.tests.fakes import (
     FULL_TEXT,
-    KEY,
     ScriptedEngine,
     run_gateway,
     write_chunk,
 )
+from laburnumrock.gateway.tests.raw_calls import make_request, parse
 from laburnumrock.placement import PermitOutcome
 
 TIME_LIMIT_S = 4.0
 """Less than the deadline of the template, so that no answer comes from the deadline."""
 MAX_NOTICE_S = 0.5
 """Time in which the work for a caller that has left must end."""
-INTERIM = re.compile(rb"^(HTTP/1\.1 1\d\d [^\r]*\r\n\r\n)+")
 
 
 class SlowService(ScriptedEngine):
@@ -40,15 +38,6 @@
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nanswered")
 
 
-def make_request(path, body, method="POST", key=KEY, **headers):
-    """Return the bytes of a whole request on a connection that is kept alive."""
-    data = json.dumps(body).encode()
-    lines = [f"{method} {path} HTTP/1.1", "Host: x", f"Content-Length: {len(data)}"]
-    lines += ["X-Client-Account: merchant", f"Authorization: Bearer {key}"]
-    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-    return "\r\n".join([*lines, "", ""]).encode() + data
-
-
 def make_completion(stream):
     return make_request("/v1/completions", {"prompt": "a b", "max_tokens": 4, "stream": stream})
 
@@ -83,30 +72,6 @@
         return await read_to_end(reader)
 
 
-def parse(data):
-    """Return the status, the headers and the body of a response that must be whole."""
-    data = INTERIM.sub(b"", data)
-    assert data, "the connection was closed without an answer"
-    head, _, rest = data.partition(b"\r\n\r\n")
-    status_line, *lines = head.decode().split("\r\n")
-    headers = dict(line.lower().split(": ", 1) for line in lines)
-    if headers.get("transfer-encoding") == "chunked":
-        body = b""
-        while True:
-            size, _, rest = rest.partition(b"\r\n")
-            length = int(size, 16)
-            chunk, end, rest = rest[:length], rest[length : length + 2], rest[length + 2 :]
-            assert (len(chunk), end) == (length, b"\r\n")
-            if length == 0:
-                break
-            body += chunk
-        assert rest == b""
-    else:
-        body = rest
-        assert len(body) == int(headers["content-length"])
-    return int(status_line.split()[1]), headers, body
-
-
 class SlowClient:
     """Permit or quota client that answers after 0.5 s."""
 
