Resume streams only on connections that were in use a moment ago

Callers saw: a stream whose engine broke off was closed without its end within 6 ms, with 6 to 9 s of its time limit left, although most engines could be reached.

Cause: the second send went over an idle connection to another engine whose path had been cut too. An idle connection shows that only after the send, which then counts for max_attempts. No third send was allowed, and nothing was left to answer with.

Change: a stream that has begun is resumed on a new connection, or on one that has been idle for 0.1 s at most (ConnectionPool.open, max_idle_s).

Why it works: an upstream that cannot be reached refuses the new connection before a byte is sent. That does not count as an attempt, so the next upstream is tried.

Weighed: not to count sends that broke without a byte of a response, which would send harmful prompts to more engines.

--- a/laburnumrock/forwarding/_attempt.py
+++ b/laburnumrock/forwarding/_attempt.py
@@ -1,6 +1,7 @@
 """One placement of a request and the send that follows it."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -20,6 +21,9 @@
 MAX_CRASH_CHECK_S = 0.1
 """Time limit for the connection that shows whether the upstream of a broken send has crashed; a
 crashed one refuses it within a round trip."""
+MAX_RESUMPTION_IDLE_S = 0.1
+"""Maximum idle time of a connection that carries the rest of a stream. An older one may lead to an
+upstream whose path has been cut; it breaks after the send, which counts as one of the attempts."""
 MAX_LOGGED_PARTS = 8
 """Maximum number of parts of a prompt in a log line; the header that lists them may have 16 KiB."""
 
@@ -141,7 +145,8 @@
                 self.unresponsive = reserved.unwrap_err()
                 return SendOutcome.REFUSED
             left_s = state.deadline_s - time.monotonic()
-            opened = await context.pool.open(placement.host, placement.port, left_s)
+            max_idle_s = MAX_RESUMPTION_IDLE_S if state.writer.started else math.inf
+            opened = await context.pool.open(placement.host, placement.port, left_s, max_idle_s)
             if opened.is_err():
                 state.unsent += 1
                 state.writer.log("upstream_unreachable", upstream=self.upstream)
--- a/laburnumrock/forwarding/_connections.py
+++ b/laburnumrock/forwarding/_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import time
 from dataclasses import dataclass
@@ -72,14 +73,16 @@
         Stream of the connection.
     reused : bool
         Whether the connection has carried an earlier request.
-    expires_s : float
-        Reading of the monotonic clock from which the idle connection is no longer reused.
+    idle_since_s, expires_s : float
+        Readings of the monotonic clock from which the connection has been idle, and from which it
+        is no longer reused.
     """
 
     host: str
     port: int
     stream: UpstreamStream
     reused: bool = False
+    idle_since_s: float = 0.0
     expires_s: float = 0.0
 
     def close(self) -> None:
@@ -103,17 +106,29 @@
         self.opened = 0
 
     async def open(
-        self, host: str, port: int, timeout_s: float
+        self, host: str, port: int, timeout_s: float, max_idle_s: float = math.inf
     ) -> Result[UpstreamConnection, Failure]:
         """Return an idle connection of the pool, or open a new one.
 
+        Parameters
+        ----------
+        host : str
+            IP address of the upstream.
+        port : int
+            Port of the upstream.
+        timeout_s : float
+            Time limit for opening a connection, unless that of the pool is shorter.
+        max_idle_s : float
+            Maximum time for which a connection of the pool may have been idle. A new one proves
+            that the upstream can be reached.
+
         Returns
         -------
         Result
             The connection, or a failure of kind ``connection_failed``, which proves that no byte
             was sent.
         """
-        reused = self._take_idle((host, port))
+        reused = self._take_idle((host, port), max_idle_s)
         if reused is not None:
             return Ok(reused)
         try:
@@ -177,7 +192,8 @@
             connection.close()
             return
         connection.reused = True
-        connection.expires_s = time.monotonic() + idle_s
+        connection.idle_since_s = time.monotonic()
+        connection.expires_s = connection.idle_since_s + idle_s
         idle.append(connection)
 
     def close_idle(self) -> None:
@@ -207,10 +223,10 @@
                 connection.close()
         self.idle.clear()
 
-    def _take_idle(self, address: tuple[str, int]) -> UpstreamConnection | None:
+    def _take_idle(self, address: tuple[str, int], max_idle_s: float) -> UpstreamConnection | None:
         connections = self.idle.get(address, [])
         now_s = time.monotonic()
-        while connections:
+        while connections and now_s - connections[-1].idle_since_s <= max_idle_s:
             # The most recently used connection is the least likely to have been closed by the
             # upstream.
             connection = connections.pop()
--- a/laburnumrock/forwarding/tests/test_broken_streams.py
+++ b/laburnumrock/forwarding/tests/test_broken_streams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from laburnumrock.forwarding._attempt import MAX_RESUMPTION_IDLE_S
 from laburnumrock.forwarding._forwarder import MAX_UNSENT_RESUMPTIONS
 from laburnumrock.forwarding._http_response import ResponseWriter
 from laburnumrock.forwarding.tests.scripted import (
@@ -89,6 +90,24 @@
 
         asyncio.run(run())
 
+    def test_idle_connection_is_not_used(self):
+        """Guards against a last send on an idle connection whose upstream cannot be reached."""
+
+        async def run():
+            stale = ScriptedUpstream(answer(), respond_raw(b""))
+            first = ScriptedUpstream(stream(1, 2, cut=b"id: 3\nda"))
+            last = ScriptedUpstream(stream(3, 4))
+            async with open_frontend(stale, first, last) as frontend:
+                frontend.dispatcher.upstreams = [stale, first, stale, last]
+                assert (await frontend.request("/r/x")).status == 200
+                stale.server.close()
+                await asyncio.sleep(1.2 * MAX_RESUMPTION_IDLE_S)
+                response = await frontend.request("/s/x")
+            assert (response.body, response.complete) == (WHOLE_STREAM, True)
+            assert len(stale.received) == 1
+
+        asyncio.run(run())
+
     def test_placements_are_bounded(self):
         """Guards against a stream that is placed without end while nothing can be reached."""
 
