Read what has arrived before an upstream counts as silent

Seen: nothing yet at callers; by reading, and in a test. An entry that did not run for a moment (frozen, or on a busy machine) reported sends as stalled to the leader although their events were already in its sockets. The leader then avoids these upstreams, for 0.5 s at first, and the entry seeks others for requests that are answered.

Cause: the event loop calls timers that are due before the tasks that read go on.

Change: a timer of a send that fires more than 50 ms late is deferred once by 10 ms, and counts from the events that were read meanwhile.

Result: the new test blocks the event loop for 0.35 s after each event, with limits of 0.15 s.

--- a/laburnumrock/forwarding/_send.py
+++ b/laburnumrock/forwarding/_send.py
@@ -19,9 +19,20 @@
 MIN_REMAINING_S = 0.02
 """Minimum time before the deadline at which a send can still be answered."""
 
+LATE_THRESHOLD_S = 0.05
+"""A timer that fires later than this indicates a busy event loop or a process that did not run."""
+DEFER_S = 0.01
+"""Time in which the event loop reads what has arrived meanwhile."""
+
 
 class StallTimer:
-    """Timer that is restarted with each event of a stream."""
+    """Timer that is restarted with each event of a stream.
+
+    Notes
+    -----
+    A timer that fires late is deferred once: the events that it waits for may have arrived while
+    the process did not run, and be unread.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, notify: Callable[[], None]) -> None:
         self.loop = loop
@@ -30,6 +41,7 @@
         self.handle: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
         self.cancelled = False
+        self.deferred = False
 
     def set(self, delay_s: float) -> None:
         """Restart the timer, so that it notifies after a delay from now."""
@@ -44,6 +56,7 @@
         if self.handle is not None:
             self.handle.cancel()
             self.handle = None
+        self.deferred = False
 
     def cancel(self) -> None:
         """Cancel the timer and a notification in progress."""
@@ -53,10 +66,14 @@
             self.task.cancel()
 
     def _fire(self) -> None:
-        self.handle = None
-        if self.loop.time() < self.due_s:
+        late_s = self.loop.time() - self.due_s
+        self.deferred = late_s > LATE_THRESHOLD_S and not self.deferred
+        if late_s < 0.0:
             self.handle = self.loop.call_at(self.due_s, self._fire)
+        elif self.deferred:
+            self.handle = self.loop.call_later(DEFER_S, self._fire)
         else:
+            self.handle = None
             self.notify()
 
 
--- a/laburnumrock/forwarding/tests/test_silent_upstreams.py
+++ b/laburnumrock/forwarding/tests/test_silent_upstreams.py
@@ -1,6 +1,7 @@
 """Sound upstreams that fall silent for a moment and go on."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -21,6 +22,7 @@
     read_response,
     respond_raw,
     stream,
+    write_chunk,
 )
 
 SILENCE_S = 0.7
@@ -322,3 +324,37 @@
         await answer()(reader, writer, received)
 
     return run
+
+
+class TestBusyEntry:
+    """The event loop of the entry stands still for longer than the time limits."""
+
+    def test_events_that_have_arrived_are_read_first(self):
+        """Guards against an entry that takes sound upstreams for silent, seeks others and lets the
+        leader avoid them, since it did not run for a moment and their events are still unread.
+        """
+        stalls = []
+
+        async def send(reader, writer, received) -> None:
+            writer.write(
+                make_head(200, received, True, None, {"Content-Type": "text/event-stream"})
+            )
+            for number in range(1, 5):
+                write_chunk(writer, make_event(number))
+                # The event is in the socket, and the entry shares this event loop.
+                time.sleep(SILENCE_S / 2)
+                await asyncio.sleep(0.05)
+            writer.write(b"0\r\n\r\n")
+
+        async def run() -> tuple[CallerResponse, FrontendHarness]:
+            upstreams = ScriptedUpstream(send), ScriptedUpstream(stream(1, 4))
+            async with open_frontend(*upstreams, **LIMITS, stall_report_delay_s=0.05) as frontend:
+                report_stall = frontend.dispatcher.report_stall
+                frontend.dispatcher.report_stall = lambda message: (
+                    stalls.append(message) or report_stall(message)
+                )
+                return await frontend.request("/s/x"), frontend
+
+        response, frontend = asyncio.run(run())
+        assert (response.body, response.complete) == (EVENTS, True)
+        assert (len(frontend.dispatcher.calls), stalls) == (1, [])
