--- a/laburnumrock/forwarding/tests/test_half_closed_forms.py
+++ b/laburnumrock/forwarding/tests/test_half_closed_forms.py
@@ -113,7 +113,8 @@
             async with open_frontend(upstream) as frontend:
                 _, writer = await frontend.connect()
                 writer.write(make_request("/once/x", "POST", b"{}", {}) + rest)
-                await asyncio.sleep(0.1)
+                while not upstream.received:
+                    await asyncio.sleep(0.01)
                 if half_closed_s is not None:
                     writer.write_eof()
                     await asyncio.sleep(half_closed_s)
