Wait for an upstream that can resume a stream

Callers saw: a stream that had begun was closed without its end, with time left, if its upstream broke off and the next placement was refused, as while all slots are taken or an entry has just lost its leader.

Cause: a refusal ended the request at once. Before a response begins, that is what the caller needs; afterwards nothing is left to answer with.

Evidence: two of the three new tests failed before.

Change: a refused placement of a stream that has begun is repeated after its Retry-After, if that lies before the deadline, as it is while a send is overdue. Otherwise the stream is closed at once, as before.

Why it works: the stream keeps its place at the caller, and goes on as soon as an upstream can take it.

Measured: the tests of forwarding pass.

--- a/laburnumrock/forwarding/_forwarder.py
+++ b/laburnumrock/forwarding/_forwarder.py
@@ -198,10 +198,12 @@
                 return True
             if outcome is None:
                 refusal = attempt.placement
-        if self.attempts:
-            if refusal is not None:
-                wait_s = max(self.context.settings.placement_retry_s, refusal.retry_after_s)
-                self.next_start_s = time.monotonic() + wait_s
+            else:
+                self.next_start_s = 0.0
+        if refusal is not None:
+            wait_s = max(self.context.settings.placement_retry_s, refusal.retry_after_s)
+            self.next_start_s = time.monotonic() + wait_s
+        if self.attempts or (refusal is not None and self._may_ask_again()):
             return False
         if self.error is not None:
             raise self.error
@@ -210,6 +212,12 @@
             return True
         return self._fail_if_exhausted()
 
+    def _may_ask_again(self) -> bool:
+        """Whether a refused placement is repeated, as no refusal can be written any more."""
+        if not self.writer.started or self.error is not None:
+            return False
+        return self.next_start_s < self.state.deadline_s - MIN_REMAINING_S
+
     def _keep_error(self, attempt: Attempt) -> bool:
         """Keep an unexpected error of an attempt, which must not end the other one."""
         error = attempt.task.exception()
@@ -246,7 +254,7 @@
     def _may_start(self) -> bool:
         """Whether no send is under way, or only one that is overdue."""
         if not self.attempts:
-            return True
+            return time.monotonic() >= self.next_start_s
         if len(self.attempts) >= MAX_CONCURRENT_ATTEMPTS or self.is_exhausted:
             return False
         if self.error is not None:
@@ -261,7 +269,8 @@
         """Wait until an attempt ends or is overdue, or until the next one may start."""
         timeout_s = None
         now_s = time.monotonic()
-        if self.attempts[0].is_overdue and now_s < self.next_start_s:
+        is_waiting = not self.attempts or self.attempts[0].is_overdue
+        if is_waiting and now_s < self.next_start_s:
             timeout_s = self.next_start_s - now_s
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
--- a/laburnumrock/forwarding/tests/test_broken_streams.py
+++ b/laburnumrock/forwarding/tests/test_broken_streams.py
@@ -1,9 +1,12 @@
 """Tests of what callers get when upstreams end in the middle of a stream or of a head."""
 
 import asyncio
+import time
 
 import pytest
 
+from laburnumrock.dispatch import DispatchAnswer
+from laburnumrock.errors import ErrorKind
 from laburnumrock.forwarding._attempt import MAX_RESUMPTION_IDLE_S
 from laburnumrock.forwarding._forwarder import MAX_UNSENT_RESUMPTIONS
 from laburnumrock.forwarding._http_response import ResponseWriter
@@ -124,6 +127,48 @@
         asyncio.run(run())
 
 
+class TestRefusedResumptions:
+    """A stream has begun and broke off, and no upstream is free for the rest of it."""
+
+    @staticmethod
+    def make_refusal(retry_after_s: float) -> DispatchAnswer:
+        kind = ErrorKind.CONCURRENCY_LIMITED.value
+        return DispatchAnswer(refusal=kind, retry_after_s=retry_after_s)
+
+    def test_stream_is_resumed_once_an_upstream_is_free(self):
+        """Guards against a stream without an end while there is time to wait for an upstream."""
+
+        async def run():
+            first = ScriptedUpstream(stream(1, 2, cut=b"id: 3\nda"))
+            refused = ScriptedUpstream(answer())
+            last = ScriptedUpstream(stream(3, 4))
+            upstreams = (first, refused, refused, last)
+            async with open_frontend(*upstreams, placement_retry_s=0.1) as frontend:
+                refusal = self.make_refusal(0.2)
+                frontend.dispatcher.refused = {2: refusal, 3: refusal}
+                response = await frontend.request("/s/x")
+            assert (response.body, response.complete) == (WHOLE_STREAM, True)
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("retry_after_s, earliest_s, latest_s", [(0.2, 1.7, 2.3), (5, 0, 0.5)])
+    def test_stream_ends_if_none_can_take_it(self, retry_after_s, earliest_s, latest_s):
+        """Guards against a stream that is held although nothing can take it before its deadline."""
+
+        async def run():
+            first = ScriptedUpstream(stream(1, 2, cut=b"id: 3\nda"))
+            async with open_frontend(first, placement_retry_s=0.1) as frontend:
+                refusal = self.make_refusal(retry_after_s)
+                frontend.dispatcher.refused = dict.fromkeys(range(2, 100), refusal)
+                began_s = time.monotonic()
+                response = await frontend.request("/s/x")
+                elapsed_s = time.monotonic() - began_s
+            assert not response.complete
+            assert earliest_s <= elapsed_s < latest_s
+
+        asyncio.run(run())
+
+
 class TestTruncatedHeads:
     """An upstream stops in the middle of the head of its answer and closes the connection."""
 
