--- a/laburnumrock/forwarding/tests/silence_phases.py
+++ b/laburnumrock/forwarding/tests/silence_phases.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from pathlib import Path
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +99,12 @@
         yield data[start:stop]
 
 
+def read_wait_s(pid: int) -> float:
+    """Return the time for which a process was ready to run and had no processor."""
+    text = Path(f"/proc/{pid}/schedstat").read_text(encoding="ascii")
+    return int(text.split()[1]) / 1e9
+
+
 @register_framing("length")
 def _frame_with_length(lines: list[str], pieces: list[bytes]) -> FramedResponse:
     length = sum(map(len, pieces))
--- a/laburnumrock/platform/soak/tests/silence_rounds.py
+++ b/laburnumrock/platform/soak/tests/silence_rounds.py
@@ -27,7 +27,13 @@
 import click
 
 from laburnumrock.forwarding._context import MIN_STALL_S
-from laburnumrock.forwarding.tests.silence_phases import FRAMINGS, PHASES, Phase, split_response
+from laburnumrock.forwarding.tests.silence_phases import (
+    FRAMINGS,
+    PHASES,
+    Phase,
+    read_wait_s,
+    split_response,
+)
 from laburnumrock.platform.soak._callers import API_KEY, HOSTNAME, NOT_RUN_STATUSES
 from laburnumrock.platform.soak._changes import (
     CHANGE_KINDS,
@@ -405,12 +411,6 @@
     return status, body
 
 
-def read_wait_s(pid: int) -> float:
-    """Return the time for which a process was ready to run and had no processor."""
-    text = Path(f"/proc/{pid}/schedstat").read_text(encoding="ascii")
-    return int(text.split()[1]) / 1e9
-
-
 async def submit(soak: RunState, change: str) -> None:
     """Submit the next version of the routes with a change, until it is acknowledged."""
     operator = soak.operator
