--- a/laburnumrock/forwarding/tests/silence_matrix.py
+++ b/laburnumrock/forwarding/tests/silence_matrix.py
@@ -22,7 +22,7 @@
 
 from laburnumrock.dispatch import DispatchAnswer, Helper, StallAdvice
 from laburnumrock.errors import ErrorKind
-from laburnumrock.forwarding._attempt import MAX_END_CHECK_S
+from laburnumrock.forwarding._attempt import MAX_CRASH_CHECK_S
 from laburnumrock.forwarding.tests.scripted import (
     HOST,
     CallerResponse,
@@ -495,7 +495,7 @@
     if elapsed_s > scene.limit_s + MARGIN_S + waited_s:
         return "no answer at its time limit"
     is_lost = response is None or not response.complete or response.status >= 500
-    if scene.case.framing == "close" and is_lost and waited_s > MAX_END_CHECK_S:
+    if scene.case.framing == "close" and is_lost and waited_s > MAX_CRASH_CHECK_S:
         # Nothing proves that an answer is whole if its upstream had no processor to accept a check.
         return _judge_refusal(scene, response)
     if response is None or not response.complete:
