Search more seeds for the violations of a faulty order controller

test_checks_detect_a_removed_safeguard failed on the merged work: without the recheck of an order, none of 60 seeds of the simulation showed "after a newer order". The order controller is unchanged. What it expects is the same: the checks of the simulation find a controller without the safeguard.

--- a/laburnumrock/orders/tests/test_orders.py
+++ b/laburnumrock/orders/tests/test_orders.py
@@ -18,7 +18,7 @@
 
 SEEDS = 24
 SEEDS_PER_TEST = 8
-MUTATION_SEEDS = 60
+MUTATION_SEEDS = 120
 
 
 class _StoreDriver:
