Adapt the test of changes to the interfaces of the merged work

All 20 cases of test_changes.py failed on the merged work: its stand-in for ConnectionPool.open did not take the new argument max_idle_s, and one case passed a plain function as is_caller_waiting, which is a coroutine function now. What the test expects is unchanged.

--- a/laburnumrock/nodes/tests/stages.py
+++ b/laburnumrock/nodes/tests/stages.py
@@ -285,7 +285,7 @@
 async def connecting(trial: Trial):
     """The connection to the upstream is being opened."""
     port = trial.upstreams[0].port
-    trial.hold_call("open", trial.deployment.entry.pool, lambda _, target, __: target == port)
+    trial.hold_call("open", trial.deployment.entry.pool, lambda _, target, *rest: target == port)
     await trial.send()
     await trial.held.wait()
     yield
--- a/laburnumrock/nodes/tests/test_changes.py
+++ b/laburnumrock/nodes/tests/test_changes.py
@@ -21,6 +21,7 @@
     make_report,
     open_deployment,
     wait_until,
+    waits,
 )
 from laburnumrock.nodes.tests.stages import STAGES, Phase, Trial
 from laburnumrock.platform._routes import decode_routes
@@ -267,7 +268,7 @@
 @register_upstreams
 async def evacuate(bench: Bench) -> None:
     leader = bench.deployment.leader()
-    assert (await leader.changes.set_drain("a", True, lambda: True)).is_ok()
+    assert (await leader.changes.set_drain("a", True, waits)).is_ok()
     await wait_until(lambda: bench.deployment.entry.drained == {"a"})
 
 
